--- a/internal/entry/pipelines.go
+++ b/internal/entry/pipelines.go
@@ -216,7 +216,7 @@
 func (s *Server) answerPipeline(ctx *fasthttp.RequestCtx, c *call, req *pipeline.Request) {
 	runCtx, cancel := context.WithDeadline(context.Background(), c.deadline)
 	defer cancel()
-	runCtx, watched := s.hangups.watch(runCtx, ctx.Conn())
+	runCtx, watched := s.hangups.Watch(runCtx, ctx.Conn())
 	result, prob := s.run(runCtx, c, req)
 	watched()
 	if prob != nil {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -16,6 +16,7 @@
 	"github.com/vanillagate/vanillagate/internal/command/claim"
 	"github.com/vanillagate/vanillagate/internal/config"
 	"github.com/vanillagate/vanillagate/internal/directory"
+	"github.com/vanillagate/vanillagate/internal/hangup"
 	"github.com/vanillagate/vanillagate/internal/inforce"
 	"github.com/vanillagate/vanillagate/internal/limit"
 	"github.com/vanillagate/vanillagate/internal/logging"
@@ -51,7 +52,7 @@
 	prefixes  *prefix.Index // nil without affinity
 	claims    *claim.Claims
 	changes   *change.Submitter
-	hangups   *hangups
+	hangups   *hangup.Watcher
 	suspects  *suspicion
 	observer  *observer
 	stops     *stops
@@ -98,7 +99,7 @@
 	s.gates = gates{open: opts.Policy.NoAdmission, byName: map[string]*limit.Gate{}}
 	s.claims = claim.New(opts.Table, opts.Objects)
 	s.changes = change.New(opts.Table, s.keeper.State)
-	s.hangups = newHangups()
+	s.hangups = hangup.New(errCallerLeft)
 	s.suspects = newSuspicion(s)
 	s.observer = newObserver(s)
 	s.stops = newStops(s)
@@ -169,7 +170,7 @@
 
 func (s *Server) startLoops(ctx context.Context, wait *sync.WaitGroup) {
 	loops := []func(context.Context){
-		s.keeper.Run, s.keeper.RunSnapshots, s.claims.Run, s.hangups.run,
+		s.keeper.Run, s.keeper.RunSnapshots, s.claims.Run, s.hangups.Run,
 		s.runVMList, s.runProbes, s.runDemands, s.runCacheEvents, s.certain.run, s.observer.run, s.stops.run,
 	}
 	for _, loop := range loops {
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -176,7 +176,7 @@
 	if !sc.route.NonIdempotent {
 		// Only what may run again is cancelled when its caller hangs up: a
 		// booking that was sent is brought to its end and recorded.
-		watchCtx, watched := s.hangups.watch(runCtx, ctx.Conn())
+		watchCtx, watched := s.hangups.Watch(runCtx, ctx.Conn())
 		defer watched()
 		runCtx = watchCtx
 	}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -36,7 +36,7 @@
 func (s *Server) streamPipeline(ctx *fasthttp.RequestCtx, c *call, req *pipeline.Request) {
 	deadline, cancelDeadline := context.WithDeadline(context.Background(), c.deadline)
 	runCtx, cancel := context.WithCancelCause(deadline)
-	runCtx, watched := s.hangups.watch(runCtx, ctx.Conn())
+	runCtx, watched := s.hangups.Watch(runCtx, ctx.Conn())
 	st := &streaming{
 		server: s, call: c, req: req, ctx: runCtx, cancel: cancel, words: make(chan string, streamBuffer),
 	}
--- /dev/null
+++ b/internal/hangup/hangup.go
@@ -0,0 +1,84 @@
+// Package hangup notices callers that hang up while they wait. A fasthttp
+// handler doesn't learn of it, and without this the targets would work for
+// nobody.
+package hangup
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/vanillagate/vanillagate/internal/socket"
+)
+
+// period is how often the connections of waiting callers are looked at.
+const period = 50 * time.Millisecond
+
+// Watcher cancels the work of callers that hung up: the cancelled context closes
+// the connection to the target, which frees its place.
+type Watcher struct {
+	// left is the cause with which the contexts end.
+	left error
+
+	mu      sync.Mutex // guards waiting; a leaf
+	waiting map[*caller]struct{}
+}
+
+type caller struct {
+	conn net.Conn
+	end  context.CancelCauseFunc
+}
+
+// New makes a watcher whose contexts end with the given cause.
+func New(left error) *Watcher {
+	return &Watcher{left: left, waiting: map[*caller]struct{}{}}
+}
+
+// Watch gives a context that ends when the caller hangs up. Call the returned
+// function once the answer is about to be written.
+func (h *Watcher) Watch(ctx context.Context, conn net.Conn) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	c := &caller{conn: conn, end: cancel}
+	h.mu.Lock()
+	h.waiting[c] = struct{}{}
+	h.mu.Unlock()
+	return ctx, func() {
+		h.mu.Lock()
+		delete(h.waiting, c)
+		h.mu.Unlock()
+		cancel(nil)
+	}
+}
+
+// Run looks at the connections until the context ends.
+func (h *Watcher) Run(ctx context.Context) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			h.look()
+		}
+	}
+}
+
+func (h *Watcher) look() {
+	h.mu.Lock()
+	if len(h.waiting) == 0 {
+		h.mu.Unlock()
+		return
+	}
+	list := make([]*caller, 0, len(h.waiting))
+	for c := range h.waiting {
+		list = append(list, c)
+	}
+	h.mu.Unlock()
+	for _, c := range list {
+		if socket.Peek(c.conn) == socket.Closed {
+			c.end(h.left)
+		}
+	}
+}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -148,6 +148,14 @@
 	return nil
 }
 
+// AnnounceLeave tells the peers that this process goes. It stays reachable
+// until Leave or Close, for what it still has to hand over.
+func (n *Node) AnnounceLeave() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.announce([]member.Record{n.table.Leave()}, nil)
+}
+
 // Leave announces that this process goes, waits until its peers were told or
 // the context ends, and closes.
 func (n *Node) Leave(ctx context.Context) {
--- /dev/null
+++ b/internal/serve/follow/follow.go
@@ -0,0 +1,240 @@
+// Package follow keeps the configuration and the list of targets up to date:
+// from the store that has them, and from peers while the store can't be
+// reached. What is known is never given up for being old; newer versions
+// replace it.
+package follow
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+	"github.com/vanillagate/vanillagate/internal/wait"
+)
+
+// ErrHistoryGone means that changes since the asked revision can no longer be
+// had: the whole has to be read anew.
+var ErrHistoryGone = errors.New("history is no longer available")
+
+// Source is the store that operators and targets write to. Each call gives the
+// revision up to which its answer goes.
+type Source interface {
+	// ReadPlan gives the newest configuration; nil while there is none.
+	ReadPlan(ctx context.Context) (*plan.Plan, uint64, error)
+	// WatchPlan waits for a configuration newer than a revision; nil when the
+	// time is up.
+	WatchPlan(ctx context.Context, after uint64, wait time.Duration) (*plan.Plan, uint64, error)
+	// ReadTargets gives all entries.
+	ReadTargets(ctx context.Context) ([]pool.Entry, uint64, error)
+	// WatchTargets waits for changes after a revision.
+	WatchTargets(ctx context.Context, after uint64, wait time.Duration) ([]pool.Change, uint64, error)
+}
+
+const (
+	// watchTime is how long the store holds a call without news. Each call has
+	// its price; a connection that went silent shows by its keep-alive probes
+	// long before.
+	watchTime = 20 * time.Second
+	// watchSlack is how much later the answer may come.
+	watchSlack = 1500 * time.Millisecond
+	// readTimeout bounds the reading of the whole.
+	readTimeout = 2 * time.Second
+	// newsPause is waited after news of targets. When many start at once their
+	// rows stream in one by one, and each would cost a call from each process.
+	// It is a tenth of the time within which a leaving target must be left
+	// alone.
+	newsPause = 200 * time.Millisecond
+	// firstRetry and lastRetry pace the calls to a store that fails.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = time.Second
+	// outage is how long the store must have failed for entries of sound targets
+	// to have lapsed meanwhile: about two of the intervals in which they report.
+	outage = 2 * time.Second
+	// sweepPeriod is how often lapsed entries are looked at.
+	sweepPeriod = 250 * time.Millisecond
+)
+
+// Follower follows a source.
+type Follower struct {
+	log    *zap.Logger
+	source Source
+	plans  *plan.Holder
+	table  *pool.Table
+	peers  *peers // nil without
+	// planFeed and targetFeed are the two things followed.
+	planFeed   *feed
+	targetFeed *feed
+}
+
+// feed is the state of following one thing.
+type feed struct {
+	name  string
+	read  func(context.Context) (uint64, error)
+	watch func(context.Context, uint64) (bool, uint64, error)
+	// pause is waited after news.
+	pause time.Duration
+	// back is called when the store answers again after an outage.
+	back func(time.Time)
+	// failingSince is the Unix nanosecond since when the store fails, 0 while it
+	// answers.
+	failingSince atomic.Int64
+}
+
+// New makes a follower.
+func New(log *zap.Logger, source Source, plans *plan.Holder, table *pool.Table) *Follower {
+	f := &Follower{log: log, source: source, plans: plans, table: table}
+	f.planFeed = &feed{name: "configuration", read: f.readPlan, watch: f.watchPlan}
+	f.targetFeed = &feed{
+		name: "targets", read: f.readTargets, watch: f.watchTargets, pause: newsPause, back: table.ListBack,
+	}
+	return f
+}
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	done := make(chan struct{}, 3)
+	for _, loop := range []func(){
+		func() { f.follow(ctx, f.planFeed) },
+		func() { f.follow(ctx, f.targetFeed) },
+		func() { f.sweep(ctx) },
+	} {
+		go func() {
+			loop()
+			done <- struct{}{}
+		}()
+	}
+	if f.peers != nil {
+		f.askPeers(ctx)
+	}
+	for range cap(done) {
+		<-done
+	}
+}
+
+func (f *Follower) sweep(ctx context.Context) {
+	for wait.For(ctx, sweepPeriod) {
+		f.table.Sweep(time.Now())
+	}
+}
+
+// follow reads the whole, then waits for changes, again and again.
+func (f *Follower) follow(ctx context.Context, d *feed) {
+	known := false
+	var revision uint64
+	retry := firstRetry
+	for ctx.Err() == nil {
+		news := false
+		next, err := revision, error(nil)
+		if known {
+			news, next, err = d.watch(ctx, revision)
+		} else {
+			next, err = d.read(ctx)
+		}
+		if errors.Is(err, ErrHistoryGone) {
+			f.log.Info("Changes can't be had; reading the whole.", zap.String("what", d.name), zap.Uint64("after", revision))
+			known = false
+			continue
+		}
+		if err != nil {
+			f.failed(ctx, d, err)
+			wait.Around(ctx, retry)
+			retry = min(2*retry, lastRetry)
+			continue
+		}
+		f.answered(d)
+		known, revision, retry = true, next, firstRetry
+		if news && d.pause > 0 {
+			wait.For(ctx, d.pause)
+		}
+	}
+}
+
+func (f *Follower) failed(ctx context.Context, d *feed, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if d.failingSince.CompareAndSwap(0, time.Now().UnixNano()) {
+		f.log.Warn("Store doesn't answer.", zap.String("what", d.name), zap.Error(err))
+	}
+}
+
+func (f *Follower) answered(d *feed) {
+	since := d.failingSince.Swap(0)
+	if since == 0 {
+		return
+	}
+	away := time.Since(time.Unix(0, since))
+	f.log.Info("Store answers again.", zap.String("what", d.name), zap.Duration("away", away))
+	if away >= outage && d.back != nil {
+		d.back(time.Now())
+	}
+}
+
+// failing tells for how long the store has been failing.
+func (d *feed) failing() time.Duration {
+	since := d.failingSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return time.Since(time.Unix(0, since))
+}
+
+func (f *Follower) readPlan(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	p, revision, err := f.source.ReadPlan(ctx)
+	if err == nil {
+		f.apply(p, "store")
+	}
+	return revision, err
+}
+
+func (f *Follower) watchPlan(ctx context.Context, after uint64) (bool, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTime+watchSlack)
+	defer cancel()
+	p, revision, err := f.source.WatchPlan(ctx, after, watchTime)
+	if err != nil {
+		return false, after, err
+	}
+	f.apply(p, "store")
+	return p != nil, revision, nil
+}
+
+// apply puts a plan in force, if it is one and newer.
+func (f *Follower) apply(p *plan.Plan, from string) {
+	if p == nil || !f.plans.Apply(p) {
+		return
+	}
+	f.log.Info("Configuration in force.", zap.Uint64("version", p.Version), zap.Int("routes", len(p.Routes)),
+		zap.Int("teams", len(p.Teams)), zap.String("from", from))
+}
+
+func (f *Follower) readTargets(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	entries, revision, err := f.source.ReadTargets(ctx)
+	if err != nil {
+		return 0, err
+	}
+	// An outage ends before its consequences are read.
+	f.answered(f.targetFeed)
+	f.table.Reset(entries, revision, time.Now())
+	return revision, nil
+}
+
+func (f *Follower) watchTargets(ctx context.Context, after uint64) (bool, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTime+watchSlack)
+	defer cancel()
+	changes, revision, err := f.source.WatchTargets(ctx, after, watchTime)
+	if err != nil {
+		return false, after, err
+	}
+	f.answered(f.targetFeed)
+	f.table.Apply(changes, revision, time.Now())
+	return len(changes) > 0, revision, nil
+}
--- /dev/null
+++ b/internal/serve/gather/item.go
@@ -0,0 +1,88 @@
+// Package gather fills the batches of stage targets from the requests of all
+// processes.
+//
+// A stage target works on one call at a time, and a call takes nearly the same
+// time whatever it carries. One process alone sees too few requests to fill a
+// call; if each sent what it has, the pools would be overloaded several times
+// over. So for each cell of targets one process gathers: all processes compute
+// the same one from the live members, hand it their items, and get the results
+// back. Nothing of it is agreed or kept: when members are seen differently two
+// processes gather for a while, which costs batch size, and when a gatherer
+// dies its items are handed to the next.
+package gather
+
+import (
+	"time"
+)
+
+// Key names an item: one piece of one stage of one request.
+type Key struct {
+	Request string `json:"r"`
+	Stage   int    `json:"s"`
+	Piece   int    `json:"p"`
+}
+
+// Item is work for a stage target.
+type Item struct {
+	Key
+	// Source names what a stage without predecessors works on; Inputs are the
+	// results of all pieces of the predecessors otherwise.
+	Source string   `json:"src,omitempty"`
+	Inputs []string `json:"in,omitempty"`
+	// Due is how long from now the result is in time, Expires how long from now
+	// its request's deadline is.
+	Due     Millis `json:"due"`
+	Expires Millis `json:"exp"`
+	// Rank is the request's priority; 0 is the most urgent.
+	Rank int `json:"rank,omitempty"`
+	// Bytes is about how large the result will be.
+	Bytes int `json:"b,omitempty"`
+	// Zone is where the result is wanted; empty for anywhere.
+	Zone string `json:"z,omitempty"`
+}
+
+// Millis is a duration in ms as sent between processes, whose clocks differ.
+type Millis int64
+
+// ToMillis rounds down.
+func ToMillis(d time.Duration) Millis { return Millis(d / time.Millisecond) }
+
+// Duration converts back.
+func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// Reason says why an item has no result.
+type Reason string
+
+// The reasons. The zero value means that there is a result.
+const (
+	// Made: the result is there.
+	Made Reason = ""
+	// Late: it can't be made before its request's deadline.
+	Late Reason = "late"
+	// Gone: an input no longer exists.
+	Gone Reason = "gone"
+	// NoRoom: the target has no space for the result.
+	NoRoom Reason = "room"
+	// Broken: the target failed, as often as it was tried.
+	Broken Reason = "error"
+	// Idle: the service has no target that takes work.
+	Idle Reason = "no target"
+)
+
+// Result is what became of an item.
+type Result struct {
+	Key
+	// Handle names the result at its maker, IP:port/name.
+	Handle string `json:"h,omitempty"`
+	// Zone is its maker's.
+	Zone   string `json:"z,omitempty"`
+	Reason Reason `json:"why,omitempty"`
+}
+
+// Cell is a group of targets that one process gathers for.
+type Cell struct {
+	Service string `json:"service"`
+	// Zone limits the cell to the targets of one availability zone; empty is
+	// the whole service.
+	Zone string `json:"zone,omitempty"`
+}
--- /dev/null
+++ b/internal/serve/gather/queue.go
@@ -0,0 +1,103 @@
+package gather
+
+import (
+	"slices"
+	"time"
+)
+
+// waiting is an item in a queue.
+type waiting struct {
+	Item
+	owner   string
+	due     time.Time
+	expires time.Time
+	tries   int
+	avoid   string // target that failed it last
+}
+
+// queue holds what waits for a cell's targets. It does no I/O and reads no
+// clock. It is not safe for concurrent use.
+type queue struct {
+	items []*waiting
+	byKey map[Key]*waiting
+}
+
+func newQueue() *queue { return &queue{byKey: map[Key]*waiting{}} }
+
+func (q *queue) has(k Key) bool { return q.byKey[k] != nil }
+
+func (q *queue) len() int { return len(q.items) }
+
+// add puts an item in its place; one that waits already is left as it is.
+func (q *queue) add(w *waiting) {
+	if q.has(w.Key) {
+		return
+	}
+	q.byKey[w.Key] = w
+	q.items = append(q.items, w)
+}
+
+// remove takes out the items of a request.
+func (q *queue) remove(request string) {
+	q.items = slices.DeleteFunc(q.items, func(w *waiting) bool {
+		if w.Request != request {
+			return false
+		}
+		delete(q.byKey, w.Key)
+		return true
+	})
+}
+
+// expired takes out the items that can't be made before their deadline when
+// the shortest call takes the given time.
+func (q *queue) expired(now time.Time, call time.Duration) []*waiting {
+	var late []*waiting
+	q.items = slices.DeleteFunc(q.items, func(w *waiting) bool {
+		if now.Add(call).Before(w.expires) {
+			return false
+		}
+		delete(q.byKey, w.Key)
+		late = append(late, w)
+		return true
+	})
+	return late
+}
+
+// rankStep is how much sooner an item counts as due for each rank that it is
+// more urgent than another. It is about a third of a call: enough to order
+// what is due together, too little to let a late kind of request overtake one
+// that would then be late.
+const rankStep = 80 * time.Millisecond
+
+func (w *waiting) order() time.Time { return w.due.Add(time.Duration(w.Rank) * rankStep) }
+
+// take gives up to n items for one call to a target that has room for so many
+// bytes: those that can still be in time first, each group in the order in
+// which they are due. Of those that are late anyway nothing is gained by
+// haste, while each of them ahead of the others would make one more late.
+func (q *queue) take(now time.Time, n, room int, call time.Duration, target string) []*waiting {
+	slices.SortStableFunc(q.items, func(a, b *waiting) int {
+		lateA, lateB := now.Add(call).After(a.due), now.Add(call).After(b.due)
+		if lateA != lateB {
+			if lateA {
+				return 1
+			}
+			return -1
+		}
+		return a.order().Compare(b.order())
+	})
+	var taken []*waiting
+	rest := q.items[:0]
+	for _, w := range q.items {
+		if len(taken) >= n || w.Bytes > room || w.avoid == target {
+			rest = append(rest, w)
+			continue
+		}
+		room -= w.Bytes
+		taken = append(taken, w)
+		delete(q.byKey, w.Key)
+	}
+	clear(q.items[len(rest):])
+	q.items = rest
+	return taken
+}
--- /dev/null
+++ b/internal/serve/place/place.go
@@ -0,0 +1,177 @@
+// Package place decides which target runs a request. It does no I/O and reads
+// no clock.
+package place
+
+import (
+	"hash/fnv"
+
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+)
+
+// Part is one part of a prompt. Requests share parts.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Prompt is what is known of a request to a model engine.
+type Prompt struct {
+	Model  string
+	Input  int // tokens
+	Output int // tokens at most
+	// Parts of the prompt in order; the last one is the request's own.
+	Parts []Part
+}
+
+// shared is the number of tokens that other requests may have had read, and
+// the name of the last part of them.
+func (p Prompt) shared() (tokens int, last string) {
+	for _, part := range p.Parts[:max(len(p.Parts)-1, 0)] {
+		tokens += part.Tokens
+		last = part.ID
+	}
+	return tokens, last
+}
+
+// Wish is what decides where a request goes.
+type Wish struct {
+	Prompt Prompt
+	// Bytes of results that lie in each zone, to be fetched by the target.
+	Bytes map[string]int
+	// Zone of this process.
+	Zone string
+	// Avoid lists targets that were tried already, by ID.
+	Avoid map[string]bool
+}
+
+// Weights in prompt tokens, the unit in which an engine's work is reckoned. An
+// engine reads about 60 to 125 of them in a ms.
+const (
+	// runningTokens is what a running request costs those beside it: one more
+	// of them makes each step about 2% longer, over some 50 steps.
+	runningTokens = 150
+	// waitingTokens is the length of a usual prompt, for a request that waits.
+	waitingTokens = 2500
+	// bytesPerToken weighs results that cross zones: 800 KB cost about as much
+	// of a request's worth as reading 4,000 tokens again.
+	bytesPerToken = 200
+	// fullTokens keeps requests from an engine without a free slot while any
+	// other has one.
+	fullTokens = 100_000
+	// rampTokens is the handicap of a target that has just come back into use.
+	rampTokens = 20_000
+)
+
+// Engine chooses a model engine: the one where the request costs least, in
+// tokens to read before its first, with those that the engine has read already
+// left out. Each zone has one home for each shared prompt, the same in the eyes
+// of all processes, so that they agree without exchange; a home that is busy
+// gives way. nil where no target is left.
+func Engine(views []pool.View, w Wish) *pool.Target {
+	homes := homesOf(views, w.Prompt)
+	total := 0
+	for _, n := range w.Bytes {
+		total += n
+	}
+	var best *pool.Target
+	bestCost := 0.0
+	for _, v := range views {
+		if w.Avoid[v.ID] || v.Weight == 0 {
+			continue
+		}
+		cost := engineCost(v, w.Prompt, homes[v.Zone] == v.ID)
+		cost += float64(total-w.Bytes[v.Zone]) / bytesPerToken
+		if best == nil || cost < bestCost {
+			best, bestCost = v.Target, cost
+		}
+	}
+	if best == nil {
+		return lastResort(views, w)
+	}
+	return best
+}
+
+func engineCost(v pool.View, p Prompt, home bool) float64 {
+	running := max(v.InFlight, v.Report.Running)
+	cost := float64(p.Input + v.Tokens + running*runningTokens + v.Report.Waiting*waitingTokens)
+	if home {
+		shared, _ := p.shared()
+		cost -= float64(shared)
+	}
+	if v.Slots > 0 && running >= v.Slots {
+		cost += fullTokens
+	}
+	return cost + (1-v.Weight)*rampTokens
+}
+
+// homesOf gives the home of a prompt's shared parts in each zone, by rendezvous.
+func homesOf(views []pool.View, p Prompt) map[string]string {
+	homes := map[string]string{}
+	_, last := p.shared()
+	if last == "" {
+		return homes
+	}
+	scores := map[string]uint64{}
+	for _, v := range views {
+		score := rendezvous(last, v.ID)
+		if v.Weight > 0 && score >= scores[v.Zone] {
+			scores[v.Zone] = score
+			homes[v.Zone] = v.ID
+		}
+	}
+	return homes
+}
+
+func rendezvous(a, b string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(a)) // a hash.Hash never fails
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(b))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
+
+// crossZone is what another zone counts among a plain service's targets, in
+// requests: a target in this process's zone is taken unless it has more to do.
+const crossZone = 0.5
+
+// Plain chooses a target of a service whose requests are alike: the one with
+// the least in hand for its slots. draw in [0, 1) decides between equals, so
+// that processes don't all take the same one.
+func Plain(views []pool.View, w Wish, draw float64) *pool.Target {
+	var best *pool.Target
+	bestCost := 0.0
+	start := int(draw * float64(len(views)))
+	for i := range views {
+		v := views[(start+i)%len(views)]
+		if w.Avoid[v.ID] || v.Weight == 0 {
+			continue
+		}
+		busy := float64(max(v.InFlight, v.Report.Running) + 2*v.Report.Waiting)
+		cost := busy/float64(max(v.Slots, 1)) + 1 - v.Weight
+		if v.Zone != w.Zone {
+			cost += crossZone / float64(max(v.Slots, 1))
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = v.Target, cost
+		}
+	}
+	if best == nil {
+		return lastResort(views, w)
+	}
+	return best
+}
+
+// lastResort takes a target that is out of use rather than none: the signs
+// against it may be this process's own link.
+func lastResort(views []pool.View, w Wish) *pool.Target {
+	for _, v := range views {
+		if !w.Avoid[v.ID] {
+			return v.Target
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/serve/plan/holder.go
@@ -0,0 +1,47 @@
+package plan
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// Holder keeps the plan in force. It never goes back to an older version: a
+// plan may come from the store, from a peer and from a reread in any order,
+// and a caller that has seen the effect of a change must not see it undone.
+type Holder struct {
+	current atomic.Pointer[Plan]
+
+	mu      sync.Mutex // guards applying and watchers; taken before nothing else
+	watcher []func(*Plan)
+}
+
+// Current is the plan in force; nil before the first one is known.
+func (h *Holder) Current() *Plan { return h.current.Load() }
+
+// Version is that of the plan in force, 0 before the first one.
+func (h *Holder) Version() uint64 {
+	if p := h.current.Load(); p != nil {
+		return p.Version
+	}
+	return 0
+}
+
+// Apply puts a plan in force if it is newer than the present one, and tells
+// whether it was.
+func (h *Holder) Apply(p *Plan) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if old := h.current.Load(); old != nil && p.Version <= old.Version {
+		return false
+	}
+	p.Index()
+	h.current.Store(p)
+	for _, watch := range h.watcher {
+		watch(p)
+	}
+	return true
+}
+
+// OnChange has fn called with each plan that comes into force. fn must not
+// call the Holder. Call before the first Apply.
+func (h *Holder) OnChange(fn func(*Plan)) { h.watcher = append(h.watcher, fn) }
--- /dev/null
+++ b/internal/serve/pool/table.go
@@ -0,0 +1,343 @@
+package pool
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/routing"
+)
+
+// Table holds the targets of all services.
+//
+// Lock order: Table.mu, then Target.mu.
+type Table struct {
+	log      *zap.Logger
+	ejection routing.Ejection
+
+	mu        sync.RWMutex // guards what follows
+	byID      map[string]*Target
+	byService map[string][]*Target // replaced, never changed in place
+	revision  uint64
+	known     bool
+	// backAt is when the list came back after an outage, zero outside one's
+	// aftermath.
+	backAt  time.Time
+	onLeave []func(*Target)
+}
+
+// ReturnTime is how long entries that lapsed while the list was away may take
+// to come back. The users' bound is about two seconds; what is still missing
+// then is gone.
+const ReturnTime = 1900 * time.Millisecond
+
+// New makes an empty table.
+func New(log *zap.Logger) *Table {
+	return &Table{
+		log: log, ejection: defaultEjection(),
+		byID: map[string]*Target{}, byService: map[string][]*Target{},
+	}
+}
+
+// defaultEjection is the product's, but for stragglers: calls here differ in
+// size by two orders of magnitude, so that a mean over five of them says little.
+func defaultEjection() routing.Ejection {
+	e := routing.DefaultEjection()
+	e.SlowFactor = 1e9
+	return e
+}
+
+// OnLeave has fn called with each target that leaves the list, starts anew or
+// begins to drain. fn must not call the Table. Call before the first Apply.
+func (t *Table) OnLeave(fn func(*Target)) { t.onLeave = append(t.onLeave, fn) }
+
+// Revision is that of the newest row applied.
+func (t *Table) Revision() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.revision
+}
+
+// Known tells whether a whole list was ever read.
+func (t *Table) Known() bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.known
+}
+
+// ListBack notes that the list answers again after an outage, in which entries
+// of sound targets may have lapsed.
+func (t *Table) ListBack(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.backAt = now
+}
+
+// Apply takes in changes in their order and the revision up to which they go.
+// Older ones than those known are passed over: a peer or a reread may be behind.
+func (t *Table) Apply(changes []Change, upTo uint64, now time.Time) {
+	t.mu.Lock()
+	fresh := changes[:0:0]
+	for _, c := range changes {
+		if c.Revision > t.revision {
+			fresh = append(fresh, c)
+		}
+	}
+	left := t.apply(fresh, now)
+	t.revision = max(t.revision, upTo)
+	t.mu.Unlock()
+	t.tell(left)
+}
+
+// Reset takes in the whole list as of a revision: what isn't in it is gone.
+func (t *Table) Reset(entries []Entry, asOf uint64, now time.Time) {
+	t.mu.Lock()
+	if asOf < t.revision {
+		t.mu.Unlock()
+		return
+	}
+	present := make(map[string]bool, len(entries))
+	changes := make([]Change, 0, len(entries))
+	for _, e := range entries {
+		present[e.ID] = true
+		changes = append(changes, Change{Entry: e})
+	}
+	for id := range t.byID {
+		if !present[id] {
+			changes = append(changes, Change{Entry: Entry{ID: id, Revision: asOf}, Removed: true})
+		}
+	}
+	left := t.apply(changes, now)
+	t.revision = asOf
+	t.known = true
+	t.mu.Unlock()
+	t.tell(left)
+}
+
+func (t *Table) tell(left []*Target) {
+	for _, target := range left {
+		for _, fn := range t.onLeave {
+			fn(target)
+		}
+	}
+}
+
+// apply returns the targets that got out of use. The caller holds mu.
+func (t *Table) apply(changes []Change, now time.Time) []*Target {
+	var left []*Target
+	touched := map[string]bool{}
+	for _, c := range changes {
+		old := t.byID[c.ID]
+		if old != nil && old.entry.Revision >= c.Revision {
+			continue
+		}
+		if old != nil {
+			touched[old.Service] = true
+		}
+		if out := t.change(old, c, now); out != nil {
+			left = append(left, out)
+		}
+		if fresh := t.byID[c.ID]; fresh != nil {
+			touched[fresh.Service] = true
+		}
+	}
+	for service := range touched {
+		t.rebuild(service)
+	}
+	return left
+}
+
+// change applies one change and returns the target that got out of use by it,
+// if any. The caller holds mu.
+func (t *Table) change(old *Target, c Change, now time.Time) *Target {
+	switch {
+	case c.Removed && old == nil:
+		return nil
+	case c.Removed:
+		return t.remove(old, now)
+	case old != nil && sameRun(old.entry, c.Entry):
+		return old.update(c.Entry)
+	}
+	t.byID[c.ID] = &Target{
+		ID: c.ID, Born: c.Born, Service: c.Service, Address: c.Address, Zone: c.Zone, entry: c.Entry,
+	}
+	t.log.Info("Target is new.", zap.String("target", c.ID), zap.String("service", c.Service),
+		zap.String("address", c.Address), zap.String("state", string(c.State)), zap.Uint64("revision", c.Revision))
+	if old != nil {
+		old.leave()
+	}
+	return old
+}
+
+// remove takes a target out. One whose entry lapsed while the list was away is
+// used on for the time in which its entry may come back: a list that returns
+// empty would else take every sound target out of use.
+func (t *Table) remove(old *Target, now time.Time) *Target {
+	old.mu.Lock()
+	ready := old.entry.State == Ready
+	old.mu.Unlock()
+	if ready && !t.backAt.IsZero() && now.Sub(t.backAt) < ReturnTime {
+		old.mu.Lock()
+		old.lapsesAt = t.backAt.Add(ReturnTime)
+		old.mu.Unlock()
+		t.log.Warn("Target's entry lapsed while the list was away.", zap.String("target", old.ID))
+		return nil
+	}
+	delete(t.byID, old.ID)
+	old.leave()
+	t.log.Info("Target is gone.", zap.String("target", old.ID), zap.String("service", old.Service))
+	return old
+}
+
+// update takes in a new entry of the same run and returns the target if it
+// begins to drain.
+func (target *Target) update(e Entry) *Target {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	began := target.entry.State == Ready && e.State != Ready
+	// What has said that it leaves doesn't come back in the same run.
+	if target.entry.State == Draining {
+		e.State = Draining
+	}
+	target.entry = e
+	target.lapsesAt = time.Time{}
+	if began {
+		return target
+	}
+	return nil
+}
+
+func (target *Target) leave() {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	target.gone = true
+}
+
+// Sweep drops the targets whose entries didn't come back in time.
+func (t *Table) Sweep(now time.Time) {
+	t.mu.Lock()
+	var left []*Target
+	for id, target := range t.byID {
+		target.mu.Lock()
+		lapsed := !target.lapsesAt.IsZero() && !now.Before(target.lapsesAt)
+		target.mu.Unlock()
+		if !lapsed {
+			continue
+		}
+		delete(t.byID, id)
+		target.leave()
+		t.rebuild(target.Service)
+		left = append(left, target)
+		t.log.Info("Target's entry didn't come back.", zap.String("target", id))
+	}
+	t.mu.Unlock()
+	t.tell(left)
+}
+
+// rebuild makes the list of one service anew. The caller holds mu.
+func (t *Table) rebuild(service string) {
+	var list []*Target
+	for _, target := range t.byID {
+		if target.Service == service {
+			list = append(list, target)
+		}
+	}
+	t.byService[service] = list
+}
+
+// Views lists the targets of a service that may get work now. One that failed
+// too often has Weight 0.
+func (t *Table) Views(service string, now time.Time) []View {
+	t.mu.RLock()
+	list := t.byService[service]
+	t.mu.RUnlock()
+	views := make([]View, 0, len(list))
+	for _, target := range list {
+		if target.usable(now) {
+			views = append(views, target.view(now, t.ejection))
+		}
+	}
+	return views
+}
+
+// ByAddress finds the target of a service at an address that may be used; nil
+// where there is none.
+func (t *Table) ByAddress(service, address string) *Target {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, target := range t.byService[service] {
+		if target.Address == address {
+			return target
+		}
+	}
+	return nil
+}
+
+// Entries lists all entries known, for a peer that can't read the list.
+func (t *Table) Entries() ([]Entry, uint64) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	entries := make([]Entry, 0, len(t.byID))
+	for _, target := range t.byID {
+		target.mu.Lock()
+		entries = append(entries, target.entry)
+		target.mu.Unlock()
+	}
+	return entries, t.revision
+}
+
+// Begin notes a call at a target. tokens is its prompt's length, 0 for calls
+// without one.
+func (t *Table) Begin(target *Target, tokens int, now time.Time) *Call {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	target.inFlight++
+	target.tokens += tokens
+	return &Call{target: target, table: t, tokens: tokens, started: now}
+}
+
+// failureWeight is how much one call counts in the moving share of failures:
+// about the last eight calls decide.
+const failureWeight = 0.125
+
+func (t *Table) ended(c *Call, outcome Outcome, now time.Time) {
+	size, out := t.poolState(c.target.Service, now)
+	target := c.target
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	target.inFlight--
+	target.tokens -= c.tokens
+	c.tokens = 0
+	switch outcome {
+	case Answered:
+		target.health.FailuresInRow = 0
+		target.failing -= failureWeight * target.failing
+	case Failed:
+		target.health.FailuresInRow++
+		target.failing += failureWeight * (1 - target.failing)
+	default:
+		return
+	}
+	if now.Before(target.health.OutUntil) {
+		return
+	}
+	reason := t.ejection.Judge(target.health, 0, out, size)
+	if reason == routing.ReasonNone {
+		return
+	}
+	target.health = t.ejection.Eject(target.health, now)
+	t.log.Warn("Target out of use.", zap.String("target", target.ID), zap.String("service", target.Service),
+		zap.String("reason", string(reason)), zap.Duration("for", target.health.OutUntil.Sub(now)))
+}
+
+// poolState counts a service's targets and those of them out of use.
+func (t *Table) poolState(service string, now time.Time) (size, out int) {
+	for _, v := range t.Views(service, now) {
+		size++
+		if v.Weight == 0 {
+			out++
+		}
+	}
+	return size, out
+}
--- /dev/null
+++ b/internal/serve/pool/target.go
@@ -0,0 +1,132 @@
+package pool
+
+import (
+	"sync"
+	"time"
+
+	"github.com/vanillagate/vanillagate/internal/routing"
+)
+
+// Target is one run of one target. Its Entry may change, its identity doesn't.
+type Target struct {
+	ID      string
+	Born    int64
+	Service string
+	Address string
+	Zone    string
+
+	// mu guards what follows; a leaf, taken after Table.mu.
+	mu       sync.Mutex
+	entry    Entry
+	gone     bool
+	lapsesAt time.Time // zero unless the entry is gone and may come back
+	inFlight int
+	tokens   int // prompt tokens of the requests that haven't started
+	report   Report
+	health   routing.Health
+	failing  float64 // moving share of calls that failed
+}
+
+// Report is what a target said of its load with its last answer.
+type Report struct {
+	Running int
+	Waiting int
+	Slots   int
+	At      time.Time
+}
+
+// View is a target at one moment, for decisions.
+type View struct {
+	*Target
+	Slots int
+	// InFlight counts this process's calls, Tokens the prompt tokens of those
+	// that the target hasn't begun to answer.
+	InFlight int
+	Tokens   int
+	Report   Report
+	// Weight is 0 for a target out of use, 1 for a sound one.
+	Weight float64
+	Cold   bool
+}
+
+// Call is one call in progress at a target. End it once.
+type Call struct {
+	target  *Target
+	table   *Table
+	tokens  int
+	started time.Time
+	ended   bool
+}
+
+// Outcome is how a call ended, for the target's health.
+type Outcome string
+
+// The outcomes.
+const (
+	// Answered: the target did its part, whatever the status.
+	Answered Outcome = "answered"
+	// Failed: no answer, a cut one, or an error of its own.
+	Failed Outcome = "failed"
+	// Full: it refused, which says nothing of its health.
+	Full Outcome = "full"
+	// Abandoned: this side ended the call.
+	Abandoned Outcome = "abandoned"
+)
+
+// Begun notes that the target has begun to answer: the prompt is read.
+func (c *Call) Begun() {
+	t := c.target
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tokens -= c.tokens
+	c.tokens = 0
+}
+
+// End notes how the call ended.
+func (c *Call) End(outcome Outcome, now time.Time) {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	c.table.ended(c, outcome, now)
+}
+
+// Reported takes in what a target says of its load.
+func (t *Target) Reported(r Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.report = r
+}
+
+// Gone tells whether the target has left the list or is leaving.
+func (t *Target) Gone() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.gone || t.entry.State != Ready
+}
+
+// reportAge is how long a target's report says something of its load: about as
+// long as a short generation runs.
+const reportAge = time.Second
+
+func (t *Target) view(now time.Time, e routing.Ejection) View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	report := t.report
+	if now.Sub(report.At) > reportAge {
+		report = Report{}
+	}
+	return View{
+		Target: t, Slots: t.entry.Slots, InFlight: t.inFlight, Tokens: t.tokens,
+		Report: report, Weight: e.Weight(t.health, now), Cold: t.entry.ColdMS > 0,
+	}
+}
+
+func (t *Target) usable(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.gone || t.entry.State != Ready {
+		return false
+	}
+	return t.lapsesAt.IsZero() || now.Before(t.lapsesAt)
+}
--- /dev/null
+++ b/internal/serve/quota/quota.go
@@ -0,0 +1,139 @@
+// Package quota bounds the repeats that all processes together send to a
+// service, without a coordinator: each process may send a share of its own
+// requests and its part of a common reserve.
+package quota
+
+import (
+	"sync"
+	"time"
+)
+
+// Rule is the bound on all processes together: in any Window, no more repeats
+// than Ratio times the requests plus Reserve.
+type Rule struct {
+	Ratio   float64
+	Reserve float64
+	Window  time.Duration
+}
+
+// margin is the part of the bound that is used. The rest covers calls that are
+// on their way at a window's edge and counts that differ by a request or two.
+const margin = 0.85
+
+// settle is how long a process that has just started, or has just learned of
+// another number of members, sends no repeats out of the reserve: before that
+// it may know of too few and take too large a part.
+const settle = 2 * time.Second
+
+// slices is into how many parts a window is divided for counting.
+const slices = 10
+
+// Budget counts one process's requests and repeats by service.
+type Budget struct {
+	mu        sync.Mutex // guards what follows; a leaf
+	rule      Rule
+	byService map[string]*window
+	members   int
+	since     time.Time // when the number of members was learned
+}
+
+// New makes a budget for a process that starts now.
+func New(rule Rule, now time.Time) *Budget {
+	return &Budget{rule: rule, byService: map[string]*window{}, members: 1, since: now}
+}
+
+// Members notes how many processes share the reserve. The number goes down
+// only by a fifth each time: a process that is cut off from its peers must not
+// take the whole reserve, since they go on spending theirs.
+func (b *Budget) Members(n int, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n > b.members {
+		b.members = n
+		b.since = now
+		return
+	}
+	if n < b.members && now.Sub(b.since) > memberMemory {
+		b.members = max(n, b.members*4/5)
+		b.since = now.Add(-settle)
+	}
+}
+
+// memberMemory is how long a higher number of members counts. It covers a
+// partition of an ordinary length, several seconds, many times over.
+const memberMemory = 30 * time.Second
+
+// Request notes a first arrival at a service.
+func (b *Budget) Request(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(service, now).requests[0]++
+}
+
+// Repeat takes one repeat out of the budget, if there is one.
+func (b *Budget) Repeat(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.of(service, now)
+	allowed := b.rule.Ratio * float64(sum(w.requests))
+	if now.Sub(b.since) >= settle {
+		allowed += b.rule.Reserve / float64(b.members)
+	}
+	if float64(sum(w.repeats)+1) > margin*allowed {
+		return false
+	}
+	w.repeats[0]++
+	return true
+}
+
+// Left is how many repeats a service's budget still has.
+func (b *Budget) Left(service string, now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.of(service, now)
+	allowed := b.rule.Ratio*float64(sum(w.requests)) + b.rule.Reserve/float64(b.members)
+	return margin*allowed - float64(sum(w.repeats))
+}
+
+// of gives a service's window, moved on to now. The caller holds mu.
+func (b *Budget) of(service string, now time.Time) *window {
+	w := b.byService[service]
+	if w == nil {
+		w = &window{begun: now}
+		b.byService[service] = w
+	}
+	w.advance(now, b.rule.Window/slices)
+	return w
+}
+
+// window counts in slices, the newest first. One slice more than the window
+// has is kept for repeats, so that any window of that length is covered.
+type window struct {
+	begun    time.Time // of the newest slice
+	requests [slices]int
+	repeats  [slices + 1]int
+}
+
+func (w *window) advance(now time.Time, slice time.Duration) {
+	steps := int(now.Sub(w.begun) / slice)
+	if steps <= 0 {
+		return
+	}
+	w.begun = w.begun.Add(time.Duration(steps) * slice)
+	shift(w.requests[:], steps)
+	shift(w.repeats[:], steps)
+}
+
+func shift(counts []int, steps int) {
+	steps = min(steps, len(counts))
+	copy(counts[steps:], counts[:len(counts)-steps])
+	clear(counts[:steps])
+}
+
+func sum[T [slices]int | [slices + 1]int](counts T) int {
+	total := 0
+	for i := range len(counts) {
+		total += counts[i]
+	}
+	return total
+}
--- /dev/null
+++ b/internal/serve/run/executor.go
@@ -0,0 +1,234 @@
+package run
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/serve/gather"
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+	"github.com/vanillagate/vanillagate/internal/serve/quota"
+	"github.com/vanillagate/vanillagate/internal/serve/upstream"
+)
+
+// ErrTimeout ends the work on a request whose time is up, ErrCallerLeft that of
+// one whose caller is gone.
+var (
+	ErrTimeout    = errors.New("the request's time is up")
+	ErrCallerLeft = errors.New("the caller left")
+)
+
+// defaultPatience bounds requests whose route and caller set no time.
+const defaultPatience = 30 * time.Second
+
+// notReadyRetry is when to come back to a process that has no configuration
+// yet: it usually takes some 300 ms.
+const notReadyRetry = 300 * time.Millisecond
+
+// Executor runs requests. All fields are set before the first Run.
+type Executor struct {
+	Log     *zap.Logger
+	Plans   *plan.Holder
+	Table   *pool.Table
+	Client  *upstream.Client
+	Codec   Codec
+	Stages  *gather.Requester
+	Budget  *quota.Budget
+	Zone    string
+	Metrics *Metrics
+}
+
+// job is one request on its way.
+type job struct {
+	*Executor
+	ctx      context.Context
+	cancel   context.CancelFunc
+	req      *Request
+	route    *plan.Route
+	team     *plan.Team
+	service  string
+	deadline time.Time
+	inputs   *inputs
+	// tried are the targets that were tried, ran how many of them may have run
+	// the request, arrivals how many it was sent to.
+	tried    map[string]bool
+	ran      int
+	arrivals int
+	reply    *Reply
+}
+
+// Run answers a request. The context ends with ErrCallerLeft when the caller
+// goes. The reply's body, if any, is to be read to its end or closed.
+func (e *Executor) Run(ctx context.Context, r *Request) *Reply {
+	j := &job{Executor: e, req: r, tried: map[string]bool{}}
+	reply := j.admit(ctx)
+	if reply == nil {
+		reply = j.run()
+	}
+	if reply.Answer == nil {
+		j.end()
+	}
+	e.note(j, reply)
+	return reply
+}
+
+// admit finds out where the request goes and whether it may; nil means that it
+// may.
+func (j *job) admit(ctx context.Context) *Reply {
+	p := j.Plans.Current()
+	if p == nil {
+		return refuse(fasthttp.StatusServiceUnavailable, NoConfiguration, notReadyRetry)
+	}
+	j.route = p.Route(j.req.Host, j.req.Path)
+	if j.route == nil {
+		return refuse(fasthttp.StatusNotFound, NoRoute, 0)
+	}
+	if !j.route.Public && len(p.Teams) > 0 {
+		j.team = p.TeamOf(j.req.Key)
+		if j.team == nil {
+			return refuse(fasthttp.StatusUnauthorized, NoKey, 0)
+		}
+	}
+	j.service = j.route.Pick(rand.Float64())
+	j.deadline = j.req.Arrived.Add(j.patience())
+	j.ctx, j.cancel = context.WithDeadlineCause(ctx, j.deadline, ErrTimeout)
+	j.Budget.Request(j.service, j.req.Arrived)
+	return nil
+}
+
+// patience is the shorter of the caller's and the route's time.
+func (j *job) patience() time.Duration {
+	limit := defaultPatience
+	if j.route.Timeout > 0 {
+		limit = j.route.Timeout
+	}
+	if j.req.Patience > 0 {
+		limit = min(limit, j.req.Patience)
+	}
+	return limit
+}
+
+// end gives back what the request holds.
+func (j *job) end() {
+	if j.inputs != nil {
+		j.inputs.release()
+	}
+	if j.cancel != nil {
+		j.cancel()
+	}
+}
+
+func (j *job) run() *Reply {
+	if reply := j.prepare(); reply != nil {
+		return reply
+	}
+	for {
+		result := j.attempt()
+		if result.reply != nil {
+			return result.reply
+		}
+		if reply := j.next(result); reply != nil {
+			return reply
+		}
+	}
+}
+
+// prepare has the stages done; nil means that they are.
+func (j *job) prepare() *Reply {
+	if len(j.route.Stages) == 0 {
+		return nil
+	}
+	made, err := j.makeInputs()
+	if err == nil {
+		j.inputs = made
+		return nil
+	}
+	return j.stageRefusal(err)
+}
+
+const (
+	// leastRetry and mostRetry bound when a refused caller is told to come back.
+	// Callers take a wait of up to a third of their remaining time.
+	leastRetry = 100 * time.Millisecond
+	mostRetry  = 2 * time.Second
+)
+
+// retryAfter is when a caller should come back to a queue of the given length,
+// spread by a third so that those who were refused together don't return
+// together.
+func retryAfter(wait time.Duration) time.Duration {
+	wait = min(max(wait, leastRetry), mostRetry)
+	return wait + time.Duration(rand.Float64()*float64(wait)/3)
+}
+
+func (j *job) stageRefusal(err error) *Reply {
+	if cause := context.Cause(j.ctx); cause != nil {
+		return j.notRun(ended(cause), 0)
+	}
+	var refused *gather.Refused
+	if !errors.As(err, &refused) {
+		return j.notRun(StagesFailed, leastRetry)
+	}
+	switch refused.Reason {
+	case gather.Late:
+		return j.notRun(StagesLate, retryAfter(refused.Wait))
+	case gather.Idle:
+		return j.notRun(NoTarget, retryAfter(0))
+	default:
+		return j.notRun(StagesFailed, retryAfter(0))
+	}
+}
+
+func ended(cause error) Reason {
+	if errors.Is(cause, ErrCallerLeft) {
+		return CallerLeft
+	}
+	return TimedOut
+}
+
+// notRun is the answer to a request that no target has run or will run.
+func (j *job) notRun(reason Reason, after time.Duration) *Reply {
+	return refuse(fasthttp.StatusServiceUnavailable, reason, after)
+}
+
+// next decides what follows an attempt without an answer; nil means another.
+func (j *job) next(failed attempt) *Reply {
+	if cause := context.Cause(j.ctx); cause != nil {
+		return j.giveUp(ended(cause), fasthttp.StatusGatewayTimeout)
+	}
+	if failed.target == nil {
+		return j.giveUp(NoTarget, fasthttp.StatusBadGateway)
+	}
+	j.tried[failed.target.ID] = true
+	if failed.mayHaveRun && (!j.route.Repeatable() || j.ran >= j.route.Attempts) {
+		return j.giveUp(LostAnswer, fasthttp.StatusBadGateway)
+	}
+	if j.arrivals >= maxArrivals {
+		return j.giveUp(TargetsFull, fasthttp.StatusBadGateway)
+	}
+	if failed.arrived && !j.Budget.Repeat(j.service, time.Now()) {
+		return j.giveUp(OverBudget, fasthttp.StatusBadGateway)
+	}
+	if failed.inputsGone {
+		j.inputs.release()
+		return j.prepare()
+	}
+	return nil
+}
+
+// maxArrivals bounds the targets that are asked in turn when each refuses.
+const maxArrivals = 4
+
+// giveUp is the final answer after attempts. Only a request that certainly
+// didn't run is told so.
+func (j *job) giveUp(reason Reason, status int) *Reply {
+	if j.ran == 0 {
+		return j.notRun(reason, retryAfter(0))
+	}
+	return refuse(status, reason, 0)
+}
--- /dev/null
+++ b/internal/serve/run/metrics.go
@@ -0,0 +1,68 @@
+package run
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+)
+
+// Metrics counts requests by their outcome and keeps a histogram of the time to
+// the answer's head for each kind of route and each team.
+type Metrics struct{ Registry metrics.Registry }
+
+// sampleSize of the histograms, and how much the newest values count; the
+// library's usual figures.
+const (
+	sampleSize  = 512
+	sampleAlpha = 0.015
+)
+
+func (m *Metrics) observe(name string, took time.Duration) {
+	if m == nil {
+		return
+	}
+	h := metrics.GetOrRegisterHistogram(name, m.Registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	h.Update(took.Microseconds())
+}
+
+func (m *Metrics) count(name string) {
+	if m == nil {
+		return
+	}
+	metrics.GetOrRegisterCounter(name, m.Registry).Inc(1)
+}
+
+func (m *Metrics) streamEnded(j *job, whole bool) {
+	if whole {
+		m.count("streams.whole")
+		return
+	}
+	m.count("streams.cut")
+}
+
+// note records what became of a request. Answers of our own get a line in the
+// log with what decided them; targets' answers only at debug level, since
+// there are as many as requests.
+func (e *Executor) note(j *job, reply *Reply) {
+	took := time.Since(j.req.Arrived)
+	if reply.Answer != nil {
+		e.Metrics.count("answers.of_targets")
+		e.Metrics.observe("answer_us.kind."+string(j.route.Kind), took)
+		if j.team != nil {
+			e.Metrics.observe("answer_us.team."+j.team.Name, took)
+		}
+		return
+	}
+	e.Metrics.count("answers.own." + string(reply.Reason))
+	fields := []zap.Field{
+		requestID(j.req.ID), zap.Int("status", reply.Status), zap.String("reason", string(reply.Reason)),
+		zap.Duration("after", took), zap.Duration("retry_after", reply.RetryAfter),
+		zap.Int("arrivals", j.arrivals), zap.Int("ran", j.ran), zap.Uint64("plan", e.Plans.Version()),
+	}
+	if j.route != nil {
+		fields = append(fields, zap.String("route", j.route.Name), zap.String("service", j.service),
+			zap.Duration("patience", j.patience()))
+	}
+	e.Log.Info("Answered by ourselves.", fields...)
+}
--- /dev/null
+++ b/internal/serve/run/stages.go
@@ -0,0 +1,274 @@
+package run
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/vanillagate/vanillagate/internal/serve/gather"
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
+)
+
+// inputs are the results of a request's stages.
+type inputs struct {
+	// handles of all pieces of the stages that no other stage follows, in order.
+	handles []string
+	// bytes of these by zone.
+	bytes map[string]int
+	free  func()
+}
+
+// release gives back their space; calling it again does nothing.
+func (in *inputs) release() {
+	if in.free != nil {
+		in.free()
+		in.free = nil
+	}
+}
+
+// graph is a request's stages on their way.
+type graph struct {
+	job    *job
+	stages []plan.Stage
+	// height is how many stages follow one another from this one to the end,
+	// itself included; 0 for one that is left out.
+	height  []int
+	started []bool
+	done    []*gather.Done
+	freed   []bool
+}
+
+// callsSpare is how many call times a stage is reckoned to take, its queue and
+// its batch included, when its due time is worked out.
+const callsSpare = 1.5
+
+// lastPart is what is left for the engine after the stages: reading the prompt.
+const lastPart = 150 * time.Millisecond
+
+// makeInputs has all stages done. Stages that lose an input start over once.
+func (j *job) makeInputs() (*inputs, error) {
+	made, err := j.tryStages()
+	var refused *gather.Refused
+	if errors.As(err, &refused) && refused.Reason == gather.Gone {
+		return j.tryStages()
+	}
+	return made, err
+}
+
+func (j *job) tryStages() (*inputs, error) {
+	g := newGraph(j)
+	ctx, cancel := context.WithCancel(j.ctx)
+	defer cancel()
+	type outcome struct {
+		stage int
+		done  *gather.Done
+		err   error
+	}
+	outcomes := make(chan outcome, len(g.stages))
+	running := 0
+	var failure error
+	for {
+		if failure == nil {
+			for _, i := range g.ready() {
+				g.started[i] = true
+				running++
+				work := g.work(i)
+				go func() {
+					done, err := j.Stages.Make(ctx, work)
+					outcomes <- outcome{stage: i, done: done, err: err}
+				}()
+			}
+		}
+		if running == 0 {
+			break
+		}
+		o := <-outcomes
+		running--
+		if o.err != nil {
+			if failure == nil {
+				failure = o.err
+			}
+			cancel()
+			continue
+		}
+		g.done[o.stage] = o.done
+		g.freeUsed()
+	}
+	if failure != nil {
+		g.freeAll()
+		return nil, failure
+	}
+	return g.inputs(), nil
+}
+
+func newGraph(j *job) *graph {
+	n := len(j.route.Stages)
+	g := &graph{
+		job: j, stages: j.route.Stages, height: make([]int, n),
+		started: make([]bool, n), done: make([]*gather.Done, n), freed: make([]bool, n),
+	}
+	for i := range g.stages {
+		g.heightOf(i)
+	}
+	return g
+}
+
+// pieces is how many pieces a stage has.
+func (g *graph) pieces(i int) int {
+	if i >= len(g.job.req.Pieces) {
+		return 0
+	}
+	return g.job.req.Pieces[i]
+}
+
+func (g *graph) heightOf(i int) int {
+	if g.pieces(i) == 0 || g.height[i] > 0 {
+		return g.height[i]
+	}
+	highest := 0
+	for _, next := range g.followers(i) {
+		highest = max(highest, g.heightOf(next))
+	}
+	g.height[i] = highest + 1
+	return g.height[i]
+}
+
+// followers are the stages that need a stage's results.
+func (g *graph) followers(i int) []int {
+	var list []int
+	for k, s := range g.stages {
+		for _, a := range s.After {
+			if a == i && g.pieces(k) > 0 {
+				list = append(list, k)
+			}
+		}
+	}
+	return list
+}
+
+// ready lists the stages to start now. A stage whose result would only wait
+// for others is started when those are as far: results take space in small
+// rooms, and a large one made a second early keeps others out.
+func (g *graph) ready() []int {
+	highest := 0
+	for i := range g.stages {
+		if g.done[i] == nil {
+			highest = max(highest, g.height[i])
+		}
+	}
+	var list []int
+	for i := range g.stages {
+		if g.pieces(i) == 0 || g.started[i] || g.height[i] < highest {
+			continue
+		}
+		if g.inputsDone(i) {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+func (g *graph) inputsDone(i int) bool {
+	for _, a := range g.stages[i].After {
+		if g.pieces(a) > 0 && g.done[a] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (g *graph) work(i int) gather.Work {
+	j := g.job
+	s := g.stages[i]
+	var from []string
+	for _, a := range s.After {
+		if g.done[a] != nil {
+			from = append(from, handles(g.done[a])...)
+		}
+	}
+	items := make([]gather.Item, 0, g.pieces(i))
+	for piece := range g.pieces(i) {
+		item := gather.Item{
+			Key:  gather.Key{Request: j.req.ID, Stage: i, Piece: piece},
+			Rank: plan.Rank(j.route, j.team), Bytes: s.ResultBytes, Inputs: from,
+		}
+		if len(s.After) == 0 {
+			item.Source = j.req.PieceKey
+		}
+		items = append(items, item)
+	}
+	return gather.Work{Service: s.Service, Items: items, Due: g.due(i), Expires: j.deadline}
+}
+
+// due is when a stage must be done for the answer to be in time.
+func (g *graph) due(i int) time.Time {
+	due := g.job.req.Arrived.Add(g.job.route.Objective - lastPart)
+	for followers := g.followers(i); len(followers) > 0; followers = g.followers(i) {
+		next := followers[0]
+		due = due.Add(-g.callTime(next))
+		i = next
+	}
+	return due
+}
+
+func (g *graph) callTime(i int) time.Duration {
+	p := g.job.Plans.Current()
+	service := p.Service(g.stages[i].Service)
+	if service == nil || service.Batch == nil {
+		return 0
+	}
+	return time.Duration(callsSpare * float64(service.Batch.CallTime))
+}
+
+// freeUsed gives back the results that all their followers have read.
+func (g *graph) freeUsed() {
+	for i := range g.stages {
+		followers := g.followers(i)
+		if g.done[i] == nil || g.freed[i] || len(followers) == 0 {
+			continue
+		}
+		read := true
+		for _, next := range followers {
+			read = read && g.done[next] != nil
+		}
+		if read {
+			g.free(i)
+		}
+	}
+}
+
+func (g *graph) free(i int) {
+	if g.freed[i] || g.done[i] == nil {
+		return
+	}
+	g.freed[i] = true
+	g.job.Stages.Free(g.done[i].Cell, handles(g.done[i]))
+}
+
+func (g *graph) freeAll() {
+	for i := range g.stages {
+		g.free(i)
+	}
+}
+
+func (g *graph) inputs() *inputs {
+	in := &inputs{bytes: map[string]int{}, free: g.freeAll}
+	for i, s := range g.stages {
+		if g.done[i] == nil || len(g.followers(i)) > 0 {
+			continue
+		}
+		in.handles = append(in.handles, handles(g.done[i])...)
+		for _, r := range g.done[i].Results {
+			in.bytes[r.Zone] += s.ResultBytes
+		}
+	}
+	return in
+}
+
+func handles(done *gather.Done) []string {
+	list := make([]string, 0, len(done.Results))
+	for _, r := range done.Results {
+		list = append(list, r.Handle)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/serve/serve.go
@@ -0,0 +1,194 @@
+// Package serve is the serving core of one process: it wires what follows the
+// configuration, knows the targets, gathers stages, and runs requests. A front
+// reads requests from callers and writes the replies; a codec speaks to the
+// targets.
+package serve
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/logging"
+	"github.com/vanillagate/vanillagate/internal/peer"
+	"github.com/vanillagate/vanillagate/internal/serve/follow"
+	"github.com/vanillagate/vanillagate/internal/serve/gather"
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+	"github.com/vanillagate/vanillagate/internal/serve/quota"
+	"github.com/vanillagate/vanillagate/internal/serve/run"
+	"github.com/vanillagate/vanillagate/internal/serve/upstream"
+	"github.com/vanillagate/vanillagate/internal/wait"
+)
+
+// Options are what a Server is made from.
+type Options struct {
+	Log     *zap.Logger
+	Metrics metrics.Registry
+	// Zone of this VM.
+	Zone string
+	// Peers is how this process takes part in the network of processes.
+	Peers  peer.Options
+	Source follow.Source
+	Codec  run.Codec
+	// Stager makes the calls of stage targets over the given client.
+	Stager func(*upstream.Client) gather.Stager
+	// Budget bounds the repeats of all processes together.
+	Budget quota.Rule
+}
+
+// Server is the serving core of one process.
+type Server struct {
+	log      *zap.Logger
+	zone     string
+	plans    *plan.Holder
+	table    *pool.Table
+	client   *upstream.Client
+	network  *peer.Node
+	follower *follow.Follower
+	stages   *gather.Requester
+	budget   *quota.Budget
+	executor *run.Executor
+
+	inFlight atomic.Int64
+	leaving  atomic.Bool
+	tasks    sync.WaitGroup
+	life     context.Context
+	stop     context.CancelFunc
+}
+
+// New wires a server. Nothing runs before Start.
+func New(o Options) (*Server, error) {
+	network, err := peer.New(o.Peers)
+	if err != nil {
+		return nil, eris.Wrap(err, "serve")
+	}
+	s := &Server{
+		log: logging.Part(o.Log, "serve"), zone: o.Zone, network: network,
+		plans: &plan.Holder{}, client: &upstream.Client{}, budget: quota.New(o.Budget, time.Now()),
+	}
+	s.life, s.stop = context.WithCancel(context.Background())
+	s.table = pool.New(logging.Part(o.Log, "targets"))
+	s.table.OnLeave(func(t *pool.Target) { s.client.Drop(t.Address) })
+	s.follower = follow.New(logging.Part(o.Log, "follow"), o.Source, s.plans, s.table)
+	s.follower.UsePeers(network)
+	s.stages = gather.New(gather.Options{
+		Log: logging.Part(o.Log, "stages"), Network: network, Table: s.table,
+		Make: func(deliver func(string, gather.Cell, []gather.Result)) *gather.Gatherer {
+			log := logging.Part(o.Log, "gather")
+			return gather.NewGatherer(s.life, log, s.table, s.plans, o.Stager(s.client), deliver)
+		},
+	})
+	s.executor = &run.Executor{
+		Log: logging.Part(o.Log, "request"), Plans: s.plans, Table: s.table, Client: s.client, Codec: o.Codec,
+		Stages: s.stages, Budget: s.budget, Zone: o.Zone, Metrics: &run.Metrics{Registry: o.Metrics},
+	}
+	return s, nil
+}
+
+// Start joins the other processes and begins to follow the configuration.
+func (s *Server) Start() error {
+	if err := s.network.Start(s.life); err != nil {
+		return eris.Wrap(err, "serve")
+	}
+	s.tasks.Go(func() { s.follower.Run(s.life) })
+	s.tasks.Go(s.housekeep)
+	return nil
+}
+
+// housekeepPeriod is how often unused connections are closed and members
+// counted.
+const housekeepPeriod = time.Second
+
+func (s *Server) housekeep() {
+	for wait.For(s.life, housekeepPeriod) {
+		now := time.Now()
+		s.client.Prune(now)
+		s.budget.Members(1+len(s.network.Members()), now)
+	}
+}
+
+// Plans gives the configuration in force.
+func (s *Server) Plans() *plan.Holder { return s.plans }
+
+// Run answers one request; see run.Executor.
+func (s *Server) Run(ctx context.Context, r *run.Request) *run.Reply { return s.executor.Run(ctx, r) }
+
+// Begin counts a request as in flight until the returned function is called.
+func (s *Server) Begin() func() {
+	s.inFlight.Add(1)
+	var once sync.Once
+	return func() { once.Do(func() { s.inFlight.Add(-1) }) }
+}
+
+// Leaving tells whether this process is on its way out.
+func (s *Server) Leaving() bool { return s.leaving.Load() }
+
+// Ready tells whether callers should come here.
+func (s *Server) Ready() bool {
+	return !s.leaving.Load() && s.plans.Current() != nil && s.table.Known()
+}
+
+// Entries lists the addresses that a caller in a zone should use, its zone's
+// first by lot. Those of other zones are left out while the zone has its part
+// of the VMs: what crosses zones costs.
+func (s *Server) Entries(zone string) []string {
+	var near, far []string
+	add := func(m peer.Member) {
+		if m.Zone == zone {
+			near = append(near, m.CallerAddress)
+			return
+		}
+		far = append(far, m.CallerAddress)
+	}
+	zones := map[string]bool{}
+	for _, m := range s.network.Members() {
+		if m.State == peer.Alive && m.CallerAddress != "" {
+			add(m)
+			zones[m.Zone] = true
+		}
+	}
+	if !s.leaving.Load() {
+		self := s.network.Self()
+		add(self)
+		zones[self.Zone] = true
+	}
+	shuffle(near)
+	shuffle(far)
+	if enough(len(near), len(near)+len(far), len(zones)) {
+		return near
+	}
+	return append(near, far...)
+}
+
+// enough tells whether a zone has at least half of an even part of the VMs. One
+// that has less would be overloaded by its own callers.
+func enough(near, all, zones int) bool { return zones > 0 && 2*near*zones >= all && near > 0 }
+
+func shuffle(list []string) {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+}
+
+// StartLeaving takes this process out of what callers and peers are told. It
+// goes on serving those that come all the same.
+func (s *Server) StartLeaving() {
+	s.leaving.Store(true)
+	s.stages.Leave()
+	s.network.AnnounceLeave()
+}
+
+// InFlight is how many requests are being answered.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// Stop ends everything.
+func (s *Server) Stop() {
+	s.stop()
+	s.network.Close()
+	s.tasks.Wait()
+}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/vanillagate/vanillagate/internal/conns"
 	"github.com/vanillagate/vanillagate/internal/problem"
 	"github.com/vanillagate/vanillagate/internal/targetapi"
 )
@@ -132,17 +133,17 @@
 
 // Client calls targets. It is safe for concurrent use.
 type Client struct {
-	idle    idleConns
+	idle    conns.Pool
 	maxBody int
 }
 
 // NewClient makes a client that refuses answers larger than maxBody bytes.
 func NewClient(maxBody int) *Client {
-	return &Client{idle: idleConns{byAddress: map[string][]*conn{}}, maxBody: maxBody}
+	return &Client{maxBody: maxBody}
 }
 
 // Prune closes connections that have stayed unused.
-func (c *Client) Prune(now time.Time) { c.idle.prune(now) }
+func (c *Client) Prune(now time.Time) { c.idle.Prune(now) }
 
 // Do makes one call and reads the whole answer. It sends the call at most
 // once. The context's deadline and cancellation close the connection. Every
@@ -156,7 +157,7 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	resp.SkipBody = call.Method == fasthttp.MethodHead
-	if err := resp.ReadLimitBody(ex.conn.br, c.maxBody); err != nil {
+	if err := resp.ReadLimitBody(ex.conn.R, c.maxBody); err != nil {
 		return nil, ex.failed(err)
 	}
 	answer := readAnswer(&resp.Header)
@@ -172,7 +173,7 @@
 	client  *Client
 	ctx     context.Context
 	address string
-	conn    *conn
+	conn    *conns.Conn
 	stop    func() bool
 	fresh   bool
 	whole   bool // the answer was read to its end, the connection can be kept
@@ -192,9 +193,9 @@
 		defer ex.finish()
 		return nil, connectFailure(ctx, context.DeadlineExceeded)
 	}
-	err = req.Write(conn.bw)
+	err = req.Write(conn.W)
 	if err == nil {
-		err = conn.bw.Flush()
+		err = conn.W.Flush()
 	}
 	if err != nil {
 		defer ex.finish()
@@ -203,16 +204,16 @@
 	return ex, nil
 }
 
-func (c *Client) connect(ctx context.Context, call Call) (*conn, error) {
+func (c *Client) connect(ctx context.Context, call Call) (*conns.Conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
 	if !call.Fresh {
-		if kept := c.idle.take(call.Address, time.Now()); kept != nil {
+		if kept := c.idle.Take(call.Address, time.Now(), 0); kept != nil {
 			return kept, nil
 		}
 	}
-	return dial(ctx, call.Address)
+	return conns.Dial(ctx, call.Address)
 }
 
 // finish keeps the connection if its answer was read to the end and nobody
@@ -220,7 +221,7 @@
 func (ex *exchange) finish() {
 	inTime := ex.stop()
 	if ex.whole && inTime && !ex.fresh {
-		ex.client.idle.put(ex.address, ex.conn, time.Now())
+		ex.client.idle.Put(ex.address, ex.conn, time.Now())
 		return
 	}
 	_ = ex.conn.Close()
@@ -328,7 +329,7 @@
 		return nil, err
 	}
 	var h fasthttp.ResponseHeader
-	if err := h.Read(ex.conn.br); err != nil {
+	if err := h.Read(ex.conn.R); err != nil {
 		defer ex.finish()
 		return nil, ex.failed(err)
 	}
@@ -359,12 +360,12 @@
 
 func bodyReader(ex *exchange, h *fasthttp.ResponseHeader) io.Reader {
 	if n := h.ContentLength(); n >= 0 {
-		return io.LimitReader(ex.conn.br, int64(n))
+		return io.LimitReader(ex.conn.R, int64(n))
 	}
 	if h.ContentLength() == -1 {
-		return httputil.NewChunkedReader(ex.conn.br)
+		return httputil.NewChunkedReader(ex.conn.R)
 	}
-	return ex.conn.br
+	return ex.conn.R
 }
 
 // Next gives the data of the next event; io.EOF where the connection ends. Any
@@ -388,7 +389,7 @@
 		return
 	}
 	for range maxTrailerLines {
-		line, err := s.ex.conn.br.ReadString('\n')
+		line, err := s.ex.conn.R.ReadString('\n')
 		if err != nil {
 			return
 		}
