Stages: room for results planned with a margin and given back early when used

Cause: inputs gone when an item failed after its inputs were given back, room refusals, and late items that outlived their inputs (4 s) behind others. Early release from 15% of a room on, 10% margin, late items given up after 600 ms.

--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -38,6 +38,10 @@
 	// Rooms hold about 1.2 s of results and bind first in a burst, so that each
 	// 25 ms cost 2% of a pool.
 	freePeriod = 25 * time.Millisecond
+	// roomShare is the part of a target's room that is planned with. Results are
+	// larger or smaller than their stage says, and one without room costs its
+	// request a second call, or its whole chain where its inputs are gone.
+	roomShare = 0.9
 	// freeTimeout bounds the call that frees results; what it misses lapses.
 	freeTimeout = time.Second
 	// callPatience is how much longer than expected a call may take before its
@@ -54,8 +58,9 @@
 	plans   *plan.Holder
 	stager  Stager
 	deliver func(owner string, cell Cell, results []Result)
-	// release gives back results of any cell.
-	release func(cell Cell, handles []string)
+	// release gives back results of any cell; final is false while their reader
+	// may still fail.
+	release func(cell Cell, handles []string, final bool)
 	// life ends the calls in progress when the process goes.
 	life context.Context
 
@@ -145,7 +150,7 @@
 		}
 		c.feeding.add(item)
 		c.queue.add(&waiting{
-			Item: item, owner: owner, due: now.Add(item.Due.Duration()), expires: now.Add(item.Expires.Duration()),
+			Item: item, owner: owner, due: now.Add(item.Due.Duration()), expires: now.Add(item.Expires.Duration()), since: now,
 		})
 	}
 	g.dispatch(c, batch, now)
@@ -210,7 +215,7 @@
 		if target == nil {
 			break
 		}
-		room := batch.RoomBytes - g.roomOf(c, target.Address, now).bytes
+		room := int(roomShare*float64(batch.RoomBytes)) - g.roomOf(c, target.Address, now).bytes
 		taken := c.queue.take(now, batch.Size, room, batch.CallTime, target.ID)
 		if len(taken) == 0 {
 			c.pauses[target.ID] = now.Add(lookPeriod)
@@ -299,6 +304,10 @@
 		items = append(items, w.Item)
 		c.running[w.Key] = true
 	}
+	g.log.Debug("Call starts.", zap.String("service", c.Service), zap.String("target", target.ID),
+		zap.Int("items", len(taken)), zap.Int("left", c.queue.len()), zap.Int("working", len(c.working)),
+		zap.Int("room_used", g.roomOf(c, target.Address, now).bytes), zap.Int("room", batch.RoomBytes),
+		zap.Duration("first_due", taken[0].due.Sub(now)))
 	g.stats.Calls++
 	g.stats.Items += len(taken)
 	go g.call(c, batch, target, taken, items, expected)
@@ -312,9 +321,6 @@
 	fetched := time.AfterFunc(fetchTime, func() { g.fetched(c, items) })
 	results, err := g.stager.Run(ctx, target, items)
 	fetched.Stop()
-	if err == nil {
-		g.fetched(c, items)
-	}
 	now := time.Now()
 	noted.End(outcomeOf(results, err), now)
 	g.mu.Lock()
@@ -332,13 +338,14 @@
 	g.dispatch(c, batch, now)
 }
 
-// fetched gives back the inputs of items whose call has read them.
+// fetched tells those who gathered the inputs of some items that they have been
+// fetched.
 func (g *Gatherer) fetched(c *cell, items []Item) {
 	g.mu.Lock()
-	fed := c.feeding.fed(items)
+	groups := c.feeding.fetched(items)
 	g.mu.Unlock()
-	for _, f := range fed {
-		g.release(f.cell, f.inputs)
+	for _, group := range groups {
+		g.release(group.cell, group.inputs, false)
 	}
 }
 
@@ -411,6 +418,9 @@
 			continue
 		case Made:
 			g.roomOf(c, target.Address, now).put(r.Handle, w.Bytes, now.Add(batch.Keep))
+			if group := c.feeding.made(w.Key); group != nil {
+				go g.release(group.cell, group.inputs, true)
+			}
 		}
 		byOwner[w.owner] = append(byOwner[w.owner], r)
 	}
@@ -447,15 +457,25 @@
 	return unknown
 }
 
-// Free gives back the space of results that nobody needs any more. Several
-// calls' results go to their maker together.
-func (g *Gatherer) Free(id Cell, handles []string) {
+// Free gives back the space of results. Several calls' results go to their
+// maker together. Where it isn't final their reader may still fail, and only
+// those are given back whose space is needed.
+func (g *Gatherer) Free(id Cell, handles []string, final bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	batch := g.batch(id)
+	if batch == nil {
+		return
+	}
 	c := g.of(id)
+	byMaker := map[string][]string{}
 	for _, handle := range handles {
 		address, _, _ := strings.Cut(handle, "/")
-		c.freeing[address] = append(c.freeing[address], handle)
+		byMaker[address] = append(byMaker[address], handle)
+	}
+	for address, list := range byMaker {
+		list = g.roomOf(c, address, time.Now()).release(list, final, batch.RoomBytes)
+		c.freeing[address] = append(c.freeing[address], list...)
 	}
 	if c.freer {
 		return
@@ -471,6 +491,9 @@
 	c.freer = false
 	g.mu.Unlock()
 	for address, handles := range freeing {
+		if len(handles) == 0 {
+			continue
+		}
 		target := g.table.ByAddress(c.Service, address)
 		if target == nil {
 			continue // its results went with it
--- a/internal/serve/gather/inputs.go
+++ b/internal/serve/gather/inputs.go
@@ -7,19 +7,24 @@
 // call's inputs are a few MB at most.
 const fetchTime = 60 * time.Millisecond
 
-// feeding follows the groups of items whose inputs a cell has to give back. The
-// rooms of the makers bind before their batches do: a result that stays until
-// the call that read it has ended, 350 ms later, takes a third of its room in
-// vain. So inputs are given back as soon as they have been fetched. If that
-// call fails after all, the items report them gone and their request starts
-// its stages over.
+// tightRoom is the part of a target's room in use from which on results are
+// given back as soon as their reader has fetched them, instead of when its call
+// has ended. The rooms bind before the batches do, and a result that stays for
+// the 350 ms of that call takes a third of its room in vain. But an item that
+// fails needs its inputs again, and without them its request starts its stages
+// over, which costs a second; so it is done only where the room is needed.
+const tightRoom = 0.15
+
+// feeding follows the groups of items whose inputs a cell has to give back.
 type feeding struct{ groups map[groupKey]*feed }
 
 type feed struct {
 	cell   Cell
 	inputs []string
-	// waiting are the items of the group that haven't been fetched for.
-	waiting map[Key]bool
+	// unfetched and unmade are the items of the group whose inputs haven't been
+	// fetched, and those that haven't been made.
+	unfetched map[Key]bool
+	unmade    map[Key]bool
 }
 
 // add notes an item that is to be fed.
@@ -32,30 +37,44 @@
 	}
 	group := f.groups[item.group()]
 	if group == nil {
-		group = &feed{cell: item.InputCell, inputs: item.Inputs, waiting: map[Key]bool{}}
+		group = &feed{cell: item.InputCell, inputs: item.Inputs, unfetched: map[Key]bool{}, unmade: map[Key]bool{}}
 		f.groups[item.group()] = group
 	}
-	group.waiting[item.Key] = true
+	group.unfetched[item.Key] = true
+	group.unmade[item.Key] = true
 }
 
-// fed notes that items were fetched for, and returns the groups whose inputs
-// nobody waits for any more.
-func (f *feeding) fed(items []Item) []*feed {
+// fetched notes that the inputs of items were fetched, and returns the groups
+// for which all were.
+func (f *feeding) fetched(items []Item) []*feed {
 	var done []*feed
 	for _, item := range items {
 		group := f.groups[item.group()]
-		if group == nil {
+		if group == nil || !group.unfetched[item.Key] {
 			continue
 		}
-		delete(group.waiting, item.Key)
-		if len(group.waiting) == 0 {
-			delete(f.groups, item.group())
+		delete(group.unfetched, item.Key)
+		if len(group.unfetched) == 0 {
 			done = append(done, group)
 		}
 	}
 	return done
 }
 
+// made notes that an item was made, and returns its group if that was the last.
+func (f *feeding) made(k Key) *feed {
+	group := f.groups[k.group()]
+	if group == nil {
+		return nil
+	}
+	delete(group.unmade, k)
+	if len(group.unmade) > 0 {
+		return nil
+	}
+	delete(f.groups, k.group())
+	return group
+}
+
 // drop forgets a request: its owner gives back what it has.
 func (f *feeding) drop(request string) {
 	for key := range f.groups {
--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -11,6 +11,7 @@
 	owner   string
 	due     time.Time
 	expires time.Time
+	since   time.Time // when it came
 	tries   int
 	avoid   string // target that failed it last
 }
@@ -48,12 +49,24 @@
 	})
 }
 
-// expired takes out the items that can't be made before their deadline when
-// the shortest call takes the given time.
+// lateWait is how long an item that is late anyway waits behind those that can
+// still be in time, before it is given up. Its inputs take space in small rooms
+// meanwhile, and so make others late: rooms hold a bit over a second of results.
+const lateWait = 600 * time.Millisecond
+
+// hopeless tells whether an item is to be given up: it can't be made before its
+// deadline, or it is late and there has been no place for it.
+func (w *waiting) hopeless(now time.Time, call time.Duration) bool {
+	done := now.Add(call)
+	return done.After(w.expires) || (done.After(w.due) && now.Sub(w.since) > lateWait)
+}
+
+// expired takes out the items that are to be given up when the shortest call
+// takes the given time.
 func (q *queue) expired(now time.Time, call time.Duration) []*waiting {
 	var late []*waiting
 	q.items = slices.DeleteFunc(q.items, func(w *waiting) bool {
-		if now.Add(call).Before(w.expires) {
+		if !w.hopeless(now, call) {
 			return false
 		}
 		delete(q.byKey, w.Key)
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -51,7 +51,7 @@
 	mu      sync.Mutex // guards what follows; never held during a call
 	pending map[Key]*pending
 	passed  map[peer.Incarnation]time.Time
-	freeing map[Cell][]string
+	freeing map[freeKey][]string
 	freer   bool
 	leaving bool
 }
@@ -95,10 +95,17 @@
 }
 
 type freeCall struct {
-	Cell    Cell     `json:"cell"`
+	freeKey
 	Handles []string `json:"handles"`
 }
 
+// freeKey is what results to be freed are collected by.
+type freeKey struct {
+	Cell Cell `json:"cell"`
+	// Final is false while a reader of the results may still fail.
+	Final bool `json:"final,omitempty"`
+}
+
 type checkCall struct {
 	Cell Cell  `json:"cell"`
 	Keys []Key `json:"keys"`
@@ -117,11 +124,11 @@
 func New(o Options) *Requester {
 	r := &Requester{
 		log: o.Log, network: o.Network, table: o.Table,
-		pending: map[Key]*pending{}, passed: map[peer.Incarnation]time.Time{}, freeing: map[Cell][]string{},
+		pending: map[Key]*pending{}, passed: map[peer.Incarnation]time.Time{}, freeing: map[freeKey][]string{},
 	}
 	r.own = o.Gatherer
 	r.own.deliver = r.deliver
-	r.own.release = r.Free
+	r.own.release = r.free
 	handle(o.Network, methodSubmit, func(c submitCall) any {
 		return r.own.Submit(string(c.Owner), c.Cell, c.Items, time.Now())
 	})
@@ -134,7 +141,7 @@
 		return struct{}{}
 	})
 	handle(o.Network, methodFree, func(c freeCall) any {
-		r.own.Free(c.Cell, c.Handles)
+		r.own.Free(c.Cell, c.Handles, c.Final)
 		return struct{}{}
 	})
 	handle(o.Network, methodCheck, func(c checkCall) any { return r.own.Unknown(c.Cell, c.Keys) })
@@ -474,7 +481,7 @@
 		return
 	}
 	r.log.Warn("Results not delivered; freed.", zap.String("member", owner), zap.Int("results", len(results)), zap.Error(err))
-	r.own.Free(cell, handlesOf(results))
+	r.own.Free(cell, handlesOf(results), true)
 }
 
 func handlesOf(results []Result) []string {
@@ -505,13 +512,16 @@
 }
 
 // Free gives back the space of results, several requests' together.
-func (r *Requester) Free(cell Cell, handles []string) {
+func (r *Requester) Free(cell Cell, handles []string) { r.free(cell, handles, true) }
+
+func (r *Requester) free(cell Cell, handles []string, final bool) {
 	if len(handles) == 0 {
 		return
 	}
+	key := freeKey{Cell: cell, Final: final}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.freeing[cell] = append(r.freeing[cell], handles...)
+	r.freeing[key] = append(r.freeing[key], handles...)
 	if r.freer {
 		return
 	}
@@ -522,24 +532,24 @@
 func (r *Requester) flush() {
 	r.mu.Lock()
 	freeing := r.freeing
-	r.freeing = map[Cell][]string{}
+	r.freeing = map[freeKey][]string{}
 	r.freer = false
 	r.mu.Unlock()
-	for cell, handles := range freeing {
-		r.freeAt(cell, handles)
+	for key, handles := range freeing {
+		r.freeAt(key, handles)
 	}
 }
 
-func (r *Requester) freeAt(cell Cell, handles []string) {
-	gatherer := r.gatherers(cell, time.Now())[0]
+func (r *Requester) freeAt(key freeKey, handles []string) {
+	gatherer := r.gatherers(key.Cell, time.Now())[0]
 	if gatherer == r.network.Self().Incarnation {
-		r.own.Free(cell, handles)
+		r.own.Free(key.Cell, handles, key.Final)
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), doneTimeout)
 	defer cancel()
-	if err := r.network.Call(ctx, gatherer, methodFree, freeCall{Cell: cell, Handles: handles}, nil); err != nil {
+	if err := r.network.Call(ctx, gatherer, methodFree, freeCall{freeKey: key, Handles: handles}, nil); err != nil {
 		r.log.Debug("Results not freed by their gatherer; freed from here.", zap.Error(err))
-		r.own.Free(cell, handles)
+		r.own.Free(key.Cell, handles, key.Final)
 	}
 }
--- a/internal/serve/gather/rooms.go
+++ b/internal/serve/gather/rooms.go
@@ -7,6 +7,8 @@
 type room struct {
 	bytes   int // of all results below
 	results map[string]kept
+	// early are results that were given back before their reader was done.
+	early map[string]bool
 }
 
 type kept struct {
@@ -23,6 +25,29 @@
 	r.bytes += bytes
 }
 
+// release chooses which of some results to give back now. While their readers
+// may still fail, only those are whose space is needed.
+func (r *room) release(handles []string, final bool, size int) []string {
+	if !final && float64(r.bytes) < tightRoom*float64(size) {
+		return nil
+	}
+	var now []string
+	for _, handle := range handles {
+		if final && r.early[handle] {
+			delete(r.early, handle)
+			continue
+		}
+		if !final {
+			if r.early == nil {
+				r.early = map[string]bool{}
+			}
+			r.early[handle] = true
+		}
+		now = append(now, handle)
+	}
+	return now
+}
+
 func (r *room) drop(handle string) {
 	if k, found := r.results[handle]; found {
 		r.bytes -= k.bytes
