--- a/internal/serve/place/place.go
+++ b/internal/serve/place/place.go
@@ -52,9 +52,13 @@
 	runningTokens = 150
 	// waitingTokens is the length of a usual prompt, for a request that waits.
 	waitingTokens = 2500
-	// bytesPerToken weighs results that cross zones: 800 KB cost about as much
-	// of a request's worth as reading 4,000 tokens again.
-	bytesPerToken = 200
+	// bytesPerToken weighs results that cross zones against tokens that are read
+	// again: 2.5 KB between zones cost the operators what a token costs.
+	bytesPerToken = 2500
+	// homeWeight is how much more a token read again counts than one read at
+	// all: it takes the engine's time and costs besides. A home gives way when
+	// it has some three times the shared parts to read before.
+	homeWeight = 3
 	// fullTokens keeps requests from an engine without a free slot while any
 	// other has one.
 	fullTokens = 100_000
@@ -64,11 +68,11 @@
 
 // Engine chooses a model engine: the one where the request costs least, in
 // tokens to read before its first, with those that the engine has read already
-// left out. Each zone has one home for each shared prompt, the same in the eyes
-// of all processes, so that they agree without exchange; a home that is busy
-// gives way. nil where no target is left.
+// left out. Each shared prompt has one home, the same in the eyes of all
+// processes, so that they agree without exchange; a home that is busy gives
+// way. nil where no target is left.
 func Engine(views []pool.View, w Wish) *pool.Target {
-	homes := homesOf(views, w.Prompt)
+	home := homeOf(views, w.Prompt)
 	total := 0
 	for _, n := range w.Bytes {
 		total += n
@@ -79,7 +83,7 @@
 		if w.Avoid[v.ID] || v.Weight == 0 {
 			continue
 		}
-		cost := engineCost(v, w.Prompt, homes[v.Zone] == v.ID)
+		cost := engineCost(v, w.Prompt, home == v.ID)
 		cost += float64(total-w.Bytes[v.Zone]) / bytesPerToken
 		if best == nil || cost < bestCost {
 			best, bestCost = v.Target, cost
@@ -96,7 +100,7 @@
 	cost := float64(p.Input + v.Tokens + running*runningTokens + v.Report.Waiting*waitingTokens)
 	if home {
 		shared, _ := p.shared()
-		cost -= float64(shared)
+		cost -= homeWeight * float64(shared)
 	}
 	if v.Slots > 0 && running >= v.Slots {
 		cost += fullTokens
@@ -104,22 +108,22 @@
 	return cost + (1-v.Weight)*rampTokens
 }
 
-// homesOf gives the home of a prompt's shared parts in each zone, by rendezvous.
-func homesOf(views []pool.View, p Prompt) map[string]string {
-	homes := map[string]string{}
+// homeOf gives the ID of the home of a prompt's shared parts, by rendezvous;
+// empty where it has none.
+func homeOf(views []pool.View, p Prompt) string {
 	_, last := p.shared()
 	if last == "" {
-		return homes
+		return ""
 	}
-	scores := map[string]uint64{}
+	home := ""
+	best := uint64(0)
 	for _, v := range views {
 		score := rendezvous(last, v.ID)
-		if v.Weight > 0 && score >= scores[v.Zone] {
-			scores[v.Zone] = score
-			homes[v.Zone] = v.ID
+		if v.Weight > 0 && score >= best {
+			best, home = score, v.ID
 		}
 	}
-	return homes
+	return home
 }
 
 func rendezvous(a, b string) uint64 {
