--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Every target stops by itself. `make check` is what CI runs.
 GO ?= go
 BIN := bin
-PROGRAMS := vanillagate vgsteward vgctl vgload vgstandin
+PROGRAMS := vanillagate vgedge vgsteward vgctl vgload vgstandin
 TESTFLAGS ?=
 
 .PHONY: all build fmt format-check lint unit race integration check demo bench bench-quick overhead slopes clean
@@ -12,10 +12,10 @@
 	$(GO) build -o $(BIN)/ ./cmd/...
 
 fmt:
-	$(GO) tool gofumpt -w cmd internal test
+	$(GO) tool gofumpt -w cmd internal platform test
 
 format-check:
-	@out="$$($(GO) tool gofumpt -l cmd internal test)"; \
+	@out="$$($(GO) tool gofumpt -l cmd internal platform test)"; \
 	if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
 
 lint: format-check
@@ -23,10 +23,10 @@
 	$(GO) tool staticcheck ./...
 
 unit:
-	$(GO) test $(TESTFLAGS) ./internal/... ./cmd/...
+	$(GO) test $(TESTFLAGS) ./internal/... ./cmd/... ./platform/...
 
 race:
-	$(GO) test -race $(TESTFLAGS) ./internal/...
+	$(GO) test -race $(TESTFLAGS) ./internal/... ./platform/...
 
 # Each test runs a small deployment; more than a few at once only measure the
 # machine.
--- a/internal/platform/platform.go
+++ b/internal/backing/backing.go
@@ -1,7 +1,7 @@
-// Package platform is the client side of what the operators' platform gives:
-// a transactional table service, an object store and a VM list. The
+// Package backing is the client side of the services behind the system: a
+// transactional table service, an object store and a VM list. The
 // interfaces here are what the rest of the system sees of it.
-package platform
+package backing
 
 import (
 	"context"
@@ -12,12 +12,12 @@
 var (
 	// ErrNotRun means that the call certainly had no effect (refused, or never
 	// sent).
-	ErrNotRun = errors.New("platform: call had no effect")
+	ErrNotRun = errors.New("backing: call had no effect")
 	// ErrUnknown means that the answer was lost: the call may have had its
 	// effect. Read again by the write's own identity before saying anything.
-	ErrUnknown = errors.New("platform: effect of call is unknown")
+	ErrUnknown = errors.New("backing: effect of call is unknown")
 	// ErrNotFound means that the object does not exist.
-	ErrNotFound = errors.New("platform: not found")
+	ErrNotFound = errors.New("backing: not found")
 )
 
 // Key names a row. Rows of a partition are ordered by Sort.
--- a/internal/platform/clients_test.go
+++ b/internal/backing/clients_test.go
@@ -1,5 +1,5 @@
 // The clients of the platform are tested against its stand-ins.
-package platform_test
+package backing_test
 
 import (
 	"bytes"
@@ -17,11 +17,11 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
+	"github.com/vanillagate/vanillagate/internal/backing/dynamo"
+	"github.com/vanillagate/vanillagate/internal/backing/objects"
+	"github.com/vanillagate/vanillagate/internal/backing/vmlist"
 	"github.com/vanillagate/vanillagate/internal/config"
-	"github.com/vanillagate/vanillagate/internal/platform"
-	"github.com/vanillagate/vanillagate/internal/platform/dynamo"
-	"github.com/vanillagate/vanillagate/internal/platform/objects"
-	"github.com/vanillagate/vanillagate/internal/platform/vmlist"
 	"github.com/vanillagate/vanillagate/internal/standin/fault"
 	"github.com/vanillagate/vanillagate/internal/standin/fleet"
 )
@@ -42,14 +42,14 @@
 }
 
 func table(address string) *dynamo.Table {
-	return dynamo.New(platform.StoreConfig{
-		URL: "http://" + address, Region: "r1", AccessKey: "k", SecretKey: "s", HTTP: platform.DefaultHTTPConfig(),
+	return dynamo.New(backing.StoreConfig{
+		URL: "http://" + address, Region: "r1", AccessKey: "k", SecretKey: "s", HTTP: backing.DefaultHTTPConfig(),
 	})
 }
 
 func store(address string) *objects.Store {
-	return objects.New(platform.StoreConfig{
-		URL: "http://" + address, Region: "r1", AccessKey: "k", SecretKey: "s", HTTP: platform.DefaultHTTPConfig(),
+	return objects.New(backing.StoreConfig{
+		URL: "http://" + address, Region: "r1", AccessKey: "k", SecretKey: "s", HTTP: backing.DefaultHTTPConfig(),
 	})
 }
 
@@ -67,29 +67,29 @@
 	assert.Assert(t, resp.StatusCode < 300)
 }
 
-func put(partition, sort, body string) platform.Write {
-	return platform.Write{
-		Row: platform.Row{Key: platform.Key{Partition: partition, Sort: sort}, Body: []byte(body)},
-		If:  platform.IfAbsent,
+func put(partition, sort, body string) backing.Write {
+	return backing.Write{
+		Row: backing.Row{Key: backing.Key{Partition: partition, Sort: sort}, Body: []byte(body)},
+		If:  backing.IfAbsent,
 	}
 }
 
 func TestTableConditionsAndPages(t *testing.T) {
 	rows := table(open(t).Table)
 	ctx := t.Context()
-	conflicts, err := rows.Commit(ctx, []platform.Write{put("p", "1", "one"), put("p", "2", "two"), put("q", "1", "other")})
+	conflicts, err := rows.Commit(ctx, []backing.Write{put("p", "1", "one"), put("p", "2", "two"), put("q", "1", "other")})
 	assert.NilError(t, err)
 	assert.Equal(t, len(conflicts), 0)
 
 	again := put("p", "2", "again")
-	conflicts, err = rows.Commit(ctx, []platform.Write{put("p", "3", "three"), again})
+	conflicts, err = rows.Commit(ctx, []backing.Write{put("p", "3", "three"), again})
 	assert.NilError(t, err)
 	assert.Equal(t, len(conflicts), 1)
 	assert.Equal(t, conflicts[0].Index, 1)
 	assert.Equal(t, string(conflicts[0].Found.Body), "two")
 
-	again.If, again.Version = platform.IfVersion, 1
-	conflicts, err = rows.Commit(ctx, []platform.Write{again})
+	again.If, again.Version = backing.IfVersion, 1
+	conflicts, err = rows.Commit(ctx, []backing.Write{again})
 	assert.NilError(t, err)
 	assert.Equal(t, len(conflicts), 0)
 	row, err := rows.Get(ctx, again.Row.Key)
@@ -104,14 +104,14 @@
 	assert.NilError(t, err)
 	assert.Equal(t, found[0].Sort, "2")
 
-	_, err = rows.Commit(ctx, []platform.Write{{Row: keyOnly(row), Delete: true}})
+	_, err = rows.Commit(ctx, []backing.Write{{Row: keyOnly(row), Delete: true}})
 	assert.NilError(t, err)
 	row, err = rows.Get(ctx, again.Row.Key)
 	assert.NilError(t, err)
 	assert.Assert(t, row == nil)
 }
 
-func keyOnly(row *platform.Row) platform.Row { return platform.Row{Key: row.Key} }
+func keyOnly(row *backing.Row) backing.Row { return backing.Row{Key: row.Key} }
 
 // The table service takes a write and its answer is lost, or it can't be
 // reached at all. The first must be "unknown" and the second "had no effect";
@@ -121,22 +121,22 @@
 	f := open(t)
 	rows := table(f.Table)
 	setFault(t, f, fault.ScopeTable, fault.Fault{LoseAnswerShare: 1})
-	_, err := rows.Commit(t.Context(), []platform.Write{put("p", "1", "one")})
-	assert.ErrorIs(t, err, platform.ErrUnknown)
+	_, err := rows.Commit(t.Context(), []backing.Write{put("p", "1", "one")})
+	assert.ErrorIs(t, err, backing.ErrUnknown)
 	setFault(t, f, fault.ScopeTable, fault.Fault{})
-	row, err := rows.Get(t.Context(), platform.Key{Partition: "p", Sort: "1"})
+	row, err := rows.Get(t.Context(), backing.Key{Partition: "p", Sort: "1"})
 	assert.NilError(t, err)
 	assert.Equal(t, string(row.Body), "one")
 
 	setFault(t, f, fault.ScopeTable, fault.Fault{Down: true})
-	_, err = rows.Commit(t.Context(), []platform.Write{put("p", "2", "two")})
-	if err != nil && errors.Is(err, platform.ErrUnknown) {
+	_, err = rows.Commit(t.Context(), []backing.Write{put("p", "2", "two")})
+	if err != nil && errors.Is(err, backing.ErrUnknown) {
 		// The first call after the outage may meet a kept connection.
-		_, err = rows.Commit(t.Context(), []platform.Write{put("p", "2", "two")})
+		_, err = rows.Commit(t.Context(), []backing.Write{put("p", "2", "two")})
 	}
-	assert.ErrorIs(t, err, platform.ErrNotRun)
-	_, err = rows.Get(t.Context(), platform.Key{Partition: "p", Sort: "1"})
-	assert.ErrorIs(t, err, platform.ErrNotRun)
+	assert.ErrorIs(t, err, backing.ErrNotRun)
+	_, err = rows.Get(t.Context(), backing.Key{Partition: "p", Sort: "1"})
+	assert.ErrorIs(t, err, backing.ErrNotRun)
 }
 
 // The service closes the connection after it has read a request. Whatever the
@@ -160,12 +160,12 @@
 			defer server.Close()
 			rows := table(server.Listener.Addr().String())
 			if kept {
-				_, err := rows.Commit(t.Context(), []platform.Write{put("p", "0", "zero")})
+				_, err := rows.Commit(t.Context(), []backing.Write{put("p", "0", "zero")})
 				assert.NilError(t, err)
 			}
 			before := calls.Load()
-			_, err := rows.Commit(t.Context(), []platform.Write{put("p", "1", "one")})
-			assert.ErrorIs(t, err, platform.ErrUnknown)
+			_, err := rows.Commit(t.Context(), []backing.Write{put("p", "1", "one")})
+			assert.ErrorIs(t, err, backing.ErrUnknown)
 			assert.Equal(t, calls.Load()-before, int64(1))
 		})
 	}
@@ -177,10 +177,10 @@
 		code   string
 		want   error
 	}{
-		{http.StatusBadRequest, "ThrottlingException", platform.ErrNotRun},
-		{http.StatusBadRequest, "TransactionInProgressException", platform.ErrUnknown},
-		{http.StatusInternalServerError, "InternalServerError", platform.ErrUnknown},
-		{http.StatusServiceUnavailable, "ServiceUnavailable", platform.ErrUnknown},
+		{http.StatusBadRequest, "ThrottlingException", backing.ErrNotRun},
+		{http.StatusBadRequest, "TransactionInProgressException", backing.ErrUnknown},
+		{http.StatusInternalServerError, "InternalServerError", backing.ErrUnknown},
+		{http.StatusServiceUnavailable, "ServiceUnavailable", backing.ErrUnknown},
 	}
 	for _, c := range cases {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -188,7 +188,7 @@
 			w.WriteHeader(c.status)
 			_, _ = fmt.Fprintf(w, `{"__type":"com.amazonaws.dynamodb.v20120810#%s","message":"m"}`, c.code)
 		}))
-		_, err := table(server.Listener.Addr().String()).Commit(t.Context(), []platform.Write{put("p", "1", "one")})
+		_, err := table(server.Listener.Addr().String()).Commit(t.Context(), []backing.Write{put("p", "1", "one")})
 		assert.ErrorIs(t, err, c.want, c.code)
 		server.Close()
 	}
@@ -202,8 +202,8 @@
 	defer func() { _ = listener.Close() }()
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
-	_, err = table(listener.Addr().String()).Commit(ctx, []platform.Write{put("p", "1", "one")})
-	assert.ErrorIs(t, err, platform.ErrUnknown)
+	_, err = table(listener.Addr().String()).Commit(ctx, []backing.Write{put("p", "1", "one")})
+	assert.ErrorIs(t, err, backing.ErrUnknown)
 }
 
 func TestObjects(t *testing.T) {
@@ -211,23 +211,23 @@
 	objectStore := store(f.Objects)
 	ctx := t.Context()
 	_, err := objectStore.Get(ctx, "config/none.json")
-	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, err, backing.ErrNotFound)
 	body := bytes.Repeat([]byte("water "), 100_000)
 	assert.NilError(t, objectStore.Put(ctx, "outcome/a/b", body))
 	got, err := objectStore.Get(ctx, "outcome/a/b")
 	assert.NilError(t, err)
 	assert.Assert(t, bytes.Equal(got, body))
 	setFault(t, f, fault.ScopeObjects, fault.Fault{LoseAnswerShare: 1})
-	assert.ErrorIs(t, objectStore.Put(ctx, "outcome/a/c", body), platform.ErrUnknown)
+	assert.ErrorIs(t, objectStore.Put(ctx, "outcome/a/c", body), backing.ErrUnknown)
 }
 
 func TestVMList(t *testing.T) {
 	f := open(t)
 	vms, err := vmlist.New("http://" + f.VMList + "/").List(t.Context())
 	assert.NilError(t, err)
-	assert.DeepEqual(t, vms, []platform.VM{
-		{Address: "127.0.0.1:7501", PeerAddress: "127.0.0.1:7601", Role: platform.RoleEntry, Zone: "a", Region: "r1", State: platform.VMLive},
-		{Address: f.Targets["llm"][0], Role: platform.RoleTarget, Pool: "llm", Zone: "b", Region: "r1", State: platform.VMLive},
+	assert.DeepEqual(t, vms, []backing.VM{
+		{Address: "127.0.0.1:7501", PeerAddress: "127.0.0.1:7601", Role: backing.RoleEntry, Zone: "a", Region: "r1", State: backing.VMLive},
+		{Address: f.Targets["llm"][0], Role: backing.RoleTarget, Pool: "llm", Zone: "b", Region: "r1", State: backing.VMLive},
 	})
 }
 
@@ -239,7 +239,7 @@
 		vms, err := vmlist.Parse(raw)
 		for _, vm := range vms {
 			assert.Check(t, err == nil && vm.Address != "")
-			assert.Check(t, vm.Role == platform.RoleEntry || vm.Role == platform.RoleTarget)
+			assert.Check(t, vm.Role == backing.RoleEntry || vm.Role == backing.RoleTarget)
 		}
 	})
 }
--- a/internal/platform/dynamo/dynamo.go
+++ b/internal/backing/dynamo/dynamo.go
@@ -16,7 +16,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	smithyhttp "github.com/aws/smithy-go/transport/http"
 
-	"github.com/vanillagate/vanillagate/internal/platform"
+	"github.com/vanillagate/vanillagate/internal/backing"
 )
 
 // TableName is the one table that the system uses.
@@ -33,13 +33,13 @@
 // MaxWrites is how many rows one transaction may write.
 const MaxWrites = 100
 
-// Table is a platform.Table over the DynamoDB protocol.
+// Table is a backing.Table over the DynamoDB protocol.
 type Table struct{ client *dynamodb.Client }
 
-var _ platform.Table = (*Table)(nil)
+var _ backing.Table = (*Table)(nil)
 
 // New builds a Table. It makes no connection yet.
-func New(cfg platform.StoreConfig) *Table {
+func New(cfg backing.StoreConfig) *Table {
 	return &Table{client: dynamodb.New(dynamodb.Options{
 		BaseEndpoint: aws.String(cfg.URL),
 		Region:       cfg.Region,
@@ -47,12 +47,12 @@
 		// The SDK would send a write again by itself. Whether that is safe is
 		// for the caller to decide, who knows the write's own identity.
 		Retryer:    aws.NopRetryer{},
-		HTTPClient: platform.NewHTTPClient(cfg.HTTP),
+		HTTPClient: backing.NewHTTPClient(cfg.HTTP),
 	})}
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key platform.Key) (*platform.Row, error) {
+// Get implements backing.Table.
+func (t *Table) Get(ctx context.Context, key backing.Key) (*backing.Row, error) {
 	out, err := t.client.GetItem(ctx, &dynamodb.GetItemInput{
 		TableName:      aws.String(TableName),
 		Key:            keyOf(key),
@@ -67,9 +67,9 @@
 	return rowOf(out.Item)
 }
 
-// Scan implements platform.Table.
-func (t *Table) Scan(ctx context.Context, partition, after string, limit int) ([]platform.Row, error) {
-	var rows []platform.Row
+// Scan implements backing.Table.
+func (t *Table) Scan(ctx context.Context, partition, after string, limit int) ([]backing.Row, error) {
+	var rows []backing.Row
 	var from map[string]types.AttributeValue
 	for len(rows) < limit {
 		out, err := t.query(ctx, partition, after, limit-len(rows), from)
@@ -108,13 +108,13 @@
 	return t.client.Query(ctx, in)
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, writes []platform.Write) ([]platform.Conflict, error) {
+// Commit implements backing.Table.
+func (t *Table) Commit(ctx context.Context, writes []backing.Write) ([]backing.Conflict, error) {
 	if len(writes) == 0 {
 		return nil, nil
 	}
 	if len(writes) > MaxWrites {
-		return nil, fmt.Errorf("dynamo: %d writes in one transaction: %w", len(writes), platform.ErrNotRun)
+		return nil, fmt.Errorf("dynamo: %d writes in one transaction: %w", len(writes), backing.ErrNotRun)
 	}
 	items := make([]types.TransactWriteItem, 0, len(writes))
 	for _, w := range writes {
@@ -135,13 +135,13 @@
 
 // conflictsOf reads why a transaction was cancelled. A cancelled transaction
 // wrote nothing, whatever the reason.
-func conflictsOf(writes []platform.Write, cancelled *types.TransactionCanceledException) ([]platform.Conflict, error) {
-	var conflicts []platform.Conflict
+func conflictsOf(writes []backing.Write, cancelled *types.TransactionCanceledException) ([]backing.Conflict, error) {
+	var conflicts []backing.Conflict
 	for i, reason := range cancelled.CancellationReasons {
 		if aws.ToString(reason.Code) != conditionFailed || i >= len(writes) {
 			continue
 		}
-		conflict := platform.Conflict{Index: i}
+		conflict := backing.Conflict{Index: i}
 		if len(reason.Item) > 0 {
 			row, err := rowOf(reason.Item)
 			if err != nil {
@@ -152,12 +152,12 @@
 		conflicts = append(conflicts, conflict)
 	}
 	if len(conflicts) == 0 {
-		return nil, fmt.Errorf("dynamo: commit: %w: %w", platform.ErrNotRun, cancelled)
+		return nil, fmt.Errorf("dynamo: commit: %w: %w", backing.ErrNotRun, cancelled)
 	}
 	return conflicts, nil
 }
 
-func itemOf(w platform.Write) types.TransactWriteItem {
+func itemOf(w backing.Write) types.TransactWriteItem {
 	condition, values := conditionOf(w)
 	if w.Delete {
 		return types.TransactWriteItem{Delete: &types.Delete{
@@ -177,24 +177,24 @@
 	}}
 }
 
-func conditionOf(w platform.Write) (*string, map[string]types.AttributeValue) {
+func conditionOf(w backing.Write) (*string, map[string]types.AttributeValue) {
 	switch w.If {
-	case platform.IfAbsent:
+	case backing.IfAbsent:
 		return aws.String("attribute_not_exists(pk)"), nil
-	case platform.IfVersion:
+	case backing.IfVersion:
 		return aws.String("ver = :v"), map[string]types.AttributeValue{":v": number(w.Version)}
 	default:
 		return nil, nil
 	}
 }
 
-func keyOf(key platform.Key) map[string]types.AttributeValue {
+func keyOf(key backing.Key) map[string]types.AttributeValue {
 	return map[string]types.AttributeValue{attrPartition: text(key.Partition), attrSort: text(key.Sort)}
 }
 
-func attributesOf(w platform.Write) map[string]types.AttributeValue {
+func attributesOf(w backing.Write) map[string]types.AttributeValue {
 	item := keyOf(w.Row.Key)
-	item[attrVersion] = number(platform.NextVersion(w))
+	item[attrVersion] = number(backing.NextVersion(w))
 	item[attrBody] = &types.AttributeValueMemberB{Value: w.Row.Body}
 	return item
 }
@@ -207,18 +207,18 @@
 
 // rowOf reads a row. A row that isn't ours is an error of unknown effect: it
 // says nothing about what was written.
-func rowOf(item map[string]types.AttributeValue) (*platform.Row, error) {
+func rowOf(item map[string]types.AttributeValue) (*backing.Row, error) {
 	partition, ok1 := item[attrPartition].(*types.AttributeValueMemberS)
 	sort, ok2 := item[attrSort].(*types.AttributeValueMemberS)
 	version, ok3 := item[attrVersion].(*types.AttributeValueMemberN)
 	if !ok1 || !ok2 || !ok3 {
-		return nil, fmt.Errorf("dynamo: row without pk, sk or ver: %w", platform.ErrUnknown)
+		return nil, fmt.Errorf("dynamo: row without pk, sk or ver: %w", backing.ErrUnknown)
 	}
 	number, err := strconv.ParseUint(version.Value, 10, 64)
 	if err != nil {
-		return nil, fmt.Errorf("dynamo: row with version %q: %w", version.Value, platform.ErrUnknown)
+		return nil, fmt.Errorf("dynamo: row with version %q: %w", version.Value, backing.ErrUnknown)
 	}
-	row := &platform.Row{Key: platform.Key{Partition: partition.Value, Sort: sort.Value}, Version: number}
+	row := &backing.Row{Key: backing.Key{Partition: partition.Value, Sort: sort.Value}, Version: number}
 	switch body := item[attrBody].(type) {
 	case *types.AttributeValueMemberB:
 		row.Body = body.Value
@@ -231,18 +231,18 @@
 // outcome tells a call that certainly had no effect from one that may have had
 // it. A 4xx answer is a refusal; a 5xx may come after the write.
 func outcome(call string, err error) error {
-	if errors.Is(err, platform.ErrNotRun) {
+	if errors.Is(err, backing.ErrNotRun) {
 		return fmt.Errorf("dynamo: %s: %w", call, err)
 	}
 	var inProgress *types.TransactionInProgressException
 	if errors.As(err, &inProgress) {
-		return fmt.Errorf("dynamo: %s: %w: %w", call, platform.ErrUnknown, err)
+		return fmt.Errorf("dynamo: %s: %w: %w", call, backing.ErrUnknown, err)
 	}
 	var answer *smithyhttp.ResponseError
 	if errors.As(err, &answer) && isRefusal(answer.HTTPStatusCode()) {
-		return fmt.Errorf("dynamo: %s: %w: %w", call, platform.ErrNotRun, err)
+		return fmt.Errorf("dynamo: %s: %w: %w", call, backing.ErrNotRun, err)
 	}
-	return fmt.Errorf("dynamo: %s: %w: %w", call, platform.ErrUnknown, err)
+	return fmt.Errorf("dynamo: %s: %w: %w", call, backing.ErrUnknown, err)
 }
 
 func isRefusal(status int) bool {
--- a/internal/platform/memory/memory.go
+++ b/internal/backing/memory/memory.go
@@ -8,7 +8,7 @@
 	"strings"
 	"sync"
 
-	"github.com/vanillagate/vanillagate/internal/platform"
+	"github.com/vanillagate/vanillagate/internal/backing"
 )
 
 // Fault is what happens to a call.
@@ -32,24 +32,24 @@
 	// Write says that the call is a Commit or a Put.
 	Write bool
 	// Writes are the rows of a Commit.
-	Writes []platform.Write
+	Writes []backing.Write
 }
 
 // Store is a Table; Objects gives its ObjectStore. The zero value is not
 // ready: use New.
 type Store struct {
 	mu      sync.Mutex // guards all below
-	rows    map[platform.Key]platform.Row
+	rows    map[backing.Key]backing.Row
 	objects map[string][]byte
 	faults  func(Call) Fault
 	commits int
 }
 
-var _ platform.Table = (*Store)(nil)
+var _ backing.Table = (*Store)(nil)
 
 // New is an empty store without faults.
 func New() *Store {
-	return &Store{rows: map[platform.Key]platform.Row{}, objects: map[string][]byte{}}
+	return &Store{rows: map[backing.Key]backing.Row{}, objects: map[string][]byte{}}
 }
 
 // SetFaults has fn decide the fate of each call from now on; nil clears it.
@@ -68,10 +68,10 @@
 }
 
 // Objects is the object store beside the table.
-func (s *Store) Objects() platform.ObjectStore { return objectStore{s} }
+func (s *Store) Objects() backing.ObjectStore { return objectStore{s} }
 
-// Get implements platform.Table.
-func (s *Store) Get(ctx context.Context, key platform.Key) (*platform.Row, error) {
+// Get implements backing.Table.
+func (s *Store) Get(ctx context.Context, key backing.Key) (*backing.Row, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, err := s.begin(ctx, Call{}); err != nil {
@@ -80,25 +80,25 @@
 	return s.find(key), nil
 }
 
-// Scan implements platform.Table.
-func (s *Store) Scan(ctx context.Context, partition, after string, limit int) ([]platform.Row, error) {
+// Scan implements backing.Table.
+func (s *Store) Scan(ctx context.Context, partition, after string, limit int) ([]backing.Row, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, err := s.begin(ctx, Call{}); err != nil {
 		return nil, err
 	}
-	var found []platform.Row
+	var found []backing.Row
 	for key := range s.rows {
 		if key.Partition == partition && key.Sort > after {
 			found = append(found, *s.find(key))
 		}
 	}
-	slices.SortFunc(found, func(a, b platform.Row) int { return strings.Compare(a.Sort, b.Sort) })
+	slices.SortFunc(found, func(a, b backing.Row) int { return strings.Compare(a.Sort, b.Sort) })
 	return found[:min(limit, len(found))], nil
 }
 
-// Commit implements platform.Table.
-func (s *Store) Commit(ctx context.Context, writes []platform.Write) ([]platform.Conflict, error) {
+// Commit implements backing.Table.
+func (s *Store) Commit(ctx context.Context, writes []backing.Write) ([]backing.Conflict, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.commits++
@@ -108,17 +108,17 @@
 	}
 	conflicts := s.commit(writes)
 	if lost {
-		return nil, platform.ErrUnknown
+		return nil, backing.ErrUnknown
 	}
 	return conflicts, nil
 }
 
-func (s *Store) commit(writes []platform.Write) []platform.Conflict {
-	var conflicts []platform.Conflict
+func (s *Store) commit(writes []backing.Write) []backing.Conflict {
+	var conflicts []backing.Conflict
 	for i, w := range writes {
 		found := s.find(w.Row.Key)
 		if !holds(w, found) {
-			conflicts = append(conflicts, platform.Conflict{Index: i, Found: found})
+			conflicts = append(conflicts, backing.Conflict{Index: i, Found: found})
 		}
 	}
 	if len(conflicts) > 0 {
@@ -130,18 +130,18 @@
 	return nil
 }
 
-func (s *Store) put(w platform.Write) {
+func (s *Store) put(w backing.Write) {
 	if w.Delete {
 		delete(s.rows, w.Row.Key)
 		return
 	}
 	row := w.Row
-	row.Version = platform.NextVersion(w)
+	row.Version = backing.NextVersion(w)
 	row.Body = slices.Clone(row.Body)
 	s.rows[row.Key] = row
 }
 
-func (s *Store) find(key platform.Key) *platform.Row {
+func (s *Store) find(key backing.Key) *backing.Row {
 	row, ok := s.rows[key]
 	if !ok {
 		return nil
@@ -153,19 +153,19 @@
 // begin applies the fault; lost says that the answer will not arrive.
 func (s *Store) begin(ctx context.Context, call Call) (lost bool, err error) {
 	if ctx.Err() != nil {
-		return false, platform.ErrNotRun
+		return false, backing.ErrNotRun
 	}
 	if s.faults == nil {
 		return false, nil
 	}
 	switch s.faults(call) {
 	case NotRun:
-		return false, platform.ErrNotRun
+		return false, backing.ErrNotRun
 	case LostCall:
-		return false, platform.ErrUnknown
+		return false, backing.ErrUnknown
 	case LostAnswer:
 		if !call.Write {
-			return false, platform.ErrUnknown
+			return false, backing.ErrUnknown
 		}
 		return true, nil
 	default:
@@ -173,11 +173,11 @@
 	}
 }
 
-func holds(w platform.Write, found *platform.Row) bool {
+func holds(w backing.Write, found *backing.Row) bool {
 	switch w.If {
-	case platform.IfAbsent:
+	case backing.IfAbsent:
 		return found == nil
-	case platform.IfVersion:
+	case backing.IfVersion:
 		return found != nil && found.Version == w.Version
 	default:
 		return true
@@ -186,7 +186,7 @@
 
 type objectStore struct{ s *Store }
 
-// Get implements platform.ObjectStore.
+// Get implements backing.ObjectStore.
 func (o objectStore) Get(ctx context.Context, name string) ([]byte, error) {
 	o.s.mu.Lock()
 	defer o.s.mu.Unlock()
@@ -195,12 +195,12 @@
 	}
 	body, ok := o.s.objects[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, backing.ErrNotFound
 	}
 	return slices.Clone(body), nil
 }
 
-// Put implements platform.ObjectStore.
+// Put implements backing.ObjectStore.
 func (o objectStore) Put(ctx context.Context, name string, body []byte) error {
 	o.s.mu.Lock()
 	defer o.s.mu.Unlock()
@@ -210,7 +210,7 @@
 	}
 	o.s.objects[name] = slices.Clone(body)
 	if lost {
-		return platform.ErrUnknown
+		return backing.ErrUnknown
 	}
 	return nil
 }
--- a/internal/platform/objects/objects.go
+++ b/internal/backing/objects/objects.go
@@ -15,7 +15,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 	smithyhttp "github.com/aws/smithy-go/transport/http"
 
-	"github.com/vanillagate/vanillagate/internal/platform"
+	"github.com/vanillagate/vanillagate/internal/backing"
 )
 
 // Bucket is the one bucket that the system uses.
@@ -24,20 +24,20 @@
 // MaxObjectBytes bounds what is read of an object.
 const MaxObjectBytes = 64 << 20
 
-// Store is a platform.ObjectStore over the S3 protocol.
+// Store is a backing.ObjectStore over the S3 protocol.
 type Store struct{ client *s3.Client }
 
-var _ platform.ObjectStore = (*Store)(nil)
+var _ backing.ObjectStore = (*Store)(nil)
 
 // New builds a Store. It makes no connection yet.
-func New(cfg platform.StoreConfig) *Store {
+func New(cfg backing.StoreConfig) *Store {
 	return &Store{client: s3.New(s3.Options{
 		BaseEndpoint: aws.String(cfg.URL),
 		Region:       cfg.Region,
 		Credentials:  credentials.NewStaticCredentialsProvider(cfg.AccessKey, cfg.SecretKey, ""),
 		UsePathStyle: true,
 		Retryer:      aws.NopRetryer{},
-		HTTPClient:   platform.NewHTTPClient(cfg.HTTP),
+		HTTPClient:   backing.NewHTTPClient(cfg.HTTP),
 		// Without these the SDK sends bodies in signed chunks with trailers,
 		// which not every store of this protocol reads.
 		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
@@ -45,7 +45,7 @@
 	})}
 }
 
-// Get implements platform.ObjectStore.
+// Get implements backing.ObjectStore.
 func (s *Store) Get(ctx context.Context, name string) ([]byte, error) {
 	out, err := s.client.GetObject(ctx, &s3.GetObjectInput{Bucket: aws.String(Bucket), Key: aws.String(name)})
 	if err != nil {
@@ -57,16 +57,16 @@
 		return nil, outcome("get", name, err)
 	}
 	if len(body) > MaxObjectBytes {
-		return nil, fmt.Errorf("objects: get %s: more than %d bytes: %w", name, MaxObjectBytes, platform.ErrNotRun)
+		return nil, fmt.Errorf("objects: get %s: more than %d bytes: %w", name, MaxObjectBytes, backing.ErrNotRun)
 	}
 	// An answer cut short must not pass as the whole object.
 	if want := aws.ToInt64(out.ContentLength); want > 0 && want != int64(len(body)) {
-		return nil, fmt.Errorf("objects: get %s: %d of %d bytes: %w", name, len(body), want, platform.ErrUnknown)
+		return nil, fmt.Errorf("objects: get %s: %d of %d bytes: %w", name, len(body), want, backing.ErrUnknown)
 	}
 	return body, nil
 }
 
-// Put implements platform.ObjectStore.
+// Put implements backing.ObjectStore.
 func (s *Store) Put(ctx context.Context, name string, body []byte) error {
 	_, err := s.client.PutObject(ctx, &s3.PutObjectInput{
 		Bucket:        aws.String(Bucket),
@@ -81,18 +81,18 @@
 }
 
 func outcome(call, name string, err error) error {
-	if errors.Is(err, platform.ErrNotRun) {
+	if errors.Is(err, backing.ErrNotRun) {
 		return fmt.Errorf("objects: %s %s: %w", call, name, err)
 	}
-	kind := platform.ErrUnknown
+	kind := backing.ErrUnknown
 	var answer *smithyhttp.ResponseError
 	if errors.As(err, &answer) {
 		status := answer.HTTPStatusCode()
 		switch {
 		case status == http.StatusNotFound:
-			kind = platform.ErrNotFound
+			kind = backing.ErrNotFound
 		case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
-			kind = platform.ErrNotRun
+			kind = backing.ErrNotRun
 		}
 	}
 	return fmt.Errorf("objects: %s %s: %w: %w", call, name, kind, err)
--- a/internal/platform/transport.go
+++ b/internal/backing/transport.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 import (
 	"errors"
--- a/internal/platform/version.go
+++ b/internal/backing/version.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 // NextVersion is the version that a put gives its row: one more than the one
 // expected by IfVersion, 1 for a new row, and for Always the version that the
--- a/internal/platform/vmlist/fuzz_test.go
+++ b/internal/backing/vmlist/fuzz_test.go
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/vanillagate/vanillagate/internal/platform"
+	"github.com/vanillagate/vanillagate/internal/backing"
 )
 
 // The platform's list is read whole or not at all: a list that lost rows would
@@ -27,8 +27,8 @@
 		for _, vm := range vms {
 			_, err := netip.ParseAddrPort(vm.Address)
 			assert.NilError(t, err)
-			assert.Assert(t, vm.Role == platform.RoleEntry || vm.Role == platform.RoleTarget)
-			assert.Assert(t, vm.State == platform.VMLive || vm.State == platform.VMLeaving)
+			assert.Assert(t, vm.Role == backing.RoleEntry || vm.Role == backing.RoleTarget)
+			assert.Assert(t, vm.State == backing.VMLive || vm.State == backing.VMLeaving)
 		}
 	})
 }
--- a/internal/platform/vmlist/vmlist.go
+++ b/internal/backing/vmlist/vmlist.go
@@ -12,7 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/vanillagate/vanillagate/internal/platform"
+	"github.com/vanillagate/vanillagate/internal/backing"
 )
 
 // MaxBytes bounds the list: 12,640 VMs of about 250 bytes each, twice over.
@@ -23,7 +23,7 @@
 	connections = 2
 )
 
-// List is a platform.VMList.
+// List is a backing.VMList.
 type List struct {
 	url    string
 	client *fasthttp.Client
@@ -36,10 +36,10 @@
 // says whether it has changed.
 type tagged struct {
 	tag string
-	vms []platform.VM
+	vms []backing.VM
 }
 
-var _ platform.VMList = (*List)(nil)
+var _ backing.VMList = (*List)(nil)
 
 // New builds a List that reads from the URL.
 func New(url string) *List {
@@ -69,11 +69,11 @@
 	PeerAddress string `json:"peer_address,omitempty"`
 }
 
-// List implements platform.VMList. The list is sent again only when it has
+// List implements backing.VMList. The list is sent again only when it has
 // changed: at the target size it has 12,640 rows of some 140 bytes, and reading
 // them all each second would cost 300 times what a node may spend on control.
 // What it returns must not be changed.
-func (l *List) List(ctx context.Context) ([]platform.VM, error) {
+func (l *List) List(ctx context.Context) ([]backing.VM, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
@@ -84,13 +84,13 @@
 		req.Header.Set(fasthttp.HeaderIfNoneMatch, last.tag)
 	}
 	if err := l.client.DoDeadline(req, resp, deadline(ctx)); err != nil {
-		return nil, fmt.Errorf("vmlist: %w: %w", platform.ErrUnknown, err)
+		return nil, fmt.Errorf("vmlist: %w: %w", backing.ErrUnknown, err)
 	}
 	if resp.StatusCode() == fasthttp.StatusNotModified && last.tag != "" {
 		return last.vms, nil
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
-		return nil, fmt.Errorf("vmlist: status %d: %w", resp.StatusCode(), platform.ErrNotRun)
+		return nil, fmt.Errorf("vmlist: status %d: %w", resp.StatusCode(), backing.ErrNotRun)
 	}
 	vms, err := Parse(resp.Body())
 	if err != nil {
@@ -122,12 +122,12 @@
 
 // Parse reads the served JSON. A row that can't be used makes the whole list
 // unusable: a list that silently lost rows would look like VMs that left.
-func Parse(body []byte) ([]platform.VM, error) {
+func Parse(body []byte) ([]backing.VM, error) {
 	var groups []Group
 	if err := json.Unmarshal(body, &groups); err != nil {
-		return nil, fmt.Errorf("vmlist: %w: %w", platform.ErrUnknown, err)
+		return nil, fmt.Errorf("vmlist: %w: %w", backing.ErrUnknown, err)
 	}
-	var vms []platform.VM
+	var vms []backing.VM
 	for _, g := range groups {
 		for _, address := range g.Targets {
 			vm, err := vmOf(address, g.Labels)
@@ -140,24 +140,24 @@
 	return vms, nil
 }
 
-func vmOf(address string, labels Labels) (platform.VM, error) {
+func vmOf(address string, labels Labels) (backing.VM, error) {
 	if _, err := netip.ParseAddrPort(address); err != nil {
-		return platform.VM{}, fmt.Errorf("vmlist: address %q: %w", address, platform.ErrUnknown)
+		return backing.VM{}, fmt.Errorf("vmlist: address %q: %w", address, backing.ErrUnknown)
 	}
-	vm := platform.VM{
+	vm := backing.VM{
 		Address:     address,
 		PeerAddress: labels.PeerAddress,
-		Role:        platform.VMRole(labels.Role),
+		Role:        backing.VMRole(labels.Role),
 		Pool:        labels.Pool,
 		Zone:        labels.Zone,
 		Region:      labels.Region,
-		State:       platform.VMState(labels.State),
+		State:       backing.VMState(labels.State),
 	}
-	if vm.Role != platform.RoleEntry && vm.Role != platform.RoleTarget {
-		return platform.VM{}, fmt.Errorf("vmlist: %s has role %q: %w", address, labels.Role, platform.ErrUnknown)
+	if vm.Role != backing.RoleEntry && vm.Role != backing.RoleTarget {
+		return backing.VM{}, fmt.Errorf("vmlist: %s has role %q: %w", address, labels.Role, backing.ErrUnknown)
 	}
-	if vm.State != platform.VMLive && vm.State != platform.VMLeaving {
-		return platform.VM{}, fmt.Errorf("vmlist: %s has state %q: %w", address, labels.State, platform.ErrUnknown)
+	if vm.State != backing.VMLive && vm.State != backing.VMLeaving {
+		return backing.VM{}, fmt.Errorf("vmlist: %s has state %q: %w", address, labels.State, backing.ErrUnknown)
 	}
 	return vm, nil
 }
--- a/internal/command/change/change.go
+++ b/internal/command/change/change.go
@@ -15,8 +15,8 @@
 	"fmt"
 	"time"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/config"
-	"github.com/vanillagate/vanillagate/internal/platform"
 	"github.com/vanillagate/vanillagate/internal/query/changes"
 	"github.com/vanillagate/vanillagate/internal/wait"
 )
@@ -74,7 +74,7 @@
 
 // Submitter submits changes.
 type Submitter struct {
-	table   platform.Table
+	table   backing.Table
 	current func() *config.State
 	now     func() time.Time
 	wait    func(context.Context, time.Duration) bool
@@ -82,7 +82,7 @@
 
 // New builds a Submitter. current gives the state in force in this process; it
 // only saves reading the changes from the first one on.
-func New(table platform.Table, current func() *config.State) *Submitter {
+func New(table backing.Table, current func() *config.State) *Submitter {
 	return &Submitter{table: table, current: current, now: time.Now, wait: wait.Around}
 }
 
@@ -139,7 +139,7 @@
 
 // read brings the state to the head that the commit will be conditioned on.
 // What was validated against this state still holds when the commit succeeds.
-func (s *submission) read(ctx context.Context) (item *platform.Row, err error) {
+func (s *submission) read(ctx context.Context) (item *backing.Row, err error) {
 	s.state, _, err = changes.Follow(ctx, s.table, s.state)
 	if err != nil {
 		return nil, err
@@ -147,7 +147,7 @@
 	return s.table.Get(ctx, changes.ItemRowKey(s.req.Kind, s.req.Name))
 }
 
-func lastChange(item *platform.Row) (config.LastChange, error) {
+func lastChange(item *backing.Row) (config.LastChange, error) {
 	var last config.LastChange
 	if item == nil {
 		return last, nil
@@ -162,7 +162,7 @@
 	return last.Revision == expect || (expect == 0 && last.Deleted)
 }
 
-func (s *submission) commit(ctx context.Context, item *platform.Row) (Outcome, bool) {
+func (s *submission) commit(ctx context.Context, item *backing.Row) (Outcome, bool) {
 	revision := s.state.Revision + 1
 	writes, err := writesOf(s.req, revision, item, s.now())
 	if err != nil {
@@ -170,7 +170,7 @@
 	}
 	conflicts, err := s.table.Commit(ctx, writes)
 	if err != nil {
-		s.mayStand = s.mayStand || !errors.Is(err, platform.ErrNotRun)
+		s.mayStand = s.mayStand || !errors.Is(err, backing.ErrNotRun)
 		return s.failed(err)
 	}
 	if len(conflicts) == 0 {
@@ -224,7 +224,7 @@
 // the same moment; lost answers until the deadline.
 func (s *submission) failed(err error) (Outcome, bool) {
 	s.lastErr = err
-	if errors.Is(err, platform.ErrNotRun) {
+	if errors.Is(err, backing.ErrNotRun) {
 		s.refused++
 	}
 	if s.refused >= maxRefused {
--- a/internal/command/change/change_test.go
+++ b/internal/command/change/change_test.go
@@ -11,8 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillagate/vanillagate/internal/backing/memory"
 	"github.com/vanillagate/vanillagate/internal/config"
-	"github.com/vanillagate/vanillagate/internal/platform/memory"
 	"github.com/vanillagate/vanillagate/internal/query/changes"
 )
 
--- a/internal/command/change/model_test.go
+++ b/internal/command/change/model_test.go
@@ -10,9 +10,9 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
+	"github.com/vanillagate/vanillagate/internal/backing/memory"
 	"github.com/vanillagate/vanillagate/internal/config"
-	"github.com/vanillagate/vanillagate/internal/platform"
-	"github.com/vanillagate/vanillagate/internal/platform/memory"
 	"github.com/vanillagate/vanillagate/internal/query/changes"
 )
 
@@ -36,7 +36,7 @@
 type machine struct {
 	t       *rapid.T
 	store   *memory.Store
-	late    [][]platform.Write
+	late    [][]backing.Write
 	depth   int
 	next    int
 	results map[string]Outcome // by change ID, of those that are final
@@ -50,30 +50,30 @@
 // maxDepth is how many submissions run within each other.
 const maxDepth = 3
 
-func (m *machine) Get(ctx context.Context, key platform.Key) (*platform.Row, error) {
+func (m *machine) Get(ctx context.Context, key backing.Key) (*backing.Row, error) {
 	m.another("before a read")
 	if rapid.IntRange(0, 19).Draw(m.t, "read fails") == 0 {
-		return nil, platform.ErrUnknown
+		return nil, backing.ErrUnknown
 	}
 	return m.store.Get(ctx, key)
 }
 
-func (m *machine) Scan(ctx context.Context, partition, after string, limit int) ([]platform.Row, error) {
+func (m *machine) Scan(ctx context.Context, partition, after string, limit int) ([]backing.Row, error) {
 	m.another("before a scan")
 	return m.store.Scan(ctx, partition, after, limit)
 }
 
-func (m *machine) Commit(ctx context.Context, writes []platform.Write) ([]platform.Conflict, error) {
+func (m *machine) Commit(ctx context.Context, writes []backing.Write) ([]backing.Conflict, error) {
 	m.another("before a write")
 	switch rapid.SampledFrom([]string{"answered", "answered", "lost", "late", "refused"}).Draw(m.t, "fate") {
 	case "lost":
 		_, _ = m.store.Commit(ctx, writes)
-		return nil, platform.ErrUnknown
+		return nil, backing.ErrUnknown
 	case "late":
 		m.late = append(m.late, writes)
-		return nil, platform.ErrUnknown
+		return nil, backing.ErrUnknown
 	case "refused":
-		return nil, platform.ErrNotRun
+		return nil, backing.ErrNotRun
 	default:
 		return m.store.Commit(ctx, writes)
 	}
--- a/internal/command/change/rows.go
+++ b/internal/command/change/rows.go
@@ -8,8 +8,8 @@
 	"fmt"
 	"time"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/config"
-	"github.com/vanillagate/vanillagate/internal/platform"
 	"github.com/vanillagate/vanillagate/internal/query/changes"
 )
 
@@ -28,7 +28,7 @@
 
 // writesOf is the transaction that accepts a change. All of it happens or
 // nothing does, so a loser leaves nothing half applied.
-func writesOf(req Request, revision config.Revision, item *platform.Row, at time.Time) ([]platform.Write, error) {
+func writesOf(req Request, revision config.Revision, item *backing.Row, at time.Time) ([]backing.Write, error) {
 	body, err := compact(req)
 	if err != nil {
 		return nil, err
@@ -38,7 +38,7 @@
 		Deleted: req.Deleted, Body: body, By: req.By, At: at.UTC(),
 	}
 	last := config.LastChange{Revision: revision, ChangeID: req.ID, By: req.By, Deleted: req.Deleted}
-	return []platform.Write{
+	return []backing.Write{
 		headWrite(revision, req.ID),
 		itemWrite(req, item, last),
 		insert(changes.ChangeKey(revision), change),
@@ -46,28 +46,28 @@
 	}, nil
 }
 
-func headWrite(revision config.Revision, id string) platform.Write {
+func headWrite(revision config.Revision, id string) backing.Write {
 	if revision == 1 {
 		return insert(changes.HeadKey(), head{ChangeID: id})
 	}
-	return platform.Write{
-		Row:     platform.Row{Key: changes.HeadKey(), Body: encode(head{ChangeID: id})},
-		If:      platform.IfVersion,
+	return backing.Write{
+		Row:     backing.Row{Key: changes.HeadKey(), Body: encode(head{ChangeID: id})},
+		If:      backing.IfVersion,
 		Version: uint64(revision) - 1,
 	}
 }
 
-func itemWrite(req Request, item *platform.Row, last config.LastChange) platform.Write {
+func itemWrite(req Request, item *backing.Row, last config.LastChange) backing.Write {
 	key := changes.ItemRowKey(req.Kind, req.Name)
 	if item == nil {
 		return insert(key, last)
 	}
-	row := platform.Row{Key: key, Body: encode(last)}
-	return platform.Write{Row: row, If: platform.IfVersion, Version: item.Version}
+	row := backing.Row{Key: key, Body: encode(last)}
+	return backing.Write{Row: row, If: backing.IfVersion, Version: item.Version}
 }
 
-func insert(key platform.Key, body any) platform.Write {
-	return platform.Write{Row: platform.Row{Key: key, Body: encode(body)}, If: platform.IfAbsent}
+func insert(key backing.Key, body any) backing.Write {
+	return backing.Write{Row: backing.Row{Key: key, Body: encode(body)}, If: backing.IfAbsent}
 }
 
 // encode panics where a type of this package can't be encoded, which is a
--- a/internal/command/claim/batch.go
+++ b/internal/command/claim/batch.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/vanillagate/vanillagate/internal/platform"
+	"github.com/vanillagate/vanillagate/internal/backing"
 )
 
 // Bounds of a batch. A claim that comes alone waits gatherTime at most; while
@@ -26,13 +26,13 @@
 	// done says that the write took effect.
 	done bool
 	// found is the row that stands in its place.
-	found *platform.Row
+	found *backing.Row
 	err   error
 }
 
 // pending is one write that waits for its batch.
 type pending struct {
-	write  platform.Write
+	write  backing.Write
 	result chan placed // has room for the one result
 	// taken is set once, by the batcher that sends the write or by the waiter
 	// that leaves before. It tells "certainly not sent" from "may have been".
@@ -40,18 +40,18 @@
 }
 
 // errQueueFull is a write that was never sent.
-var errQueueFull = errors.Join(errors.New("claim: too many claims are waiting"), platform.ErrNotRun)
+var errQueueFull = errors.Join(errors.New("claim: too many claims are waiting"), backing.ErrNotRun)
 
 // batcher puts the writes of many requests into few transactions: a few
 // hundred writes a second are all that the store gives.
 type batcher struct {
-	table platform.Table
+	table backing.Table
 	queue chan *pending
 	slots chan struct{} // one for each transaction in flight
 	pace  *pace         // used by run alone
 }
 
-func newBatcher(table platform.Table) *batcher {
+func newBatcher(table backing.Table) *batcher {
 	return &batcher{
 		table: table,
 		queue: make(chan *pending, queueSize),
@@ -61,7 +61,7 @@
 }
 
 // write places one row and waits for what became of it.
-func (b *batcher) write(ctx context.Context, w platform.Write) placed {
+func (b *batcher) write(ctx context.Context, w backing.Write) placed {
 	p := &pending{write: w, result: make(chan placed, 1)}
 	select {
 	case b.queue <- p:
@@ -74,9 +74,9 @@
 	case <-ctx.Done():
 	}
 	if p.taken.CompareAndSwap(false, true) {
-		return placed{err: fmt.Errorf("%w: %w", platform.ErrNotRun, context.Cause(ctx))}
+		return placed{err: fmt.Errorf("%w: %w", backing.ErrNotRun, context.Cause(ctx))}
 	}
-	return placed{err: fmt.Errorf("%w: %w", platform.ErrUnknown, context.Cause(ctx))}
+	return placed{err: fmt.Errorf("%w: %w", backing.ErrUnknown, context.Cause(ctx))}
 }
 
 // run sends batches until the context ends, then waits for those in flight.
@@ -141,10 +141,10 @@
 type batch struct {
 	writes []*pending
 	rest   []*pending
-	keys   map[platform.Key]bool
+	keys   map[backing.Key]bool
 }
 
-func newBatch() *batch { return &batch{keys: map[platform.Key]bool{}} }
+func newBatch() *batch { return &batch{keys: map[backing.Key]bool{}} }
 
 func (b *batch) empty() bool { return len(b.writes) == 0 }
 func (b *batch) full() bool  { return len(b.writes) >= maxBatch }
@@ -178,8 +178,8 @@
 	}
 }
 
-func writesOf(all []*pending) []platform.Write {
-	writes := make([]platform.Write, 0, len(all))
+func writesOf(all []*pending) []backing.Write {
+	writes := make([]backing.Write, 0, len(all))
 	for _, p := range all {
 		writes = append(writes, p.write)
 	}
@@ -192,7 +192,7 @@
 	}
 }
 
-func without(all []*pending, conflicts []platform.Conflict) []*pending {
+func without(all []*pending, conflicts []backing.Conflict) []*pending {
 	lost := map[int]bool{}
 	for _, c := range conflicts {
 		lost[c.Index] = true
--- a/internal/command/claim/claim.go
+++ b/internal/command/claim/claim.go
@@ -12,8 +12,8 @@
 	"fmt"
 	"strconv"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
 )
 
 // Token orders the holders of one claim. It is the version of the claim's row
@@ -41,8 +41,8 @@
 	IdempotencyKey string
 }
 
-func (id Identity) rowKey() platform.Key {
-	return platform.Key{Partition: "claim/" + id.Customer, Sort: id.IdempotencyKey}
+func (id Identity) rowKey() backing.Key {
+	return backing.Key{Partition: "claim/" + id.Customer, Sort: id.IdempotencyKey}
 }
 
 // Request asks for the claim of one request.
@@ -112,10 +112,10 @@
 	Token Token
 }
 
-func decodeRow(row *platform.Row) (Row, error) {
+func decodeRow(row *backing.Row) (Row, error) {
 	var body Row
 	if err := json.Unmarshal(row.Body, &body); err != nil {
-		return body, fmt.Errorf("claim: row %s/%s: %w: %w", row.Partition, row.Sort, platform.ErrUnknown, err)
+		return body, fmt.Errorf("claim: row %s/%s: %w: %w", row.Partition, row.Sort, backing.ErrUnknown, err)
 	}
 	return body, nil
 }
--- a/internal/command/claim/claims.go
+++ b/internal/command/claim/claims.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
 	"github.com/vanillagate/vanillagate/internal/wait"
 )
 
@@ -53,15 +53,15 @@
 
 // Claims makes and finishes the claims of one entry process.
 type Claims struct {
-	table   platform.Table
-	objects platform.ObjectStore
+	table   backing.Table
+	objects backing.ObjectStore
 	batches *batcher
 	silence *silence
 	later   *later
 }
 
 // New builds Claims; Run must run for them to work.
-func New(table platform.Table, objects platform.ObjectStore) *Claims {
+func New(table backing.Table, objects backing.ObjectStore) *Claims {
 	return &Claims{
 		table:   table,
 		objects: objects,
@@ -86,9 +86,9 @@
 }
 
 func (c *Claims) claim(ctx context.Context, req Request, takeOverAllowed bool) Outcome {
-	first := platform.Write{
-		Row: platform.Row{Key: req.rowKey(), Body: encodeRow(heldBy(req))},
-		If:  platform.IfAbsent,
+	first := backing.Write{
+		Row: backing.Row{Key: req.rowKey(), Body: encodeRow(heldBy(req))},
+		If:  backing.IfAbsent,
 	}
 	try := &claiming{Claims: c, req: req, takeOverAllowed: takeOverAllowed, write: first}
 	for pause := retryMin; ; pause = min(2*pause, retryMax) {
@@ -111,7 +111,7 @@
 	*Claims
 	req             Request
 	takeOverAllowed bool
-	write           platform.Write
+	write           backing.Write
 	// mayStand says that the answer to a write of ours was lost.
 	mayStand bool
 	refused  int
@@ -131,18 +131,18 @@
 	case result.err != nil:
 		return c.failed(result.err)
 	case result.done:
-		return c.granted(platform.NextVersion(c.write)), false
+		return c.granted(backing.NextVersion(c.write)), false
 	case result.found == nil:
 		// The row that we wanted to replace is gone, or the store did not say
 		// what stands there: begin again with the insertion.
-		c.write = platform.Write{Row: c.write.Row, If: platform.IfAbsent}
+		c.write = backing.Write{Row: c.write.Row, If: backing.IfAbsent}
 		return Outcome{}, true
 	default:
 		return c.decide(ctx, result.found)
 	}
 }
 
-func (c *claiming) decide(ctx context.Context, row *platform.Row) (Outcome, bool) {
+func (c *claiming) decide(ctx context.Context, row *backing.Row) (Outcome, bool) {
 	found, err := decodeRow(row)
 	if err != nil {
 		return c.failed(err)
@@ -152,7 +152,7 @@
 	case Proceed:
 		return c.granted(row.Version), false
 	case Reclaim, TakeOver:
-		c.write = platform.Write{Row: c.write.Row, If: platform.IfVersion, Version: row.Version}
+		c.write = backing.Write{Row: c.write.Row, If: backing.IfVersion, Version: row.Version}
 		return Outcome{}, true
 	case Replay:
 		return c.replay(ctx, found), false
@@ -176,7 +176,7 @@
 
 func (c *claiming) failed(err error) (Outcome, bool) {
 	c.lastErr = err
-	if !errors.Is(err, platform.ErrNotRun) {
+	if !errors.Is(err, backing.ErrNotRun) {
 		c.mayStand = true
 		return Outcome{}, true
 	}
--- a/internal/command/claim/claims_test.go
+++ b/internal/command/claim/claims_test.go
@@ -10,9 +10,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
+	"github.com/vanillagate/vanillagate/internal/backing/memory"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
-	"github.com/vanillagate/vanillagate/internal/platform/memory"
 )
 
 // entry is the claims of one entry process.
@@ -147,7 +147,7 @@
 	leave   chan struct{}
 }
 
-func (h *hanging) Commit(ctx context.Context, writes []platform.Write) ([]platform.Conflict, error) {
+func (h *hanging) Commit(ctx context.Context, writes []backing.Write) ([]backing.Conflict, error) {
 	select {
 	case h.entered <- struct{}{}:
 	default:
@@ -223,8 +223,8 @@
 }
 
 func TestVersionsOfRows(t *testing.T) {
-	assert.Equal(t, platform.NextVersion(platform.Write{If: platform.IfVersion, Version: 4}), uint64(5))
-	assert.Equal(t, platform.NextVersion(platform.Write{If: platform.IfAbsent, Row: platform.Row{Version: 9}}), uint64(1))
+	assert.Equal(t, backing.NextVersion(backing.Write{If: backing.IfVersion, Version: 4}), uint64(5))
+	assert.Equal(t, backing.NextVersion(backing.Write{If: backing.IfAbsent, Row: backing.Row{Version: 9}}), uint64(1))
 }
 
 func allLive(peer.Incarnation) bool { return true }
--- a/internal/command/claim/finish.go
+++ b/internal/command/claim/finish.go
@@ -7,7 +7,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/vanillagate/vanillagate/internal/platform"
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/wait"
 )
 
@@ -80,10 +80,10 @@
 	}
 }
 
-func settling(grant Grant, row Row) platform.Write {
-	return platform.Write{
-		Row:     platform.Row{Key: grant.rowKey(), Body: encodeRow(row)},
-		If:      platform.IfVersion,
+func settling(grant Grant, row Row) backing.Write {
+	return backing.Write{
+		Row:     backing.Row{Key: grant.rowKey(), Body: encodeRow(row)},
+		If:      backing.IfVersion,
 		Version: uint64(grant.Token),
 	}
 }
@@ -95,7 +95,7 @@
 	return settledBy(result.found, grant, state)
 }
 
-func settledBy(found *platform.Row, grant Grant, state State) Finish {
+func settledBy(found *backing.Row, grant Grant, state State) Finish {
 	if found == nil || found.Version != uint64(grant.Token)+1 {
 		return Superseded
 	}
@@ -125,14 +125,14 @@
 	}
 }
 
-func givingUp(req Request) platform.Write {
+func givingUp(req Request) backing.Write {
 	row := heldBy(req)
 	row.State = Released
-	return platform.Write{Row: platform.Row{Key: req.rowKey(), Body: encodeRow(row)}, If: platform.IfAbsent}
+	return backing.Write{Row: backing.Row{Key: req.rowKey(), Body: encodeRow(row)}, If: backing.IfAbsent}
 }
 
 // gaveUp says whether that is done, or the write to make next.
-func gaveUp(result placed, write platform.Write, req Request) (next platform.Write, done bool) {
+func gaveUp(result placed, write backing.Write, req Request) (next backing.Write, done bool) {
 	if result.done {
 		return write, true
 	}
@@ -143,7 +143,7 @@
 	if err != nil || !mustReplace(found, req) {
 		return write, true
 	}
-	write.If, write.Version = platform.IfVersion, result.found.Version
+	write.If, write.Version = backing.IfVersion, result.found.Version
 	return write, false
 }
 
@@ -189,7 +189,7 @@
 var errBody = errors.New("claim: the recorded body is not the one that was recorded")
 
 // load reads a recorded answer whole.
-func load(ctx context.Context, objects platform.ObjectStore, recorded *RecordedAnswer) (*Answer, error) {
+func load(ctx context.Context, objects backing.ObjectStore, recorded *RecordedAnswer) (*Answer, error) {
 	if recorded == nil {
 		return nil, errBody
 	}
--- a/internal/command/claim/model_test.go
+++ b/internal/command/claim/model_test.go
@@ -12,9 +12,9 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
+	"github.com/vanillagate/vanillagate/internal/backing/memory"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
-	"github.com/vanillagate/vanillagate/internal/platform/memory"
 )
 
 // TestMain has the models draw from one seed, deep enough to find the faults
@@ -52,7 +52,7 @@
 	phase phase
 	grant Grant
 	// write is under way or to be made; it may be made many times.
-	write platform.Write
+	write backing.Write
 	row   Row // what write records
 	// result of the execution that the answer tells of.
 	ran int
@@ -75,7 +75,7 @@
 	requests []*modelRequest
 	// late are writes whose sender was told nothing and that may yet take
 	// effect.
-	late    []platform.Write
+	late    []backing.Write
 	letters []letter
 	// executions lists the tokens of the executions at the targets.
 	executions []Token
@@ -103,7 +103,7 @@
 		Fingerprint: "f",
 	}
 	claims := &Claims{objects: m.store.Objects(), silence: newSilence(m.clock()), later: newLater()}
-	first := platform.Write{Row: platform.Row{Key: req.rowKey(), Body: encodeRow(heldBy(req))}, If: platform.IfAbsent}
+	first := backing.Write{Row: backing.Row{Key: req.rowKey(), Body: encodeRow(heldBy(req))}, If: backing.IfAbsent}
 	c := &claiming{Claims: claims, req: req, takeOverAllowed: m.checks, write: first}
 	m.requests = append(m.requests, &modelRequest{claiming: c, phase: placing})
 }
@@ -140,23 +140,23 @@
 }
 
 // write makes one write with a fate.
-func (m *machine) write(t *rapid.T, w platform.Write) placed {
+func (m *machine) write(t *rapid.T, w backing.Write) placed {
 	switch rapid.SampledFrom([]string{"answered", "answered", "answered", "lost", "late", "late", "refused"}).Draw(t, "fate") {
 	case "lost":
 		m.apply(w)
-		return placed{err: platform.ErrUnknown}
+		return placed{err: backing.ErrUnknown}
 	case "late":
 		m.late = append(m.late, w)
-		return placed{err: platform.ErrUnknown}
+		return placed{err: backing.ErrUnknown}
 	case "refused":
-		return placed{err: platform.ErrNotRun}
+		return placed{err: backing.ErrNotRun}
 	default:
 		return m.apply(w)
 	}
 }
 
-func (m *machine) apply(w platform.Write) placed {
-	conflicts, err := m.store.Commit(context.Background(), []platform.Write{w})
+func (m *machine) apply(w backing.Write) placed {
+	conflicts, err := m.store.Commit(context.Background(), []backing.Write{w})
 	if err != nil {
 		return placed{err: err}
 	}
@@ -439,9 +439,9 @@
 	f.Add([]byte(`{"state":"finished","outcome":{"status":200,"object":"x"}}`))
 	f.Add([]byte(`null`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		row, err := decodeRow(&platform.Row{Body: raw})
+		row, err := decodeRow(&backing.Row{Body: raw})
 		if err != nil {
-			if !errors.Is(err, platform.ErrUnknown) {
+			if !errors.Is(err, backing.ErrUnknown) {
 				t.Fatal(err)
 			}
 			return
--- a/internal/command/cost/cost.go
+++ b/internal/command/cost/cost.go
@@ -11,9 +11,9 @@
 
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/logging"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
 	"github.com/vanillagate/vanillagate/internal/query/costs"
 )
 
@@ -27,7 +27,7 @@
 
 // Recorder gathers cost in memory and writes it in rows. Use New.
 type Recorder struct {
-	table platform.Table
+	table backing.Table
 	me    peer.Incarnation
 	now   func() time.Time
 	log   *zap.Logger
@@ -37,13 +37,13 @@
 
 	// flushing is taken before gathering. It guards the fields below.
 	flushing sync.Mutex
-	sealed   []platform.Write
+	sealed   []backing.Write
 	sequence uint64
-	indexed  platform.Key // of the last row of the index
+	indexed  backing.Key // of the last row of the index
 }
 
 // New builds a Recorder for one process.
-func New(table platform.Table, me peer.Incarnation, log *zap.Logger) *Recorder {
+func New(table backing.Table, me peer.Incarnation, log *zap.Logger) *Recorder {
 	return &Recorder{
 		table: table,
 		me:    me,
@@ -142,10 +142,10 @@
 	r.put(costs.RowKey(r.me, r.sequence), row)
 }
 
-func (r *Recorder) put(key platform.Key, body any) {
+func (r *Recorder) put(key backing.Key, body any) {
 	raw, err := json.Marshal(body)
 	if err != nil {
 		panic(fmt.Sprintf("cost: encode %T: %v", body, err))
 	}
-	r.sealed = append(r.sealed, platform.Write{Row: platform.Row{Key: key, Body: raw}, If: platform.Always})
+	r.sealed = append(r.sealed, backing.Write{Row: backing.Row{Key: key, Body: raw}, If: backing.Always})
 }
--- a/internal/command/cost/cost_test.go
+++ b/internal/command/cost/cost_test.go
@@ -7,8 +7,8 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillagate/vanillagate/internal/backing/memory"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform/memory"
 	"github.com/vanillagate/vanillagate/internal/query/costs"
 )
 
--- a/internal/command/lease/decide.go
+++ b/internal/command/lease/decide.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
 )
 
 // Row is the body of a lease's row.
@@ -30,7 +30,7 @@
 type Ask struct {
 	// Wanted is false where the lease must not be asked for yet.
 	Wanted  bool
-	If      platform.Condition
+	If      backing.Condition
 	Version uint64
 }
 
@@ -44,12 +44,12 @@
 // any time: nobody else holds while it stands.
 func Decide(me peer.Incarnation, seen *Seen, now Instant) Ask {
 	if seen == nil {
-		return Ask{Wanted: true, If: platform.IfAbsent}
+		return Ask{Wanted: true, If: backing.IfAbsent}
 	}
 	ours := seen.Row.Holder == me
 	waited := now.Mono-seen.Since.Mono >= seen.Row.term()
 	if ours || seen.Row.Released || waited {
-		return Ask{Wanted: true, If: platform.IfVersion, Version: seen.Version}
+		return Ask{Wanted: true, If: backing.IfVersion, Version: seen.Version}
 	}
 	return Ask{}
 }
--- a/internal/command/lease/lease_test.go
+++ b/internal/command/lease/lease_test.go
@@ -6,9 +6,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
+	"github.com/vanillagate/vanillagate/internal/backing/memory"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
-	"github.com/vanillagate/vanillagate/internal/platform/memory"
 )
 
 const length = 10 * time.Second
@@ -48,10 +48,10 @@
 		now  Instant
 		want Ask
 	}{
-		{"no row", nil, at(0, 0), Ask{Wanted: true, If: platform.IfAbsent}},
-		{"own", &Seen{Row: Row{Holder: "a"}, Version: 3}, at(0, 0), Ask{Wanted: true, If: platform.IfVersion, Version: 3}},
-		{"released", &Seen{Row: released, Version: 3}, at(0, 0), Ask{Wanted: true, If: platform.IfVersion, Version: 3}},
-		{"waited a term", &Seen{Row: other, Version: 3}, at(length, 0), Ask{Wanted: true, If: platform.IfVersion, Version: 3}},
+		{"no row", nil, at(0, 0), Ask{Wanted: true, If: backing.IfAbsent}},
+		{"own", &Seen{Row: Row{Holder: "a"}, Version: 3}, at(0, 0), Ask{Wanted: true, If: backing.IfVersion, Version: 3}},
+		{"released", &Seen{Row: released, Version: 3}, at(0, 0), Ask{Wanted: true, If: backing.IfVersion, Version: 3}},
+		{"waited a term", &Seen{Row: other, Version: 3}, at(length, 0), Ask{Wanted: true, If: backing.IfVersion, Version: 3}},
 		{"only the wall clock went on", &Seen{Row: other, Version: 3}, at(time.Second, length), Ask{}},
 		{"waited less", &Seen{Row: other, Version: 3}, at(length-1, length), Ask{}},
 	}
@@ -109,7 +109,7 @@
 	assert.NilError(t, a.Cycle(t.Context(), pools))
 	a.pass(length / 2)
 	store.SetFaults(func(memory.Call) memory.Fault { return memory.LostAnswer })
-	assert.ErrorIs(t, a.Cycle(t.Context(), pools), platform.ErrUnknown)
+	assert.ErrorIs(t, a.Cycle(t.Context(), pools), backing.ErrUnknown)
 	_, holds := a.Check("llm")
 	assert.Assert(t, holds)
 	a.pass(length / 2)
@@ -146,7 +146,7 @@
 	pools := []string{"llm"}
 	assert.NilError(t, a.Cycle(t.Context(), pools))
 	store.SetFaults(func(memory.Call) memory.Fault { return memory.LostAnswer })
-	assert.ErrorIs(t, a.ask(t.Context(), "llm", Decide("a", a.seen["llm"], a.now)), platform.ErrUnknown)
+	assert.ErrorIs(t, a.ask(t.Context(), "llm", Decide("a", a.seen["llm"], a.now)), backing.ErrUnknown)
 	store.SetFaults(nil)
 	assert.NilError(t, a.Release(t.Context()))
 	assert.NilError(t, b.Cycle(t.Context(), pools))
--- a/internal/command/lease/manager.go
+++ b/internal/command/lease/manager.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
 )
 
 // Partition holds the leases by the name of the pool.
@@ -23,7 +23,7 @@
 
 // Manager asks for the leases of pools and renews them.
 type Manager struct {
-	table  platform.Table
+	table  backing.Table
 	me     peer.Incarnation
 	clock  Clock
 	length time.Duration
@@ -37,7 +37,7 @@
 // NewManager builds a Manager for one process. length is the term, the same
 // for all stewards; a holder that vanishes is replaced after about one and
 // a quarter terms.
-func NewManager(table platform.Table, me peer.Incarnation, clock Clock, length time.Duration) *Manager {
+func NewManager(table backing.Table, me peer.Incarnation, clock Clock, length time.Duration) *Manager {
 	return &Manager{
 		table:  table,
 		me:     me,
@@ -95,7 +95,7 @@
 	return nil
 }
 
-func (m *Manager) observe(row platform.Row, now Instant) error {
+func (m *Manager) observe(row backing.Row, now Instant) error {
 	body, err := Decode(row)
 	if err != nil {
 		return err
@@ -111,26 +111,26 @@
 	asked := m.clock()
 	body := Row{Holder: m.me, TermMS: m.length.Milliseconds()}
 	write := m.write(pool, body, ask)
-	conflicts, err := m.table.Commit(ctx, []platform.Write{write})
+	conflicts, err := m.table.Commit(ctx, []backing.Write{write})
 	if err != nil {
 		return err
 	}
 	if len(conflicts) > 0 {
 		return nil
 	}
-	version := platform.NextVersion(write)
+	version := backing.NextVersion(write)
 	m.seen[pool] = &Seen{Row: body, Version: version, Since: m.clock()}
 	m.set(pool, Term{Token: version, Asked: asked, Length: m.length})
 	return nil
 }
 
-func (m *Manager) write(pool string, body Row, ask Ask) platform.Write {
+func (m *Manager) write(pool string, body Row, ask Ask) backing.Write {
 	raw, err := json.Marshal(body)
 	if err != nil {
 		panic(fmt.Sprintf("lease: encode: %v", err))
 	}
-	key := platform.Key{Partition: Partition, Sort: pool}
-	return platform.Write{Row: platform.Row{Key: key, Body: raw}, If: ask.If, Version: ask.Version}
+	key := backing.Key{Partition: Partition, Sort: pool}
+	return backing.Write{Row: backing.Row{Key: key, Body: raw}, If: ask.If, Version: ask.Version}
 }
 
 func (m *Manager) set(pool string, term Term) {
@@ -158,8 +158,8 @@
 func (m *Manager) release(ctx context.Context, pool string, version uint64) error {
 	body := Row{Holder: m.me, TermMS: m.length.Milliseconds(), Released: true}
 	for {
-		ask := Ask{If: platform.IfVersion, Version: version}
-		conflicts, err := m.table.Commit(ctx, []platform.Write{m.write(pool, body, ask)})
+		ask := Ask{If: backing.IfVersion, Version: version}
+		conflicts, err := m.table.Commit(ctx, []backing.Write{m.write(pool, body, ask)})
 		if err != nil || len(conflicts) == 0 {
 			return err
 		}
@@ -176,7 +176,7 @@
 }
 
 // Decode reads the body of a lease's row.
-func Decode(row platform.Row) (Row, error) {
+func Decode(row backing.Row) (Row, error) {
 	var body Row
 	if err := json.Unmarshal(row.Body, &body); err != nil {
 		return body, fmt.Errorf("lease: row %s: %w", row.Sort, err)
--- a/internal/command/lease/model_test.go
+++ b/internal/command/lease/model_test.go
@@ -11,9 +11,9 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
+	"github.com/vanillagate/vanillagate/internal/backing/memory"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
-	"github.com/vanillagate/vanillagate/internal/platform/memory"
 )
 
 // TestMain has the models draw from one seed, deep enough to find the faults
@@ -43,7 +43,7 @@
 	procs []*modelProc
 	// delayed are writes whose sender was told nothing and that may yet take
 	// effect.
-	delayed [][]platform.Write
+	delayed [][]backing.Write
 	// orders were sent and not yet carried out.
 	orders []modelOrder
 	// seen is the highest token that the engine has seen.
@@ -119,31 +119,31 @@
 
 var errModel = errors.New("model")
 
-func (t modelTable) Get(ctx context.Context, key platform.Key) (*platform.Row, error) {
+func (t modelTable) Get(ctx context.Context, key backing.Key) (*backing.Row, error) {
 	return t.p.m.store.Get(ctx, key)
 }
 
-func (t modelTable) Scan(ctx context.Context, partition, after string, limit int) ([]platform.Row, error) {
+func (t modelTable) Scan(ctx context.Context, partition, after string, limit int) ([]backing.Row, error) {
 	t.p.m.meanwhile("before a read")
 	rows, err := t.p.m.store.Scan(ctx, partition, after, limit)
 	t.p.m.meanwhile("after a read")
 	return rows, err
 }
 
-func (t modelTable) Commit(ctx context.Context, writes []platform.Write) ([]platform.Conflict, error) {
+func (t modelTable) Commit(ctx context.Context, writes []backing.Write) ([]backing.Conflict, error) {
 	m := t.p.m
 	m.meanwhile("before a write")
 	switch rapid.SampledFrom([]string{"answered", "answered", "lost", "delayed", "refused"}).Draw(m.t, "fate") {
 	case "lost":
 		_, _ = m.store.Commit(ctx, writes)
 		m.meanwhile("after a lost answer")
-		return nil, platform.ErrUnknown
+		return nil, backing.ErrUnknown
 	case "delayed":
 		m.delayed = append(m.delayed, writes)
 		m.meanwhile("after a delayed write")
-		return nil, platform.ErrUnknown
+		return nil, backing.ErrUnknown
 	case "refused":
-		return nil, errors.Join(errModel, platform.ErrNotRun)
+		return nil, errors.Join(errModel, backing.ErrNotRun)
 	default:
 		conflicts, err := m.store.Commit(ctx, writes)
 		m.meanwhile("after a write")
--- a/internal/command/snapshot/snapshot.go
+++ b/internal/command/snapshot/snapshot.go
@@ -6,8 +6,8 @@
 	"context"
 	"encoding/json"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/config"
-	"github.com/vanillagate/vanillagate/internal/platform"
 	query "github.com/vanillagate/vanillagate/internal/query/snapshot"
 )
 
@@ -32,7 +32,7 @@
 // snapshot, a process only ever moves to a higher revision, and who starts from
 // the lower one while table and peers are away goes on as soon as one of them
 // answers.
-func Write(ctx context.Context, objects platform.ObjectStore, state *config.State) (Outcome, error) {
+func Write(ctx context.Context, objects backing.ObjectStore, state *config.State) (Outcome, error) {
 	standing, err := query.Read(ctx, objects)
 	if err != nil {
 		return Unavailable, err
--- a/internal/command/snapshot/snapshot_test.go
+++ b/internal/command/snapshot/snapshot_test.go
@@ -5,9 +5,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
+	"github.com/vanillagate/vanillagate/internal/backing/memory"
 	"github.com/vanillagate/vanillagate/internal/config"
-	"github.com/vanillagate/vanillagate/internal/platform"
-	"github.com/vanillagate/vanillagate/internal/platform/memory"
 	query "github.com/vanillagate/vanillagate/internal/query/snapshot"
 )
 
@@ -53,7 +53,7 @@
 		return memory.LostCall
 	})
 	out, err := Write(t.Context(), store.Objects(), stateAt(t, 1))
-	assert.ErrorIs(t, err, platform.ErrUnknown)
+	assert.ErrorIs(t, err, backing.ErrUnknown)
 	assert.Equal(t, out, Unavailable)
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -15,9 +15,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillagate/vanillagate/internal/backing/memory"
 	command "github.com/vanillagate/vanillagate/internal/command/change"
 	"github.com/vanillagate/vanillagate/internal/config"
-	"github.com/vanillagate/vanillagate/internal/platform/memory"
 	"github.com/vanillagate/vanillagate/internal/problem"
 	"github.com/vanillagate/vanillagate/internal/query/changes"
 	"github.com/vanillagate/vanillagate/internal/query/status"
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/vanillagate/vanillagate/internal/platform"
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/routing"
 	"github.com/vanillagate/vanillagate/internal/targetapi"
 )
@@ -46,7 +46,7 @@
 	// SetStops beside it, and a stopped target would get work until the next
 	// Update, which never comes while the VM list is down. It guards last.
 	applying sync.Mutex
-	last     []platform.VM // the list as taken in last; never changed
+	last     []backing.VM // the list as taken in last; never changed
 
 	mu      sync.RWMutex // guards pools and stopped
 	pools   map[string]*Pool
@@ -73,7 +73,7 @@
 
 // entry is one target. Pool.mu guards it.
 type entry struct {
-	vm         platform.VM
+	vm         backing.VM
 	unlisted   time.Time // since when the VM list lacks it; zero while listed
 	stopped    bool
 	down       bool // refused the last connection; back when a probe succeeds
@@ -88,16 +88,16 @@
 
 // Update takes in what the VM list says. Targets that it no longer lists stay
 // for a while.
-func (t *Table) Update(vms []platform.VM, now time.Time) {
+func (t *Table) Update(vms []backing.VM, now time.Time) {
 	t.applying.Lock()
 	defer t.applying.Unlock()
 	if sameList(vms, t.last) && !t.anyMissing() {
 		return
 	}
 	t.last = vms
-	byPool := map[string][]platform.VM{}
+	byPool := map[string][]backing.VM{}
 	for _, vm := range vms {
-		if vm.Role == platform.RoleTarget {
+		if vm.Role == backing.RoleTarget {
 			byPool[vm.Pool] = append(byPool[vm.Pool], vm)
 		}
 	}
@@ -112,7 +112,7 @@
 // sameList says that the list is the very one that was taken in last, which a
 // VM list that has not changed gives. Going through 12,000 rows each second
 // would cost more than a node may spend on control.
-func sameList(a, b []platform.VM) bool {
+func sameList(a, b []backing.VM) bool {
 	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
 }
 
@@ -179,7 +179,7 @@
 	return t.pools[name]
 }
 
-func (p *Pool) update(vms []platform.VM, stops map[string]bool, now time.Time) {
+func (p *Pool) update(vms []backing.VM, stops map[string]bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, vm := range vms {
@@ -198,7 +198,7 @@
 
 // forgetUnlisted drops the targets that the list has lacked for long enough, and
 // at once those that are down besides. Callers hold p.mu.
-func (p *Pool) forgetUnlisted(vms []platform.VM, now time.Time) {
+func (p *Pool) forgetUnlisted(vms []backing.VM, now time.Time) {
 	listed := make(map[string]bool, len(vms))
 	for _, vm := range vms {
 		listed[vm.Address] = true
@@ -246,7 +246,7 @@
 }
 
 func (e *entry) leaving() bool {
-	return e.stopped || e.vm.State == platform.VMLeaving
+	return e.stopped || e.vm.State == backing.VMLeaving
 }
 
 // TargetStatus is what an operator sees of one target.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -7,14 +7,14 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/vanillagate/vanillagate/internal/platform"
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/routing"
 )
 
-func listed(state platform.VMState, addresses ...string) []platform.VM {
-	var vms []platform.VM
+func listed(state backing.VMState, addresses ...string) []backing.VM {
+	var vms []backing.VM
 	for _, a := range addresses {
-		vms = append(vms, platform.VM{Address: a, Role: platform.RoleTarget, Pool: "llm", Zone: "a", State: state})
+		vms = append(vms, backing.VM{Address: a, Role: backing.RoleTarget, Pool: "llm", Zone: "a", State: state})
 	}
 	return vms
 }
@@ -27,7 +27,7 @@
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
 	table := newTable()
 	now := time.Unix(100, 0)
-	table.Update(append(listed(platform.VMLive, "a:1", "b:1"), listed(platform.VMLeaving, "c:1")...), now)
+	table.Update(append(listed(backing.VMLive, "a:1", "b:1"), listed(backing.VMLeaving, "c:1")...), now)
 	table.SetStops(map[string]bool{"b:1": true})
 	for range 20 {
 		lease := table.Pool("llm").Acquire(Want{}, now)
@@ -40,14 +40,14 @@
 	table := newTable()
 	now := time.Unix(100, 0)
 	table.SetStops(map[string]bool{"a:1": true})
-	table.Update(listed(platform.VMLive, "a:1"), now)
+	table.Update(listed(backing.VMLive, "a:1"), now)
 	assert.Assert(t, table.Pool("llm").Acquire(Want{}, now) == nil)
 }
 
 func TestUnlistedTargetStaysForAWhile(t *testing.T) {
 	table := newTable()
 	now := time.Unix(100, 0)
-	table.Update(listed(platform.VMLive, "a:1"), now)
+	table.Update(listed(backing.VMLive, "a:1"), now)
 	table.Update(nil, now)
 	table.Update(nil, now.Add(unlistedGrace))
 	assert.Assert(t, table.Pool("llm").Acquire(Want{}, now) != nil)
@@ -60,7 +60,7 @@
 func TestGraceBeginsWhenTheRowIsLost(t *testing.T) {
 	table := newTable()
 	now := time.Unix(100, 0)
-	both := listed(platform.VMLive, "a:1", "b:1")
+	both := listed(backing.VMLive, "a:1", "b:1")
 	table.Update(both, now)
 	now = now.Add(time.Hour)
 	table.Update(both, now)
@@ -74,9 +74,9 @@
 
 func TestUnchangedListIsNotGoneThroughAgain(t *testing.T) {
 	table := newTable()
-	var vms []platform.VM
+	var vms []backing.VM
 	for i := range 1000 {
-		vms = append(vms, listed(platform.VMLive, fmt.Sprintf("10.0.0.1:%d", i+1))...)
+		vms = append(vms, listed(backing.VMLive, fmt.Sprintf("10.0.0.1:%d", i+1))...)
 	}
 	table.Update(vms, time.Unix(100, 0))
 	allocations := testing.AllocsPerRun(10, func() { table.Update(vms, time.Unix(101, 0)) })
@@ -86,7 +86,7 @@
 func TestDownTargetIsPassedOverUntilProbed(t *testing.T) {
 	table := newTable()
 	now := time.Unix(100, 0)
-	table.Update(listed(platform.VMLive, "a:1", "b:1"), now)
+	table.Update(listed(backing.VMLive, "a:1", "b:1"), now)
 	pool := table.Pool("llm")
 	first := pool.Acquire(Want{Not: []string{"b:1"}}, now)
 	first.Done(Refused, 0, now)
@@ -100,7 +100,7 @@
 func TestQuarantineRunsOneSuspectAlone(t *testing.T) {
 	table := newTable()
 	now := time.Unix(100, 0)
-	table.Update(listed(platform.VMLive, "a:1", "b:1"), now)
+	table.Update(listed(backing.VMLive, "a:1", "b:1"), now)
 	want := Want{Quarantine: func(address string) bool { return address == "b:1" }}
 	first := table.Pool("llm").Acquire(want, now)
 	assert.Equal(t, first.Address, "b:1")
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -14,11 +14,11 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/command/change"
 	"github.com/vanillagate/vanillagate/internal/config"
 	"github.com/vanillagate/vanillagate/internal/inforce"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
 	"github.com/vanillagate/vanillagate/internal/problem"
 )
 
@@ -205,7 +205,7 @@
 		}
 	}
 	for _, vm := range s.vms.get() {
-		if vm.Role == platform.RoleEntry && vm.State == platform.VMLive {
+		if vm.Role == backing.RoleEntry && vm.State == backing.VMLive {
 			note(vm.Address, vm.Zone)
 		}
 	}
--- a/internal/entry/certainty.go
+++ b/internal/entry/certainty.go
@@ -7,9 +7,9 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/command/claim"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
 	"github.com/vanillagate/vanillagate/internal/problem"
 	"github.com/vanillagate/vanillagate/internal/submissions"
 	"github.com/vanillagate/vanillagate/internal/wait"
@@ -225,7 +225,7 @@
 		seen[m.CallerAddress] = true
 	}
 	for _, vm := range c.server.vms.get() {
-		if vm.Role == platform.RoleEntry && vm.State == platform.VMLive && !seen[vm.Address] {
+		if vm.Role == backing.RoleEntry && vm.State == backing.VMLive && !seen[vm.Address] {
 			return true
 		}
 	}
--- a/internal/entry/entries.go
+++ b/internal/entry/entries.go
@@ -11,17 +11,17 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
 	"github.com/vanillagate/vanillagate/internal/wait"
 )
 
 // vmView is the VM list as last read. The list it holds is never changed.
-type vmView struct{ list atomic.Pointer[[]platform.VM] }
+type vmView struct{ list atomic.Pointer[[]backing.VM] }
 
 func (v *vmView) known() bool { return v.list.Load() != nil }
 
-func (v *vmView) get() []platform.VM {
+func (v *vmView) get() []backing.VM {
 	if list := v.list.Load(); list != nil {
 		return *list
 	}
@@ -62,7 +62,7 @@
 	return nil
 }
 
-func (s *Server) takeVMs(list []platform.VM) {
+func (s *Server) takeVMs(list []backing.VM) {
 	s.targets.Update(list, time.Now())
 	s.vms.list.Store(&list)
 	s.rebalance()
@@ -70,7 +70,7 @@
 
 func (s *Server) askForVMs(ctx context.Context) {
 	for _, m := range s.opts.Network.Members() {
-		var list []platform.VM
+		var list []backing.VM
 		callCtx, cancel := context.WithTimeout(ctx, vmListTimeout)
 		err := s.opts.Network.Call(callCtx, m.Incarnation, methodVMs, nil, &list)
 		cancel()
@@ -120,7 +120,7 @@
 	members := s.opts.Network.Members()
 	if len(members) == 0 {
 		for _, vm := range s.vms.get() {
-			if vm.Role == platform.RoleEntry && vm.State == platform.VMLive {
+			if vm.Role == backing.RoleEntry && vm.State == backing.VMLive {
 				found[vm.Address] = Entry{Address: vm.Address, Zone: vm.Zone}
 			}
 		}
--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/vanillagate/vanillagate/internal/platform"
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/query/status"
 )
 
@@ -21,7 +21,7 @@
 // note takes in how a call ended. An answer that says "not found" is an answer,
 // and a call that its own caller cut short says nothing.
 func (h *health) note(ctx context.Context, name status.StoreName, err error) {
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		err = nil
 	}
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
@@ -55,26 +55,26 @@
 
 // watchedTable notes how the table service answers.
 type watchedTable struct {
-	platform.Table
+	backing.Table
 	health *health
 }
 
-// Get is part of platform.Table.
-func (w watchedTable) Get(ctx context.Context, key platform.Key) (*platform.Row, error) {
+// Get is part of backing.Table.
+func (w watchedTable) Get(ctx context.Context, key backing.Key) (*backing.Row, error) {
 	row, err := w.Table.Get(ctx, key)
 	w.health.note(ctx, status.StoreTable, err)
 	return row, err
 }
 
-// Scan is part of platform.Table.
-func (w watchedTable) Scan(ctx context.Context, partition, after string, limit int) ([]platform.Row, error) {
+// Scan is part of backing.Table.
+func (w watchedTable) Scan(ctx context.Context, partition, after string, limit int) ([]backing.Row, error) {
 	rows, err := w.Table.Scan(ctx, partition, after, limit)
 	w.health.note(ctx, status.StoreTable, err)
 	return rows, err
 }
 
-// Commit is part of platform.Table.
-func (w watchedTable) Commit(ctx context.Context, writes []platform.Write) ([]platform.Conflict, error) {
+// Commit is part of backing.Table.
+func (w watchedTable) Commit(ctx context.Context, writes []backing.Write) ([]backing.Conflict, error) {
 	conflicts, err := w.Table.Commit(ctx, writes)
 	w.health.note(ctx, status.StoreTable, err)
 	return conflicts, err
@@ -82,18 +82,18 @@
 
 // watchedObjects notes how the object store answers.
 type watchedObjects struct {
-	platform.ObjectStore
+	backing.ObjectStore
 	health *health
 }
 
-// Get is part of platform.ObjectStore.
+// Get is part of backing.ObjectStore.
 func (w watchedObjects) Get(ctx context.Context, name string) ([]byte, error) {
 	body, err := w.ObjectStore.Get(ctx, name)
 	w.health.note(ctx, status.StoreObjects, err)
 	return body, err
 }
 
-// Put is part of platform.ObjectStore.
+// Put is part of backing.ObjectStore.
 func (w watchedObjects) Put(ctx context.Context, name string, body []byte) error {
 	err := w.ObjectStore.Put(ctx, name, body)
 	w.health.note(ctx, status.StoreObjects, err)
@@ -102,12 +102,12 @@
 
 // watchedVMs notes how the VM list answers.
 type watchedVMs struct {
-	platform.VMList
+	backing.VMList
 	health *health
 }
 
-// List is part of platform.VMList.
-func (w watchedVMs) List(ctx context.Context) ([]platform.VM, error) {
+// List is part of backing.VMList.
+func (w watchedVMs) List(ctx context.Context) ([]backing.VM, error) {
 	list, err := w.VMList.List(ctx)
 	w.health.note(ctx, status.StoreVMList, err)
 	return list, err
--- a/internal/entry/loops.go
+++ b/internal/entry/loops.go
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/limit"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
 	"github.com/vanillagate/vanillagate/internal/wait"
 )
 
@@ -82,7 +82,7 @@
 func (s *Server) silentEntries(seen int) int {
 	listed := 0
 	for _, vm := range s.vms.get() {
-		if vm.Role == platform.RoleEntry && vm.State == platform.VMLive {
+		if vm.Role == backing.RoleEntry && vm.State == backing.VMLive {
 			listed++
 		}
 	}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -10,9 +10,9 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/limit"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
 	"github.com/vanillagate/vanillagate/internal/routing"
 )
 
@@ -25,9 +25,9 @@
 	Zone      string
 	Region    string
 
-	Table   platform.Table
-	Objects platform.ObjectStore
-	VMs     platform.VMList
+	Table   backing.Table
+	Objects backing.ObjectStore
+	VMs     backing.VMList
 	Network peer.Network
 	Log     *zap.Logger
 	Metrics metrics.Registry
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -14,10 +14,10 @@
 
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/command/snapshot"
 	"github.com/vanillagate/vanillagate/internal/config"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
 	"github.com/vanillagate/vanillagate/internal/query/changes"
 	querysnapshot "github.com/vanillagate/vanillagate/internal/query/snapshot"
 )
@@ -41,8 +41,8 @@
 
 // Options are the settings of a Keeper.
 type Options struct {
-	Table   platform.Table
-	Objects platform.ObjectStore
+	Table   backing.Table
+	Objects backing.ObjectStore
 	Network peer.Network
 	Log     *zap.Logger
 	// Period is how often the table is read; each wait is drawn between half
--- a/internal/pipeline/generate_test.go
+++ b/internal/pipeline/generate_test.go
@@ -12,9 +12,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/config"
 	"github.com/vanillagate/vanillagate/internal/directory"
-	"github.com/vanillagate/vanillagate/internal/platform"
 	"github.com/vanillagate/vanillagate/internal/retry"
 	"github.com/vanillagate/vanillagate/internal/routing"
 	"github.com/vanillagate/vanillagate/internal/suspect"
@@ -42,8 +42,8 @@
 	policy, err := routing.New(routing.Present)
 	assert.NilError(t, err)
 	targets := directory.New(directory.Options{Node: "n", Zone: "a", Policy: policy, Ejection: routing.DefaultEjection()})
-	targets.Update([]platform.VM{{
-		Address: strings.TrimPrefix(server.URL, "http://"), Role: platform.RoleTarget, Pool: "llm", Zone: "a", State: platform.VMLive,
+	targets.Update([]backing.VM{{
+		Address: strings.TrimPrefix(server.URL, "http://"), Role: backing.RoleTarget, Pool: "llm", Zone: "a", State: backing.VMLive,
 	}}, time.Now())
 	return &Executor{
 		Targets: targets, Client: target.NewClient(1 << 20), Budgets: &retry.Budgets{}, Clock: NewClock(),
--- a/internal/program/shared.go
+++ b/internal/program/shared.go
@@ -10,11 +10,11 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
+	"github.com/vanillagate/vanillagate/internal/backing/dynamo"
+	"github.com/vanillagate/vanillagate/internal/backing/objects"
+	"github.com/vanillagate/vanillagate/internal/backing/vmlist"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
-	"github.com/vanillagate/vanillagate/internal/platform/dynamo"
-	"github.com/vanillagate/vanillagate/internal/platform/objects"
-	"github.com/vanillagate/vanillagate/internal/platform/vmlist"
 	"github.com/vanillagate/vanillagate/internal/settings"
 )
 
@@ -67,9 +67,9 @@
 	Zone       string
 	Region     string
 	LogLevel   string
-	Table      platform.Table
-	Objects    platform.ObjectStore
-	VMs        platform.VMList
+	Table      backing.Table
+	Objects    backing.ObjectStore
+	VMs        backing.VMList
 }
 
 // CheckShared reads the values and notes what can't be used.
@@ -149,13 +149,13 @@
 
 func (sh *Shared) connect(c *cli.Command) {
 	access, secret := c.String(flagAccessKey), c.String(flagSecretKey)
-	sh.Table = dynamo.New(platform.StoreConfig{
+	sh.Table = dynamo.New(backing.StoreConfig{
 		URL: c.String(flagTableURL), Region: storeRegion, AccessKey: access, SecretKey: secret,
-		HTTP: platform.DefaultHTTPConfig(),
+		HTTP: backing.DefaultHTTPConfig(),
 	})
-	sh.Objects = objects.New(platform.StoreConfig{
+	sh.Objects = objects.New(backing.StoreConfig{
 		URL: c.String(flagObjectsURL), Region: storeRegion, AccessKey: access, SecretKey: secret,
-		HTTP: platform.DefaultHTTPConfig(),
+		HTTP: backing.DefaultHTTPConfig(),
 	})
 	sh.VMs = vmlist.New(c.String(flagVMListURL))
 }
--- a/internal/query/changes/changes.go
+++ b/internal/query/changes/changes.go
@@ -7,8 +7,8 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/config"
-	"github.com/vanillagate/vanillagate/internal/platform"
 )
 
 // Partitions of the table that hold the configuration.
@@ -25,28 +25,28 @@
 const PageSize = 200
 
 // HeadKey is the row whose version is the revision of the last change.
-func HeadKey() platform.Key { return platform.Key{Partition: PartitionConfig, Sort: "head"} }
+func HeadKey() backing.Key { return backing.Key{Partition: PartitionConfig, Sort: "head"} }
 
 // ItemRowKey is the row of an item's last change.
-func ItemRowKey(kind config.Kind, name string) platform.Key {
-	return platform.Key{Partition: PartitionConfig, Sort: "item/" + config.ItemKey(kind, name)}
+func ItemRowKey(kind config.Kind, name string) backing.Key {
+	return backing.Key{Partition: PartitionConfig, Sort: "item/" + config.ItemKey(kind, name)}
 }
 
 // ChangeKey is the row of a change.
-func ChangeKey(r config.Revision) platform.Key {
-	return platform.Key{Partition: PartitionChange, Sort: sortOf(r)}
+func ChangeKey(r config.Revision) backing.Key {
+	return backing.Key{Partition: PartitionChange, Sort: sortOf(r)}
 }
 
 // ChangeIDKey is the row that finds a change by its ID.
-func ChangeIDKey(id string) platform.Key {
-	return platform.Key{Partition: PartitionChangeID, Sort: id}
+func ChangeIDKey(id string) backing.Key {
+	return backing.Key{Partition: PartitionChangeID, Sort: id}
 }
 
 // sortOf orders rows as their numbers are ordered.
 func sortOf(r config.Revision) string { return fmt.Sprintf("%020d", uint64(r)) }
 
 // Head is the revision of the last accepted change; zero before the first.
-func Head(ctx context.Context, table platform.Table) (config.Revision, error) {
+func Head(ctx context.Context, table backing.Table) (config.Revision, error) {
 	row, err := table.Get(ctx, HeadKey())
 	if err != nil || row == nil {
 		return 0, err
@@ -55,7 +55,7 @@
 }
 
 // After reads up to limit changes above a revision, in order, without gaps.
-func After(ctx context.Context, table platform.Table, after config.Revision, limit int) ([]config.Change, error) {
+func After(ctx context.Context, table backing.Table, after config.Revision, limit int) ([]config.Change, error) {
 	rows, err := table.Scan(ctx, PartitionChange, sortOf(after), limit)
 	if err != nil {
 		return nil, err
@@ -67,17 +67,17 @@
 			return nil, err
 		}
 		if want := after + config.Revision(i) + 1; change.Revision != want {
-			return nil, fmt.Errorf("changes: revision %d where %d was due: %w", change.Revision, want, platform.ErrUnknown)
+			return nil, fmt.Errorf("changes: revision %d where %d was due: %w", change.Revision, want, backing.ErrUnknown)
 		}
 		found = append(found, change)
 	}
 	return found, nil
 }
 
-func decode(row platform.Row) (config.Change, error) {
+func decode(row backing.Row) (config.Change, error) {
 	var change config.Change
 	if err := json.Unmarshal(row.Body, &change); err != nil {
-		return change, fmt.Errorf("changes: row %s: %w: %w", row.Sort, platform.ErrUnknown, err)
+		return change, fmt.Errorf("changes: row %s: %w: %w", row.Sort, backing.ErrUnknown, err)
 	}
 	return change, nil
 }
@@ -85,7 +85,7 @@
 // Follow brings a state up to the last accepted change and returns the changes
 // that it applied, so that the caller can pass them on. After an error both
 // hold what had been read before it.
-func Follow(ctx context.Context, table platform.Table, from *config.State) (*config.State, []config.Change, error) {
+func Follow(ctx context.Context, table backing.Table, from *config.State) (*config.State, []config.Change, error) {
 	var all []config.Change
 	state := from
 	for {
--- a/internal/query/changes/changes_test.go
+++ b/internal/query/changes/changes_test.go
@@ -7,9 +7,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
+	"github.com/vanillagate/vanillagate/internal/backing/memory"
 	"github.com/vanillagate/vanillagate/internal/config"
-	"github.com/vanillagate/vanillagate/internal/platform"
-	"github.com/vanillagate/vanillagate/internal/platform/memory"
 )
 
 func put(t *testing.T, store *memory.Store, revision config.Revision) {
@@ -17,7 +17,7 @@
 		ID: fmt.Sprint(revision), Revision: revision, Kind: config.KindPool, Name: "llm", Body: []byte(`{"name":"llm"}`),
 	})
 	assert.NilError(t, err)
-	_, err = store.Commit(t.Context(), []platform.Write{{Row: platform.Row{Key: ChangeKey(revision), Body: body}}})
+	_, err = store.Commit(t.Context(), []backing.Write{{Row: backing.Row{Key: ChangeKey(revision), Body: body}}})
 	assert.NilError(t, err)
 }
 
--- a/internal/query/costs/costs.go
+++ b/internal/query/costs/costs.go
@@ -10,8 +10,8 @@
 	"slices"
 	"time"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
 )
 
 // PartitionIndex holds a row for each day on which a process wrote cost rows,
@@ -26,13 +26,13 @@
 
 // RowKey is the key of one cost row. A row that is written again under its key
 // counts once.
-func RowKey(of peer.Incarnation, sequence uint64) platform.Key {
-	return platform.Key{Partition: Partition(of), Sort: fmt.Sprintf("%020d", sequence)}
+func RowKey(of peer.Incarnation, sequence uint64) backing.Key {
+	return backing.Key{Partition: Partition(of), Sort: fmt.Sprintf("%020d", sequence)}
 }
 
 // IndexKey is the key of a process's row in the index.
-func IndexKey(of peer.Incarnation, at time.Time) platform.Key {
-	return platform.Key{Partition: PartitionIndex, Sort: at.UTC().Format(dayFormat) + "/" + string(of)}
+func IndexKey(of peer.Incarnation, at time.Time) backing.Key {
+	return backing.Key{Partition: PartitionIndex, Sort: at.UTC().Format(dayFormat) + "/" + string(of)}
 }
 
 // IndexRow is the body of a row of the index.
@@ -113,14 +113,14 @@
 const pageSize = 500
 
 // Sum adds up the rows written from since on and before until.
-func Sum(ctx context.Context, table platform.Table, since, until time.Time) (Report, error) {
+func Sum(ctx context.Context, table backing.Table, since, until time.Time) (Report, error) {
 	sums := map[Key]*Amount{}
 	writers, err := writersSince(ctx, table, since)
 	if err != nil {
 		return Report{}, err
 	}
 	for _, writer := range writers {
-		err := scan(ctx, table, Partition(writer), "", func(row platform.Row) error {
+		err := scan(ctx, table, Partition(writer), "", func(row backing.Row) error {
 			return addRow(sums, row, since, until)
 		})
 		if err != nil {
@@ -131,9 +131,9 @@
 }
 
 // writersSince lists each process once that wrote on the day of since or later.
-func writersSince(ctx context.Context, table platform.Table, since time.Time) ([]peer.Incarnation, error) {
+func writersSince(ctx context.Context, table backing.Table, since time.Time) ([]peer.Incarnation, error) {
 	var writers []peer.Incarnation
-	err := scan(ctx, table, PartitionIndex, since.UTC().Format(dayFormat), func(row platform.Row) error {
+	err := scan(ctx, table, PartitionIndex, since.UTC().Format(dayFormat), func(row backing.Row) error {
 		var body IndexRow
 		if err := json.Unmarshal(row.Body, &body); err != nil {
 			return fmt.Errorf("costs: index row %s: %w", row.Sort, err)
@@ -145,7 +145,7 @@
 	return slices.Compact(writers), err
 }
 
-func scan(ctx context.Context, table platform.Table, partition, after string, take func(platform.Row) error) error {
+func scan(ctx context.Context, table backing.Table, partition, after string, take func(backing.Row) error) error {
 	for {
 		rows, err := table.Scan(ctx, partition, after, pageSize)
 		if err != nil {
@@ -163,7 +163,7 @@
 	}
 }
 
-func addRow(sums map[Key]*Amount, row platform.Row, since, until time.Time) error {
+func addRow(sums map[Key]*Amount, row backing.Row, since, until time.Time) error {
 	var body Row
 	if err := json.Unmarshal(row.Body, &body); err != nil {
 		return fmt.Errorf("costs: row %s/%s: %w", row.Partition, row.Sort, err)
--- a/internal/query/leases/leases.go
+++ b/internal/query/leases/leases.go
@@ -4,9 +4,9 @@
 import (
 	"context"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/command/lease"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
 )
 
 // Holder is who has the lease of a pool.
@@ -19,7 +19,7 @@
 }
 
 // List reads the leases. Whether a holder is still there it can't tell.
-func List(ctx context.Context, table platform.Table) ([]Holder, error) {
+func List(ctx context.Context, table backing.Table) ([]Holder, error) {
 	rows, err := table.Scan(ctx, lease.Partition, "", lease.MaxLeases)
 	if err != nil {
 		return nil, err
--- a/internal/query/snapshot/snapshot.go
+++ b/internal/query/snapshot/snapshot.go
@@ -8,17 +8,17 @@
 	"errors"
 	"fmt"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/config"
-	"github.com/vanillagate/vanillagate/internal/platform"
 )
 
 // Name is the object that holds the snapshot.
 const Name = "config/snapshot.json"
 
 // Read returns the snapshot, or the empty state where none was written yet.
-func Read(ctx context.Context, objects platform.ObjectStore) (*config.State, error) {
+func Read(ctx context.Context, objects backing.ObjectStore) (*config.State, error) {
 	raw, err := objects.Get(ctx, Name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		return config.NewState(), nil
 	}
 	if err != nil {
@@ -31,7 +31,7 @@
 func Decode(raw []byte) (*config.State, error) {
 	state := config.NewState()
 	if err := json.Unmarshal(raw, state); err != nil {
-		return nil, fmt.Errorf("snapshot: %w: %w", platform.ErrUnknown, err)
+		return nil, fmt.Errorf("snapshot: %w: %w", backing.ErrUnknown, err)
 	}
 	// Apply without changes copies the maps and thereby makes null ones empty.
 	return state.Apply()
--- a/internal/query/status/merge.go
+++ b/internal/query/status/merge.go
@@ -4,8 +4,8 @@
 	"cmp"
 	"slices"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/config"
-	"github.com/vanillagate/vanillagate/internal/platform"
 	"github.com/vanillagate/vanillagate/internal/query/leases"
 )
 
@@ -14,7 +14,7 @@
 	// Reports of the entry processes, the asked one's own among them.
 	Reports []Report
 	// Listed are the VMs of the VM list, to tell which gave no report.
-	Listed []platform.VM
+	Listed []backing.VM
 	// Stops are the planned stops, in force or only announced.
 	Stops []config.Stop
 	// Leases as read, and the error if they could not be.
@@ -53,8 +53,8 @@
 		})
 	}
 	for _, vm := range s.Listed {
-		if vm.Role == platform.RoleEntry && !heard[vm.Address] {
-			all = append(all, VM{CallerAddress: vm.Address, Zone: vm.Zone, Leaving: vm.State == platform.VMLeaving})
+		if vm.Role == backing.RoleEntry && !heard[vm.Address] {
+			all = append(all, VM{CallerAddress: vm.Address, Zone: vm.Zone, Leaving: vm.State == backing.VMLeaving})
 		}
 	}
 	slices.SortFunc(all, func(a, b VM) int {
--- a/internal/query/status/merge_test.go
+++ b/internal/query/status/merge_test.go
@@ -6,8 +6,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/config"
-	"github.com/vanillagate/vanillagate/internal/platform"
 )
 
 func TestMerge(t *testing.T) {
@@ -36,7 +36,7 @@
 	}
 	got := Merge(Sources{
 		Reports: reports,
-		Listed:  []platform.VM{{Address: "10.0.0.3:80", Role: platform.RoleEntry, Zone: "c"}, {Address: "10.0.0.1:80", Role: platform.RoleEntry}},
+		Listed:  []backing.VM{{Address: "10.0.0.3:80", Role: backing.RoleEntry, Zone: "c"}, {Address: "10.0.0.1:80", Role: backing.RoleEntry}},
 		Stops: []config.Stop{
 			{ID: "s1", On: config.StopTarget, Address: "t1"},
 			{ID: "s2", On: config.StopVM, Address: "10.0.0.2:80"},
--- a/internal/steward/orders.go
+++ b/internal/steward/orders.go
@@ -9,10 +9,10 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/command/order"
 	"github.com/vanillagate/vanillagate/internal/config"
 	"github.com/vanillagate/vanillagate/internal/logging"
-	"github.com/vanillagate/vanillagate/internal/platform"
 )
 
 // maxReports bounds the reports that are asked for at once.
@@ -89,7 +89,7 @@
 	defer s.mu.Unlock()
 	var addresses []string
 	for _, vm := range s.vms {
-		if vm.Role == platform.RoleTarget && vm.Pool == pool && vm.State == platform.VMLive && !stopping[vm.Address] {
+		if vm.Role == backing.RoleTarget && vm.Pool == pool && vm.State == backing.VMLive && !stopping[vm.Address] {
 			addresses = append(addresses, vm.Address)
 		}
 	}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -10,19 +10,19 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/command/lease"
 	"github.com/vanillagate/vanillagate/internal/command/order"
 	"github.com/vanillagate/vanillagate/internal/config"
 	"github.com/vanillagate/vanillagate/internal/logging"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
 )
 
 // Options are what a Steward is made of. All are required.
 type Options struct {
 	Me    peer.Incarnation
-	Table platform.Table
-	VMs   platform.VMList
+	Table backing.Table
+	VMs   backing.VMList
 	// Config is the configuration in force in this process.
 	Config func() *config.State
 	Log    *zap.Logger
@@ -49,7 +49,7 @@
 	client *order.Client
 
 	mu   sync.Mutex // guards vms and busy; a leaf
-	vms  []platform.VM
+	vms  []backing.VM
 	busy map[string]bool // engines with an order on its way
 
 	orders sync.WaitGroup
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -11,12 +11,12 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
+	"github.com/vanillagate/vanillagate/internal/backing/memory"
 	"github.com/vanillagate/vanillagate/internal/command/change"
 	"github.com/vanillagate/vanillagate/internal/command/order"
 	"github.com/vanillagate/vanillagate/internal/config"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/platform"
-	"github.com/vanillagate/vanillagate/internal/platform/memory"
 	"github.com/vanillagate/vanillagate/internal/query/changes"
 	"github.com/vanillagate/vanillagate/internal/standin/engine"
 	"github.com/vanillagate/vanillagate/internal/standin/fleet"
@@ -44,14 +44,14 @@
 	return f
 }
 
-type listed []platform.VM
+type listed []backing.VM
 
-func (l listed) List(context.Context) ([]platform.VM, error) { return l, nil }
+func (l listed) List(context.Context) ([]backing.VM, error) { return l, nil }
 
 func listOf(f *fleet.Fleet) listed {
 	var vms listed
 	for _, address := range f.Targets["llm"] {
-		vms = append(vms, platform.VM{Address: address, Role: platform.RoleTarget, Pool: "llm", State: platform.VMLive})
+		vms = append(vms, backing.VM{Address: address, Role: backing.RoleTarget, Pool: "llm", State: backing.VMLive})
 	}
 	return vms
 }
--- a/test/configuration_test.go
+++ b/test/configuration_test.go
@@ -15,10 +15,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillagate/vanillagate/internal/backing"
+	"github.com/vanillagate/vanillagate/internal/backing/objects"
 	"github.com/vanillagate/vanillagate/internal/config"
 	"github.com/vanillagate/vanillagate/internal/entry"
-	"github.com/vanillagate/vanillagate/internal/platform"
-	"github.com/vanillagate/vanillagate/internal/platform/objects"
 	"github.com/vanillagate/vanillagate/internal/query/snapshot"
 	"github.com/vanillagate/vanillagate/internal/standin/fault"
 )
@@ -227,9 +227,9 @@
 
 // snapshotRevision is the revision of the snapshot in the object store.
 func (c *cluster) snapshotRevision() config.Revision {
-	store := objects.New(platform.StoreConfig{
+	store := objects.New(backing.StoreConfig{
 		URL: "http://" + c.file.Objects, Region: "local", AccessKey: "vanillagate", SecretKey: "vanillagate",
-		HTTP: platform.DefaultHTTPConfig(),
+		HTTP: backing.DefaultHTTPConfig(),
 	})
 	state, err := snapshot.Read(c.t.Context(), store)
 	if err != nil {
--- a/test/once_test.go
+++ b/test/once_test.go
@@ -14,8 +14,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/vanillagate/vanillagate/internal/platform"
-	"github.com/vanillagate/vanillagate/internal/platform/dynamo"
+	"github.com/vanillagate/vanillagate/internal/backing"
+	"github.com/vanillagate/vanillagate/internal/backing/dynamo"
 	"github.com/vanillagate/vanillagate/internal/problem"
 	"github.com/vanillagate/vanillagate/internal/query/status"
 	"github.com/vanillagate/vanillagate/internal/relay"
@@ -85,11 +85,11 @@
 // claimStands says whether the table has a claim of the key. It asks the store
 // itself, not by way of a relay.
 func (c *cluster) claimStands(key string) bool {
-	table := dynamo.New(platform.StoreConfig{
+	table := dynamo.New(backing.StoreConfig{
 		URL: "http://" + c.file.Table, Region: "local", AccessKey: "test", SecretKey: "test",
-		HTTP: platform.DefaultHTTPConfig(),
+		HTTP: backing.DefaultHTTPConfig(),
 	})
-	row, err := table.Get(c.t.Context(), platform.Key{Partition: "claim/" + customer, Sort: key})
+	row, err := table.Get(c.t.Context(), backing.Key{Partition: "claim/" + customer, Sort: key})
 	return err == nil && row != nil
 }
 
