--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -59,7 +59,6 @@
 	tried    map[string]bool
 	ran      int
 	arrivals int
-	reply    *Reply
 }
 
 // Run answers a request. The context ends with ErrCallerLeft when the caller
