--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -11,6 +11,7 @@
 
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
+	"github.com/vanillagate/vanillagate/internal/serve/upstream"
 )
 
 // Stager makes the calls of stage targets.
@@ -393,6 +394,8 @@
 	switch {
 	case errors.Is(err, ErrFull):
 		return pool.Full
+	case upstream.NotSent(err):
+		return pool.Unreachable
 	case err != nil:
 		return pool.Failed
 	}
@@ -415,14 +418,14 @@
 
 // failed puts the items of a call without an answer back. The caller holds mu.
 func (g *Gatherer) failed(c *cell, target *pool.Target, taken []*waiting, err error, now time.Time) {
-	full := errors.Is(err, ErrFull)
-	if full {
+	notRun := errors.Is(err, ErrFull) || upstream.NotSent(err)
+	if notRun {
 		c.pauses[target.ID] = now.Add(fullPause)
 	}
 	g.log.Warn("Call of a stage target failed.", zap.String("target", target.ID), zap.String("service", c.Service),
 		zap.Int("items", len(taken)), zap.Error(err))
 	for _, w := range taken {
-		if full {
+		if notRun {
 			w.tries--
 		}
 		g.again(c, w, target, Broken)
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -310,7 +310,11 @@
 	target.tokens -= c.tokens
 	c.tokens = 0
 	switch outcome {
+	case Unreachable:
+		target.unreachable(now)
+		return
 	case Answered:
+		target.downFor = 0
 		target.health.FailuresInRow = 0
 		target.failing -= failureWeight * target.failing
 	case Failed:
--- a/internal/serve/pool/target.go
+++ b/internal/serve/pool/target.go
@@ -24,6 +24,10 @@
 	tokens   int // prompt tokens of the requests that haven't started
 	report   Report
 	health   routing.Health
+	// downUntil is when a target that took no connection is tried again, downFor
+	// how long it was left alone last.
+	downUntil time.Time
+	downFor   time.Duration
 	failing  float64 // moving share of calls that failed
 }
 
@@ -67,6 +71,8 @@
 	Answered Outcome = "answered"
 	// Failed: no answer, a cut one, or an error of its own.
 	Failed Outcome = "failed"
+	// Unreachable: it took no connection.
+	Unreachable Outcome = "unreachable"
 	// Full: it refused, which says nothing of its health.
 	Full Outcome = "full"
 	// Abandoned: this side ended the call.
@@ -122,10 +128,27 @@
 	}
 }
 
+const (
+	// firstDown and lastDown are how long a target that took no connection is
+	// left alone, twice as long each time. Nothing listens there: it crashed, or
+	// the path is cut. It is back after some seconds, and a try costs little.
+	firstDown = 200 * time.Millisecond
+	lastDown  = 1600 * time.Millisecond
+)
+
+// unreachable leaves a target alone for a while. The caller holds mu.
+func (t *Target) unreachable(now time.Time) {
+	if now.Before(t.downUntil) {
+		return
+	}
+	t.downFor = min(max(2*t.downFor, firstDown), lastDown)
+	t.downUntil = now.Add(t.downFor)
+}
+
 func (t *Target) usable(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.gone || t.entry.State != Ready {
+	if t.gone || t.entry.State != Ready || now.Before(t.downUntil) {
 		return false
 	}
 	return t.lapsesAt.IsZero() || now.Before(t.lapsesAt)
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -145,11 +145,13 @@
 
 // unanswered notes a try that got no answer.
 func (j *job) unanswered(ctx context.Context, target *pool.Target, call *pool.Call, err error) *attempt {
-	var failure *upstream.Failure
-	sent := !errors.As(err, &failure) || failure.Sent
+	sent := !upstream.NotSent(err)
 	outcome := pool.Failed
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		outcome = pool.Abandoned
+	case !sent:
+		outcome = pool.Unreachable
 	}
 	call.End(outcome, time.Now())
 	if sent {
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -57,6 +57,12 @@
 // Unwrap gives the cause.
 func (f *Failure) Unwrap() error { return f.Err }
 
+// NotSent tells whether an attempt failed before a byte of it was sent.
+func NotSent(err error) bool {
+	var failure *Failure
+	return errors.As(err, &failure) && !failure.Sent
+}
+
 // ErrStray means that the target sent answers to other requests only.
 var ErrStray = errors.New("answers of other requests in place of ours")
 
