--- a/internal/serve/run/stages.go
+++ b/internal/serve/run/stages.go
@@ -39,12 +39,14 @@
 	freed   []bool
 }
 
-// callsSpare is how many call times a stage is reckoned to take, its queue and
-// its batch included, when its due time is worked out.
-const callsSpare = 1.5
-
-// lastPart is what is left for the engine after the stages: reading the prompt.
-const lastPart = 150 * time.Millisecond
+const (
+	// turnTime is what a stage is reckoned to take besides a full call: the wait
+	// for a target to fall free, one of five every 80 ms, and two messages.
+	turnTime = 60 * time.Millisecond
+	// lastPart is what is left for the engine after the stages: reading a prompt
+	// of ten thousand tokens and the first token.
+	lastPart = 200 * time.Millisecond
+)
 
 // makeInputs has all stages done. Stages that lose an input start over once.
 func (j *job) makeInputs() (*inputs, error) {
@@ -280,7 +282,8 @@
 	if service == nil || service.Batch == nil {
 		return 0
 	}
-	return time.Duration(callsSpare * float64(service.Batch.CallTime))
+	batch := service.Batch
+	return turnTime + batch.CallTime + time.Duration(batch.Size)*batch.ItemTime
 }
 
 // freeUsed gives back the results that all their followers have read. Those
