--- a/internal/serve/gather/ledger.go
+++ b/internal/serve/gather/ledger.go
@@ -55,9 +55,21 @@
 type demand struct {
 	asked    float64 // items a second
 	admitted float64
+	lead     time.Duration // how long before its due time such work is asked for
 	at       time.Time
 }
 
+// leadWeight is how much one request counts in the mean lead.
+const leadWeight = 0.1
+
+func (d *demand) note(items int, lead time.Duration) {
+	d.asked += float64(items) / demandMemory.Seconds()
+	if d.lead == 0 {
+		d.lead = lead
+	}
+	d.lead += time.Duration(leadWeight * float64(lead-d.lead))
+}
+
 func (d *demand) decay(now time.Time) {
 	keep := math.Exp(-float64(now.Sub(d.at)) / float64(demandMemory))
 	d.asked *= keep
@@ -85,10 +97,10 @@
 // about how much sooner the work should have come, or how much later it could.
 func (l *ledger) ask(now time.Time, key groupKey, rank int, p promise, c capacity) (granted bool, excess time.Duration) {
 	d := l.demandOf(rank, now)
-	d.asked += float64(p.items) / demandMemory.Seconds()
+	d.note(p.items, p.due.Sub(now))
 	reserved := 0.0
 	if !d.starved() {
-		reserved = l.moreUrgent(rank, now)
+		reserved = l.moreUrgent(rank, now, p.due)
 	}
 	excess = l.excess(now, p, reserved, c)
 	if excess > 0 {
@@ -99,13 +111,16 @@
 	return true, 0
 }
 
-// moreUrgent is the demand of the ranks before this one, in items a second.
-func (l *ledger) moreUrgent(rank int, now time.Time) float64 {
+// moreUrgent is how many items of the ranks before this one are still to come
+// that will be due by a time.
+func (l *ledger) moreUrgent(rank int, now, due time.Time) float64 {
 	total := 0.0
 	for other := range l.ranks {
-		if other < rank {
-			total += l.demandOf(other, now).asked
+		if other >= rank {
+			continue
 		}
+		d := l.demandOf(other, now)
+		total += d.asked * max(due.Sub(now)-d.lead, 0).Seconds()
 	}
 	return total
 }
@@ -122,9 +137,8 @@
 	if float64(standing)/rate <= idleTime.Seconds() {
 		return 0
 	}
-	left := max(rate-reserved, 0.05*rate)
-	work := float64(l.before(p.due) + p.items)
-	worst := seconds(work/left) - (p.due.Sub(now) - c.call)
+	work := float64(l.before(p.due)+p.items) + reserved
+	worst := seconds(work/rate) - (p.due.Sub(now) - c.call)
 	for _, other := range l.promises {
 		if other.due.After(p.due) {
 			work := float64(l.before(other.due) + p.items)
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -70,13 +70,15 @@
 // Refused means that the items can't be made in time.
 type Refused struct {
 	Reason Reason
+	// Service whose targets can't make it.
+	Service string
 	// Wait is about how long the queue is.
 	Wait time.Duration
 }
 
 // Error describes the refusal.
 func (r *Refused) Error() string {
-	return fmt.Sprintf("stage refused: %s (queue of %v)", r.Reason, r.Wait)
+	return fmt.Sprintf("%s refused: %s (%v too late)", r.Service, r.Reason, r.Wait)
 }
 
 type submitCall struct {
@@ -225,7 +227,7 @@
 	gatherer := r.gatherers(cell, now)[0]
 	due := p.Due.Sub(now)
 	if gatherer == r.network.Self().Incarnation {
-		return refusal(r.own.Ask(cell, request, p.Stage, p.Rank, p.Items, due, now))
+		return refusal(cell, r.own.Ask(cell, request, p.Stage, p.Rank, p.Items, due, now))
 	}
 	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
 	defer cancel()
@@ -237,7 +239,7 @@
 		}
 		return nil
 	}
-	return refusal(ack)
+	return refusal(cell, ack)
 }
 
 // Work is what one request wants of one stage.
@@ -277,7 +279,7 @@
 func (r *Requester) cellOf(w Work) (Cell, error) {
 	views := r.table.Views(w.Service, time.Now())
 	if len(views) == 0 {
-		return Cell{}, &Refused{Reason: Idle}
+		return Cell{}, &Refused{Reason: Idle, Service: w.Service}
 	}
 	list := cells(w.Service, views)
 	for _, c := range list {
@@ -349,7 +351,7 @@
 	for _, candidate := range r.gatherers(cell, time.Now()) {
 		ack, err := r.offer(ctx, candidate, cell, wanted)
 		if err == nil {
-			return refusal(ack)
+			return refusal(cell, ack)
 		}
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
@@ -357,12 +359,12 @@
 		r.passBy(candidate, err)
 	}
 	ack := r.own.Submit(string(self), cell, r.items(wanted, self), time.Now())
-	return refusal(ack)
+	return refusal(cell, ack)
 }
 
-func refusal(ack Ack) error {
+func refusal(cell Cell, ack Ack) error {
 	if ack.Refused {
-		return &Refused{Reason: Late, Wait: ack.Wait.Duration()}
+		return &Refused{Reason: Late, Service: cell.Service, Wait: ack.Wait.Duration()}
 	}
 	return nil
 }
@@ -423,7 +425,7 @@
 			}
 			if result.Reason != Made {
 				r.abandon(cell, wanted, results, done)
-				return nil, &Refused{Reason: result.Reason}
+				return nil, &Refused{Reason: result.Reason, Service: cell.Service}
 			}
 			seen[result.Key] = true
 			done.Results = append(done.Results, result)
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -59,6 +59,8 @@
 	tried    map[string]bool
 	ran      int
 	arrivals int
+	// held is what kept the stages from being done.
+	held error
 }
 
 // Run answers a request. The context ends with ErrCallerLeft when the caller
@@ -147,6 +149,7 @@
 		j.inputs = made
 		return nil
 	}
+	j.held = err
 	return j.stageRefusal(err)
 }
 
--- a/internal/serve/run/metrics.go
+++ b/internal/serve/run/metrics.go
@@ -60,6 +60,9 @@
 		zap.Duration("after", took), zap.Duration("retry_after", reply.RetryAfter),
 		zap.Int("arrivals", j.arrivals), zap.Int("ran", j.ran), zap.Uint64("plan", e.Plans.Version()),
 	}
+	if j.held != nil {
+		fields = append(fields, zap.Error(j.held))
+	}
 	if j.route != nil {
 		fields = append(fields, zap.String("route", j.route.Name), zap.String("service", j.service),
 			zap.Duration("patience", j.patience()))
