--- /dev/null
+++ b/internal/serve/gather/queue_test.go
@@ -0,0 +1,232 @@
+package gather
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1000, 0)
+
+const callTime = 240 * time.Millisecond
+
+func wait(request string, due time.Duration) *waiting {
+	return &waiting{
+		Item: Item{Key: Key{Request: request}, Bytes: 10}, due: start.Add(due), expires: start.Add(10 * time.Second), since: start,
+	}
+}
+
+func queueOf(items ...*waiting) *queue {
+	q := newQueue()
+	for _, w := range items {
+		q.add(w)
+	}
+	return q
+}
+
+func names(list []*waiting) []string {
+	var out []string
+	for _, w := range list {
+		out = append(out, w.Request)
+	}
+	return out
+}
+
+func anyTarget(items int) offer {
+	return offer{target: "t", zone: "a", items: items, room: 1000, call: callTime}
+}
+
+func TestWhatIsDueFirstGoesFirst(t *testing.T) {
+	q := queueOf(wait("c", 3*time.Second), wait("a", time.Second), wait("b", 2*time.Second))
+	assert.DeepEqual(t, names(q.take(start, anyTarget(2))), []string{"a", "b"})
+	assert.DeepEqual(t, names(q.take(start, anyTarget(2))), []string{"c"})
+}
+
+// An item that is late whatever happens stands first by its due time. If it
+// went first it would make one late that could still be in time, and so on
+// through the queue.
+func TestWhatIsLateAnywayGoesLast(t *testing.T) {
+	q := queueOf(wait("late", 100*time.Millisecond), wait("in time", 300*time.Millisecond))
+	assert.DeepEqual(t, names(q.take(start, anyTarget(1))), []string{"in time"})
+}
+
+func TestTheMoreUrgentOfTwoThatAreDueTogether(t *testing.T) {
+	urgent, other := wait("urgent", time.Second), wait("other", 990*time.Millisecond)
+	other.Rank = 2
+	q := queueOf(other, urgent)
+	assert.DeepEqual(t, names(q.take(start, anyTarget(1))), []string{"urgent"})
+}
+
+func TestOnlyWhatTheRoomHolds(t *testing.T) {
+	q := queueOf(wait("a", time.Second), wait("b", 2*time.Second))
+	o := anyTarget(5)
+	o.room = 15
+	assert.DeepEqual(t, names(q.take(start, o)), []string{"a"})
+}
+
+func TestNotAgainToTheTargetThatFailedIt(t *testing.T) {
+	w := wait("a", time.Second)
+	w.avoid = "t"
+	q := queueOf(w)
+	assert.Equal(t, len(q.take(start, anyTarget(5))), 0)
+	o := anyTarget(5)
+	o.target = "u"
+	assert.Equal(t, len(q.take(start, o)), 1)
+}
+
+func TestAnItemWaitsForItsZoneWhileItHasTime(t *testing.T) {
+	far := func(due time.Duration) *queue {
+		w := wait("far", due)
+		w.Zone, w.Cross = "b", crossFull
+		return queueOf(w)
+	}
+	assert.Equal(t, len(far(2*time.Second).take(start, anyTarget(5))), 0, "it has time")
+	assert.Equal(t, len(far(2*time.Second).take(start.Add(zonePatience), anyTarget(5))), 1, "it has waited")
+	assert.Equal(t, len(far(400*time.Millisecond).take(start, anyTarget(5))), 1, "it has no time")
+	o := anyTarget(5)
+	o.zone = "b"
+	assert.Equal(t, len(far(2*time.Second).take(start, o)), 1, "it is there")
+	small := far(2 * time.Second)
+	small.items[0].Cross = crossFull / 100
+	assert.Equal(t, len(small.take(start.Add(5*time.Millisecond), anyTarget(5))), 1, "it is small")
+}
+
+// Late items wait behind those in time, and their inputs fill small rooms
+// meanwhile, which makes the others late too. Their callers would wait until
+// their deadline for nothing.
+func TestLateItemsWithoutAPlaceAreGivenUp(t *testing.T) {
+	q := queueOf(wait("late", 100*time.Millisecond), wait("in time", 5*time.Second))
+	assert.Equal(t, len(q.expired(start.Add(lateWait), callTime)), 0)
+	assert.DeepEqual(t, names(q.expired(start.Add(lateWait+time.Millisecond), callTime)), []string{"late"})
+	assert.DeepEqual(t, names(q.expired(start.Add(10*time.Second), callTime)), []string{"in time"})
+	assert.Equal(t, q.len(), 0)
+}
+
+func TestItemsOfARequestThatWasGivenUpAreDropped(t *testing.T) {
+	q := queueOf(wait("a", time.Second), wait("b", time.Second))
+	q.remove("a")
+	assert.Equal(t, q.len(), 1)
+	assert.Assert(t, !q.has(Key{Request: "a"}))
+	q.add(wait("b", time.Second))
+	assert.Equal(t, q.len(), 1, "an item handed over twice waits once")
+}
+
+func TestLedgerPromisesOnlyWhatCanBeMade(t *testing.T) {
+	l := newLedger()
+	can := capacity{rate: 100, call: 400 * time.Millisecond}
+	granted := 0
+	for i := range 100 {
+		key := groupKey{Request: string(rune('a'+i%26)) + string(rune('a'+i/26))}
+		if ok, _ := l.ask(start, key, 1, promise{items: 4, due: start.Add(1400 * time.Millisecond)}, can); ok {
+			granted++
+		}
+	}
+	// A second of work at 95 items a second.
+	assert.Equal(t, granted, 95/4)
+}
+
+// A request that is due later must not be accepted at the cost of one that was
+// promised before and is due later still.
+func TestLedgerKeepsEarlierPromises(t *testing.T) {
+	l := newLedger()
+	can := capacity{rate: 100, call: 400 * time.Millisecond}
+	ok, _ := l.ask(start, groupKey{Request: "big"}, 0, promise{items: 140, due: start.Add(2 * time.Second)}, can)
+	assert.Assert(t, ok)
+	ok, excess := l.ask(start, groupKey{Request: "small"}, 0, promise{items: 20, due: start.Add(1900 * time.Millisecond)}, can)
+	assert.Assert(t, !ok)
+	assert.Assert(t, excess > 0)
+}
+
+// With nothing else to do a cell makes what is late anyway: the answer is still
+// of use, and takes nobody's place.
+func TestLedgerTakesLateWorkWhenIdle(t *testing.T) {
+	l := newLedger()
+	ok, _ := l.ask(start, groupKey{Request: "a"}, 0, promise{items: 5, due: start.Add(-time.Second)}, capacity{rate: 100, call: callTime})
+	assert.Assert(t, ok)
+}
+
+// A burst of urgent requests could keep the least urgent kind out for as long as
+// it lasts. It gets a third of what it asks for.
+func TestLedgerStarvesNoRank(t *testing.T) {
+	l := newLedger()
+	can := capacity{rate: 100, call: 400 * time.Millisecond}
+	asked, got := 0, 0
+	now := start
+	for i := range 400 {
+		now = now.Add(25 * time.Millisecond)
+		key := groupKey{Request: "u", Stage: i}
+		l.ask(now, key, 0, promise{items: 4, due: now.Add(900 * time.Millisecond)}, can)
+		if i%4 == 0 {
+			asked++
+			key := groupKey{Request: "l", Stage: i}
+			if ok, _ := l.ask(now, key, 2, promise{items: 4, due: now.Add(1400 * time.Millisecond)}, can); ok {
+				got++
+			}
+		}
+		work(l, now, 2.5)
+	}
+	assert.Assert(t, float64(got) >= 0.25*float64(asked), "%d of %d", got, asked)
+}
+
+// work makes n items of what is due first.
+func work(l *ledger, _ time.Time, n float64) {
+	for range int(n) {
+		var first groupKey
+		var due time.Time
+		for key, p := range l.promises {
+			if due.IsZero() || p.due.Before(due) {
+				first, due = key, p.due
+			}
+		}
+		l.begun(Key{Request: first.Request, Stage: first.Stage})
+	}
+}
+
+func TestSustainedRateIsBoundByBatchOrRoom(t *testing.T) {
+	byBatch := sustained(5, 12, 14_000_000, 8000, callTime, 17*time.Millisecond)
+	assert.Equal(t, byBatch.call, 444*time.Millisecond)
+	byRoom := sustained(4, 34, 3_700_000, 60000, callTime, 6*time.Millisecond)
+	assert.Assert(t, byRoom.rate > 250 && byRoom.rate < 290, "%v", byRoom)
+	assert.Equal(t, sustained(0, 12, 1, 1, callTime, 0).rate, 0.0)
+}
+
+func TestResultsGivenBackEarlyAreNotGivenBackTwice(t *testing.T) {
+	r := &room{}
+	r.put("a", 50, start.Add(time.Second))
+	assert.DeepEqual(t, r.release([]string{"a"}, false, 1000), []string(nil))
+	r.put("b", 200, start.Add(time.Second))
+	assert.DeepEqual(t, r.release([]string{"b"}, false, 1000), []string{"b"})
+	assert.DeepEqual(t, r.release([]string{"a", "b"}, true, 1000), []string{"a"})
+	r.sweep(start.Add(2 * time.Second))
+	assert.Equal(t, r.bytes, 0)
+}
+
+func TestInputsAreGivenBackWhenTheLastOfTheirReadersIsDone(t *testing.T) {
+	f := feeding{}
+	items := []Item{
+		{Key: Key{Request: "r", Stage: 1, Piece: 0}, Inputs: []string{"h"}, Last: true},
+		{Key: Key{Request: "r", Stage: 1, Piece: 1}, Inputs: []string{"h"}, Last: true},
+	}
+	for _, item := range items {
+		f.add(item)
+	}
+	assert.Equal(t, len(f.fetched(items[:1])), 0)
+	assert.Equal(t, len(f.fetched(items)), 1)
+	assert.Equal(t, len(f.fetched(items)), 0, "told once")
+	assert.Assert(t, f.made(items[0].Key) == nil)
+	assert.DeepEqual(t, f.made(items[1].Key).inputs, []string{"h"})
+	assert.Assert(t, f.made(items[1].Key) == nil)
+}
+
+func TestASlowTargetIsPassedOverForAWhile(t *testing.T) {
+	p := &pace{}
+	p.took(300*time.Millisecond, 300*time.Millisecond, start)
+	assert.Assert(t, !p.slow(start))
+	p.took(1200*time.Millisecond, 300*time.Millisecond, start)
+	assert.Assert(t, p.slow(start))
+	assert.Assert(t, !p.slow(start.Add(slowPause)))
+	p.took(300*time.Millisecond, 300*time.Millisecond, start.Add(slowPause))
+	p.took(300*time.Millisecond, 300*time.Millisecond, start.Add(slowPause))
+	assert.Assert(t, !p.slow(start.Add(slowPause)))
+}
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -48,6 +48,8 @@
 	network peer.Network
 	table   *pool.Table
 	own     *Gatherer
+	// askNobody is Options.AskNobody.
+	askNobody bool
 
 	mu      sync.Mutex // guards what follows; never held during a call
 	pending map[Key]*pending
@@ -130,12 +132,15 @@
 	Table   *pool.Table
 	// Gatherer is this process's own.
 	Gatherer *Gatherer
+	// AskNobody leaves out the question whether a request's stages can be done
+	// in time: a baseline for measurements.
+	AskNobody bool
 }
 
 // New wires a requester and its gatherer. Call before the network starts.
 func New(o Options) *Requester {
 	r := &Requester{
-		log: o.Log, network: o.Network, table: o.Table,
+		log: o.Log, network: o.Network, table: o.Table, askNobody: o.AskNobody,
 		pending: map[Key]*pending{}, passed: map[peer.Incarnation]time.Time{}, freeing: map[freeKey][]string{},
 	}
 	r.own = o.Gatherer
@@ -196,6 +201,9 @@
 // in time; the error is *Refused where one can't. A gatherer that doesn't
 // answer is no reason to refuse.
 func (r *Requester) Ask(ctx context.Context, request string, plans []Plan) error {
+	if r.askNobody {
+		return nil
+	}
 	answers := make(chan error, len(plans))
 	asked := make([]Cell, len(plans))
 	for i, p := range plans {
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -129,7 +129,7 @@
 	touched := map[string]bool{}
 	for _, c := range changes {
 		old := t.byID[c.ID]
-		if old != nil && old.entry.Revision >= c.Revision {
+		if old != nil && (old.entry.Revision >= c.Revision || earlierRun(c, old)) {
 			continue
 		}
 		if old != nil {
@@ -148,6 +148,13 @@
 	return left
 }
 
+// earlierRun tells whether a change is of a run before the one that is known: a
+// report may be delayed on its way to the store until its target has started
+// again, and names an address that it no longer has.
+func earlierRun(c Change, known *Target) bool {
+	return !c.Removed && c.Born != 0 && c.Born < known.Born
+}
+
 // change applies one change and returns the target that got out of use by it,
 // if any. The caller holds mu.
 func (t *Table) change(old *Target, c Change, now time.Time) *Target {
--- a/internal/serve/pool/target.go
+++ b/internal/serve/pool/target.go
@@ -28,7 +28,7 @@
 	// how long it was left alone last.
 	downUntil time.Time
 	downFor   time.Duration
-	failing  float64 // moving share of calls that failed
+	failing   float64 // moving share of calls that failed
 }
 
 // Report is what a target said of its load with its last answer.
--- /dev/null
+++ b/internal/serve/quota/quota_test.go
@@ -0,0 +1,91 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	rule  = Rule{Ratio: 0.2, Reserve: 58, Window: 10 * time.Second}
+)
+
+// Half of the targets fail. Every process repeats what it may, and together
+// they would send several times the load to what is left. In no window of ten
+// seconds do they pass the bound, however the requests lie.
+func TestAllProcessesTogetherKeepTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "processes")
+		budgets := make([]*Budget, n)
+		for i := range budgets {
+			budgets[i] = New(rule, start)
+			budgets[i].Members(n, start)
+		}
+		now := start.Add(settle)
+		var requests, repeats []time.Time
+		for range rapid.IntRange(1, 600).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, n-1).Draw(t, "process")]
+			if rapid.Bool().Draw(t, "request") {
+				b.Request("s", now)
+				requests = append(requests, now)
+				continue
+			}
+			if b.Repeat("s", now) {
+				repeats = append(repeats, now)
+			}
+			sent := within(repeats, now)
+			allowed := rule.Ratio*float64(within(requests, now)) + rule.Reserve
+			if float64(sent) > allowed {
+				t.Fatalf("%d repeats, %.1f allowed", sent, allowed)
+			}
+		}
+	})
+}
+
+func within(times []time.Time, now time.Time) int {
+	n := 0
+	for _, at := range times {
+		if now.Sub(at) < rule.Window {
+			n++
+		}
+	}
+	return n
+}
+
+// A process that starts knows of no peers yet. If it took the whole reserve for
+// itself, a cluster that starts together would spend it many times over.
+func TestNothingOfTheReserveBeforeThePeersAreKnown(t *testing.T) {
+	b := New(rule, start)
+	assert.Assert(t, !b.Repeat("s", start))
+	b.Members(9, start.Add(time.Second))
+	assert.Assert(t, !b.Repeat("s", start.Add(2*time.Second)))
+	assert.Assert(t, b.Repeat("s", start.Add(3*time.Second)))
+}
+
+// A process that is cut off from its peers sees none, while they go on spending
+// their parts of the reserve.
+func TestOneThatIsCutOffKeepsToItsPart(t *testing.T) {
+	b := New(rule, start)
+	b.Members(9, start)
+	now := start.Add(5 * time.Second)
+	b.Members(1, now)
+	sent := 0
+	for b.Repeat("s", now) {
+		sent++
+	}
+	assert.Equal(t, sent, int(margin*rule.Reserve/9))
+}
+
+func TestServicesHaveBudgetsOfTheirOwn(t *testing.T) {
+	b := New(Rule{Ratio: 0.5, Window: 10 * time.Second}, start)
+	for range 10 {
+		b.Request("a", start)
+	}
+	assert.Assert(t, b.Repeat("a", start))
+	assert.Assert(t, !b.Repeat("b", start))
+	assert.Assert(t, b.Left("a", start) > 3)
+}
--- /dev/null
+++ b/internal/serve/servetest/network.go
@@ -0,0 +1,170 @@
+// Package servetest has models for tests of the serving core: a network of
+// processes and pools of stage targets that live in memory, so that a load can
+// be played in virtual time.
+package servetest
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/vanillagate/vanillagate/internal/peer"
+)
+
+// Cluster is the processes of a system. The zero value is empty.
+type Cluster struct {
+	// Delay of a message one way.
+	Delay time.Duration
+
+	mu    sync.Mutex // guards nodes and their states
+	nodes []*Node
+}
+
+// Node is one process's side of the network. It implements peer.Network.
+type Node struct {
+	cluster  *Cluster
+	self     peer.Member
+	handlers map[string]func(context.Context, json.RawMessage) (any, error)
+	state    peer.MemberState
+	// silent nodes take messages and never answer, as a frozen process does.
+	silent bool
+	// dead nodes refuse connections.
+	dead bool
+}
+
+var _ peer.Network = (*Node)(nil)
+
+// Add adds a process.
+func (c *Cluster) Add(name, zone string) *Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := &Node{
+		cluster: c, state: peer.Alive, handlers: map[string]func(context.Context, json.RawMessage) (any, error){},
+		self: peer.Member{Incarnation: peer.Incarnation(name), Zone: zone, State: peer.Alive},
+	}
+	c.nodes = append(c.nodes, n)
+	return n
+}
+
+// Freeze makes a process silent while its peers still take it for alive.
+func (n *Node) Freeze() { n.set(func() { n.silent = true }) }
+
+// Thaw lets a frozen process answer again.
+func (n *Node) Thaw() { n.set(func() { n.silent = false }) }
+
+// Kill ends a process; its peers learn of it at once.
+func (n *Node) Kill() {
+	n.set(func() {
+		n.dead = true
+		n.state = peer.Dead
+	})
+}
+
+// Living tells whether the process wasn't killed.
+func (n *Node) Living() bool {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	return !n.dead
+}
+
+func (n *Node) set(change func()) {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	change()
+}
+
+// Self is this process.
+func (n *Node) Self() peer.Member { return n.self }
+
+// Members lists the other processes that aren't dead.
+func (n *Node) Members() []peer.Member {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	var list []peer.Member
+	for _, other := range n.cluster.nodes {
+		if other != n && other.state != peer.Dead {
+			m := other.self
+			m.State = other.state
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// Publish does nothing: no test needs it.
+func (n *Node) Publish(peer.Topic, string, uint64, time.Duration, any) error { return nil }
+
+// Items is always empty.
+func (n *Node) Items(peer.Topic) []peer.Item { return nil }
+
+// Subscribe does nothing.
+func (n *Node) Subscribe(peer.Topic, func(peer.Item)) {}
+
+// Handle answers calls of a method.
+func (n *Node) Handle(method string, fn func(context.Context, json.RawMessage) (any, error)) {
+	n.handlers[method] = fn
+}
+
+var errDead = errors.New("connection refused")
+
+// Call asks one process.
+func (n *Node) Call(ctx context.Context, to peer.Incarnation, method string, params, result any) error {
+	data, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	if err := sleep(ctx, n.cluster.Delay); err != nil {
+		return err
+	}
+	other, silent, dead := n.cluster.find(to)
+	if other == nil || dead {
+		return errDead
+	}
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	answer, err := other.handlers[method](ctx, data)
+	if err != nil {
+		return err
+	}
+	if err := sleep(ctx, n.cluster.Delay); err != nil {
+		return err
+	}
+	return hand(answer, result)
+}
+
+func hand(answer, result any) error {
+	if result == nil {
+		return nil
+	}
+	data, err := json.Marshal(answer)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, result)
+}
+
+func (c *Cluster) find(id peer.Incarnation) (found *Node, silent, dead bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.nodes {
+		if n.self.Incarnation == id {
+			return n, n.silent, n.dead
+		}
+	}
+	return nil, false, false
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
