Upstream: a chunked answer without its last empty line is cut, not whole

Found by a test of cut answers (first failed): the target breaks off after the last chunk's size line, and the reader took the end of the connection for the end of the body. Also: a long Keep-Alive no longer raises the idle bound.

--- /dev/null
+++ b/internal/serve/place/place_test.go
@@ -0,0 +1,119 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+)
+
+var now = time.Unix(1000, 0)
+
+// engines makes views of n engines over three zones.
+func engines(n int) []pool.View {
+	table := pool.New(zap.NewNop())
+	var entries []pool.Entry
+	for i := range n {
+		entries = append(entries, pool.Entry{
+			ID: fmt.Sprintf("e%d", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", i), Zone: string(rune('a' + i%3)),
+			Slots: 16, State: pool.Ready, Revision: 1,
+		})
+	}
+	table.Reset(entries, 1, now)
+	return table.Views("s", now)
+}
+
+func prompt(shared string) Prompt {
+	return Prompt{Input: 12000, Output: 400, Parts: []Part{{"common", 500}, {shared, 4900}, {"own", 6600}}}
+}
+
+func TestRequestsThatShareAPromptMeetAtOneEngine(t *testing.T) {
+	views := engines(12)
+	homes := map[string]int{}
+	for i := range 200 {
+		w := Wish{Prompt: prompt(fmt.Sprintf("p%d", i))}
+		first := Engine(views, w)
+		for range 3 {
+			assert.Equal(t, Engine(engines(12), w).ID, first.ID)
+		}
+		homes[first.ID]++
+	}
+	for id, n := range homes {
+		assert.Assert(t, n < 45, "%s is home to %d of 200", id, n)
+	}
+	assert.Equal(t, len(homes), 12)
+}
+
+// One prompt is much asked for. Its home gets more than it can read, while
+// others stand idle.
+func TestABusyHomeGivesWay(t *testing.T) {
+	views := engines(12)
+	w := Wish{Prompt: prompt("hot")}
+	home := Engine(views, w)
+	for i := range views {
+		if views[i].ID == home.ID {
+			views[i].Tokens = 20000
+		}
+	}
+	assert.Assert(t, Engine(views, w).ID != home.ID)
+}
+
+func TestTheHomeStaysWhereItsZoneIsPoor(t *testing.T) {
+	views := engines(12)
+	w := Wish{Prompt: prompt("p")}
+	home := Engine(views, w)
+	w.Bytes = map[string]int{"a": 1_600_000, "b": 1_600_000, "c": 1_600_000}
+	w.Bytes[home.Zone] = 0
+	assert.Equal(t, Engine(views, w).ID, home.ID)
+	assert.Equal(t, HomeZone(views, w.Prompt), home.Zone)
+}
+
+func TestWithoutASharedPromptTheResultsZoneDecides(t *testing.T) {
+	views := engines(12)
+	w := Wish{Prompt: Prompt{Input: 600}, Bytes: map[string]int{"b": 800_000}}
+	assert.Equal(t, Engine(views, w).Zone, "b")
+}
+
+func TestAFullEngineIsAvoided(t *testing.T) {
+	views := engines(2)
+	views[0].Report = pool.Report{Running: 16}
+	assert.Equal(t, Engine(views, Wish{Prompt: Prompt{Input: 50000}}).ID, views[1].ID)
+}
+
+func TestWhatWasTriedIsNotTriedAgain(t *testing.T) {
+	views := engines(3)
+	w := Wish{Avoid: map[string]bool{}, Zone: "a"}
+	seen := map[string]bool{}
+	for range 3 {
+		target := Plain(views, w, 0.9)
+		assert.Assert(t, !seen[target.ID])
+		seen[target.ID] = true
+		w.Avoid[target.ID] = true
+	}
+	assert.Assert(t, Plain(views, w, 0) == nil)
+	assert.Assert(t, Engine(views, w) == nil)
+}
+
+// All targets failed lately, as seen from here. Refusing everything would make
+// a fault of this process's own link an outage for its callers.
+func TestTargetsOutOfUseAreALastResort(t *testing.T) {
+	views := engines(3)
+	for i := range views {
+		views[i].Weight = 0
+	}
+	assert.Assert(t, Plain(views, Wish{}, 0.5) != nil)
+	assert.Assert(t, Engine(views, Wish{}) != nil)
+	views[1].Weight = 1
+	assert.Equal(t, Plain(views, Wish{}, 0).ID, views[1].ID)
+}
+
+func TestPlainTakesTheLeastBusyAndPrefersItsZone(t *testing.T) {
+	views := engines(3)
+	assert.Equal(t, Plain(views, Wish{Zone: views[2].Zone}, 0).ID, views[2].ID)
+	views[2].InFlight = 2
+	assert.Assert(t, Plain(views, Wish{Zone: views[2].Zone}, 0).ID != views[2].ID)
+}
--- a/internal/serve/upstream/answer.go
+++ b/internal/serve/upstream/answer.go
@@ -106,7 +106,10 @@
 		return n, io.ErrUnexpectedEOF
 	}
 	if a.chunked && !a.whole {
-		if err := readTrailer(a.conn.R); err != nil {
+		// Without its empty line the body was cut, however the connection ended.
+		if err := readTrailer(a.conn.R); errors.Is(err, io.EOF) {
+			return n, io.ErrUnexpectedEOF
+		} else if err != nil {
 			return n, err
 		}
 	}
@@ -177,7 +180,7 @@
 			return 0
 		}
 		idle := time.Duration(seconds) * time.Second
-		return max(min(idle-idleMargin, conns.DefaultIdle), idle/4)
+		return min(max(idle-idleMargin, idle/4), conns.DefaultIdle)
 	}
 	return 0
 }
--- /dev/null
+++ b/internal/serve/upstream/upstream_test.go
@@ -0,0 +1,353 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+)
+
+// target listens and hands each connection to serve.
+func target(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// readRequest reads one request off a connection; nil at its end.
+func readRequest(r *bufio.Reader) *http.Request {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	return req
+}
+
+// answering gives the same answer to each request on a connection.
+func answering(answer string) func(net.Conn) {
+	return func(conn net.Conn) {
+		r := bufio.NewReader(conn)
+		for readRequest(r) != nil {
+			_, _ = io.WriteString(conn, answer)
+		}
+	}
+}
+
+func get(address string) *Request {
+	return &Request{
+		Address: address, Method: "GET", URI: "/a%2Fb//c?x=%20&y", Host: "h.example",
+		Header: []Header{{"X-Attempt", "id-1"}, {"x-lower", "v"}},
+		IsOurs: func(h *fasthttp.ResponseHeader) bool {
+			id := string(h.Peek("X-Attempt"))
+			return id == "" || id == "id-1"
+		},
+	}
+}
+
+const plain = "HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nContent-Length: 5\r\n\r\nhello"
+
+func readAll(t *testing.T, a *Answer) string {
+	t.Helper()
+	body, err := io.ReadAll(a)
+	assert.NilError(t, err)
+	return string(body)
+}
+
+func TestTheRequestArrivesByteForByte(t *testing.T) {
+	got := make(chan string, 1)
+	address := target(t, func(conn net.Conn) {
+		buffer := make([]byte, 4096)
+		n, _ := conn.Read(buffer)
+		got <- string(buffer[:n])
+		_, _ = io.WriteString(conn, plain)
+	})
+	var c Client
+	r := get(address)
+	r.Method, r.Body = "POST", []byte("{}")
+	a, err := c.Send(context.Background(), r)
+	assert.NilError(t, err)
+	defer a.Close()
+	assert.Equal(t, readAll(t, a), "hello")
+	assert.Equal(t, <-got, "POST /a%2Fb//c?x=%20&y HTTP/1.1\r\nHost: h.example\r\nX-Attempt: id-1\r\nx-lower: v\r\n"+
+		"Content-Length: 2\r\n\r\n{}")
+}
+
+func TestAWholeAnswersConnectionIsUsedAgain(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length": plain,
+		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"interim": "HTTP/1.1 100 Continue\r\n\r\n" + plain,
+	} {
+		address := target(t, answering(answer))
+		var c Client
+		for range 3 {
+			a, err := c.Send(context.Background(), get(address))
+			assert.NilError(t, err, name)
+			assert.Equal(t, readAll(t, a), "hello", name)
+			a.Close()
+		}
+		assert.Equal(t, c.Dialed(), int64(1), name)
+	}
+}
+
+func TestATargetThatClosesIsDialedAnew(t *testing.T) {
+	address := target(t, answering("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
+	var c Client
+	for range 2 {
+		a, err := c.Send(context.Background(), get(address))
+		assert.NilError(t, err)
+		assert.Equal(t, readAll(t, a), "")
+		a.Close()
+	}
+	assert.Equal(t, c.Dialed(), int64(2))
+}
+
+// A target breaks off in the middle of its answer, in each of the ways in which
+// an answer's end is told. A caller that took it for whole would get half a
+// tender.
+func TestACutAnswerNeverLooksWhole(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length":         "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello",
+		"chunk":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel",
+		"between chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+		"last chunk":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
+	} {
+		address := target(t, func(conn net.Conn) {
+			readRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, answer)
+		})
+		var c Client
+		a, err := c.Send(context.Background(), get(address))
+		assert.NilError(t, err, name)
+		_, err = io.ReadAll(a)
+		assert.Assert(t, err != nil, name)
+		a.Close()
+	}
+}
+
+// An answer without a length ends with its connection. One that is reset is cut.
+func TestAnAnswerWithoutALengthIsCutByAReset(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		address := target(t, func(conn net.Conn) {
+			readRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhello")
+			time.Sleep(20 * time.Millisecond)
+			if reset {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		var c Client
+		a, err := c.Send(context.Background(), get(address))
+		assert.NilError(t, err)
+		_, err = io.ReadAll(a)
+		assert.Equal(t, err != nil, reset)
+		a.Close()
+	}
+}
+
+// A target sends a second answer after a whole one. Whoever uses the connection
+// next would take it for their own.
+func TestAnExtraAnswerIsNobodys(t *testing.T) {
+	address := target(t, answering(plain+"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nstolen"))
+	var c Client
+	for range 3 {
+		a, err := c.Send(context.Background(), get(address))
+		assert.NilError(t, err)
+		assert.Equal(t, readAll(t, a), "hello")
+		a.Close()
+	}
+}
+
+// The second answer comes late, where the next request's is due. It says whose
+// it is and is read away.
+func TestALateAnswerToAnEarlierRequestIsReadAway(t *testing.T) {
+	var n atomic.Int32
+	address := target(t, func(conn net.Conn) {
+		r := bufio.NewReader(conn)
+		for readRequest(r) != nil {
+			if n.Add(1) == 2 {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Attempt: id-0\r\nContent-Length: 4\r\n\r\nlate")
+			}
+			_, _ = io.WriteString(conn, plain)
+		}
+	})
+	var c Client
+	for range 3 {
+		a, err := c.Send(context.Background(), get(address))
+		assert.NilError(t, err)
+		assert.Equal(t, readAll(t, a), "hello")
+		a.Close()
+	}
+}
+
+// A target refuses a long request before it has read it, keeps the connection
+// and reads on later. Bytes of another request in place of the rest would be
+// taken for it.
+func TestAfterAnEarlyAnswerTheRestIsStillSent(t *testing.T) {
+	body := strings.Repeat("x", 4<<20)
+	type seen struct {
+		bytes int64
+		err   error
+	}
+	got := make(chan seen, 4)
+	address := target(t, func(conn net.Conn) {
+		r := bufio.NewReader(conn)
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(50 * time.Millisecond)
+		n, err := io.Copy(io.Discard, req.Body)
+		if req.Method == "POST" {
+			got <- seen{n, err}
+		}
+	})
+	var c Client
+	r := get(address)
+	r.Method, r.Body = "POST", []byte(body)
+	a, err := c.Send(context.Background(), r)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Status, 503)
+	assert.Equal(t, readAll(t, a), "")
+	a.Close()
+	again, err := c.Send(context.Background(), get(address))
+	if err == nil {
+		again.Close()
+	}
+	first := <-got
+	// The connection was closed, or the whole body was sent: nothing else came.
+	assert.Assert(t, first.err != nil || first.bytes == int64(len(body)), "%+v", first)
+}
+
+func TestWhatWasNotSentIsSaidToBe(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	var c Client
+	_, err = c.Send(context.Background(), get(address))
+	assert.Assert(t, NotSent(err))
+
+	cut := target(t, func(conn net.Conn) { readRequest(bufio.NewReader(conn)) })
+	_, err = c.Send(context.Background(), get(cut))
+	assert.Assert(t, err != nil && !NotSent(err))
+}
+
+// A kept connection was closed by its target while it lay unused. A request
+// written to it would be lost, and nobody could say whether it ran.
+func TestAClosedKeptConnectionIsNotUsed(t *testing.T) {
+	address := target(t, func(conn net.Conn) {
+		readRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, plain)
+	})
+	var c Client
+	for range 3 {
+		a, err := c.Send(context.Background(), get(address))
+		assert.NilError(t, err)
+		assert.Equal(t, readAll(t, a), "hello")
+		a.Close()
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func TestAnOldKeptConnectionIsNotUsedWhereItMatters(t *testing.T) {
+	address := target(t, answering(plain))
+	var c Client
+	for range 2 {
+		r := get(address)
+		r.MaxAge = 10 * time.Millisecond
+		a, err := c.Send(context.Background(), r)
+		assert.NilError(t, err)
+		assert.Equal(t, readAll(t, a), "hello")
+		a.Close()
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, c.Dialed(), int64(2))
+}
+
+// The caller hangs up while the target works. The target learns of it by its
+// connection and stops; else engines would generate for nobody.
+func TestTheEndOfTheContextClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	address := target(t, func(conn net.Conn) {
+		readRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")
+		_, _ = conn.Read(make([]byte, 1))
+		close(closed)
+	})
+	left := errors.New("the caller left")
+	ctx, cancel := context.WithCancelCause(context.Background())
+	var c Client
+	a, err := c.Send(ctx, get(address))
+	assert.NilError(t, err)
+	cancel(left)
+	_, err = io.ReadAll(a)
+	assert.Assert(t, err != nil)
+	a.Close()
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Fatal("the target wasn't told")
+	}
+}
+
+func TestKeepAliveBoundsHowLongAConnectionIsKept(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"": 0, "timeout=5": 4 * time.Second, "timeout=5, max=100": 4 * time.Second, "max=3": 0, "timeout=x": 0,
+		"timeout=1": 250 * time.Millisecond, "timeout=60": 4 * time.Second, "timeout=0": 0,
+	} {
+		var h fasthttp.ResponseHeader
+		h.DisableNormalizing()
+		h.Set("Keep-Alive", value)
+		assert.Equal(t, idleTime(&h), want, value)
+	}
+}
+
+func FuzzAnswer(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+	f.Add("HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n")
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n")
+	f.Add("\x00\x01garbage\r\n\r\n")
+	f.Fuzz(func(t *testing.T, answer string) {
+		client, server := net.Pipe()
+		go func() {
+			defer func() { _ = server.Close() }()
+			_, _ = io.WriteString(server, answer)
+		}()
+		a := &Answer{client: &Client{}, address: "x", conn: connOf(client), written: make(chan struct{}), stop: func() bool { return true }}
+		close(a.written)
+		if err := a.readHeader(&Request{Method: "GET"}); err != nil {
+			return
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(a, 1<<20))
+		if err == nil && a.Length >= 0 && n < 1<<20 && n != int64(a.Length) && a.Status != 204 && a.Status != 304 {
+			t.Fatalf("%d of %d bytes taken for whole", n, a.Length)
+		}
+	})
+}
