Follow: lookouts, peers asked always, short call after a failure; stages: late items keep their turn

Cause (found by tests of a silent store): a call that the store holds and never answers was noticed after 21 s only. Cause 2 (found by the played load with failing items): an item that failed and came back was given up at once for having waited, though a target was free. A gatherer that doesn't know the service is passed by; seen first as refusals when two tests' clusters met on one port.

--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,12 +37,17 @@
 }
 
 const (
-	// watchTime is how long the store holds a call without news. Each call has
-	// its price; a connection that went silent shows by its keep-alive probes
-	// long before.
-	watchTime = 20 * time.Second
+	// watchTime is how long the store holds a call without news, lookoutTime for
+	// a lookout. A store may go silent and never answer the calls that it holds,
+	// though it serves others again; only the end of a call shows it. Each call
+	// has its price, so that a few processes look out with short calls, and the
+	// others hear from them. A change has to be in force within 2 s, and what
+	// goes before an outage's end plus 3 s isn't counted: 1.5 s and the slack
+	// leave a second of that.
+	watchTime   = 20 * time.Second
+	lookoutTime = 1500 * time.Millisecond
 	// watchSlack is how much later the answer may come.
-	watchSlack = 1500 * time.Millisecond
+	watchSlack = 700 * time.Millisecond
 	// readTimeout bounds the reading of the whole.
 	readTimeout = 2 * time.Second
 	// newsPause is waited after news of targets. When many start at once their
@@ -51,7 +57,7 @@
 	newsPause = 200 * time.Millisecond
 	// firstRetry and lastRetry pace the calls to a store that fails.
 	firstRetry = 100 * time.Millisecond
-	lastRetry  = time.Second
+	lastRetry  = 700 * time.Millisecond
 	// outage is how long the store must have failed for entries of sound targets
 	// to have lapsed meanwhile: about two of the intervals in which they report.
 	outage = 2 * time.Second
@@ -66,6 +72,8 @@
 	plans  *plan.Holder
 	table  *pool.Table
 	peers  *peers // nil without
+	// lookout tells whether this process is one of those that look out.
+	lookout func() bool
 	// planFeed and targetFeed are the two things followed.
 	planFeed   *feed
 	targetFeed *feed
@@ -75,7 +83,7 @@
 type feed struct {
 	name  string
 	read  func(context.Context) (uint64, error)
-	watch func(context.Context, uint64) (bool, uint64, error)
+	watch func(ctx context.Context, after uint64, wait time.Duration) (bool, uint64, error)
 	// pause is waited after news.
 	pause time.Duration
 	// back is called when the store answers again after an outage.
@@ -83,11 +91,16 @@
 	// failingSince is the Unix nanosecond since when the store fails, 0 while it
 	// answers.
 	failingSince atomic.Int64
+	// revision up to which the store has told of changes itself.
+	revision atomic.Uint64
+	// mu guards interrupt, which ends the call in progress; a leaf.
+	mu        sync.Mutex
+	interrupt context.CancelFunc
 }
 
 // New makes a follower.
 func New(log *zap.Logger, source Source, plans *plan.Holder, table *pool.Table) *Follower {
-	f := &Follower{log: log, source: source, plans: plans, table: table}
+	f := &Follower{log: log, source: source, plans: plans, table: table, lookout: func() bool { return true }}
 	f.planFeed = &feed{name: "configuration", read: f.readPlan, watch: f.watchPlan}
 	f.targetFeed = &feed{
 		name: "targets", read: f.readTargets, watch: f.watchTargets, pause: newsPause, back: table.ListBack,
@@ -122,38 +135,74 @@
 	}
 }
 
-// follow reads the whole, then waits for changes, again and again.
+// follow reads the whole, then waits for changes, again and again. After a
+// failure the first call asks for what is there already: a store that is still
+// silent shows at once.
 func (f *Follower) follow(ctx context.Context, d *feed) {
-	known := false
-	var revision uint64
+	known, sound := false, false
 	retry := firstRetry
 	for ctx.Err() == nil {
-		news := false
-		next, err := revision, error(nil)
-		if known {
-			news, next, err = d.watch(ctx, revision)
-		} else {
-			next, err = d.read(ctx)
-		}
+		after := d.revision.Load()
+		news, next, err := f.call(ctx, d, known, sound)
 		if errors.Is(err, ErrHistoryGone) {
-			f.log.Info("Changes can't be had; reading the whole.", zap.String("what", d.name), zap.Uint64("after", revision))
+			f.log.Info("Changes can't be had; reading the whole.", zap.String("what", d.name), zap.Uint64("after", after))
 			known = false
 			continue
 		}
 		if err != nil {
+			sound = false
 			f.failed(ctx, d, err)
 			wait.Around(ctx, retry)
 			retry = min(2*retry, lastRetry)
 			continue
 		}
 		f.answered(d)
-		known, revision, retry = true, next, firstRetry
+		d.revision.Store(next)
+		known, sound, retry = true, true, firstRetry
 		if news && d.pause > 0 {
 			wait.For(ctx, d.pause)
 		}
 	}
 }
 
+// call makes one call of the store.
+func (f *Follower) call(ctx context.Context, d *feed, known, sound bool) (news bool, revision uint64, err error) {
+	if !known {
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		revision, err = d.read(ctx)
+		return false, revision, err
+	}
+	hold := f.hold(sound)
+	ctx, cancel := context.WithTimeout(ctx, hold+watchSlack)
+	defer cancel()
+	d.mu.Lock()
+	d.interrupt = cancel
+	d.mu.Unlock()
+	return d.watch(ctx, d.revision.Load(), hold)
+}
+
+// hold is how long the store may hold the next call.
+func (f *Follower) hold(sound bool) time.Duration {
+	switch {
+	case !sound:
+		return 0
+	case f.lookout():
+		return lookoutTime
+	default:
+		return watchTime
+	}
+}
+
+// end ends the call in progress: its answer should have come.
+func (d *feed) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.interrupt != nil {
+		d.interrupt()
+	}
+}
+
 func (f *Follower) failed(ctx context.Context, d *feed, err error) {
 	if ctx.Err() != nil {
 		return
@@ -185,8 +234,6 @@
 }
 
 func (f *Follower) readPlan(ctx context.Context) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	p, revision, err := f.source.ReadPlan(ctx)
 	if err == nil {
 		f.apply(p, "store")
@@ -194,10 +241,8 @@
 	return revision, err
 }
 
-func (f *Follower) watchPlan(ctx context.Context, after uint64) (bool, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTime+watchSlack)
-	defer cancel()
-	p, revision, err := f.source.WatchPlan(ctx, after, watchTime)
+func (f *Follower) watchPlan(ctx context.Context, after uint64, hold time.Duration) (bool, uint64, error) {
+	p, revision, err := f.source.WatchPlan(ctx, after, hold)
 	if err != nil {
 		return false, after, err
 	}
@@ -215,8 +260,6 @@
 }
 
 func (f *Follower) readTargets(ctx context.Context) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	entries, revision, err := f.source.ReadTargets(ctx)
 	if err != nil {
 		return 0, err
@@ -227,10 +270,8 @@
 	return revision, nil
 }
 
-func (f *Follower) watchTargets(ctx context.Context, after uint64) (bool, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchTime+watchSlack)
-	defer cancel()
-	changes, revision, err := f.source.WatchTargets(ctx, after, watchTime)
+func (f *Follower) watchTargets(ctx context.Context, after uint64, hold time.Duration) (bool, uint64, error) {
+	changes, revision, err := f.source.WatchTargets(ctx, after, hold)
 	if err != nil {
 		return false, after, err
 	}
--- /dev/null
+++ b/internal/serve/follow/follow_test.go
@@ -0,0 +1,369 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+	"github.com/vanillagate/vanillagate/internal/serve/servetest"
+)
+
+// fakeStore is a store in memory. Its revision grows with every write, also of
+// things that nobody follows.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision uint64
+	plan     *plan.Plan
+	planAt   uint64
+	changes  []pool.Change
+	oldest   uint64
+	wake     chan struct{}
+	// failing makes calls fail, silent makes them hang until they are given up.
+	failing bool
+	silent  bool
+	calls   int
+}
+
+var errDown = errors.New("down")
+
+func newFakeStore() *fakeStore { return &fakeStore{wake: make(chan struct{})} }
+
+func (s *fakeStore) change(fn func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	fn()
+	close(s.wake)
+	s.wake = make(chan struct{})
+}
+
+func (s *fakeStore) putPlan(version uint64) {
+	s.change(func() { s.plan, s.planAt = &plan.Plan{Version: version}, s.revision })
+}
+
+func (s *fakeStore) putTarget(id string, state pool.State) {
+	s.change(func() {
+		s.changes = append(s.changes, pool.Change{Entry: pool.Entry{
+			ID: id, Service: "s", Address: "10.0.0.1:" + id, Slots: 1, State: state, Revision: s.revision,
+		}})
+	})
+}
+
+func (s *fakeStore) dropTarget(id string) {
+	s.change(func() {
+		s.changes = append(s.changes, pool.Change{Entry: pool.Entry{ID: id, Revision: s.revision}, Removed: true})
+	})
+}
+
+// begin counts a call and lets it misbehave.
+func (s *fakeStore) begin(ctx context.Context) error {
+	s.mu.Lock()
+	s.calls++
+	failing, silent := s.failing, s.silent
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if failing {
+		return errDown
+	}
+	return nil
+}
+
+func (s *fakeStore) ReadPlan(ctx context.Context) (*plan.Plan, uint64, error) {
+	if err := s.begin(ctx); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.plan, s.revision, nil
+}
+
+func (s *fakeStore) WatchPlan(ctx context.Context, after uint64, hold time.Duration) (*plan.Plan, uint64, error) {
+	var p *plan.Plan
+	revision, err := s.hold(ctx, after, hold, func() bool {
+		if s.planAt > after {
+			p = s.plan
+		}
+		return p != nil
+	})
+	return p, revision, err
+}
+
+func (s *fakeStore) ReadTargets(ctx context.Context) ([]pool.Entry, uint64, error) {
+	if err := s.begin(ctx); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	byID := map[string]pool.Entry{}
+	for _, c := range s.changes {
+		byID[c.ID] = c.Entry
+		if c.Removed {
+			delete(byID, c.ID)
+		}
+	}
+	var list []pool.Entry
+	for _, e := range byID {
+		list = append(list, e)
+	}
+	return list, s.revision, nil
+}
+
+func (s *fakeStore) WatchTargets(ctx context.Context, after uint64, hold time.Duration) ([]pool.Change, uint64, error) {
+	var list []pool.Change
+	revision, err := s.hold(ctx, after, hold, func() bool {
+		for _, c := range s.changes {
+			if c.Revision > after {
+				list = append(list, c)
+			}
+		}
+		return len(list) > 0
+	})
+	return list, revision, err
+}
+
+// hold waits until there is news or the time is up. news is called with mu held.
+func (s *fakeStore) hold(ctx context.Context, after uint64, hold time.Duration, news func() bool) (uint64, error) {
+	timer := time.NewTimer(hold)
+	defer timer.Stop()
+	if err := s.begin(ctx); err != nil {
+		return 0, err
+	}
+	for {
+		s.mu.Lock()
+		if after < s.oldest {
+			s.mu.Unlock()
+			return 0, ErrHistoryGone
+		}
+		silent := s.silent
+		found := !silent && news()
+		revision, wake := s.revision, s.wake
+		s.mu.Unlock()
+		if found {
+			return revision, nil
+		}
+		select {
+		case <-wake:
+		case <-timer.C:
+			if silent {
+				<-ctx.Done()
+				return 0, ctx.Err()
+			}
+			return revision, nil
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+}
+
+// process is one that follows a store.
+type process struct {
+	*Follower
+	plans *plan.Holder
+	table *pool.Table
+	store *fakeStore
+}
+
+// cluster makes processes, each with a store of its own to fail.
+func cluster(ctx context.Context, n int, stores ...*fakeStore) []*process {
+	network := &servetest.Cluster{Delay: time.Millisecond}
+	var list []*process
+	for i := range n {
+		p := &process{plans: &plan.Holder{}, table: pool.New(zap.NewNop()), store: stores[min(i, len(stores)-1)]}
+		p.Follower = New(zap.NewNop(), p.store, p.plans, p.table)
+		p.UsePeers(network.Add(string(rune('a'+i)), "z"))
+		list = append(list, p)
+	}
+	for _, p := range list {
+		go p.Run(ctx)
+	}
+	return list
+}
+
+func (p *process) uses(id string) bool {
+	for _, v := range p.table.Views("s", time.Now()) {
+		if v.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func inBubble(t *testing.T, test func(t *testing.T, ctx context.Context)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		test(t, ctx)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestChangesAreInForceAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		store := newFakeStore()
+		store.putPlan(3)
+		store.putTarget("x", pool.Ready)
+		p := cluster(ctx, 1, store)[0]
+		time.Sleep(time.Second)
+		assert.Equal(t, p.plans.Version(), uint64(3))
+		assert.Assert(t, p.uses("x"))
+		store.putPlan(7)
+		store.putTarget("x", pool.Draining)
+		time.Sleep(300 * time.Millisecond)
+		assert.Equal(t, p.plans.Version(), uint64(7))
+		assert.Assert(t, !p.uses("x"))
+	})
+}
+
+// The store goes silent towards one process: the call that it holds is never
+// answered, though others are served. Without its peers that process would go
+// on with targets that have left for as long as a call may last.
+func TestAStoreThatIsSilentTowardsOneProcess(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		sound, silent := newFakeStore(), newFakeStore()
+		both := func(fn func(*fakeStore)) {
+			fn(sound)
+			fn(silent)
+		}
+		both(func(s *fakeStore) { s.putPlan(1); s.putTarget("x", pool.Ready) })
+		all := cluster(ctx, 6, silent, sound)
+		time.Sleep(10 * time.Second)
+		silent.mu.Lock()
+		silent.silent = true
+		silent.mu.Unlock()
+		both(func(s *fakeStore) { s.putPlan(2); s.putTarget("x", pool.Draining) })
+		time.Sleep(1900 * time.Millisecond)
+		for i, p := range all {
+			assert.Equal(t, p.plans.Version(), uint64(2), "process %d", i)
+			assert.Assert(t, !p.uses("x"), "process %d", i)
+		}
+	})
+}
+
+// The store goes silent towards all, and answers new calls again after four
+// seconds; the calls that it held are lost. Three seconds later every process
+// must follow it again.
+func TestAStoreThatWasSilentTowardsAll(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		store := newFakeStore()
+		store.putPlan(1)
+		all := cluster(ctx, 8, store)
+		time.Sleep(10 * time.Second)
+		store.mu.Lock()
+		store.silent = true
+		store.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		store.mu.Lock()
+		store.silent = false
+		store.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		store.putPlan(2)
+		time.Sleep(2 * time.Second)
+		for i, p := range all {
+			assert.Equal(t, p.plans.Version(), uint64(2), "process %d", i)
+		}
+	})
+}
+
+// The store's own revision grows with every write. Peers that have waited longer
+// know of an older one, and would take each other's lists for news again and
+// again, each time with a new call of the store.
+func TestPeersThatKnowTheSameTellNothing(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		store := newFakeStore()
+		store.putPlan(1)
+		store.putTarget("x", pool.Ready)
+		all := cluster(ctx, 8, store)
+		time.Sleep(5 * time.Second)
+		for range 100 {
+			store.mu.Lock()
+			store.revision++ // a write of something that nobody follows
+			store.mu.Unlock()
+			time.Sleep(100 * time.Millisecond)
+			for _, p := range all {
+				assert.DeepEqual(t, all[0].newsSince(newsCall{Version: 1, Revision: p.table.Newest()}), news{})
+			}
+		}
+	})
+}
+
+// At a large site a change must not wake every process, nor an idle minute cost
+// a call a second from each.
+func TestCallsOfTheStoreAreFew(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		store := newFakeStore()
+		store.putPlan(1)
+		cluster(ctx, 20, store)
+		time.Sleep(5 * time.Second)
+		store.mu.Lock()
+		store.calls = 0
+		store.mu.Unlock()
+		time.Sleep(time.Minute)
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		// Three lookouts with two calls every 1.5 s, 17 others every 20 s.
+		assert.Assert(t, store.calls < 60/3*2*2*3/2*2+17*2*4, "%d calls", store.calls)
+		assert.Assert(t, store.calls < 400, "%d calls", store.calls)
+	})
+}
+
+// Entries lapse while the store is away. The process must see the outage before
+// it sees the empty list.
+func TestALapsedListAfterAnOutageTakesNobodyOut(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		store := newFakeStore()
+		store.putPlan(1)
+		store.putTarget("x", pool.Ready)
+		p := cluster(ctx, 1, store)[0]
+		time.Sleep(5 * time.Second)
+		store.mu.Lock()
+		store.failing = true
+		close(store.wake)
+		store.wake = make(chan struct{})
+		store.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		store.mu.Lock()
+		store.failing = false
+		store.mu.Unlock()
+		store.dropTarget("x")
+		time.Sleep(1500 * time.Millisecond)
+		assert.Assert(t, p.uses("x"))
+		store.putTarget("x", pool.Ready)
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, p.uses("x"))
+		store.dropTarget("x")
+		time.Sleep(500 * time.Millisecond)
+		assert.Assert(t, !p.uses("x"), "without an outage it is gone at once")
+	})
+}
+
+func TestAHistoryThatIsGoneIsReadWhole(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		store := newFakeStore()
+		store.putPlan(1)
+		store.putTarget("x", pool.Ready)
+		p := cluster(ctx, 1, store)[0]
+		time.Sleep(5 * time.Second)
+		store.mu.Lock()
+		store.revision += 10
+		store.oldest = store.revision
+		store.plan, store.planAt = &plan.Plan{Version: 9}, store.revision
+		store.changes = nil
+		close(store.wake)
+		store.wake = make(chan struct{})
+		store.mu.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, p.plans.Version(), uint64(9))
+		assert.Assert(t, !p.uses("x"))
+	})
+}
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -127,6 +127,9 @@
 type Ack struct {
 	// Refused means that the items can't be made before their deadline.
 	Refused bool `json:"refused,omitempty"`
+	// Unknown means that this process doesn't know the service: its
+	// configuration is older or newer than the asker's.
+	Unknown bool `json:"unknown,omitempty"`
 	// Wait is about how long a new item waits.
 	Wait Millis `json:"wait,omitempty"`
 }
@@ -138,7 +141,7 @@
 	defer g.mu.Unlock()
 	batch := g.batch(id)
 	if batch == nil {
-		return Ack{Refused: true}
+		return Ack{Unknown: true}
 	}
 	c := g.of(id)
 	wait := g.wait(c, batch, now)
@@ -168,7 +171,7 @@
 	defer g.mu.Unlock()
 	batch := g.batch(id)
 	if batch == nil {
-		return Ack{Refused: true}
+		return Ack{Unknown: true}
 	}
 	c := g.of(id)
 	can := sustained(g.steady(c, now), batch.Size, batch.RoomBytes, int(c.size.mean), batch.CallTime, batch.ItemTime)
@@ -240,7 +243,7 @@
 // dispatch starts a call at each free target while items wait. The caller
 // holds mu.
 func (g *Gatherer) dispatch(c *cell, batch *plan.Batch, now time.Time) {
-	g.expire(c, batch, now)
+	g.expire(c, batch, now, (*waiting).overdue)
 	passed := map[string]bool{}
 	for c.queue.len() > 0 {
 		target := g.pick(c, batch, passed, now)
@@ -256,6 +259,8 @@
 			g.start(c, batch, target, taken, now)
 		}
 	}
+	// What is late is given up only after free targets have had their choice.
+	g.expire(c, batch, now, (*waiting).hopeless)
 	if c.queue.len() > 0 {
 		g.lookLater(c)
 	}
@@ -277,8 +282,9 @@
 	})
 }
 
-func (g *Gatherer) expire(c *cell, batch *plan.Batch, now time.Time) {
-	for _, w := range c.queue.expired(now, batch.CallTime) {
+// expire gives up the items to which a condition applies. The caller holds mu.
+func (g *Gatherer) expire(c *cell, batch *plan.Batch, now time.Time, applies func(*waiting, time.Time, time.Duration) bool) {
+	for _, w := range c.queue.drop(now, batch.CallTime, applies) {
 		g.stats.Late++
 		c.ledger.begun(w.Key)
 		g.hand(c, w.owner, Result{Key: w.Key, Reason: Late})
@@ -441,6 +447,7 @@
 	}
 	g.stats.Repeated++
 	w.avoid = target.ID
+	w.since = time.Now()
 	c.queue.add(w)
 }
 
--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -54,26 +54,29 @@
 // meanwhile, and so make others late: rooms hold a bit over a second of results.
 const lateWait = 600 * time.Millisecond
 
-// hopeless tells whether an item is to be given up: it can't be made before its
-// deadline, or it is late and there has been no place for it.
+// overdue tells whether an item can't be made before its request's deadline.
+func (w *waiting) overdue(now time.Time, call time.Duration) bool {
+	return !now.Add(call).Before(w.expires)
+}
+
+// hopeless tells whether an item is late and there has been no place for it.
 func (w *waiting) hopeless(now time.Time, call time.Duration) bool {
-	done := now.Add(call)
-	return done.After(w.expires) || (done.After(w.due) && now.Sub(w.since) > lateWait)
+	return now.Add(call).After(w.due) && now.Sub(w.since) > lateWait
 }
 
-// expired takes out the items that are to be given up when the shortest call
+// drop takes out the items to which a condition applies when the shortest call
 // takes the given time.
-func (q *queue) expired(now time.Time, call time.Duration) []*waiting {
-	var late []*waiting
+func (q *queue) drop(now time.Time, call time.Duration, applies func(*waiting, time.Time, time.Duration) bool) []*waiting {
+	var dropped []*waiting
 	q.items = slices.DeleteFunc(q.items, func(w *waiting) bool {
-		if !w.hopeless(now, call) {
+		if !applies(w, now, call) {
 			return false
 		}
 		delete(q.byKey, w.Key)
-		late = append(late, w)
+		dropped = append(dropped, w)
 		return true
 	})
-	return late
+	return dropped
 }
 
 // rankStep is how much sooner an item counts as due for each rank that it is
--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -97,9 +97,10 @@
 // their deadline for nothing.
 func TestLateItemsWithoutAPlaceAreGivenUp(t *testing.T) {
 	q := queueOf(wait("late", 100*time.Millisecond), wait("in time", 5*time.Second))
-	assert.Equal(t, len(q.expired(start.Add(lateWait), callTime)), 0)
-	assert.DeepEqual(t, names(q.expired(start.Add(lateWait+time.Millisecond), callTime)), []string{"late"})
-	assert.DeepEqual(t, names(q.expired(start.Add(10*time.Second), callTime)), []string{"in time"})
+	assert.Equal(t, len(q.drop(start.Add(lateWait), callTime, (*waiting).hopeless)), 0)
+	assert.DeepEqual(t, names(q.drop(start.Add(lateWait+time.Millisecond), callTime, (*waiting).hopeless)), []string{"late"})
+	assert.Equal(t, len(q.drop(start.Add(9*time.Second), callTime, (*waiting).overdue)), 0)
+	assert.DeepEqual(t, names(q.drop(start.Add(10*time.Second), callTime, (*waiting).overdue)), []string{"in time"})
 	assert.Equal(t, q.len(), 0)
 }
 
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -235,18 +236,27 @@
 	gatherer := r.gatherers(cell, now)[0]
 	due := p.Due.Sub(now)
 	if gatherer == r.network.Self().Incarnation {
-		return refusal(cell, r.own.Ask(cell, request, p.Stage, p.Rank, p.Items, due, now))
+		return promised(cell, r.own.Ask(cell, request, p.Stage, p.Rank, p.Items, due, now))
 	}
 	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
 	defer cancel()
 	call := askCall{Cell: cell, Request: request, Stage: p.Stage, Rank: p.Rank, Items: p.Items, Due: ToMillis(due)}
 	var ack Ack
 	if err := r.network.Call(ctx, gatherer, methodAsk, call, &ack); err != nil {
-		if ctx.Err() == nil || context.Cause(ctx) == context.DeadlineExceeded {
+		if ctx.Err() == nil || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 			r.passBy(gatherer, err)
 		}
 		return nil
 	}
+	return promised(cell, ack)
+}
+
+// promised tells whether a cell's answer is a refusal. One that doesn't know the
+// service can't say.
+func promised(cell Cell, ack Ack) error {
+	if ack.Unknown {
+		return nil
+	}
 	return refusal(cell, ack)
 }
 
@@ -358,9 +368,12 @@
 	self := r.network.Self().Incarnation
 	for _, candidate := range r.gatherers(cell, time.Now()) {
 		ack, err := r.offer(ctx, candidate, cell, wanted)
-		if err == nil {
+		if err == nil && !ack.Unknown {
 			return refusal(cell, ack)
 		}
+		if err == nil {
+			err = errUnknownService
+		}
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
@@ -370,7 +383,13 @@
 	return refusal(cell, ack)
 }
 
+// errUnknownService means that a gatherer's configuration lacks the service.
+var errUnknownService = errors.New("the gatherer doesn't know the service")
+
 func refusal(cell Cell, ack Ack) error {
+	if ack.Unknown {
+		return &Refused{Reason: Idle, Service: cell.Service}
+	}
 	if ack.Refused {
 		return &Refused{Reason: Late, Service: cell.Service, Wait: ack.Wait.Duration()}
 	}
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -19,8 +19,11 @@
 	mu        sync.RWMutex // guards what follows
 	byID      map[string]*Target
 	byService map[string][]*Target // replaced, never changed in place
-	revision  uint64
-	known     bool
+	// revision up to which all changes are known, newest that of the last change
+	// itself: the list's revision grows with changes of other things too.
+	revision uint64
+	newest   uint64
+	known    bool
 	// backAt is when the list came back after an outage, zero outside one's
 	// aftermath.
 	backAt  time.Time
@@ -52,11 +55,11 @@
 // begins to drain. fn must not call the Table. Call before the first Apply.
 func (t *Table) OnLeave(fn func(*Target)) { t.onLeave = append(t.onLeave, fn) }
 
-// Revision is that of the newest row applied.
-func (t *Table) Revision() uint64 {
+// Newest is the revision of the last change known.
+func (t *Table) Newest() uint64 {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.revision
+	return t.newest
 }
 
 // Known tells whether a whole list was ever read.
@@ -129,6 +132,7 @@
 	touched := map[string]bool{}
 	for _, c := range changes {
 		old := t.byID[c.ID]
+		t.newest = max(t.newest, c.Revision)
 		if old != nil && (old.entry.Revision >= c.Revision || earlierRun(c, old)) {
 			continue
 		}
@@ -281,7 +285,8 @@
 	return nil
 }
 
-// Entries lists all entries known, for a peer that can't read the list.
+// Entries lists all entries known and the revision of the last change, for a
+// peer that can't read the list.
 func (t *Table) Entries() ([]Entry, uint64) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -291,7 +296,7 @@
 		entries = append(entries, target.entry)
 		target.mu.Unlock()
 	}
-	return entries, t.revision
+	return entries, t.newest
 }
 
 // Begin notes a call at a target. tokens is its prompt's length, 0 for calls
--- a/internal/serve/quota/quota.go
+++ b/internal/serve/quota/quota.go
@@ -37,8 +37,14 @@
 	since     time.Time // when the number of members was learned
 }
 
+// defaultWindow is used where a rule has no window.
+const defaultWindow = 10 * time.Second
+
 // New makes a budget for a process that starts now.
 func New(rule Rule, now time.Time) *Budget {
+	if rule.Window <= 0 {
+		rule.Window = defaultWindow
+	}
 	return &Budget{rule: rule, byService: map[string]*window{}, members: 1, since: now}
 }
 
--- a/internal/serve/run/play_test.go
+++ b/internal/serve/run/play_test.go
@@ -55,6 +55,8 @@
 	away map[string]int
 	slow map[string]float64
 	fail func(gather.Item) bool
+	// behind are how many processes know none of the services yet.
+	behind int
 	// length of the load; 0 is playTime.
 	length time.Duration
 	// meanwhile is called beside the load with the processes' networks.
@@ -162,7 +164,7 @@
 				}
 				time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 				at := executors[random.IntN(len(executors))]
-				if !nodes[slices.Index(executors, at)].Living() {
+				if i := slices.Index(executors, at); i < s.behind || !nodes[i].Living() {
 					continue // its callers go elsewhere
 				}
 				pieces, id := k.pieces(random), fmt.Sprintf("%s-%d", k.name, n)
@@ -233,7 +235,7 @@
 			cluster = &servetest.Cluster{Delay: time.Millisecond}
 		}
 		node := cluster.Add(fmt.Sprintf("vm-%d", i), zoneName(i%len(s.perZone)))
-		executors = append(executors, s.process(life, p, node, pools))
+		executors = append(executors, s.process(life, p, node, pools, i < s.behind))
 		nodes = append(nodes, node)
 	}
 	return executors, nodes
@@ -241,11 +243,15 @@
 
 func zoneName(i int) string { return string(rune('a' + i)) }
 
-func (s site) process(life context.Context, p policy, node *servetest.Node, pools *servetest.Pools) *Executor {
+func (s site) process(life context.Context, p policy, node *servetest.Node, pools *servetest.Pools, behind bool) *Executor {
 	table := pool.New(zap.NewNop())
 	table.Reset(s.entries(), 1, time.Now())
 	plans := &plan.Holder{}
-	plans.Apply(&plan.Plan{Version: 1, Services: append([]plan.Service{{Name: "engines"}}, s.services...)})
+	services := []plan.Service{{Name: "engines"}}
+	if !behind {
+		services = append(services, s.services...)
+	}
+	plans.Apply(&plan.Plan{Version: 1, Services: services})
 	return &Executor{
 		Log: zap.NewNop(), Plans: plans, Table: table, Zone: node.Self().Zone,
 		Budget: quota.New(quota.Rule{}, time.Now()),
@@ -384,6 +390,21 @@
 	})
 }
 
+// A new configuration has reached some processes and not yet others. The ones
+// that gather for a new service know nothing of it; its requests would be
+// refused until the last process has heard.
+func TestAGathererThatDoesNotKnowTheServiceIsPassedBy(t *testing.T) {
+	load := reservoir()
+	load.behind, load.length = 3, 6*time.Second
+	synctest.Test(t, func(t *testing.T) {
+		p := play(9, load, policy{})
+		report(t, "three of eight behind", p)
+		for name, k := range p.kinds {
+			assert.Assert(t, k.share() > 0.9, "%s: %+v", name, k)
+		}
+	})
+}
+
 // One stage target of five works four times as slowly. Whoever is in its call
 // waits a second and a half.
 func TestASlowStageTargetHurtsFew(t *testing.T) {
--- a/internal/serve/upstream/upstream_test.go
+++ b/internal/serve/upstream/upstream_test.go
@@ -98,8 +98,8 @@
 
 func TestAWholeAnswersConnectionIsUsedAgain(t *testing.T) {
 	for name, answer := range map[string]string{
-		"length": plain,
-		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"length":  plain,
+		"chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
 		"interim": "HTTP/1.1 100 Continue\r\n\r\n" + plain,
 	} {
 		address := target(t, answering(answer))
