A request that crashes its targets gets no more after the third, at any VM

The test first failed: twelve sendings through two VMs took all six targets. Evidence is the product's (internal/suspect), told to the peers; a target is held for dead when nothing listens there 50 ms after the connection broke.

--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -157,6 +157,7 @@
 	if sent {
 		j.arrivals++
 		j.ran++
+		j.broke(target.Address)
 	}
 	j.Log.Info("Attempt got no answer.", requestID(j.req.ID), zap.String("target", target.ID),
 		zap.Bool("sent", sent), zap.Error(err))
@@ -197,6 +198,7 @@
 			outcome = pool.Abandoned
 		}
 		call.End(outcome, time.Now())
+		j.broke(target.Address)
 		j.Log.Info("Answer was cut.", requestID(j.req.ID), zap.String("target", target.ID), zap.Error(err))
 		return attempt{target: target, arrived: true, mayHaveRun: true, err: err}
 	}
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -14,6 +14,7 @@
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/quota"
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
+	"github.com/vanillagate/vanillagate/internal/suspect"
 )
 
 // ErrTimeout ends the work on a request whose time is up, ErrCallerLeft that of
@@ -41,6 +42,19 @@
 	Budget  *quota.Budget
 	Zone    string
 	Metrics *Metrics
+	// Suspicion knows the requests that crash their targets; nil for none.
+	Suspicion Suspicion
+}
+
+// Suspicion knows the requests that crash their targets, whichever process they
+// come to.
+type Suspicion interface {
+	// Convicted tells that a request has crashed so many targets that it gets
+	// no more.
+	Convicted(suspect.Fingerprint) bool
+	// Broke notes that a request's connection to a target broke. Whether the
+	// target died is found out meanwhile.
+	Broke(f suspect.Fingerprint, address string)
 }
 
 // job is one request on its way.
@@ -61,6 +75,8 @@
 	arrivals int
 	// held is what kept the stages from being done.
 	held error
+	// content identifies the request by what its target gets to see.
+	content suspect.Fingerprint
 }
 
 // Run answers a request. The context ends with ErrCallerLeft when the caller
@@ -95,6 +111,10 @@
 			return refuse(fasthttp.StatusUnauthorized, NoKey, 0)
 		}
 	}
+	j.content = j.fingerprint()
+	if j.Suspicion != nil && j.Suspicion.Convicted(j.content) {
+		return refuse(fasthttp.StatusServiceUnavailable, CrashesTargets, 0)
+	}
 	j.service = j.route.Pick(rand.Float64())
 	j.deadline = j.req.Arrived.Add(j.patience())
 	j.ctx, j.cancel = context.WithDeadlineCause(ctx, j.deadline, ErrTimeout)
@@ -102,6 +122,23 @@
 	return nil
 }
 
+// fingerprint is the same however often, and through whichever process, a
+// caller sends the same request.
+func (j *job) fingerprint() suspect.Fingerprint {
+	team := ""
+	if j.team != nil {
+		team = j.team.Name
+	}
+	return suspect.Of(team, j.req.Method, j.req.Host, j.req.URI, string(j.req.Body))
+}
+
+// broke notes that a connection to a target broke under the request.
+func (j *job) broke(address string) {
+	if j.Suspicion != nil && j.ctx.Err() == nil {
+		j.Suspicion.Broke(j.content, address)
+	}
+}
+
 // patience is the shorter of the caller's and the route's time.
 func (j *job) patience() time.Duration {
 	limit := defaultPatience
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -94,6 +94,7 @@
 	LostAnswer      Reason = "target gave no answer"
 	TimedOut        Reason = "time is up"
 	CallerLeft      Reason = "caller left"
+	CrashesTargets  Reason = "it crashes its targets"
 )
 
 // Reply is the answer to a caller.
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -153,6 +153,7 @@
 	}
 	s.answer.Close()
 	s.call.End(outcome, time.Now())
+	j.broke(s.target.Address)
 	j.tried[s.target.ID] = true
 	for j.ctx.Err() == nil && j.route.Resumable && j.ran < j.route.Attempts && j.arrivals < maxArrivals {
 		if !j.Budget.Repeat(j.service, time.Now()) {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -85,6 +85,7 @@
 	s.executor = &run.Executor{
 		Log: logging.Part(o.Log, "request"), Plans: s.plans, Table: s.table, Client: s.client, Codec: o.Codec,
 		Stages: s.stages, Budget: s.budget, Zone: o.Zone, Metrics: &run.Metrics{Registry: o.Metrics},
+		Suspicion: newSuspicion(s.life, logging.Part(o.Log, "suspicion"), network),
 	}
 	return s, nil
 }
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -132,6 +132,17 @@
 	return t.verdict(f, now)
 }
 
+// Crashes counts the targets that died under a request.
+func (t *Table) Crashes(f Fingerprint, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[f]
+	if r == nil || now.Sub(r.seenAt) > Memory {
+		return 0
+	}
+	return len(r.crashes)
+}
+
 func (t *Table) verdict(f Fingerprint, now time.Time) Verdict {
 	r := t.records[f]
 	if r == nil || now.Sub(r.seenAt) > Memory {
