peer: a freeze is told by the clock since the VM's start, not the time of day

Cause: a step of the time of day by more than 5 s was taken for a freeze; the process forgot its peers and told callers of no address but its own.

--- a/internal/peer/clock.go
+++ b/internal/peer/clock.go
@@ -1,25 +1,47 @@
 package peer
 
-import "time"
+import (
+	"time"
 
-// beatClock notices that this process stood still: SIGSTOP, a paused VM, or
-// a wall clock that was set.
+	"golang.org/x/sys/unix"
+)
+
+// instant is a moment on two clocks: the monotonic one, which stands still in a
+// paused VM, and the one that counts from the VM's start, which doesn't. Neither
+// is the time of day, which operators and time services set by seconds: a
+// process that took that for a freeze would forget its peers, and tell callers
+// of no address but its own.
+type instant struct {
+	mono time.Time
+	boot time.Duration
+}
+
+func instantOf(now time.Time) instant { return instant{mono: now, boot: sinceBoot()} }
+
+// sinceBoot is the time since the VM's start, pauses included; 0 where the
+// system has no such clock, and then only the monotonic clock counts.
+func sinceBoot() time.Duration {
+	var t unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) != nil {
+		return 0
+	}
+	return time.Duration(t.Nano())
+}
+
+// beatClock notices that this process stood still: SIGSTOP or a paused VM.
 type beatClock struct {
-	last  time.Time
+	last  instant
 	limit time.Duration
 }
 
-func newBeatClock(now time.Time, limit time.Duration) beatClock {
+func newBeatClock(now instant, limit time.Duration) beatClock {
 	return beatClock{last: now, limit: limit}
 }
 
 // jumped tells whether far more time than a beat passed since the last one on
-// either clock. The monotonic clock stands still in a paused VM, the wall
-// clock doesn't; a process that was stopped sees both go on.
-func (c *beatClock) jumped(now time.Time) bool {
-	monotonic := now.Sub(c.last)
-	wall := now.Round(0).Sub(c.last.Round(0))
-	return monotonic > c.limit || wall > c.limit || wall < -c.limit
+// either clock.
+func (c *beatClock) jumped(now instant) bool {
+	return now.mono.Sub(c.last.mono) > c.limit || now.boot-c.last.boot > c.limit
 }
 
-func (c *beatClock) beat(now time.Time) { c.last = now }
+func (c *beatClock) beat(now instant) { c.last = now }
--- a/internal/peer/live.go
+++ b/internal/peer/live.go
@@ -39,7 +39,7 @@
 	n.beats++
 	beats := n.beats
 	n.awake(now)
-	n.clock.beat(now)
+	n.clock.beat(instantOf(now))
 	n.announce(n.table.Tick(now), nil)
 	n.store.sweep(now)
 	n.publishPaced(now)
@@ -76,10 +76,11 @@
 // its beliefs asks this first: between the end of a freeze and the next beat
 // there is time for a message. The caller holds mu.
 func (n *Node) awake(now time.Time) bool {
-	if !n.clock.jumped(now) {
+	at := instantOf(now)
+	if !n.clock.jumped(at) {
 		return true
 	}
-	n.clock.beat(now)
+	n.clock.beat(at)
 	n.refresh()
 	return false
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -135,7 +135,7 @@
 		n.opts.Self.PeerAddress = listener.Addr().String()
 	}
 	n.table = member.NewTable(n.record(), n.opts.limits())
-	n.clock = newBeatClock(time.Now(), max(stalePeriods*n.opts.Period, leastStale))
+	n.clock = newBeatClock(instantOf(time.Now()), max(stalePeriods*n.opts.Period, leastStale))
 	n.mu.Unlock()
 	n.ctx, n.stop = context.WithCancel(ctx)
 	n.tasks.Go(n.accept)
