--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -98,9 +98,16 @@
 
 // launch starts a program that is ended with the test.
 func launch(t *testing.T, name, binary string, args ...string) *process {
+	t.Helper()
+	return launchCommand(t, name, func(*exec.Cmd) {}, binary, args...)
+}
+
+// launchCommand starts a program after prepare has changed how.
+func launchCommand(t *testing.T, name string, prepare func(*exec.Cmd), binary string, args ...string) *process {
 	t.Helper()
 	p := &process{name: name, log: &bytes.Buffer{}, done: make(chan struct{})}
 	p.cmd = exec.Command(program(binary), args...)
+	prepare(p.cmd)
 	p.cmd.Stdout, p.cmd.Stderr = p, p
 	assert.NilError(t, p.cmd.Start())
 	go func() {
