--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PROGRAMS := vanillagate vgedge vgsteward vgctl vgload vgstandin
 TESTFLAGS ?=
 
-.PHONY: all build fmt format-check lint unit race integration check demo bench bench-quick overhead slopes clean
+.PHONY: all build fmt format-check lint unit race integration check demo demo-platform bench bench-quick overhead slopes clean
 
 all: build
 
@@ -40,6 +40,10 @@
 demo: build
 	@scripts/demo.sh
 
+# The same on a stand-in of the users' platform.
+demo-platform: build
+	@scripts/demo-platform.sh
+
 bench: build
 	scripts/bench.sh
 
--- a/internal/serve/follow/follow_test.go
+++ b/internal/serve/follow/follow_test.go
@@ -21,7 +21,7 @@
 type fakeStore struct {
 	mu       sync.Mutex
 	revision uint64
-	plan     *plan.Plan
+	plan     stored
 	planAt   uint64
 	changes  []pool.Change
 	oldest   uint64
@@ -32,6 +32,17 @@
 	calls   int
 }
 
+// stored is the version of a plan in the store; 0 for none. Each reader gets a
+// plan of its own, as from a real store.
+type stored uint64
+
+func (v stored) copy() *plan.Plan {
+	if v == 0 {
+		return nil
+	}
+	return &plan.Plan{Version: uint64(v)}
+}
+
 var errDown = errors.New("down")
 
 func newFakeStore() *fakeStore { return &fakeStore{wake: make(chan struct{})} }
@@ -46,7 +57,7 @@
 }
 
 func (s *fakeStore) putPlan(version uint64) {
-	s.change(func() { s.plan, s.planAt = &plan.Plan{Version: version}, s.revision })
+	s.change(func() { s.plan, s.planAt = stored(version), s.revision })
 }
 
 func (s *fakeStore) putTarget(id string, state pool.State) {
@@ -85,14 +96,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.plan, s.revision, nil
+	return s.plan.copy(), s.revision, nil
 }
 
 func (s *fakeStore) WatchPlan(ctx context.Context, after uint64, hold time.Duration) (*plan.Plan, uint64, error) {
 	var p *plan.Plan
 	revision, err := s.hold(ctx, after, hold, func() bool {
 		if s.planAt > after {
-			p = s.plan
+			p = s.plan.copy()
 		}
 		return p != nil
 	})
@@ -357,7 +368,7 @@
 		store.mu.Lock()
 		store.revision += 10
 		store.oldest = store.revision
-		store.plan, store.planAt = &plan.Plan{Version: 9}, store.revision
+		store.plan, store.planAt = 9, store.revision
 		store.changes = nil
 		close(store.wake)
 		store.wake = make(chan struct{})
--- a/internal/standin/program/program.go
+++ b/internal/standin/program/program.go
@@ -94,6 +94,7 @@
 				Flags:  append(commonFlags(), targetFlags()...),
 				Action: run(targetParts),
 			},
+			edgeCommand(),
 		},
 	}
 }
@@ -101,7 +102,7 @@
 // noCommand is run when no subcommand was named.
 func noCommand(_ context.Context, cmd *cli.Command) error {
 	if name := cmd.Args().First(); name != "" {
-		return fmt.Errorf("unknown command %q; known are fleet, platform and targets", name)
+		return fmt.Errorf("unknown command %q; known are fleet, platform, targets and edge", name)
 	}
 	return cli.ShowAppHelp(cmd)
 }
