Stages: rooms full of results that nobody here knows are learnt from refusals

A target without room is now held for full but for what falls free, such an item isn't counted as tried, and promises reckon with it.

--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -31,10 +31,13 @@
 	maxTries = 3
 	// fullPause is how long a target that was full isn't tried: another process
 	// gathers for it as well, or a call that was given up still runs.
-	fullPause = 60 * time.Millisecond
+	fullPause = 100 * time.Millisecond
 	// lookPeriod is how often a cell whose items wait is looked at for those
 	// that can no longer be in time, when no call ends meanwhile.
 	lookPeriod = 40 * time.Millisecond
+	// foreignTime is how long a room that was full of results unknown here is
+	// held for full. They lapse one by one over four seconds.
+	foreignTime = 500 * time.Millisecond
 	// freePeriod is how long results to be freed are collected for one call.
 	// Rooms hold about 1.2 s of results and bind first in a burst, so that each
 	// 25 ms cost 2% of a pool.
@@ -174,21 +177,26 @@
 		return Ack{Unknown: true}
 	}
 	c := g.of(id)
-	can := sustained(g.steady(c, now), batch.Size, batch.RoomBytes, int(c.size.mean), batch.CallTime, batch.ItemTime)
+	targets, room := g.steady(c, batch, now)
+	can := sustained(targets, batch.Size, room, int(c.size.mean), batch.CallTime, batch.ItemTime)
 	key := groupKey{Request: request, Stage: stage}
 	granted, excess := c.ledger.ask(now, key, rank, promise{items: items, due: now.Add(due)}, can)
 	return Ack{Refused: !granted, Wait: ToMillis(excess)}
 }
 
-// steady counts the targets that work at their usual pace.
-func (g *Gatherer) steady(c *cell, now time.Time) int {
-	n := 0
+// steady counts the targets that work at their usual pace, and gives the mean
+// room that each has for results of ours.
+func (g *Gatherer) steady(c *cell, batch *plan.Batch, now time.Time) (targets, room int) {
 	for _, v := range g.sound(c, now) {
 		if p := c.paces[v.ID]; p == nil || !p.slow(now) {
-			n++
+			targets++
+			room += batch.RoomBytes - g.roomOf(c, v.Address, now).foreign()
 		}
 	}
-	return n
+	if targets > 0 {
+		room /= targets
+	}
+	return targets, room
 }
 
 func (g *Gatherer) batch(id Cell) *plan.Batch {
@@ -454,13 +462,15 @@
 // finished hands out the results of a call. The caller holds mu.
 func (g *Gatherer) finished(c *cell, batch *plan.Batch, target *pool.Target, taken []*waiting, results []Result, now time.Time) {
 	byOwner := map[string][]Result{}
+	lacking := false
 	for i, w := range taken {
 		r := results[i]
 		r.Key = w.Key
 		r.Zone = target.Zone
 		switch r.Reason {
 		case NoRoom:
-			g.roomOf(c, target.Address, now).put("unknown", batch.RoomBytes/2, now.Add(fullPause))
+			lacking = true
+			w.tries-- // it wasn't tried
 			g.again(c, w, target, NoRoom)
 			continue
 		case Broken:
@@ -474,6 +484,9 @@
 		}
 		byOwner[w.owner] = append(byOwner[w.owner], r)
 	}
+	if lacking {
+		g.roomOf(c, target.Address, now).full(batch.RoomBytes, now.Add(foreignTime))
+	}
 	for owner, list := range byOwner {
 		g.hand(c, owner, list...)
 	}
--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -231,3 +231,20 @@
 	p.took(300*time.Millisecond, 300*time.Millisecond, start.Add(slowPause))
 	assert.Assert(t, !p.slow(start.Add(slowPause)))
 }
+
+// The process that gathered before has died, and its results fill the rooms
+// until they lapse. A target that says it has no room isn't asked for more than
+// what falls free.
+func TestARoomFullOfForeignResults(t *testing.T) {
+	r := &room{}
+	r.put("ours", 300, start.Add(4*time.Second))
+	r.full(1000, start.Add(foreignTime))
+	assert.Equal(t, r.bytes, 1000)
+	assert.Equal(t, r.foreign(), 700)
+	r.full(1000, start.Add(2*foreignTime))
+	assert.Equal(t, r.bytes, 1000, "told twice")
+	r.drop("ours")
+	assert.Equal(t, r.bytes, 700, "what is given back may be used")
+	r.sweep(start.Add(2*foreignTime + 1))
+	assert.Equal(t, r.bytes, 0)
+}
--- a/internal/serve/gather/rooms.go
+++ b/internal/serve/gather/rooms.go
@@ -11,6 +11,20 @@
 	early map[string]bool
 }
 
+// foreign stands for results that this process knows nothing of: made for one
+// that gathered before and died, or that gathers as well. Nobody gives them
+// back; they lapse.
+const foreign = "foreign"
+
+// full notes that a target had no room for more, though there should have been
+// some.
+func (r *room) full(size int, expires time.Time) {
+	r.put(foreign, max(size-r.bytes+r.foreign(), 0), expires)
+}
+
+// foreign is how much space such results take.
+func (r *room) foreign() int { return r.results[foreign].bytes }
+
 type kept struct {
 	bytes   int
 	expires time.Time
