--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -37,6 +37,7 @@
 			},
 			Action: d.with(0, d.showCost),
 		},
+		d.explainCommand(),
 		{
 			Name: "key", Usage: "bearer keys", Action: noCommand,
 			Commands: []*cli.Command{{
--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -224,6 +224,12 @@
 	}
 }
 
+// Failing tells for how long the store hasn't answered about the configuration
+// and about targets; 0 while it does.
+func (f *Follower) Failing() (plan, targets time.Duration) {
+	return f.planFeed.failing(), f.targetFeed.failing()
+}
+
 // failing tells for how long the store has been failing.
 func (d *feed) failing() time.Duration {
 	since := d.failingSince.Load()
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -80,6 +80,8 @@
 	Failed   int
 	Late     int
 	Repeated int
+	// InVain counts results that nobody waited for any more.
+	InVain int
 }
 
 // cell is the state of one cell.
@@ -512,6 +514,13 @@
 	}
 }
 
+// inVain counts results that nobody waited for.
+func (g *Gatherer) inVain(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stats.InVain += n
+}
+
 // Cancel drops what waits for requests that were given up.
 func (g *Gatherer) Cancel(id Cell, requests []string) {
 	g.mu.Lock()
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -541,7 +541,9 @@
 	for gatherer, request := range byGatherer {
 		r.cancel(gatherer, cell, request)
 	}
-	r.Free(cell, handlesOf(append(done.Results, unread(results)...)))
+	made := handlesOf(append(done.Results, unread(results)...))
+	r.own.inVain(len(made))
+	r.Free(cell, made)
 }
 
 // unread are the results that have come and that nobody has taken in. No more
@@ -609,6 +611,7 @@
 		p.done <- result
 	}
 	r.mu.Unlock()
+	r.own.inVain(len(unwanted))
 	r.Free(cell, handlesOf(unwanted))
 }
 
--- /dev/null
+++ b/internal/serve/gauges.go
@@ -0,0 +1,58 @@
+package serve
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// gauges shows what this process believes, once a second.
+type gauges struct{ registry metrics.Registry }
+
+func (g gauges) set(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, g.registry).Update(value)
+}
+
+// observe takes a look at the server. Series by service are as many as the
+// configuration has services.
+func (s *Server) observe(now time.Time) {
+	g := gauges{registry: s.metrics}
+	g.set("plan.version", int64(s.plans.Version()))
+	g.set("targets.revision", int64(s.table.Newest()))
+	g.set("members", int64(1+len(s.network.Members())))
+	g.set("requests.in_flight", s.inFlight.Load())
+	g.set("targets.connections_opened", s.client.Dialed())
+	plan, targets := s.follower.Failing()
+	g.set("store.configuration_silent_ms", plan.Milliseconds())
+	g.set("store.targets_silent_ms", targets.Milliseconds())
+	stages := s.stages.Gatherer().Stats()
+	g.set("stages.calls", int64(stages.Calls))
+	g.set("stages.items", int64(stages.Items))
+	g.set("stages.items_failed", int64(stages.Failed))
+	g.set("stages.items_late", int64(stages.Late))
+	g.set("stages.items_repeated", int64(stages.Repeated))
+	g.set("stages.results_in_vain", int64(stages.InVain))
+	p := s.plans.Current()
+	if p == nil {
+		return
+	}
+	for i := range p.Services {
+		s.observeService(g, p.Services[i].Name, now)
+	}
+}
+
+func (s *Server) observeService(g gauges, service string, now time.Time) {
+	label := `{service="` + service + `"}`
+	usable, out, busy := 0, 0, 0
+	for _, v := range s.table.Views(service, now) {
+		usable++
+		busy += v.InFlight
+		if v.Weight == 0 {
+			out++
+		}
+	}
+	g.set("vanillagate_service_targets"+label, int64(usable))
+	g.set("vanillagate_service_targets_out"+label, int64(out))
+	g.set("vanillagate_service_calls"+label, int64(busy))
+	g.set("vanillagate_service_repeats_left"+label, int64(s.budget.Left(service, now)))
+}
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -103,6 +103,7 @@
 // nothing ran counts as failed.
 func (j *job) send(ctx context.Context, target *pool.Target, lastEvent string) (*upstream.Answer, *pool.Call, *attempt) {
 	now := time.Now()
+	j.askedAt = now
 	call := j.Table.Begin(target, j.req.Prompt.Input, now)
 	answer, err := j.Client.Send(ctx, j.request(target, lastEvent, now))
 	if err != nil {
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -75,6 +75,10 @@
 	arrivals int
 	// held is what kept the stages from being done.
 	held error
+	// preparedAt is when the stages were done, askedAt when the last target was
+	// asked; zero before.
+	preparedAt time.Time
+	askedAt    time.Time
 	// content identifies the request by what its target gets to see.
 	content suspect.Fingerprint
 }
@@ -184,6 +188,7 @@
 	made, err := j.makeInputs()
 	if err == nil {
 		j.inputs = made
+		j.preparedAt = time.Now()
 		return nil
 	}
 	j.held = err
--- a/internal/serve/run/metrics.go
+++ b/internal/serve/run/metrics.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -11,6 +12,9 @@
 // the answer's head for each kind of route and each team.
 type Metrics struct{ Registry metrics.Registry }
 
+// series names a metric with one label.
+func series(name, label, value string) string { return name + "{" + label + "=" + strconv.Quote(value) + "}" }
+
 // sampleSize of the histograms, and how much the newest values count; the
 // library's usual figures.
 const (
@@ -41,20 +45,38 @@
 	m.count("streams.cut")
 }
 
+// late tells where the time of an answer went that came after its objective.
+func (e *Executor) late(j *job, took time.Duration) {
+	e.Metrics.count("answers.late")
+	fields := []zap.Field{
+		requestID(j.req.ID), zap.String("route", j.route.Name), zap.String("service", j.service),
+		zap.Duration("after", took), zap.Duration("objective", j.route.Objective),
+		zap.Duration("target_took", time.Since(j.askedAt)), zap.Int("arrivals", j.arrivals),
+	}
+	if !j.preparedAt.IsZero() {
+		fields = append(fields, zap.Duration("stages_took", j.preparedAt.Sub(j.req.Arrived)))
+	}
+	e.Log.Info("Answer came late.", fields...)
+}
+
 // note records what became of a request. Answers of our own get a line in the
 // log with what decided them; targets' answers only at debug level, since
 // there are as many as requests.
 func (e *Executor) note(j *job, reply *Reply) {
 	took := time.Since(j.req.Arrived)
 	if reply.Answer != nil {
-		e.Metrics.count("answers.of_targets")
-		e.Metrics.observe("answer_us.kind."+string(j.route.Kind), took)
+		e.Metrics.count("vanillagate_answers{by=\"target\"}")
+		e.Metrics.observe(series("vanillagate_answer_us", "kind", string(j.route.Kind)), took)
 		if j.team != nil {
-			e.Metrics.observe("answer_us.team."+j.team.Name, took)
+			e.Metrics.observe(series("vanillagate_answer_us", "team", j.team.Name), took)
+		}
+		if j.route.Objective > 0 && took > j.route.Objective {
+			e.late(j, took)
 		}
 		return
 	}
-	e.Metrics.count("answers.own." + string(reply.Reason))
+	e.Metrics.count("vanillagate_answers{by=\"this process\"}")
+	e.Metrics.count(series("vanillagate_own_answers", "reason", string(reply.Reason)))
 	fields := []zap.Field{
 		requestID(j.req.ID), zap.Int("status", reply.Status), zap.String("reason", string(reply.Reason)),
 		zap.Duration("after", took), zap.Duration("retry_after", reply.RetryAfter),
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -34,6 +34,9 @@
 	resumed bool
 	ended   bool
 	failure error
+	// heard is when bytes came last, longest the longest pause between them.
+	heard   time.Time
+	longest time.Duration
 	buffer  [readBytes]byte
 }
 
@@ -78,6 +81,11 @@
 }
 
 func (s *stream) arrived(data []byte) {
+	now := time.Now()
+	if !s.heard.IsZero() {
+		s.longest = max(s.longest, now.Sub(s.heard))
+	}
+	s.heard = now
 	if !s.begun {
 		s.begun = true
 		s.call.Begun()
@@ -147,6 +155,7 @@
 // broken goes on at another target, if the stream may.
 func (s *stream) broken(err error) {
 	j := s.job
+	from := s.target.ID
 	outcome := pool.Failed
 	if j.ctx.Err() != nil {
 		outcome = pool.Abandoned
@@ -160,12 +169,12 @@
 			break
 		}
 		if s.resume() {
-			j.Log.Info("Stream goes on at another target.", requestID(j.req.ID), zap.String("from", s.target.ID),
-				zap.String("after_event", s.last), zap.Error(err))
+			j.Log.Info("Stream goes on at another target.", requestID(j.req.ID), zap.String("from", from),
+				zap.String("to", s.target.ID), zap.String("after_event", s.last), zap.Error(err))
 			return
 		}
 	}
-	j.Log.Warn("Stream broke.", requestID(j.req.ID), zap.String("target", s.target.ID),
+	j.Log.Warn("Stream broke.", requestID(j.req.ID), zap.String("target", from),
 		zap.String("after_event", s.last), zap.Error(err))
 	s.part = nil
 	s.finish(cutError(j.ctx, err), outcome)
@@ -219,6 +228,10 @@
 	s.answer.Close()
 	s.call.End(outcome, time.Now())
 	s.job.end()
+	if s.job.route.Gap > 0 && s.longest > s.job.route.Gap {
+		s.job.Log.Info("Stream had a long pause.", requestID(s.job.req.ID), zap.String("target", s.target.ID),
+			zap.Duration("pause", s.longest), zap.Duration("objective", s.job.route.Gap), zap.Bool("resumed", s.resumed))
+	}
 	s.job.Metrics.streamEnded(s.job, errors.Is(failure, io.EOF))
 }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -46,6 +46,7 @@
 // Server is the serving core of one process.
 type Server struct {
 	log      *zap.Logger
+	metrics  metrics.Registry
 	zone     string
 	plans    *plan.Holder
 	table    *pool.Table
@@ -70,7 +71,7 @@
 		return nil, eris.Wrap(err, "serve")
 	}
 	s := &Server{
-		log: logging.Part(o.Log, "serve"), zone: o.Zone, network: network,
+		log: logging.Part(o.Log, "serve"), metrics: o.Metrics, zone: o.Zone, network: network,
 		plans: &plan.Holder{}, client: &upstream.Client{}, budget: quota.New(o.Budget, time.Now()),
 	}
 	s.life, s.stop = context.WithCancel(context.Background())
@@ -100,8 +101,8 @@
 	return nil
 }
 
-// housekeepPeriod is how often unused connections are closed and members
-// counted.
+// housekeepPeriod is how often unused connections are closed, members counted
+// and gauges set.
 const housekeepPeriod = time.Second
 
 func (s *Server) housekeep() {
@@ -109,6 +110,7 @@
 		now := time.Now()
 		s.client.Prune(now)
 		s.budget.Members(1+len(s.network.Members()), now)
+		s.observe(now)
 	}
 }
 
