--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -159,6 +159,9 @@
 		if c.running[item.Key] {
 			continue
 		}
+		if id.Zone != "" {
+			item.Zone = "" // all targets of the cell are alike
+		}
 		c.feeding.add(item)
 		c.ledger.note(item.group(), promise{items: 1, due: now.Add(item.Due.Duration())})
 		c.queue.add(&waiting{
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -1,10 +1,12 @@
 package gather
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -196,6 +198,9 @@
 	Items   int
 	Due     time.Time
 	Rank    int
+	// Zone is where the stage will be made if the service is divided by zone;
+	// empty for anywhere.
+	Zone string
 }
 
 // Ask asks the gatherers of all stages whether they can make a request's items
@@ -208,7 +213,7 @@
 	answers := make(chan error, len(plans))
 	asked := make([]Cell, len(plans))
 	for i, p := range plans {
-		cell, err := r.cellOf(Work{Service: p.Service, Items: []Item{{Key: Key{Request: request}}}})
+		cell, err := r.cellOf(p.Service, p.Zone, request)
 		if err != nil {
 			return err
 		}
@@ -279,7 +284,7 @@
 // Make has the items made and waits for all of them. The error is *Refused or
 // the context's.
 func (r *Requester) Make(ctx context.Context, w Work) (*Done, error) {
-	cell, err := r.cellOf(w)
+	cell, err := r.cellOf(w.Service, w.Zone, w.Items[0].Request)
 	if err != nil {
 		return nil, err
 	}
@@ -294,20 +299,19 @@
 
 // cellOf chooses the cell for some work: the wanted zone's, else one by the
 // request, so that the cells get equal shares.
-func (r *Requester) cellOf(w Work) (Cell, error) {
-	views := r.table.Views(w.Service, time.Now())
+func (r *Requester) cellOf(service, zone, request string) (Cell, error) {
+	views := r.table.Views(service, time.Now())
 	if len(views) == 0 {
-		return Cell{}, &Refused{Reason: Idle, Service: w.Service}
+		return Cell{}, &Refused{Reason: Idle, Service: service}
 	}
-	list := cells(w.Service, views)
+	list := cells(service, views)
 	for _, c := range list {
-		if c.Zone == w.Zone {
+		if c.Zone == zone {
 			return c, nil
 		}
 	}
 	// Each target is as likely as another, so a cell's share follows its size.
-	pickOf := Cell{Service: w.Service}.score(w.Items[0].Request)
-	v := views[pickOf%uint64(len(views))]
+	v := views[Cell{Service: service}.score(request)%uint64(len(views))]
 	for _, c := range list {
 		if c.in(v) {
 			return c, nil
@@ -316,6 +320,38 @@
 	return list[0], nil
 }
 
+// Zones lists the zones in which a request's stages may be made, the one to try
+// first in front; nil where none of the services is divided by zone. All stages
+// of a chain are best made in one zone, since their results don't cross then.
+// The first is drawn by the request, each zone as often as it has targets.
+func (r *Requester) Zones(services []string, request string) []string {
+	now := time.Now()
+	weight := map[string]float64{}
+	divided := false
+	for _, service := range services {
+		views := r.table.Views(service, now)
+		divided = divided || len(views) > maxCell
+		for _, v := range views {
+			weight[v.Zone] += 1 / float64(len(views))
+		}
+	}
+	if !divided {
+		return nil
+	}
+	var zones []string
+	for zone := range weight {
+		zones = append(zones, zone)
+	}
+	// The highest of u^(1/w), u drawn by request and zone, falls on each zone
+	// as often as its weight says.
+	draw := func(zone string) float64 {
+		u := float64(Cell{Zone: zone}.score(request)>>11) / (1 << 53)
+		return math.Pow(u, 1/weight[zone])
+	}
+	slices.SortFunc(zones, func(a, b string) int { return cmp.Compare(draw(b), draw(a)) })
+	return zones
+}
+
 func (r *Requester) register(w Work, cell Cell, results chan<- Result) []*pending {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -73,6 +73,8 @@
 	tried    map[string]bool
 	ran      int
 	arrivals int
+	// zone is where the stages are made that are divided by zone.
+	zone string
 	// held is what kept the stages from being done.
 	held error
 	// preparedAt is when the stages were done, askedAt when the last target was
--- a/internal/serve/run/stages.go
+++ b/internal/serve/run/stages.go
@@ -50,7 +50,7 @@
 
 // makeInputs has all stages done. Stages that lose an input start over once.
 func (j *job) makeInputs() (*inputs, error) {
-	if err := j.Stages.Ask(j.ctx, j.req.ID, newGraph(j).plans()); err != nil {
+	if err := j.askStages(); err != nil {
 		return nil, err
 	}
 	made, err := j.tryStages()
@@ -61,6 +61,27 @@
 	return made, err
 }
 
+// zonesAsked is in how many zones a request's stages are asked for before it is
+// refused: the least busy of two hashed choices is nearly the least busy of all.
+const zonesAsked = 2
+
+// askStages asks whether the stages can be done in time, and settles where.
+func (j *job) askStages() error {
+	g := newGraph(j)
+	zones := j.Stages.Zones(g.services(), j.req.ID)
+	if len(zones) == 0 {
+		return j.Stages.Ask(j.ctx, j.req.ID, g.plans())
+	}
+	var err error
+	for _, zone := range zones[:min(len(zones), zonesAsked)] {
+		j.zone = zone
+		if err = j.Stages.Ask(j.ctx, j.req.ID, g.plans()); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
 func (j *job) tryStages() (*inputs, error) {
 	g := newGraph(j)
 	ctx, cancel := context.WithCancel(j.ctx)
@@ -128,11 +149,43 @@
 		}
 		list = append(list, gather.Plan{
 			Service: s.Service, Stage: i, Items: g.pieces(i), Due: g.due(i), Rank: plan.Rank(g.job.route, g.job.team),
+			Zone: g.zoneOf(i),
 		})
 	}
 	return list
 }
 
+// services lists those that the stages need.
+func (g *graph) services() []string {
+	var list []string
+	for i, s := range g.stages {
+		if g.pieces(i) > 0 {
+			list = append(list, s.Service)
+		}
+	}
+	return list
+}
+
+// alone tells whether a stage's results go to the engine and it has no inputs:
+// then it is best made where the engine will be.
+func (g *graph) alone(i int) bool {
+	return len(g.stages[i].After) == 0 && len(g.followers(i)) == 0
+}
+
+// zoneOf is where a stage is made if its service is divided by zone.
+func (g *graph) zoneOf(i int) string {
+	if g.alone(i) {
+		return g.engineZone()
+	}
+	return g.job.zone
+}
+
+// engineZone is where the request will probably run; empty for anywhere.
+func (g *graph) engineZone() string {
+	j := g.job
+	return place.HomeZone(j.Table.Views(j.service, time.Now()), j.req.Prompt)
+}
+
 // pieces is how many pieces a stage has.
 func (g *graph) pieces(i int) int {
 	if i >= len(g.job.req.Pieces) {
@@ -220,7 +273,7 @@
 		item.InputCell, item.Last = g.lastUse(i)
 		items = append(items, item)
 	}
-	return gather.Work{Service: s.Service, Items: items, Due: g.due(i), Expires: j.deadline}
+	return gather.Work{Service: s.Service, Items: items, Due: g.due(i), Expires: j.deadline, Zone: g.zoneOf(i)}
 }
 
 // bestZone is where a stage is best made, and about how many bytes an item saves
@@ -236,9 +289,8 @@
 			bytes[r.Zone] += g.stages[a].ResultBytes
 		}
 	}
-	if len(g.stages[i].After) == 0 && len(g.followers(i)) == 0 {
-		j := g.job
-		bytes[place.HomeZone(j.Table.Views(j.service, time.Now()), j.req.Prompt)] = g.stages[i].ResultBytes
+	if g.alone(i) {
+		bytes[g.engineZone()] = g.stages[i].ResultBytes
 	}
 	best, most := "", 0
 	for zone, n := range bytes {
