--- a/internal/serve/run/metrics.go
+++ b/internal/serve/run/metrics.go
@@ -13,7 +13,9 @@
 type Metrics struct{ Registry metrics.Registry }
 
 // series names a metric with one label.
-func series(name, label, value string) string { return name + "{" + label + "=" + strconv.Quote(value) + "}" }
+func series(name, label, value string) string {
+	return name + "{" + label + "=" + strconv.Quote(value) + "}"
+}
 
 // sampleSize of the histograms, and how much the newest values count; the
 // library's usual figures.
