Targets: peers tell the store's list only; what has gone doesn't come back by them

Lists that peers tell are now the store's as of a revision, older ones are passed over, and each process holds lapsed targets for itself, only after an outage in which no lookout was served.

--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -37,15 +37,13 @@
 }
 
 const (
-	// watchTime is how long the store holds a call without news, lookoutTime for
-	// a lookout. A store may go silent and never answer the calls that it holds,
-	// though it serves others again; only the end of a call shows it. Each call
-	// has its price, so that a few processes look out with short calls, and the
-	// others hear from them. A change has to be in force within 2 s, and what
-	// goes before an outage's end plus 3 s isn't counted: 1.5 s and the slack
-	// leave a second of that.
-	watchTime   = 20 * time.Second
-	lookoutTime = 1500 * time.Millisecond
+	// watchTime is how long the store holds a call without news. A store may go
+	// silent and never answer the calls that it holds, though it serves others
+	// again; only the end of a call shows it. Each call has its price, so that a
+	// few processes look out, and the others hear from them. A change has to be
+	// in force within 2 s, and what goes before an outage's end plus 3 s isn't
+	// counted: 1.5 s and the slack leave a second of that.
+	watchTime = 1500 * time.Millisecond
 	// watchSlack is how much later the answer may come.
 	watchSlack = 700 * time.Millisecond
 	// readTimeout bounds the reading of the whole.
@@ -64,6 +62,9 @@
 	// relayedPause is how often a process that hears from lookouts looks whether
 	// it still does.
 	relayedPause = 250 * time.Millisecond
+	// servedLater is how long after this process's first failure a lookout must
+	// have been served: longer than lookouts take to notice an outage for all.
+	servedLater = watchTime + watchSlack
 	// sweepPeriod is how often lapsed entries are looked at.
 	sweepPeriod = 250 * time.Millisecond
 )
@@ -75,6 +76,9 @@
 	plans  *plan.Holder
 	table  *pool.Table
 	peers  *peers // nil without
+	// served is the Unix nanosecond since when the store has answered without a
+	// break.
+	served atomic.Int64
 	// lookout tells whether this process is one of those that look out.
 	lookout func() bool
 	// planFeed and targetFeed are the two things followed.
@@ -104,6 +108,7 @@
 // New makes a follower.
 func New(log *zap.Logger, source Source, plans *plan.Holder, table *pool.Table) *Follower {
 	f := &Follower{log: log, source: source, plans: plans, table: table, lookout: func() bool { return true }}
+	f.served.Store(time.Now().UnixNano())
 	f.planFeed = &feed{name: "configuration", read: f.readPlan, watch: f.watchPlan}
 	f.targetFeed = &feed{
 		name: "targets", read: f.readTargets, watch: f.watchTargets, pause: newsPause, back: table.ListBack,
@@ -180,7 +185,10 @@
 		revision, err = d.read(ctx)
 		return false, revision, err
 	}
-	hold := f.hold(sound)
+	hold := watchTime
+	if !sound {
+		hold = 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, hold+watchSlack)
 	defer cancel()
 	d.mu.Lock()
@@ -189,18 +197,6 @@
 	return d.watch(ctx, d.revision.Load(), hold)
 }
 
-// hold is how long the store may hold the next call.
-func (f *Follower) hold(sound bool) time.Duration {
-	switch {
-	case !sound:
-		return 0
-	case f.lookout():
-		return lookoutTime
-	default:
-		return watchTime
-	}
-}
-
 // end ends the call in progress: its answer should have come.
 func (d *feed) end() {
 	d.mu.Lock()
@@ -237,13 +233,26 @@
 	if since == 0 {
 		return
 	}
+	f.served.Store(time.Now().UnixNano())
 	away := time.Since(time.Unix(0, since))
 	f.log.Info("Store answers again.", zap.String("what", d.name), zap.Duration("away", away))
-	if away >= outage && d.back != nil {
+	if away >= outage && d.back != nil && !f.othersServed(time.Unix(0, since)) {
 		d.back(time.Now())
 	}
 }
 
+// othersServed tells whether the store served other processes while it didn't
+// answer this one. Targets reach it then too, and none of their entries lapses;
+// one that ends has left.
+func (f *Follower) othersServed(since time.Time) bool {
+	if f.peers == nil {
+		return false
+	}
+	heard := time.Unix(0, f.peers.heard.Load())
+	served := time.Unix(0, f.peers.servedSince.Load())
+	return heard.Sub(since) > servedLater && !served.After(since)
+}
+
 // Failing tells for how long the store hasn't answered about the configuration
 // and about targets; 0 while it does.
 func (f *Follower) Failing() (plan, targets time.Duration) {
--- a/internal/serve/follow/follow_test.go
+++ b/internal/serve/follow/follow_test.go
@@ -307,7 +307,7 @@
 			store.mu.Unlock()
 			time.Sleep(100 * time.Millisecond)
 			for _, p := range all {
-				n := all[0].newsSince(newsCall{Version: 1, Revision: p.table.Newest(), Sum: p.table.Sum()})
+				n := all[0].newsSince(newsCall{Version: 1, Revision: p.table.Newest()})
 				assert.Assert(t, n.Plan == nil && n.Entries == nil && n.Revision == 0, "%+v", n)
 			}
 		}
@@ -444,3 +444,34 @@
 		assert.Assert(t, !p.uses("x"))
 	})
 }
+
+// The store refuses some processes and serves the others, so that no entry
+// lapses. Just after it serves all again, a target leaves without having said so.
+// Its entry's end must not be taken for a lapse, and a process that has dropped
+// the target must not take it back from one that has not.
+func TestAnEntryThatEndsAfterAPartialOutageIsGone(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		sound, refusing := newFakeStore(), newFakeStore()
+		both := func(fn func(*fakeStore)) {
+			fn(sound)
+			fn(refusing)
+		}
+		both(func(s *fakeStore) { s.putPlan(1); s.putTarget("x", pool.Ready); s.putTarget("y", pool.Ready) })
+		all := cluster(ctx, 9, refusing, refusing, refusing, sound)
+		time.Sleep(5 * time.Second)
+		refusing.change(func() { refusing.failing = true })
+		sound.change(func() {})
+		time.Sleep(7 * time.Second)
+		refusing.change(func() { refusing.failing = false })
+		sound.change(func() {})
+		time.Sleep(900 * time.Millisecond)
+		both(func(s *fakeStore) { s.dropTarget("x") })
+		for n := range 30 {
+			time.Sleep(100 * time.Millisecond)
+			for i, p := range all {
+				assert.Assert(t, p.uses("y"), "process %d", i)
+				assert.Assert(t, n < 12 || !p.uses("x"), "process %d still uses it after %d00 ms", i, n+1)
+			}
+		}
+	})
+}
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -42,16 +42,16 @@
 // lookouts alone, so that a change doesn't cost a call of the store from each.
 type peers struct {
 	network peer.Network
-	// heard is the Unix nanosecond of the last answer of a sound lookout.
-	heard atomic.Int64
+	// heard is the Unix nanosecond of the last answer of a sound lookout,
+	// servedSince since when the store had served that one then.
+	heard       atomic.Int64
+	servedSince atomic.Int64
 }
 
 // newsCall asks for what is newer than this.
 type newsCall struct {
 	Version  uint64 `json:"version"`
 	Revision uint64 `json:"revision"`
-	// Sum is over the targets known.
-	Sum uint64 `json:"sum"`
 }
 
 // news is what is newer; nil and empty where nothing is.
@@ -61,6 +61,8 @@
 	Revision uint64       `json:"revision,omitempty"`
 	// Sound tells that the store answers this process, and that it is a lookout.
 	Sound bool `json:"sound,omitempty"`
+	// ServedMS is for how long the store has served this process without a break.
+	ServedMS int64 `json:"served_ms,omitempty"`
 }
 
 // UsePeers has peers asked while the store doesn't answer, and theirs answered.
@@ -78,13 +80,11 @@
 }
 
 func (f *Follower) newsSince(call newsCall) news {
-	n := news{Sound: f.sound() && f.lookout()}
+	n := news{Sound: f.sound() && f.lookout(), ServedMS: time.Since(time.Unix(0, f.served.Load())).Milliseconds()}
 	if p := f.plans.Current(); p != nil && p.Version > call.Version {
 		n.Plan = p
 	}
-	newest := f.table.Newest()
-	differs := newest > call.Revision || (newest == call.Revision && f.table.Sum() != call.Sum)
-	if f.table.Known() && differs {
+	if f.table.Known() && f.table.Newest() > call.Revision {
 		n.Entries, n.Revision = f.table.Entries()
 	}
 	return n
@@ -154,13 +154,15 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var n news
-	call := newsCall{Version: f.plans.Version(), Revision: f.table.Newest(), Sum: f.table.Sum()}
+	call := newsCall{Version: f.plans.Version(), Revision: f.table.Newest()}
 	if err := f.peers.network.Call(ctx, whom, methodNews, call, &n); err != nil {
 		f.log.Debug("Peer gave no news.", zap.String("member", string(whom)), zap.Error(err))
 		return
 	}
 	if n.Sound {
-		f.peers.heard.Store(time.Now().UnixNano())
+		now := time.Now()
+		f.peers.heard.Store(now.UnixNano())
+		f.peers.servedSince.Store(now.Add(-time.Duration(n.ServedMS) * time.Millisecond).UnixNano())
 	}
 	f.take(n)
 }
@@ -182,10 +184,8 @@
 // process, what a peer's list lacks may have lapsed in the outage.
 func (f *Follower) mirror(n news) {
 	now := time.Now()
-	if n.Revision == f.table.Newest() && !f.relayed() {
-		return // the store itself tells what comes of lapsed entries
-	}
-	if f.targetFeed.failing() >= outage {
+	failing := f.targetFeed.failing()
+	if failing >= outage && !f.othersServed(now.Add(-failing)) {
 		f.table.ListBack(now)
 	}
 	f.table.Mirror(n.Entries, n.Revision, now)
--- a/internal/serve/pool/entry.go
+++ b/internal/serve/pool/entry.go
@@ -2,11 +2,6 @@
 // they may get work, and what this process has seen of each.
 package pool
 
-import (
-	"fmt"
-	"hash/fnv"
-)
-
 // State is what a target says of itself.
 type State string
 
@@ -39,9 +34,6 @@
 	ColdMS int
 	// Revision of the list's row, growing with each change of any row.
 	Revision uint64
-	// Lapsing means that the entry is gone from the list since an outage, and
-	// may come back.
-	Lapsing bool `json:",omitempty"`
 }
 
 // Change is one change of the list.
@@ -51,14 +43,6 @@
 	Removed bool
 }
 
-// hash is over what decides how a target is used.
-func (e Entry) hash() uint64 {
-	h := fnv.New64a()
-	// A hash.Hash never fails.
-	_, _ = fmt.Fprintf(h, "%s\x00%d\x00%s\x00%s\x00%s\x00%d", e.ID, e.Born, e.Service, e.Address, e.State, e.Slots)
-	return h.Sum64()
-}
-
 // sameRun tells whether two entries are the same run of the same target.
 func sameRun(a, b Entry) bool {
 	return a.ID == b.ID && a.Born == b.Born && a.Address == b.Address && a.Service == b.Service
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -16,11 +16,15 @@
 	log      *zap.Logger
 	ejection routing.Ejection
 
-	mu        sync.RWMutex // guards what follows
+	mu sync.RWMutex // guards what follows
+	// byID is what the list says, lapsed what it lacks since an outage and is
+	// used on for a while; byService has both.
 	byID      map[string]*Target
+	lapsed    map[string]*Target
 	byService map[string][]*Target // replaced, never changed in place
 	// revision up to which all changes are known, newest that of the last change
-	// itself: the list's revision grows with changes of other things too.
+	// itself: the list's revision grows with changes of other things too. byID is
+	// the list as of newest, and any later revision up to revision.
 	revision uint64
 	newest   uint64
 	known    bool
@@ -32,14 +36,15 @@
 
 // ReturnTime is how long entries that lapsed while the list was away may take
 // to come back. The users' bound is about two seconds; what is still missing
-// then is gone.
-const ReturnTime = 1900 * time.Millisecond
+// then is gone. One that has left after all must get nothing two seconds after
+// its end was seen, so that a call on its way and a late look need some of that.
+const ReturnTime = 1650 * time.Millisecond
 
 // New makes an empty table.
 func New(log *zap.Logger) *Table {
 	return &Table{
 		log: log, ejection: defaultEjection(),
-		byID: map[string]*Target{}, byService: map[string][]*Target{},
+		byID: map[string]*Target{}, lapsed: map[string]*Target{}, byService: map[string][]*Target{},
 	}
 }
 
@@ -108,16 +113,17 @@
 	t.tell(left)
 }
 
-// Mirror takes in a peer's whole list, whose last change has a revision. A list
-// with an older last change than is known here is passed over.
-func (t *Table) Mirror(entries []Entry, newest uint64, now time.Time) {
+// Mirror takes in a peer's whole list, which is the store's as of a revision. One
+// that is no newer than what is known here is passed over: what has gone must
+// not come back by a peer that is behind.
+func (t *Table) Mirror(entries []Entry, asOf uint64, now time.Time) {
 	t.mu.Lock()
-	if newest < t.newest {
+	if asOf <= t.newest {
 		t.mu.Unlock()
 		return
 	}
-	left := t.reset(entries, newest, now)
-	t.revision = max(t.revision, newest)
+	left := t.reset(entries, asOf, now)
+	t.revision = max(t.revision, asOf)
 	t.known = true
 	t.mu.Unlock()
 	t.tell(left)
@@ -136,7 +142,9 @@
 			changes = append(changes, Change{Entry: Entry{ID: id, Revision: asOf}, Removed: true})
 		}
 	}
-	return t.apply(changes, now)
+	left := t.apply(changes, now)
+	t.newest = max(t.newest, asOf)
+	return left
 }
 
 func (t *Table) tell(left []*Target) {
@@ -189,7 +197,12 @@
 	case c.Removed:
 		return t.remove(old, now)
 	case old != nil && sameRun(old.entry, c.Entry):
-		return old.update(c.Entry, now)
+		return old.update(c.Entry)
+	}
+	if back := t.lapsed[c.ID]; back != nil && sameRun(back.entry, c.Entry) {
+		delete(t.lapsed, c.ID)
+		t.byID[c.ID] = back
+		return back.update(c.Entry)
 	}
 	t.byID[c.ID] = &Target{
 		ID: c.ID, Born: c.Born, Service: c.Service, Address: c.Address, Zone: c.Zone, entry: c.Entry,
@@ -206,17 +219,18 @@
 // used on for the time in which its entry may come back: a list that returns
 // empty would else take every sound target out of use.
 func (t *Table) remove(old *Target, now time.Time) *Target {
+	delete(t.byID, old.ID)
 	old.mu.Lock()
-	ready := old.entry.State == Ready
-	old.mu.Unlock()
-	if ready && !t.backAt.IsZero() && now.Sub(t.backAt) < ReturnTime {
-		old.mu.Lock()
+	lapses := old.entry.State == Ready && !t.backAt.IsZero() && now.Sub(t.backAt) < ReturnTime
+	if lapses {
 		old.lapsesAt = t.backAt.Add(ReturnTime)
-		old.mu.Unlock()
+	}
+	old.mu.Unlock()
+	if lapses {
+		t.lapsed[old.ID] = old
 		t.log.Warn("Target's entry lapsed while the list was away.", zap.String("target", old.ID))
 		return nil
 	}
-	delete(t.byID, old.ID)
 	old.leave()
 	t.log.Info("Target is gone.", zap.String("target", old.ID), zap.String("service", old.Service))
 	return old
@@ -224,7 +238,7 @@
 
 // update takes in a new entry of the same run and returns the target if it
 // begins to drain.
-func (target *Target) update(e Entry, now time.Time) *Target {
+func (target *Target) update(e Entry) *Target {
 	target.mu.Lock()
 	defer target.mu.Unlock()
 	began := target.entry.State == Ready && e.State != Ready
@@ -232,15 +246,8 @@
 	if target.entry.State == Draining {
 		e.State = Draining
 	}
-	lapsing := e.Lapsing
-	e.Lapsing = false
 	target.entry = e
-	switch {
-	case !lapsing:
-		target.lapsesAt = time.Time{}
-	case target.lapsesAt.IsZero():
-		target.lapsesAt = now.Add(ReturnTime)
-	}
+	target.lapsesAt = time.Time{}
 	if began {
 		return target
 	}
@@ -257,14 +264,11 @@
 func (t *Table) Sweep(now time.Time) {
 	t.mu.Lock()
 	var left []*Target
-	for id, target := range t.byID {
-		target.mu.Lock()
-		lapsed := !target.lapsesAt.IsZero() && !now.Before(target.lapsesAt)
-		target.mu.Unlock()
-		if !lapsed {
+	for id, target := range t.lapsed {
+		if target.usable(now) {
 			continue
 		}
-		delete(t.byID, id)
+		delete(t.lapsed, id)
 		target.leave()
 		t.rebuild(target.Service)
 		left = append(left, target)
@@ -277,9 +281,11 @@
 // rebuild makes the list of one service anew. The caller holds mu.
 func (t *Table) rebuild(service string) {
 	var list []*Target
-	for _, target := range t.byID {
-		if target.Service == service {
-			list = append(list, target)
+	for _, targets := range []map[string]*Target{t.byID, t.lapsed} {
+		for _, target := range targets {
+			if target.Service == service {
+				list = append(list, target)
+			}
 		}
 	}
 	t.byService[service] = list
@@ -313,32 +319,16 @@
 	return nil
 }
 
-// Sum is the same for two processes that know the same targets in the same
-// state, and almost surely differs otherwise.
-func (t *Table) Sum() uint64 {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	sum := uint64(0)
-	for _, target := range t.byID {
-		target.mu.Lock()
-		sum ^= target.entry.hash()
-		target.mu.Unlock()
-	}
-	return sum
-}
-
-// Entries lists all entries known and the revision of the last change, for a
-// peer that can't read the list.
+// Entries lists what the store's list holds, and the revision as of which it
+// does, for a peer that can't read it.
 func (t *Table) Entries() ([]Entry, uint64) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	entries := make([]Entry, 0, len(t.byID))
 	for _, target := range t.byID {
 		target.mu.Lock()
-		entry := target.entry
-		entry.Lapsing = !target.lapsesAt.IsZero()
+		entries = append(entries, target.entry)
 		target.mu.Unlock()
-		entries = append(entries, entry)
 	}
 	return entries, t.newest
 }
--- a/internal/serve/pool/table_test.go
+++ b/internal/serve/pool/table_test.go
@@ -198,3 +198,50 @@
 	assert.Equal(t, table.Views("s", start)[0].Report.Running, 9)
 	assert.Equal(t, table.Views("s", start.Add(2*time.Second))[0].Report.Running, 0)
 }
+
+// A peer that is behind tells its list. What has gone here since must not come
+// back by it: two processes that gave it to each other would use a target that
+// has left for as long as they live.
+func TestWhatHasGoneDoesNotComeBackByAPeer(t *testing.T) {
+	table := tableOf("a", "b")
+	gone := []Change{{Entry: Entry{ID: "a", Revision: 20}, Removed: true}}
+	table.Apply(gone, 25, start)
+	table.Mirror([]Entry{entry("a", 1), entry("b", 2)}, 12, start)
+	table.Mirror([]Entry{entry("a", 1), entry("b", 2)}, 20, start)
+	assert.DeepEqual(t, usable(table, start), map[string]bool{"b": true})
+	table.Mirror([]Entry{entry("b", 2), entry("c", 30)}, 30, start)
+	assert.DeepEqual(t, usable(table, start), map[string]bool{"b": true, "c": true})
+}
+
+// A target that lapsed here is still used for a while, but isn't part of what
+// peers are told: for the store it is gone.
+func TestALapsedTargetIsNotToldToPeers(t *testing.T) {
+	table := tableOf("a", "b")
+	table.ListBack(start)
+	table.Apply([]Change{{Entry: Entry{ID: "a", Revision: 20}, Removed: true}}, 20, start)
+	assert.DeepEqual(t, usable(table, start), map[string]bool{"a": true, "b": true})
+	entries, asOf := table.Entries()
+	assert.Equal(t, len(entries), 1)
+	assert.Equal(t, entries[0].ID, "b")
+	assert.Equal(t, asOf, uint64(20))
+	back := entry("a", 21)
+	call := table.Begin(table.ByAddress("s", "10.0.0.1:a"), 0, start)
+	table.Apply([]Change{{Entry: back}}, 21, start)
+	table.Sweep(start.Add(ReturnTime))
+	assert.DeepEqual(t, usable(table, start.Add(ReturnTime)), map[string]bool{"a": true, "b": true})
+	for _, v := range table.Views("s", start) {
+		if v.ID == "a" {
+			assert.Equal(t, v.InFlight, 1, "it is the same run")
+		}
+	}
+	call.End(Answered, start)
+}
+
+// A process that has just read the whole list hears from one that hasn't yet
+// seen the last entry go.
+func TestAFreshListIsNotReplacedByAnOlderOne(t *testing.T) {
+	table := New(zap.NewNop())
+	table.Reset([]Entry{entry("b", 2)}, 40, start)
+	table.Mirror([]Entry{entry("a", 1), entry("b", 2)}, 37, start)
+	assert.DeepEqual(t, usable(table, start), map[string]bool{"b": true})
+}
