--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -41,9 +41,10 @@
 	// silent and never answer the calls that it holds, though it serves others
 	// again; only the end of a call shows it. Each call has its price, so that a
 	// few processes look out, and the others hear from them. A change has to be
-	// in force within 2 s, and what goes before an outage's end plus 3 s isn't
-	// counted: 1.5 s and the slack leave a second of that.
-	watchTime = 1500 * time.Millisecond
+	// in force within 2 s, also where all lookouts are cut off from the store at
+	// the moment of the change: the others find out when the last answer that a
+	// lookout got is older than trust.
+	watchTime = 800 * time.Millisecond
 	// watchSlack is how much later the answer may come.
 	watchSlack = 700 * time.Millisecond
 	// readTimeout bounds the reading of the whole.
@@ -61,7 +62,7 @@
 	outage = 2 * time.Second
 	// relayedPause is how often a process that hears from lookouts looks whether
 	// it still does.
-	relayedPause = 250 * time.Millisecond
+	relayedPause = 100 * time.Millisecond
 	// servedLater is how long after this process's first failure a lookout must
 	// have been served: longer than lookouts take to notice an outage for all.
 	servedLater = watchTime + watchSlack
@@ -98,8 +99,10 @@
 	// failingSince is the Unix nanosecond since when the store fails, 0 while it
 	// answers.
 	failingSince atomic.Int64
-	// revision up to which the store has told of changes itself.
+	// revision up to which the store has told of changes itself, and the Unix
+	// nanosecond of its last answer.
 	revision atomic.Uint64
+	told     atomic.Int64
 	// mu guards interrupt, which ends the call in progress; a leaf.
 	mu        sync.Mutex
 	interrupt context.CancelFunc
@@ -170,6 +173,7 @@
 		}
 		f.answered(d)
 		d.revision.Store(next)
+		d.told.Store(time.Now().UnixNano())
 		known, sound, retry = true, true, firstRetry
 		if news && d.pause > 0 {
 			wait.For(ctx, d.pause)
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -22,11 +22,13 @@
 const (
 	// askPeriod is how often a process asks a lookout for news: several times
 	// within the shortest time in which a change has to be in force, 2 s.
-	askPeriod = 500 * time.Millisecond
+	askPeriod = 300 * time.Millisecond
 	// askTimeout bounds one question.
-	askTimeout = 400 * time.Millisecond
-	// trust is how long a sound lookout's answer stands for the store's own.
-	trust = 1600 * time.Millisecond
+	askTimeout = 250 * time.Millisecond
+	// trust is how long what the store told a lookout stands for its word here.
+	// Usually it is 0.8 s and a question's period old at most. What is left to
+	// 2 s is for this process's own call of the store.
+	trust = 1500 * time.Millisecond
 	// catchUp is how much later than a peer the store may tell of a change
 	// before its silence is taken for an outage.
 	catchUp = 300 * time.Millisecond
@@ -42,8 +44,8 @@
 // lookouts alone, so that a change doesn't cost a call of the store from each.
 type peers struct {
 	network peer.Network
-	// heard is the Unix nanosecond of the last answer of a sound lookout,
-	// servedSince since when the store had served that one then.
+	// heard is the Unix nanosecond at which the store had last told a sound
+	// lookout, as far as known here; servedSince since when it had served that one.
 	heard       atomic.Int64
 	servedSince atomic.Int64
 }
@@ -63,6 +65,8 @@
 	Sound bool `json:"sound,omitempty"`
 	// ServedMS is for how long the store has served this process without a break.
 	ServedMS int64 `json:"served_ms,omitempty"`
+	// AgeMS is how long ago the store last told this process.
+	AgeMS int64 `json:"age_ms,omitempty"`
 }
 
 // UsePeers has peers asked while the store doesn't answer, and theirs answered.
@@ -80,7 +84,12 @@
 }
 
 func (f *Follower) newsSince(call newsCall) news {
-	n := news{Sound: f.sound() && f.lookout(), ServedMS: time.Since(time.Unix(0, f.served.Load())).Milliseconds()}
+	now := time.Now()
+	n := news{
+		Sound:    f.sound() && f.lookout(),
+		ServedMS: now.Sub(time.Unix(0, f.served.Load())).Milliseconds(),
+		AgeMS:    now.Sub(f.told()).Milliseconds(),
+	}
 	if p := f.plans.Current(); p != nil && p.Version > call.Version {
 		n.Plan = p
 	}
@@ -96,6 +105,11 @@
 	return plan == 0 && targets == 0 && f.table.Known() && f.plans.Current() != nil
 }
 
+// told is when the store last told this process of both things that it follows.
+func (f *Follower) told() time.Time {
+	return time.Unix(0, min(f.planFeed.told.Load(), f.targetFeed.told.Load()))
+}
+
 // relayed tells whether a sound lookout's answers stand for the store's.
 func (f *Follower) relayed() bool {
 	if f.peers == nil || f.lookout() {
@@ -161,7 +175,7 @@
 	}
 	if n.Sound {
 		now := time.Now()
-		f.peers.heard.Store(now.UnixNano())
+		f.peers.heard.Store(now.Add(-time.Duration(n.AgeMS) * time.Millisecond).UnixNano())
 		f.peers.servedSince.Store(now.Add(-time.Duration(n.ServedMS) * time.Millisecond).UnixNano())
 	}
 	f.take(n)
