--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -117,6 +117,9 @@
 			return refuse(fasthttp.StatusUnauthorized, NoKey, 0)
 		}
 	}
+	if tooMany(j.req.Pieces) {
+		return refuse(fasthttp.StatusBadRequest, TooManyPieces, 0)
+	}
 	j.content = j.fingerprint()
 	if j.Suspicion != nil && j.Suspicion.Convicted(j.content) {
 		return refuse(fasthttp.StatusServiceUnavailable, CrashesTargets, 0)
@@ -128,6 +131,22 @@
 	return nil
 }
 
+// maxPieces is the most pieces that one request's stages may have together. The
+// largest requests have some thirty; a caller's slip of a few zeros would take
+// this process's memory, and others' requests with it.
+const maxPieces = 4096
+
+func tooMany(pieces []int) bool {
+	total := 0
+	for _, n := range pieces {
+		if n > maxPieces {
+			return true
+		}
+		total += n
+	}
+	return total > maxPieces
+}
+
 // fingerprint is the same however often, and through whichever process, a
 // caller sends the same request.
 func (j *job) fingerprint() suspect.Fingerprint {
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -94,6 +94,7 @@
 	LostAnswer      Reason = "target gave no answer"
 	TimedOut        Reason = "time is up"
 	CallerLeft      Reason = "caller left"
+	TooManyPieces   Reason = "too many pieces"
 	CrashesTargets  Reason = "it crashes its targets"
 )
 
