--- a/internal/standin/program/edge.go
+++ b/internal/standin/program/edge.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"os"
 	"time"
 
@@ -82,7 +81,7 @@
 	}
 	limit := time.Now().Add(edgePatience)
 	for _, vm := range vms {
-		for !ready(vm) {
+		for !vm.IsReady() {
 			if time.Now().After(limit) || !wait.For(ctx, readyPoll) {
 				return standin.Tally{}, eris.Errorf("%s isn't ready", vm.Name)
 			}
@@ -92,13 +91,3 @@
 	callers := &standin.Callers{Site: site, VMs: vms, PerSecond: cmd.Float(flagRate)}
 	return callers.Run(ctx, cmd.Duration(flagDuration)), nil
 }
-
-func ready(vm standin.VM) bool {
-	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + vm.Ready() + "/vanillagate/ready")
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -54,12 +54,8 @@
 	e.t.Helper()
 	limit := time.Now().Add(patience)
 	for time.Now().Before(limit) {
-		resp, err := http.Get("http://" + e.vms[i].Ready() + "/vanillagate/ready")
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return
-			}
+		if e.vms[i].IsReady() {
+			return
 		}
 		time.Sleep(pollStep)
 	}
