--- a/internal/peer/live.go
+++ b/internal/peer/live.go
@@ -30,10 +30,29 @@
 	for n.ctx.Err() == nil {
 		n.beat(time.Now())
 		// Processes that start together would otherwise beat together.
-		n.pause(time.Duration((0.9 + 0.2*rand.Float64()) * float64(n.opts.Period)))
+		n.pause(time.Duration((0.9 + 0.2*rand.Float64()) * float64(n.beatPause())))
 	}
 }
 
+const (
+	// eagerBeats is how many beats of a process that knows nobody yet come
+	// eagerTimes as fast. Processes that start together find each other's ports
+	// closed at the first try, and while each is alone it does for itself what
+	// one should do for all.
+	eagerBeats = 15
+	eagerTimes = 6
+)
+
+// beatPause is how long to the next beat.
+func (n *Node) beatPause() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.joined && n.beats < eagerBeats {
+		return n.opts.Period / eagerTimes
+	}
+	return n.opts.Period
+}
+
 func (n *Node) beat(now time.Time) {
 	n.mu.Lock()
 	n.beats++
--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -11,7 +11,7 @@
 
 const callTime = 240 * time.Millisecond
 
-func wait(request string, due time.Duration) *waiting {
+func item(request string, due time.Duration) *waiting {
 	return &waiting{
 		Item: Item{Key: Key{Request: request}, Bytes: 10}, due: start.Add(due), expires: start.Add(10 * time.Second), since: start,
 	}
@@ -38,7 +38,7 @@
 }
 
 func TestWhatIsDueFirstGoesFirst(t *testing.T) {
-	q := queueOf(wait("c", 3*time.Second), wait("a", time.Second), wait("b", 2*time.Second))
+	q := queueOf(item("c", 3*time.Second), item("a", time.Second), item("b", 2*time.Second))
 	assert.DeepEqual(t, names(q.take(start, anyTarget(2))), []string{"a", "b"})
 	assert.DeepEqual(t, names(q.take(start, anyTarget(2))), []string{"c"})
 }
@@ -47,26 +47,26 @@
 // went first it would make one late that could still be in time, and so on
 // through the queue.
 func TestWhatIsLateAnywayGoesLast(t *testing.T) {
-	q := queueOf(wait("late", 100*time.Millisecond), wait("in time", 300*time.Millisecond))
+	q := queueOf(item("late", 100*time.Millisecond), item("in time", 300*time.Millisecond))
 	assert.DeepEqual(t, names(q.take(start, anyTarget(1))), []string{"in time"})
 }
 
 func TestTheMoreUrgentOfTwoThatAreDueTogether(t *testing.T) {
-	urgent, other := wait("urgent", time.Second), wait("other", 990*time.Millisecond)
+	urgent, other := item("urgent", time.Second), item("other", 990*time.Millisecond)
 	other.Rank = 2
 	q := queueOf(other, urgent)
 	assert.DeepEqual(t, names(q.take(start, anyTarget(1))), []string{"urgent"})
 }
 
 func TestOnlyWhatTheRoomHolds(t *testing.T) {
-	q := queueOf(wait("a", time.Second), wait("b", 2*time.Second))
+	q := queueOf(item("a", time.Second), item("b", 2*time.Second))
 	o := anyTarget(5)
 	o.room = 15
 	assert.DeepEqual(t, names(q.take(start, o)), []string{"a"})
 }
 
 func TestNotAgainToTheTargetThatFailedIt(t *testing.T) {
-	w := wait("a", time.Second)
+	w := item("a", time.Second)
 	w.avoid = "t"
 	q := queueOf(w)
 	assert.Equal(t, len(q.take(start, anyTarget(5))), 0)
@@ -77,7 +77,7 @@
 
 func TestAnItemWaitsForItsZoneWhileItHasTime(t *testing.T) {
 	far := func(due time.Duration) *queue {
-		w := wait("far", due)
+		w := item("far", due)
 		w.Zone, w.Cross = "b", crossFull
 		return queueOf(w)
 	}
@@ -96,7 +96,7 @@
 // meanwhile, which makes the others late too. Their callers would wait until
 // their deadline for nothing.
 func TestLateItemsWithoutAPlaceAreGivenUp(t *testing.T) {
-	q := queueOf(wait("late", 100*time.Millisecond), wait("in time", 5*time.Second))
+	q := queueOf(item("late", 100*time.Millisecond), item("in time", 5*time.Second))
 	assert.Equal(t, len(q.drop(start.Add(lateWait), callTime, (*waiting).hopeless)), 0)
 	assert.DeepEqual(t, names(q.drop(start.Add(lateWait+time.Millisecond), callTime, (*waiting).hopeless)), []string{"late"})
 	assert.Equal(t, len(q.drop(start.Add(9*time.Second), callTime, (*waiting).overdue)), 0)
@@ -105,11 +105,11 @@
 }
 
 func TestItemsOfARequestThatWasGivenUpAreDropped(t *testing.T) {
-	q := queueOf(wait("a", time.Second), wait("b", time.Second))
+	q := queueOf(item("a", time.Second), item("b", time.Second))
 	q.remove("a")
 	assert.Equal(t, q.len(), 1)
 	assert.Assert(t, !q.has(Key{Request: "a"}))
-	q.add(wait("b", time.Second))
+	q.add(item("b", time.Second))
 	assert.Equal(t, q.len(), 1, "an item handed over twice waits once")
 }
 
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -15,6 +15,7 @@
 
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
+	"github.com/vanillagate/vanillagate/internal/wait"
 )
 
 // Methods of the calls between processes.
@@ -53,6 +54,7 @@
 	own     *Gatherer
 	// askNobody is Options.AskNobody.
 	askNobody bool
+	started   time.Time
 
 	mu      sync.Mutex // guards what follows; never held during a call
 	pending map[Key]*pending
@@ -143,7 +145,7 @@
 // New wires a requester and its gatherer. Call before the network starts.
 func New(o Options) *Requester {
 	r := &Requester{
-		log: o.Log, network: o.Network, table: o.Table, askNobody: o.AskNobody,
+		log: o.Log, network: o.Network, table: o.Table, askNobody: o.AskNobody, started: time.Now(),
 		pending: map[Key]*pending{}, passed: map[peer.Incarnation]time.Time{}, freeing: map[freeKey][]string{},
 	}
 	r.own = o.Gatherer
@@ -207,6 +209,7 @@
 // in time; the error is *Refused where one can't. A gatherer that doesn't
 // answer is no reason to refuse.
 func (r *Requester) Ask(ctx context.Context, request string, plans []Plan) error {
+	r.meetPeers(ctx)
 	if r.askNobody {
 		return nil
 	}
@@ -297,6 +300,23 @@
 	return r.wait(ctx, cell, wanted, results)
 }
 
+const (
+	// acquaintance is how long after its start a process that knows no other
+	// waits for peers before it gathers for itself. When all start together each
+	// would call every target with what it has alone, and most would be full.
+	acquaintance = 600 * time.Millisecond
+	alonePoll    = 20 * time.Millisecond
+)
+
+// meetPeers waits, just after the start, until a peer is known.
+func (r *Requester) meetPeers(ctx context.Context) {
+	for time.Since(r.started) < acquaintance && len(r.network.Members()) == 0 {
+		if !wait.For(ctx, alonePoll) {
+			return
+		}
+	}
+}
+
 // cellOf chooses the cell for some work: the wanted zone's, else one by the
 // request, so that the cells get equal shares.
 func (r *Requester) cellOf(service, zone, request string) (Cell, error) {
--- a/internal/serve/run/play_test.go
+++ b/internal/serve/run/play_test.go
@@ -477,3 +477,32 @@
 		}
 	})
 }
+
+// All processes start at the same moment, after a loss of power. For some
+// hundred ms each knows no other; if each gathered for itself then, every target
+// would be called by all of them, and most calls would find it full.
+func TestAProcessThatHasJustStartedWaitsForPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		life, stop := context.WithCancel(context.Background())
+		defer stop()
+		load := reservoir()
+		pools := &servetest.Pools{Services: map[string]*plan.Batch{}}
+		for _, service := range load.services {
+			pools.Services[service.Name] = service.Batch
+		}
+		cluster := &servetest.Cluster{Delay: time.Millisecond}
+		e := load.process(life, policy{}, cluster.Add("first", "a"), pools, false)
+		got := make(chan outcome, 1)
+		go func() { got <- ask(life, e, load.kinds[1].route, "r", []int{1, 8, 6}) }()
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, pools.Calls["intake"], 0)
+		load.process(life, policy{}, cluster.Add("second", "a"), pools, false)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, pools.Calls["intake"], 1)
+		assert.Equal(t, <-got, inTime)
+		time.Sleep(time.Second)
+
+		alone := load.process(life, policy{}, (&servetest.Cluster{}).Add("alone", "a"), pools, false)
+		assert.Equal(t, ask(life, alone, load.kinds[1].route, "s", []int{1, 8, 6}), inTime)
+	})
+}
