--- /dev/null
+++ b/internal/serve/gather/call.go
@@ -0,0 +1,137 @@
+package gather
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+	"github.com/vanillagate/vanillagate/internal/serve/upstream"
+)
+
+func (g *Gatherer) call(c *cell, batch *plan.Batch, target *pool.Target, taken []*waiting, items []Item, expected time.Duration) {
+	ctx, cancel := context.WithTimeout(g.life, callPatience*expected+callSlack)
+	defer cancel()
+	started := time.Now()
+	noted := g.table.Begin(target, 0, started)
+	fetched := time.AfterFunc(fetchTime, func() { g.fetched(c, items) })
+	results, err := g.stager.Run(ctx, target, items)
+	fetched.Stop()
+	now := time.Now()
+	noted.End(outcomeOf(results, err), now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(c.working, target.ID)
+	for _, w := range taken {
+		delete(c.running, w.Key)
+	}
+	if err != nil {
+		g.failed(c, target, taken, err, now)
+	} else {
+		g.finished(c, batch, target, taken, results, now)
+		g.notePace(c, target, now.Sub(started), expected, now)
+	}
+	g.dispatch(c, batch, now)
+}
+
+// fetched tells those who gathered the inputs of some items that they have been
+// fetched.
+func (g *Gatherer) fetched(c *cell, items []Item) {
+	g.mu.Lock()
+	groups := c.feeding.fetched(items)
+	g.mu.Unlock()
+	for _, group := range groups {
+		g.release(group.cell, group.inputs, false)
+	}
+}
+
+func outcomeOf(results []Result, err error) pool.Outcome {
+	switch {
+	case errors.Is(err, ErrFull):
+		return pool.Full
+	case upstream.NotSent(err):
+		return pool.Unreachable
+	case err != nil:
+		return pool.Failed
+	}
+	for _, r := range results {
+		if r.Reason != Broken {
+			return pool.Answered
+		}
+	}
+	return pool.Failed
+}
+
+func (g *Gatherer) notePace(c *cell, target *pool.Target, actual, expected time.Duration, now time.Time) {
+	p := c.paces[target.ID]
+	if p == nil {
+		p = &pace{}
+		c.paces[target.ID] = p
+	}
+	p.took(actual, expected, now)
+}
+
+// failed puts the items of a call without an answer back. The caller holds mu.
+func (g *Gatherer) failed(c *cell, target *pool.Target, taken []*waiting, err error, now time.Time) {
+	notRun := errors.Is(err, ErrFull) || upstream.NotSent(err)
+	if notRun {
+		c.pauses[target.ID] = now.Add(fullPause)
+	}
+	g.log.Warn("Call of a stage target failed.", zap.String("target", target.ID), zap.String("service", c.Service),
+		zap.Int("items", len(taken)), zap.Error(err))
+	for _, w := range taken {
+		if notRun {
+			w.tries--
+		}
+		g.again(c, w, target, Broken)
+	}
+}
+
+// again puts an item back into the queue, or gives it up. The caller holds mu.
+func (g *Gatherer) again(c *cell, w *waiting, target *pool.Target, reason Reason) {
+	if w.tries >= maxTries {
+		g.stats.Failed++
+		g.hand(c, w.owner, Result{Key: w.Key, Reason: reason})
+		return
+	}
+	g.stats.Repeated++
+	w.avoid = target.ID
+	w.since = time.Now()
+	c.queue.add(w)
+}
+
+// finished hands out the results of a call. The caller holds mu.
+func (g *Gatherer) finished(c *cell, batch *plan.Batch, target *pool.Target, taken []*waiting, results []Result, now time.Time) {
+	byOwner := map[string][]Result{}
+	lacking := false
+	for i, w := range taken {
+		r := results[i]
+		r.Key = w.Key
+		r.Zone = target.Zone
+		switch r.Reason {
+		case NoRoom:
+			lacking = true
+			w.tries-- // it wasn't tried
+			g.again(c, w, target, NoRoom)
+			continue
+		case Broken:
+			g.again(c, w, target, Broken)
+			continue
+		case Made:
+			g.roomOf(c, target.Address, now).put(r.Handle, w.Bytes, now.Add(batch.Keep))
+			if group := c.feeding.made(w.Key); group != nil {
+				go g.release(group.cell, group.inputs, true)
+			}
+		}
+		byOwner[w.owner] = append(byOwner[w.owner], r)
+	}
+	if lacking {
+		g.roomOf(c, target.Address, now).full(batch.RoomBytes, now.Add(foreignTime))
+	}
+	for owner, list := range byOwner {
+		g.hand(c, owner, list...)
+	}
+}
--- a/internal/serve/gather/choose.go
+++ b/internal/serve/gather/choose.go
@@ -1,10 +1,13 @@
 package gather
 
 import (
+	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
 	"time"
 
+	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 )
 
@@ -88,3 +91,82 @@
 	}
 	return max(p.ratio, 1)
 }
+
+// cellOf chooses the cell for some work: the wanted zone's, else one by the
+// request, so that the cells get equal shares.
+func (r *Requester) cellOf(service, zone, request string) (Cell, error) {
+	views := r.table.Views(service, time.Now())
+	if len(views) == 0 {
+		return Cell{}, &Refused{Reason: Idle, Service: service}
+	}
+	list := cells(service, views)
+	for _, c := range list {
+		if c.Zone == zone {
+			return c, nil
+		}
+	}
+	// Each target is as likely as another, so a cell's share follows its size.
+	v := views[Cell{Service: service}.score(request)%uint64(len(views))]
+	for _, c := range list {
+		if c.in(v) {
+			return c, nil
+		}
+	}
+	return list[0], nil
+}
+
+// Zones lists the zones in which a request's stages may be made, the one to try
+// first in front; nil where none of the services is divided by zone. All stages
+// of a chain are best made in one zone, since their results don't cross then.
+// The first is drawn by the request, each zone as often as it has targets.
+func (r *Requester) Zones(services []string, request string) []string {
+	now := time.Now()
+	weight := map[string]float64{}
+	divided := false
+	for _, service := range services {
+		views := r.table.Views(service, now)
+		divided = divided || len(views) > maxCell
+		for _, v := range views {
+			weight[v.Zone] += 1 / float64(len(views))
+		}
+	}
+	if !divided {
+		return nil
+	}
+	var zones []string
+	for zone := range weight {
+		zones = append(zones, zone)
+	}
+	// The highest of u^(1/w), u drawn by request and zone, falls on each zone
+	// as often as its weight says.
+	draw := func(zone string) float64 {
+		u := float64(Cell{Zone: zone}.score(request)>>11) / (1 << 53)
+		return math.Pow(u, 1/weight[zone])
+	}
+	slices.SortFunc(zones, func(a, b string) int { return cmp.Compare(draw(b), draw(a)) })
+	return zones
+}
+
+// gatherers ranks the processes that may gather for a cell, best first; this
+// one is always among them.
+func (r *Requester) gatherers(cell Cell, now time.Time) []peer.Incarnation {
+	self := r.network.Self().Incarnation
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := []peer.Incarnation{}
+	for _, m := range r.network.Members() {
+		if m.State == peer.Alive && now.After(r.passed[m.Incarnation]) {
+			list = append(list, m.Incarnation)
+		}
+	}
+	if !r.leaving || len(list) == 0 {
+		list = append(list, self)
+	}
+	slices.SortFunc(list, func(a, b peer.Incarnation) int {
+		if cell.score(string(a)) > cell.score(string(b)) {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
--- /dev/null
+++ b/internal/serve/gather/dispatch.go
@@ -0,0 +1,132 @@
+package gather
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+)
+
+// dispatch starts a call at each free target while items wait. The caller
+// holds mu.
+func (g *Gatherer) dispatch(c *cell, batch *plan.Batch, now time.Time) {
+	g.expire(c, batch, now, (*waiting).overdue)
+	passed := map[string]bool{}
+	for c.queue.len() > 0 {
+		target := g.pick(c, batch, passed, now)
+		if target == nil {
+			break
+		}
+		passed[target.ID] = true
+		taken := c.queue.take(now, offer{
+			target: target.ID, zone: target.Zone, items: batch.Size, call: batch.CallTime,
+			room: int(roomShare*float64(batch.RoomBytes)) - g.roomOf(c, target.Address, now).bytes,
+		})
+		if len(taken) > 0 {
+			g.start(c, batch, target, taken, now)
+		}
+	}
+	// What is late is given up only after free targets have had their choice.
+	g.expire(c, batch, now, (*waiting).hopeless)
+	if c.queue.len() > 0 {
+		g.lookLater(c)
+	}
+}
+
+// lookLater looks at the cell again soon. The caller holds mu.
+func (g *Gatherer) lookLater(c *cell) {
+	if c.looking {
+		return
+	}
+	c.looking = true
+	time.AfterFunc(lookPeriod, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		c.looking = false
+		if batch := g.batch(c.Cell); batch != nil {
+			g.dispatch(c, batch, time.Now())
+		}
+	})
+}
+
+// expire gives up the items to which a condition applies. The caller holds mu.
+func (g *Gatherer) expire(c *cell, batch *plan.Batch, now time.Time, applies func(*waiting, time.Time, time.Duration) bool) {
+	for _, w := range c.queue.drop(now, batch.CallTime, applies) {
+		g.stats.Late++
+		c.ledger.begun(w.Key)
+		g.hand(c, w.owner, Result{Key: w.Key, Reason: Late})
+	}
+}
+
+// hand gives one result to its owner without blocking. The caller holds mu.
+func (g *Gatherer) hand(c *cell, owner string, results ...Result) {
+	go g.deliver(owner, c.Cell, results)
+}
+
+// pick chooses a free target that wasn't passed: sound ones before slow ones,
+// then one in the zone of what is most urgent, then the one with most room. The
+// caller holds mu.
+func (g *Gatherer) pick(c *cell, batch *plan.Batch, passed map[string]bool, now time.Time) *pool.Target {
+	var best *pool.Target
+	bestScore := -1.0
+	zone := c.queue.firstZone()
+	views := g.sound(c, now)
+	allSlow := g.allSlow(c, views, now)
+	for _, v := range views {
+		if passed[v.ID] || c.working[v.ID] != nil || now.Before(c.pauses[v.ID]) {
+			continue
+		}
+		left := batch.RoomBytes - g.roomOf(c, v.Address, now).bytes
+		if left <= 0 {
+			continue
+		}
+		score := float64(left) / float64(batch.RoomBytes)
+		if v.Zone == zone {
+			score++
+		}
+		if p := c.paces[v.ID]; p != nil && p.slow(now) && !allSlow {
+			if len(c.working) > 0 {
+				continue // a sound one ends sooner than a slow one would
+			}
+			score /= 10
+		}
+		if score > bestScore {
+			best, bestScore = v.Target, score
+		}
+	}
+	return best
+}
+
+func (g *Gatherer) roomOf(c *cell, address string, now time.Time) *room {
+	r := c.rooms[address]
+	if r == nil {
+		r = &room{}
+		c.rooms[address] = r
+	}
+	r.sweep(now)
+	return r
+}
+
+// start makes one call. The caller holds mu.
+func (g *Gatherer) start(c *cell, batch *plan.Batch, target *pool.Target, taken []*waiting, now time.Time) {
+	expected := batch.CallTime + time.Duration(len(taken))*batch.ItemTime
+	c.working[target.ID] = &waitingCall{ends: now.Add(expected)}
+	items := make([]Item, 0, len(taken))
+	for _, w := range taken {
+		w.tries++
+		c.ledger.begun(w.Key)
+		c.size.add(w.Bytes)
+		w.Expires = ToMillis(w.expires.Sub(now))
+		items = append(items, w.Item)
+		c.running[w.Key] = true
+	}
+	g.log.Debug("Call starts.", zap.String("service", c.Service), zap.String("target", target.ID),
+		zap.Int("items", len(taken)), zap.Int("left", c.queue.len()), zap.Int("working", len(c.working)),
+		zap.Int("room_used", g.roomOf(c, target.Address, now).bytes), zap.Int("room", batch.RoomBytes),
+		zap.Duration("first_due", taken[0].due.Sub(now)))
+	g.stats.Calls++
+	g.stats.Items += len(taken)
+	go g.call(c, batch, target, taken, items, expected)
+}
--- /dev/null
+++ b/internal/serve/gather/lost.go
@@ -0,0 +1,77 @@
+package gather
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/peer"
+)
+
+func (r *Requester) passBy(member peer.Incarnation, err error) {
+	r.log.Warn("Gatherer doesn't answer; passed by.", zap.String("member", string(member)), zap.Error(err))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.passed[member] = time.Now().Add(passBy)
+}
+
+// lookAfter asks the gatherers whether they still have the items, and hands
+// those to others that got lost: a gatherer may have died, or may be frozen.
+func (r *Requester) lookAfter(ctx context.Context, cell Cell, wanted []*pending, seen map[Key]bool) error {
+	byGatherer := map[peer.Incarnation][]*pending{}
+	r.mu.Lock()
+	for _, p := range wanted {
+		if !seen[p.item.Key] && time.Since(p.asked) >= checkPeriod {
+			byGatherer[p.gatherer] = append(byGatherer[p.gatherer], p)
+		}
+	}
+	r.mu.Unlock()
+	for gatherer, list := range byGatherer {
+		lost := r.lost(ctx, gatherer, cell, list)
+		if len(lost) == 0 {
+			continue
+		}
+		r.log.Warn("Items got lost; handed over again.", zap.String("member", string(gatherer)),
+			zap.String("request", lost[0].item.Request), zap.Int("items", len(lost)))
+		if err := r.submit(ctx, cell, lost); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Requester) lost(ctx context.Context, gatherer peer.Incarnation, cell Cell, list []*pending) []*pending {
+	keys := make([]Key, 0, len(list))
+	for _, p := range list {
+		keys = append(keys, p.item.Key)
+	}
+	var unknown []Key
+	if gatherer == r.network.Self().Incarnation {
+		unknown = r.own.Unknown(cell, keys)
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, ackTimeout)
+		defer cancel()
+		if err := r.network.Call(ctx, gatherer, methodCheck, checkCall{Cell: cell, Keys: keys}, &unknown); err != nil {
+			r.passBy(gatherer, err)
+			return list
+		}
+	}
+	return r.stillMissing(list, unknown)
+}
+
+// stillMissing are the unknown items whose results didn't come while the
+// gatherer was asked: it forgets an item just before its result arrives here.
+func (r *Requester) stillMissing(list []*pending, unknown []Key) []*pending {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var missing []*pending
+	for _, p := range list {
+		waits := r.pending[p.item.Key] == p
+		if waits && slices.Contains(unknown, p.item.Key) && time.Since(p.asked) > checkAfter {
+			missing = append(missing, p)
+		}
+	}
+	return missing
+}
--- /dev/null
+++ b/internal/serve/gather/messages.go
@@ -0,0 +1,70 @@
+package gather
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/vanillagate/vanillagate/internal/peer"
+)
+
+// Methods of the calls between processes.
+const (
+	methodSubmit = "gather.submit"
+	methodDone   = "gather.done"
+	methodCancel = "gather.cancel"
+	methodFree   = "gather.free"
+	methodCheck  = "gather.check"
+	methodAsk    = "gather.ask"
+)
+
+type submitCall struct {
+	Owner peer.Incarnation `json:"owner"`
+	Cell  Cell             `json:"cell"`
+	Items []Item           `json:"items"`
+}
+
+type askCall struct {
+	Cell    Cell   `json:"cell"`
+	Request string `json:"request"`
+	Stage   int    `json:"stage"`
+	Rank    int    `json:"rank"`
+	Items   int    `json:"items"`
+	Due     Millis `json:"due"`
+}
+
+type doneCall struct {
+	Cell    Cell     `json:"cell"`
+	Results []Result `json:"results"`
+}
+
+type cancelCall struct {
+	Cell     Cell     `json:"cell"`
+	Requests []string `json:"requests"`
+}
+
+type freeCall struct {
+	freeKey
+	Handles []string `json:"handles"`
+}
+
+// freeKey is what results to be freed are collected by.
+type freeKey struct {
+	Cell Cell `json:"cell"`
+	// Final is false while a reader of the results may still fail.
+	Final bool `json:"final,omitempty"`
+}
+
+type checkCall struct {
+	Cell Cell  `json:"cell"`
+	Keys []Key `json:"keys"`
+}
+
+func handle[T any](network peer.Network, method string, fn func(T) any) {
+	network.Handle(method, func(_ context.Context, params json.RawMessage) (any, error) {
+		var call T
+		if err := json.Unmarshal(params, &call); err != nil {
+			return nil, err
+		}
+		return fn(call), nil
+	})
+}
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -1,12 +1,9 @@
 package gather
 
 import (
-	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -15,17 +12,6 @@
 
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
-	"github.com/vanillagate/vanillagate/internal/wait"
-)
-
-// Methods of the calls between processes.
-const (
-	methodSubmit = "gather.submit"
-	methodDone   = "gather.done"
-	methodCancel = "gather.cancel"
-	methodFree   = "gather.free"
-	methodCheck  = "gather.check"
-	methodAsk    = "gather.ask"
 )
 
 const (
@@ -88,48 +74,6 @@
 	return fmt.Sprintf("%s refused: %s (%v too late)", r.Service, r.Reason, r.Wait)
 }
 
-type submitCall struct {
-	Owner peer.Incarnation `json:"owner"`
-	Cell  Cell             `json:"cell"`
-	Items []Item           `json:"items"`
-}
-
-type askCall struct {
-	Cell    Cell   `json:"cell"`
-	Request string `json:"request"`
-	Stage   int    `json:"stage"`
-	Rank    int    `json:"rank"`
-	Items   int    `json:"items"`
-	Due     Millis `json:"due"`
-}
-
-type doneCall struct {
-	Cell    Cell     `json:"cell"`
-	Results []Result `json:"results"`
-}
-
-type cancelCall struct {
-	Cell     Cell     `json:"cell"`
-	Requests []string `json:"requests"`
-}
-
-type freeCall struct {
-	freeKey
-	Handles []string `json:"handles"`
-}
-
-// freeKey is what results to be freed are collected by.
-type freeKey struct {
-	Cell Cell `json:"cell"`
-	// Final is false while a reader of the results may still fail.
-	Final bool `json:"final,omitempty"`
-}
-
-type checkCall struct {
-	Cell Cell  `json:"cell"`
-	Keys []Key `json:"keys"`
-}
-
 // Options are what a Requester is made from.
 type Options struct {
 	Log     *zap.Logger
@@ -173,16 +117,6 @@
 	return r
 }
 
-func handle[T any](network peer.Network, method string, fn func(T) any) {
-	network.Handle(method, func(_ context.Context, params json.RawMessage) (any, error) {
-		var call T
-		if err := json.Unmarshal(params, &call); err != nil {
-			return nil, err
-		}
-		return fn(call), nil
-	})
-}
-
 // Gatherer is this process's own.
 func (r *Requester) Gatherer() *Gatherer { return r.own }
 
@@ -193,81 +127,6 @@
 	r.leaving = true
 }
 
-// Plan is what a request will want of one stage.
-type Plan struct {
-	Service string
-	Stage   int
-	Items   int
-	Due     time.Time
-	Rank    int
-	// Zone is where the stage will be made if the service is divided by zone;
-	// empty for anywhere.
-	Zone string
-}
-
-// Ask asks the gatherers of all stages whether they can make a request's items
-// in time; the error is *Refused where one can't. A gatherer that doesn't
-// answer is no reason to refuse.
-func (r *Requester) Ask(ctx context.Context, request string, plans []Plan) error {
-	r.meetPeers(ctx)
-	if r.askNobody {
-		return nil
-	}
-	answers := make(chan error, len(plans))
-	asked := make([]Cell, len(plans))
-	for i, p := range plans {
-		cell, err := r.cellOf(p.Service, p.Zone, request)
-		if err != nil {
-			return err
-		}
-		asked[i] = cell
-	}
-	for i, p := range plans {
-		go func() { answers <- r.askFor(ctx, request, asked[i], p) }()
-	}
-	var refused error
-	for range plans {
-		if err := <-answers; err != nil {
-			refused = err
-		}
-	}
-	if refused != nil {
-		for _, cell := range asked {
-			r.cancel(r.gatherers(cell, time.Now())[0], cell, request)
-		}
-	}
-	return refused
-}
-
-func (r *Requester) askFor(ctx context.Context, request string, cell Cell, p Plan) error {
-	now := time.Now()
-	gatherer := r.gatherers(cell, now)[0]
-	due := p.Due.Sub(now)
-	if gatherer == r.network.Self().Incarnation {
-		return promised(cell, r.own.Ask(cell, request, p.Stage, p.Rank, p.Items, due, now))
-	}
-	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
-	defer cancel()
-	call := askCall{Cell: cell, Request: request, Stage: p.Stage, Rank: p.Rank, Items: p.Items, Due: ToMillis(due)}
-	var ack Ack
-	if err := r.network.Call(ctx, gatherer, methodAsk, call, &ack); err != nil {
-		if ctx.Err() == nil || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-			r.passBy(gatherer, err)
-		}
-		return nil
-	}
-	return promised(cell, ack)
-}
-
-// promised tells whether a cell's answer is a refusal. One that doesn't know the
-// service can't say.
-func promised(cell Cell, ack Ack) error {
-	if ack.Unknown {
-		return nil
-	}
-	return refusal(cell, ack)
-}
-
 // Work is what one request wants of one stage.
 type Work struct {
 	Service string
@@ -300,78 +159,6 @@
 	return r.wait(ctx, cell, wanted, results)
 }
 
-const (
-	// acquaintance is how long after its start a process that knows no other
-	// waits for peers before it gathers for itself. When all start together each
-	// would call every target with what it has alone, and most would be full.
-	acquaintance = 600 * time.Millisecond
-	alonePoll    = 20 * time.Millisecond
-)
-
-// meetPeers waits, just after the start, until a peer is known.
-func (r *Requester) meetPeers(ctx context.Context) {
-	for time.Since(r.started) < acquaintance && len(r.network.Members()) == 0 {
-		if !wait.For(ctx, alonePoll) {
-			return
-		}
-	}
-}
-
-// cellOf chooses the cell for some work: the wanted zone's, else one by the
-// request, so that the cells get equal shares.
-func (r *Requester) cellOf(service, zone, request string) (Cell, error) {
-	views := r.table.Views(service, time.Now())
-	if len(views) == 0 {
-		return Cell{}, &Refused{Reason: Idle, Service: service}
-	}
-	list := cells(service, views)
-	for _, c := range list {
-		if c.Zone == zone {
-			return c, nil
-		}
-	}
-	// Each target is as likely as another, so a cell's share follows its size.
-	v := views[Cell{Service: service}.score(request)%uint64(len(views))]
-	for _, c := range list {
-		if c.in(v) {
-			return c, nil
-		}
-	}
-	return list[0], nil
-}
-
-// Zones lists the zones in which a request's stages may be made, the one to try
-// first in front; nil where none of the services is divided by zone. All stages
-// of a chain are best made in one zone, since their results don't cross then.
-// The first is drawn by the request, each zone as often as it has targets.
-func (r *Requester) Zones(services []string, request string) []string {
-	now := time.Now()
-	weight := map[string]float64{}
-	divided := false
-	for _, service := range services {
-		views := r.table.Views(service, now)
-		divided = divided || len(views) > maxCell
-		for _, v := range views {
-			weight[v.Zone] += 1 / float64(len(views))
-		}
-	}
-	if !divided {
-		return nil
-	}
-	var zones []string
-	for zone := range weight {
-		zones = append(zones, zone)
-	}
-	// The highest of u^(1/w), u drawn by request and zone, falls on each zone
-	// as often as its weight says.
-	draw := func(zone string) float64 {
-		u := float64(Cell{Zone: zone}.score(request)>>11) / (1 << 53)
-		return math.Pow(u, 1/weight[zone])
-	}
-	slices.SortFunc(zones, func(a, b string) int { return cmp.Compare(draw(b), draw(a)) })
-	return zones
-}
-
 func (r *Requester) register(w Work, cell Cell, results chan<- Result) []*pending {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -394,30 +181,6 @@
 	}
 }
 
-// gatherers ranks the processes that may gather for a cell, best first; this
-// one is always among them.
-func (r *Requester) gatherers(cell Cell, now time.Time) []peer.Incarnation {
-	self := r.network.Self().Incarnation
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	list := []peer.Incarnation{}
-	for _, m := range r.network.Members() {
-		if m.State == peer.Alive && now.After(r.passed[m.Incarnation]) {
-			list = append(list, m.Incarnation)
-		}
-	}
-	if !r.leaving || len(list) == 0 {
-		list = append(list, self)
-	}
-	slices.SortFunc(list, func(a, b peer.Incarnation) int {
-		if cell.score(string(a)) > cell.score(string(b)) {
-			return -1
-		}
-		return 1
-	})
-	return list
-}
-
 // submit hands items to the best gatherer that answers. The last resort is
 // this process itself.
 func (r *Requester) submit(ctx context.Context, cell Cell, wanted []*pending) error {
@@ -483,13 +246,6 @@
 	return items
 }
 
-func (r *Requester) passBy(member peer.Incarnation, err error) {
-	r.log.Warn("Gatherer doesn't answer; passed by.", zap.String("member", string(member)), zap.Error(err))
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.passed[member] = time.Now().Add(passBy)
-}
-
 // wait collects the results of all items, and looks after those that stay away.
 func (r *Requester) wait(ctx context.Context, cell Cell, wanted []*pending, results <-chan Result) (*Done, error) {
 	done := &Done{Cell: cell}
@@ -524,65 +280,6 @@
 	return done, nil
 }
 
-// lookAfter asks the gatherers whether they still have the items, and hands
-// those to others that got lost: a gatherer may have died, or may be frozen.
-func (r *Requester) lookAfter(ctx context.Context, cell Cell, wanted []*pending, seen map[Key]bool) error {
-	byGatherer := map[peer.Incarnation][]*pending{}
-	r.mu.Lock()
-	for _, p := range wanted {
-		if !seen[p.item.Key] && time.Since(p.asked) >= checkPeriod {
-			byGatherer[p.gatherer] = append(byGatherer[p.gatherer], p)
-		}
-	}
-	r.mu.Unlock()
-	for gatherer, list := range byGatherer {
-		lost := r.lost(ctx, gatherer, cell, list)
-		if len(lost) == 0 {
-			continue
-		}
-		r.log.Warn("Items got lost; handed over again.", zap.String("member", string(gatherer)),
-			zap.String("request", lost[0].item.Request), zap.Int("items", len(lost)))
-		if err := r.submit(ctx, cell, lost); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (r *Requester) lost(ctx context.Context, gatherer peer.Incarnation, cell Cell, list []*pending) []*pending {
-	keys := make([]Key, 0, len(list))
-	for _, p := range list {
-		keys = append(keys, p.item.Key)
-	}
-	var unknown []Key
-	if gatherer == r.network.Self().Incarnation {
-		unknown = r.own.Unknown(cell, keys)
-	} else {
-		ctx, cancel := context.WithTimeout(ctx, ackTimeout)
-		defer cancel()
-		if err := r.network.Call(ctx, gatherer, methodCheck, checkCall{Cell: cell, Keys: keys}, &unknown); err != nil {
-			r.passBy(gatherer, err)
-			return list
-		}
-	}
-	return r.stillMissing(list, unknown)
-}
-
-// stillMissing are the unknown items whose results didn't come while the
-// gatherer was asked: it forgets an item just before its result arrives here.
-func (r *Requester) stillMissing(list []*pending, unknown []Key) []*pending {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var missing []*pending
-	for _, p := range list {
-		waits := r.pending[p.item.Key] == p
-		if waits && slices.Contains(unknown, p.item.Key) && time.Since(p.asked) > checkAfter {
-			missing = append(missing, p)
-		}
-	}
-	return missing
-}
-
 // abandon drops what is no longer wanted and frees what was made.
 func (r *Requester) abandon(cell Cell, wanted []*pending, results <-chan Result, done *Done) {
 	byGatherer := map[peer.Incarnation]string{}
@@ -643,16 +340,6 @@
 	r.own.Free(cell, handlesOf(results), true)
 }
 
-func handlesOf(results []Result) []string {
-	var handles []string
-	for _, result := range results {
-		if result.Reason == Made {
-			handles = append(handles, result.Handle)
-		}
-	}
-	return handles
-}
-
 // take hands results to the requests that wait; what nobody waits for is freed.
 func (r *Requester) take(cell Cell, results []Result) {
 	var unwanted []Result
@@ -670,46 +357,3 @@
 	r.own.inVain(len(unwanted))
 	r.Free(cell, handlesOf(unwanted))
 }
-
-// Free gives back the space of results, several requests' together.
-func (r *Requester) Free(cell Cell, handles []string) { r.free(cell, handles, true) }
-
-func (r *Requester) free(cell Cell, handles []string, final bool) {
-	if len(handles) == 0 {
-		return
-	}
-	key := freeKey{Cell: cell, Final: final}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.freeing[key] = append(r.freeing[key], handles...)
-	if r.freer {
-		return
-	}
-	r.freer = true
-	time.AfterFunc(handPeriod, r.flush)
-}
-
-func (r *Requester) flush() {
-	r.mu.Lock()
-	freeing := r.freeing
-	r.freeing = map[freeKey][]string{}
-	r.freer = false
-	r.mu.Unlock()
-	for key, handles := range freeing {
-		r.freeAt(key, handles)
-	}
-}
-
-func (r *Requester) freeAt(key freeKey, handles []string) {
-	gatherer := r.gatherers(key.Cell, time.Now())[0]
-	if gatherer == r.network.Self().Incarnation {
-		r.own.Free(key.Cell, handles, key.Final)
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), doneTimeout)
-	defer cancel()
-	if err := r.network.Call(ctx, gatherer, methodFree, freeCall{freeKey: key, Handles: handles}, nil); err != nil {
-		r.log.Debug("Results not freed by their gatherer; freed from here.", zap.Error(err))
-		r.own.Free(key.Cell, handles, key.Final)
-	}
-}
--- /dev/null
+++ b/internal/serve/gather/strength.go
@@ -0,0 +1,78 @@
+package gather
+
+import (
+	"time"
+
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+)
+
+// strength is how many targets at the usual pace the cell's are worth, and the
+// mean room that each has for results of ours. Slow ones count only where all
+// are slow: then they are what there is.
+func (g *Gatherer) strength(c *cell, batch *plan.Batch, now time.Time) (targets float64, room int) {
+	views := g.sound(c, now)
+	allSlow := g.allSlow(c, views, now)
+	counted := 0
+	for _, v := range views {
+		p := c.paces[v.ID]
+		if p != nil && p.slow(now) && !allSlow {
+			continue
+		}
+		counted++
+		targets += 1 / p.factor()
+		room += batch.RoomBytes - g.roomOf(c, v.Address, now).foreign()
+	}
+	if counted > 0 {
+		room /= counted
+	}
+	return targets, room
+}
+
+// allSlow tells whether every target is slow. That is no straggler but a pool
+// under strain, or one whose settings promise too much.
+func (g *Gatherer) allSlow(c *cell, views []pool.View, now time.Time) bool {
+	for _, v := range views {
+		if p := c.paces[v.ID]; p == nil || !p.slow(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// wait is about how long a new item waits for its call's turn. The caller
+// holds mu.
+func (g *Gatherer) wait(c *cell, batch *plan.Batch, now time.Time) time.Duration {
+	targets, free := 0, false
+	soonest := batch.CallTime
+	for _, v := range g.sound(c, now) {
+		targets++
+		call := c.working[v.ID]
+		if call == nil {
+			free = true
+			continue
+		}
+		soonest = min(soonest, max(call.ends.Sub(now), 0))
+	}
+	if targets == 0 {
+		return 0
+	}
+	if free && c.queue.len() < batch.Size {
+		return 0
+	}
+	full := batch.CallTime + time.Duration(batch.Size)*batch.ItemTime
+	rounds := c.queue.len() / batch.Size
+	return soonest + time.Duration(rounds)*full/time.Duration(targets)
+}
+
+// sound lists the cell's targets that may get calls.
+func (g *Gatherer) sound(c *cell, now time.Time) []pool.View {
+	views := g.table.Views(c.Service, now)
+	kept := views[:0]
+	for _, v := range views {
+		if c.in(v) && v.Weight > 0 {
+			kept = append(kept, v)
+		}
+	}
+	return kept
+}
