--- a/internal/serve/gather/ask.go
+++ b/internal/serve/gather/ask.go
@@ -22,23 +22,25 @@
 
 // Ask asks the gatherers of all stages whether they can make a request's items
 // in time; the error is *Refused where one can't. A gatherer that doesn't
-// answer is no reason to refuse.
-func (r *Requester) Ask(ctx context.Context, request string, plans []Plan) error {
+// answer is no reason to refuse. What was promised and isn't wanted any more is
+// to be withdrawn.
+func (r *Requester) Ask(ctx context.Context, request string, plans []Plan) ([]Cell, error) {
 	r.meetPeers(ctx)
 	if r.askNobody {
-		return nil
+		return nil, nil
 	}
 	answers := make(chan error, len(plans))
 	asked := make([]Cell, len(plans))
 	for i, p := range plans {
 		cell, err := r.cellOf(p.Service, p.Zone, request)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		asked[i] = cell
 	}
+	serial := r.serial.Add(1)
 	for i, p := range plans {
-		go func() { answers <- r.askFor(ctx, request, asked[i], p) }()
+		go func() { answers <- r.askFor(ctx, request, asked[i], p, serial) }()
 	}
 	var refused error
 	for range plans {
@@ -47,23 +49,32 @@
 		}
 	}
 	if refused != nil {
-		for _, cell := range asked {
-			r.cancel(r.gatherers(cell, time.Now())[0], cell, request)
-		}
+		r.Withdraw(request, asked)
+		return nil, refused
+	}
+	return asked, nil
+}
+
+// Withdraw gives back what cells have promised a request and hold for it.
+// Without it a request that was given up would keep others out until its due
+// time.
+func (r *Requester) Withdraw(request string, asked []Cell) {
+	for _, cell := range asked {
+		r.cancel(r.gatherers(cell, time.Now())[0], cell, request)
 	}
-	return refused
 }
 
-func (r *Requester) askFor(ctx context.Context, request string, cell Cell, p Plan) error {
+func (r *Requester) askFor(ctx context.Context, request string, cell Cell, p Plan, serial uint64) error {
 	now := time.Now()
 	gatherer := r.gatherers(cell, now)[0]
-	due := p.Due.Sub(now)
+	call := askCall{
+		Cell: cell, Request: request, Stage: p.Stage, Rank: p.Rank, Items: p.Items, Due: ToMillis(p.Due.Sub(now)), Serial: serial,
+	}
 	if gatherer == r.network.Self().Incarnation {
-		return promised(cell, r.own.Ask(cell, request, p.Stage, p.Rank, p.Items, due, now))
+		return promised(cell, r.own.Ask(call, now))
 	}
 	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
 	defer cancel()
-	call := askCall{Cell: cell, Request: request, Stage: p.Stage, Rank: p.Rank, Items: p.Items, Due: ToMillis(due)}
 	var ack Ack
 	if err := r.network.Call(ctx, gatherer, methodAsk, call, &ack); err != nil {
 		if ctx.Err() == nil || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -162,7 +162,7 @@
 			item.Zone = "" // all targets of the cell are alike
 		}
 		c.feeding.add(item)
-		c.ledger.note(item.group(), promise{items: 1, due: now.Add(item.Due.Duration())})
+		c.ledger.note(item.group(), now.Add(item.Due.Duration()), item.Serial)
 		c.queue.add(&waiting{
 			Item: item, owner: owner, due: now.Add(item.Due.Duration()), expires: now.Add(item.Expires.Duration()), since: now,
 		})
@@ -173,18 +173,19 @@
 
 // Ask decides whether a cell promises to make the items of one stage of a
 // request in time.
-func (g *Gatherer) Ask(id Cell, request string, stage, rank, items int, due time.Duration, now time.Time) Ack {
+func (g *Gatherer) Ask(call askCall, now time.Time) Ack {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	batch := g.batch(id)
+	batch := g.batch(call.Cell)
 	if batch == nil {
 		return Ack{Unknown: true}
 	}
-	c := g.of(id)
+	c := g.of(call.Cell)
 	targets, room := g.strength(c, batch, now)
 	can := sustained(targets, batch.Size, room, int(c.size.mean), batch.CallTime, batch.ItemTime)
-	key := groupKey{Request: request, Stage: stage}
-	granted, excess := c.ledger.ask(now, key, rank, promise{items: items, due: now.Add(due)}, can)
+	key := groupKey{Request: call.Request, Stage: call.Stage}
+	wanted := promise{items: call.Items, due: now.Add(call.Due.Duration()), serial: call.Serial}
+	granted, excess := c.ledger.ask(now, key, call.Rank, wanted, can)
 	return Ack{Refused: !granted, Wait: ToMillis(excess)}
 }
 
@@ -207,19 +208,18 @@
 	g.stats.InVain += n
 }
 
-// Cancel drops what waits for requests that were given up.
-func (g *Gatherer) Cancel(id Cell, requests []string) {
+// Cancel drops what waits for a request that was given up, as far as it was
+// handed over or asked for under a serial up to the given one.
+func (g *Gatherer) Cancel(id Cell, request string, upTo uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := g.cells[id]
 	if c == nil {
 		return
 	}
-	for _, request := range requests {
-		c.queue.remove(request)
-		c.feeding.drop(request)
-		c.ledger.drop(request)
-	}
+	c.queue.remove(request, upTo)
+	c.feeding.drop(request, upTo)
+	c.ledger.drop(request, upTo)
 }
 
 // Unknown lists those of the items that neither wait nor run here.
--- a/internal/serve/gather/inputs.go
+++ b/internal/serve/gather/inputs.go
@@ -25,6 +25,7 @@
 	// fetched, and those that haven't been made.
 	unfetched map[Key]bool
 	unmade    map[Key]bool
+	serial    uint64
 }
 
 // add notes an item that is to be fed.
@@ -40,6 +41,7 @@
 		group = &feed{cell: item.InputCell, inputs: item.Inputs, unfetched: map[Key]bool{}, unmade: map[Key]bool{}}
 		f.groups[item.group()] = group
 	}
+	group.serial = max(group.serial, item.Serial)
 	group.unfetched[item.Key] = true
 	group.unmade[item.Key] = true
 }
@@ -76,9 +78,9 @@
 }
 
 // drop forgets a request: its owner gives back what it has.
-func (f *feeding) drop(request string) {
-	for key := range f.groups {
-		if key.Request == request {
+func (f *feeding) drop(request string, upTo uint64) {
+	for key, group := range f.groups {
+		if key.Request == request && group.serial <= upTo {
 			delete(f.groups, key)
 		}
 	}
--- a/internal/serve/gather/item.go
+++ b/internal/serve/gather/item.go
@@ -41,6 +41,9 @@
 	// if it is made elsewhere; empty for anywhere.
 	Zone  string `json:"z,omitempty"`
 	Cross int    `json:"x,omitempty"`
+	// Serial grows with each handing over by one owner, so that a cancellation
+	// that is overtaken by a new try of the same request leaves that alone.
+	Serial uint64 `json:"n,omitempty"`
 	// Last means that no other stage needs the inputs: whoever gathers for this
 	// one gives back their space, which is InputCell's.
 	Last      bool `json:"last,omitempty"`
--- a/internal/serve/gather/ledger.go
+++ b/internal/serve/gather/ledger.go
@@ -22,6 +22,9 @@
 type promise struct {
 	items int
 	due   time.Time
+	// unasked means that the items came without having been asked for.
+	unasked bool
+	serial  uint64
 }
 
 // capacity is what a cell can make.
@@ -182,17 +185,22 @@
 	}
 }
 
-// note adds work that came without having been asked for.
-func (l *ledger) note(key groupKey, p promise) {
-	if l.promises[key] == nil {
-		l.promises[key] = &p
+// note adds an item that came without having been asked for.
+func (l *ledger) note(key groupKey, due time.Time, serial uint64) {
+	p := l.promises[key]
+	if p == nil {
+		p = &promise{due: due, unasked: true, serial: serial}
+		l.promises[key] = p
+	}
+	if p.unasked {
+		p.items++
 	}
 }
 
-// drop forgets a request.
-func (l *ledger) drop(request string) {
-	for key := range l.promises {
-		if key.Request == request {
+// drop forgets what a request wanted under a serial up to the given one.
+func (l *ledger) drop(request string, upTo uint64) {
+	for key, p := range l.promises {
+		if key.Request == request && p.serial <= upTo {
 			delete(l.promises, key)
 		}
 	}
--- a/internal/serve/gather/messages.go
+++ b/internal/serve/gather/messages.go
@@ -30,6 +30,7 @@
 	Rank    int    `json:"rank"`
 	Items   int    `json:"items"`
 	Due     Millis `json:"due"`
+	Serial  uint64 `json:"serial"`
 }
 
 type doneCall struct {
@@ -39,7 +40,9 @@
 
 type cancelCall struct {
 	Cell     Cell     `json:"cell"`
-	Requests []string `json:"requests"`
+	Request string `json:"request"`
+	// UpTo is the last serial that is cancelled.
+	UpTo uint64 `json:"up_to"`
 }
 
 type freeCall struct {
--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -38,10 +38,10 @@
 	q.items = append(q.items, w)
 }
 
-// remove takes out the items of a request.
-func (q *queue) remove(request string) {
+// remove takes out the items of a request with a serial up to the given one.
+func (q *queue) remove(request string, upTo uint64) {
 	q.items = slices.DeleteFunc(q.items, func(w *waiting) bool {
-		if w.Request != request {
+		if w.Request != request || w.Serial > upTo {
 			return false
 		}
 		delete(q.byKey, w.Key)
--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -106,7 +106,7 @@
 
 func TestItemsOfARequestThatWasGivenUpAreDropped(t *testing.T) {
 	q := queueOf(item("a", time.Second), item("b", time.Second))
-	q.remove("a")
+	q.remove("a", 0)
 	assert.Equal(t, q.len(), 1)
 	assert.Assert(t, !q.has(Key{Request: "a"}))
 	q.add(item("b", time.Second))
@@ -248,3 +248,45 @@
 	r.sweep(start.Add(2*foreignTime + 1))
 	assert.Equal(t, r.bytes, 0)
 }
+
+// Items come that nobody asked for: their request's gatherer has changed. Each
+// of them counts.
+func TestLedgerCountsItemsThatNobodyAskedFor(t *testing.T) {
+	l := newLedger()
+	key := groupKey{Request: "r", Stage: 1}
+	for range 3 {
+		l.note(key, start.Add(time.Second), 0)
+	}
+	assert.Equal(t, l.standing(), 3)
+	l.begun(Key{Request: "r", Stage: 1})
+	assert.Equal(t, l.standing(), 2)
+	ok, _ := l.ask(start, groupKey{Request: "s"}, 0, promise{items: 4, due: start.Add(time.Second)}, capacity{rate: 100, call: callTime})
+	assert.Assert(t, ok)
+	l.note(groupKey{Request: "s"}, start.Add(time.Second), 0)
+	assert.Equal(t, l.standing(), 6, "what was asked for is counted once")
+	l.drop("r", 0)
+	assert.Equal(t, l.standing(), 4)
+}
+
+// A request loses an input and starts its stages over. The cancellation of its
+// first try is overtaken by the items of the second; if it took those out too,
+// the request would wait until somebody looks after them.
+func TestACancellationLeavesALaterTryAlone(t *testing.T) {
+	first, second := item("r", time.Second), item("r", time.Second)
+	first.Serial, second.Serial = 3, 5
+	second.Piece = 1
+	q := queueOf(first, second)
+	q.remove("r", 4)
+	assert.Equal(t, q.len(), 1)
+	assert.Assert(t, q.has(second.Key))
+	l := newLedger()
+	l.note(groupKey{Request: "r"}, start.Add(time.Second), 5)
+	l.drop("r", 4)
+	assert.Equal(t, l.standing(), 1)
+	f := feeding{}
+	f.add(Item{Key: second.Key, Serial: 5, Last: true})
+	f.drop("r", 4)
+	assert.Equal(t, len(f.groups), 1)
+	f.drop("r", 5)
+	assert.Equal(t, len(f.groups), 0)
+}
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -41,6 +42,8 @@
 	// askNobody is Options.AskNobody.
 	askNobody bool
 	started   time.Time
+	// serial counts what was handed over or asked for.
+	serial atomic.Uint64
 
 	mu      sync.Mutex // guards what follows; never held during a call
 	pending map[Key]*pending
@@ -103,7 +106,7 @@
 		return struct{}{}
 	})
 	handle(o.Network, methodCancel, func(c cancelCall) any {
-		r.own.Cancel(c.Cell, c.Requests)
+		r.own.Cancel(c.Cell, c.Request, c.UpTo)
 		return struct{}{}
 	})
 	handle(o.Network, methodFree, func(c freeCall) any {
@@ -111,7 +114,7 @@
 		return struct{}{}
 	})
 	handle(o.Network, methodAsk, func(c askCall) any {
-		return r.own.Ask(c.Cell, c.Request, c.Stage, c.Rank, c.Items, c.Due.Duration(), time.Now())
+		return r.own.Ask(c, time.Now())
 	})
 	handle(o.Network, methodCheck, func(c checkCall) any { return r.own.Unknown(c.Cell, c.Keys) })
 	return r
@@ -232,6 +235,7 @@
 // gatherer.
 func (r *Requester) items(wanted []*pending, to peer.Incarnation) []Item {
 	now := time.Now()
+	serial := r.serial.Add(1)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	items := make([]Item, 0, len(wanted))
@@ -239,6 +243,7 @@
 		p.gatherer = to
 		p.asked = now
 		item := p.item
+		item.Serial = serial
 		item.Due = ToMillis(p.due.Sub(now))
 		item.Expires = ToMillis(p.expires.Sub(now))
 		items = append(items, item)
@@ -310,14 +315,15 @@
 }
 
 func (r *Requester) cancel(gatherer peer.Incarnation, cell Cell, request string) {
+	upTo := r.serial.Load()
 	if gatherer == r.network.Self().Incarnation {
-		r.own.Cancel(cell, []string{request})
+		r.own.Cancel(cell, request, upTo)
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), doneTimeout)
 		defer cancel()
-		err := r.network.Call(ctx, gatherer, methodCancel, cancelCall{Cell: cell, Requests: []string{request}}, nil)
+		err := r.network.Call(ctx, gatherer, methodCancel, cancelCall{Cell: cell, Request: request, UpTo: upTo}, nil)
 		if err != nil {
 			r.log.Debug("Cancel not delivered; the items expire.", zap.Error(err))
 		}
--- a/internal/serve/run/stages.go
+++ b/internal/serve/run/stages.go
@@ -50,13 +50,17 @@
 
 // makeInputs has all stages done. Stages that lose an input start over once.
 func (j *job) makeInputs() (*inputs, error) {
-	if err := j.askStages(); err != nil {
+	asked, err := j.askStages()
+	if err != nil {
 		return nil, err
 	}
 	made, err := j.tryStages()
 	var refused *gather.Refused
 	if errors.As(err, &refused) && refused.Reason == gather.Gone {
-		return j.tryStages()
+		made, err = j.tryStages()
+	}
+	if err != nil {
+		j.Stages.Withdraw(j.req.ID, asked)
 	}
 	return made, err
 }
@@ -66,20 +70,22 @@
 const zonesAsked = 2
 
 // askStages asks whether the stages can be done in time, and settles where.
-func (j *job) askStages() error {
+func (j *job) askStages() ([]gather.Cell, error) {
 	g := newGraph(j)
 	zones := j.Stages.Zones(g.services(), j.req.ID)
 	if len(zones) == 0 {
 		return j.Stages.Ask(j.ctx, j.req.ID, g.plans())
 	}
-	var err error
+	var refused error
 	for _, zone := range zones[:min(len(zones), zonesAsked)] {
 		j.zone = zone
-		if err = j.Stages.Ask(j.ctx, j.req.ID, g.plans()); err == nil {
-			return nil
+		asked, err := j.Stages.Ask(j.ctx, j.req.ID, g.plans())
+		if err == nil {
+			return asked, nil
 		}
+		refused = err
 	}
-	return err
+	return nil, refused
 }
 
 func (j *job) tryStages() (*inputs, error) {
