--- a/internal/serve/gather/messages.go
+++ b/internal/serve/gather/messages.go
@@ -39,7 +39,7 @@
 }
 
 type cancelCall struct {
-	Cell     Cell     `json:"cell"`
+	Cell    Cell   `json:"cell"`
 	Request string `json:"request"`
 	// UpTo is the last serial that is cancelled.
 	UpTo uint64 `json:"up_to"`
