--- a/internal/serve/gather/choose.go
+++ b/internal/serve/gather/choose.go
@@ -83,13 +83,14 @@
 
 func (p *pace) slow(now time.Time) bool { return now.Before(p.until) }
 
-// factor is how many times longer than expected calls take, 1 where that isn't
-// known or they take less.
+// factor is how many times longer than expected the calls of a slow target take,
+// 1 for others: on a small VM a call is seen to end up to a tenth of a second
+// late, which says nothing of the target.
 func (p *pace) factor() float64 {
-	if p == nil {
+	if p == nil || p.ratio < slowRatio {
 		return 1
 	}
-	return max(p.ratio, 1)
+	return p.ratio
 }
 
 // cellOf chooses the cell for some work: the wanted zone's, else one by the
