Stages: the time to fetch inputs counts from the writing of their reader's call

A small VM stands still between deciding on a call and writing it, and inputs were given back 60 ms after the decision (test first failed: calls written 100 ms late).

--- a/internal/serve/gather/call.go
+++ b/internal/serve/gather/call.go
@@ -17,9 +17,9 @@
 	defer cancel()
 	started := time.Now()
 	noted := g.table.Begin(target, 0, started)
-	fetched := time.AfterFunc(fetchTime, func() { g.fetched(c, items) })
-	results, err := g.stager.Run(ctx, target, items)
-	fetched.Stop()
+	ended := make(chan struct{})
+	results, err := g.stager.Run(ctx, target, items, func() { go g.watchFetch(c, items, ended) })
+	close(ended)
 	now := time.Now()
 	noted.End(outcomeOf(results, err), now)
 	g.mu.Lock()
@@ -37,6 +37,20 @@
 	g.dispatch(c, batch, now)
 }
 
+// watchFetch waits until a call that has been written must have fetched its
+// inputs, unless it ends before. The time counts from the writing: a small VM
+// may stand still for a tenth of a second between its decision and that, and
+// inputs given back too soon cost their request its whole chain.
+func (g *Gatherer) watchFetch(c *cell, items []Item, ended <-chan struct{}) {
+	timer := time.NewTimer(fetchTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		g.fetched(c, items)
+	case <-ended:
+	}
+}
+
 // fetched tells those who gathered the inputs of some items that they have been
 // fetched.
 func (g *Gatherer) fetched(c *cell, items []Item) {
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -16,8 +16,9 @@
 // Stager makes the calls of stage targets.
 type Stager interface {
 	// Run makes one call. The results are in the order of the items. The error
-	// is ErrFull where the target certainly did nothing.
-	Run(ctx context.Context, target *pool.Target, items []Item) ([]Result, error)
+	// is ErrFull where the target certainly did nothing. sent is called when the
+	// call has been written.
+	Run(ctx context.Context, target *pool.Target, items []Item, sent func()) ([]Result, error)
 	// Free gives back the space of results.
 	Free(ctx context.Context, target *pool.Target, handles []string) error
 }
--- a/internal/serve/run/play_test.go
+++ b/internal/serve/run/play_test.go
@@ -55,6 +55,8 @@
 	away map[string]int
 	slow map[string]float64
 	fail func(gather.Item) bool
+	// stall is how long a call takes to be written.
+	stall time.Duration
 	// behind are how many processes know none of the services yet.
 	behind int
 	// length of the load; 0 is playTime.
@@ -141,7 +143,7 @@
 func play(seed uint64, s site, p policy) played {
 	life, stop := context.WithCancel(context.Background())
 	defer stop()
-	pools := &servetest.Pools{Services: map[string]*plan.Batch{}, Slow: s.slow, Fail: s.fail}
+	pools := &servetest.Pools{Services: map[string]*plan.Batch{}, Slow: s.slow, Fail: s.fail, Stall: s.stall}
 	for _, service := range s.services {
 		pools.Services[service.Name] = service.Batch
 	}
@@ -506,3 +508,16 @@
 		assert.Equal(t, ask(life, alone, load.kinds[1].route, "s", []int{1, 8, 6}), inTime)
 	})
 }
+
+// The gatherers' VMs are small and stand still for a tenth of a second between
+// deciding on a call and writing it. Inputs that were given back meanwhile are
+// gone when the call arrives, and each such request starts its stages over.
+func TestInputsOutliveASlowGatherer(t *testing.T) {
+	load := reservoir()
+	load.stall = 100 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		p := play(12, load, policy{})
+		report(t, "calls written late", p)
+		assert.Equal(t, p.pools.Gone, 0)
+	})
+}
--- a/internal/serve/servetest/stages.go
+++ b/internal/serve/servetest/stages.go
@@ -19,6 +19,8 @@
 	Services map[string]*plan.Batch
 	// Slow multiplies the time of a target's calls, by ID.
 	Slow map[string]float64
+	// Stall is how long a call takes to be written: the caller's VM stands still.
+	Stall time.Duration
 	// Fail is called for each item; true makes it fail. nil fails none.
 	Fail func(item gather.Item) bool
 
@@ -30,6 +32,8 @@
 	Items map[string]int
 	// Crossed counts the bytes of inputs that crossed zones.
 	Crossed int
+	// Gone counts the items whose inputs were gone.
+	Gone int
 }
 
 var _ gather.Stager = (*Pools)(nil)
@@ -60,12 +64,16 @@
 }
 
 // Run makes one call.
-func (p *Pools) Run(ctx context.Context, at *pool.Target, items []gather.Item) ([]gather.Result, error) {
+func (p *Pools) Run(ctx context.Context, at *pool.Target, items []gather.Item, sent func()) ([]gather.Result, error) {
 	batch := p.Services[at.Service]
+	if err := sleep(ctx, p.Stall); err != nil {
+		return nil, err
+	}
 	results, took, err := p.begin(at, batch, items)
 	if err != nil {
 		return nil, err
 	}
+	sent()
 	err = sleep(ctx, took)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -108,6 +116,7 @@
 		input, found := from.results[handle]
 		if !found {
 			out.Reason = gather.Gone
+			p.Gone++
 			return out
 		}
 		if input.zone != at.Zone {
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -36,6 +36,8 @@
 	// IsOurs tells whether an answer's header belongs to this request. Others
 	// are late answers to earlier ones: they are read away.
 	IsOurs func(*fasthttp.ResponseHeader) bool
+	// Sent is called when the request has been written; nil for nothing.
+	Sent func()
 }
 
 // Failure is an attempt that gave no answer.
@@ -137,7 +139,11 @@
 	if len(r.Body) < asideBytes {
 		defer close(a.written)
 		_, _ = a.conn.W.Write(r.Body) // a bufio.Writer keeps its error for Flush
-		return a.conn.W.Flush()
+		err := a.conn.W.Flush()
+		if err == nil && r.Sent != nil {
+			r.Sent()
+		}
+		return err
 	}
 	if err := a.conn.W.Flush(); err != nil {
 		close(a.written)
@@ -147,6 +153,9 @@
 		defer close(a.written)
 		_, err := a.conn.Conn.Write(r.Body)
 		a.cut.Store(err != nil)
+		if err == nil && r.Sent != nil {
+			r.Sent()
+		}
 	}()
 	return nil
 }
