--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -17,12 +17,13 @@
 
 const (
 	// ackTimeout is how long a gatherer may take to answer before it is passed
-	// by. The VMs are a millisecond or two apart; a busy one answers within some
-	// tens of ms.
-	ackTimeout = 150 * time.Millisecond
+	// by. The VMs are a millisecond or two apart, but the smallest have a fifth of
+	// a core and may use it up for the rest of a tenth of a second, and the next
+	// one as well. Passed by too soon, its items are made twice.
+	ackTimeout = 350 * time.Millisecond
 	// checkAfter is from when on a gatherer that owes results is asked whether
-	// it still has the items; a call takes about 300 ms.
-	checkAfter  = 400 * time.Millisecond
+	// it still has the items; a call takes 300 to 450 ms.
+	checkAfter  = 600 * time.Millisecond
 	checkPeriod = 200 * time.Millisecond
 	// passBy is how long a gatherer that didn't answer gets no items.
 	passBy = 2 * time.Second
