--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -30,6 +30,8 @@
 	Caller string `json:"c,omitempty"`
 	Zone   string `json:"z"`
 	Region string `json:"r"`
+	// Power is the VM's share of a core in percent, 0 where it isn't told.
+	Power int `json:"w,omitempty"`
 	// Seq grows each time the process contradicts a claim about itself.
 	Seq   uint64 `json:"q,omitempty"`
 	State State  `json:"t,omitempty"`
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -119,6 +119,7 @@
 		Caller: self.CallerAddress,
 		Zone:   self.Zone,
 		Region: self.Region,
+		Power:  self.Power,
 	}
 }
 
@@ -272,6 +273,7 @@
 		Zone:          r.Zone,
 		Region:        r.Region,
 		State:         memberStates[r.State],
+		Power:         r.Power,
 	}
 }
 
--- a/internal/serve/gather/ask.go
+++ b/internal/serve/gather/ask.go
@@ -8,8 +8,8 @@
 	"github.com/vanillagate/vanillagate/internal/wait"
 )
 
-// Plan is what a request will want of one stage.
-type Plan struct {
+// Want is what a request will want of one stage.
+type Want struct {
 	Service string
 	Stage   int
 	Items   int
@@ -24,7 +24,7 @@
 // in time; the error is *Refused where one can't. A gatherer that doesn't
 // answer is no reason to refuse. What was promised and isn't wanted any more is
 // to be withdrawn.
-func (r *Requester) Ask(ctx context.Context, request string, plans []Plan) ([]Cell, error) {
+func (r *Requester) Ask(ctx context.Context, request string, plans []Want) ([]Cell, error) {
 	r.meetPeers(ctx)
 	if r.askNobody {
 		return nil, nil
@@ -64,7 +64,7 @@
 	}
 }
 
-func (r *Requester) askFor(ctx context.Context, request string, cell Cell, p Plan, serial uint64) error {
+func (r *Requester) askFor(ctx context.Context, request string, cell Cell, p Want, serial uint64) error {
 	now := time.Now()
 	gatherer := r.gatherers(cell, now)[0]
 	call := askCall{
--- a/internal/serve/gather/choose.go
+++ b/internal/serve/gather/choose.go
@@ -151,18 +151,19 @@
 // gatherers ranks the processes that may gather for a cell, best first; this
 // one is always among them.
 func (r *Requester) gatherers(cell Cell, now time.Time) []peer.Incarnation {
-	self := r.network.Self().Incarnation
+	self := r.network.Self()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	list := []peer.Incarnation{}
+	able := []peer.Member{}
 	for _, m := range r.network.Members() {
 		if m.State == peer.Alive && now.After(r.passed[m.Incarnation]) {
-			list = append(list, m.Incarnation)
+			able = append(able, m)
 		}
 	}
-	if !r.leaving || len(list) == 0 {
-		list = append(list, self)
+	if !r.leaving || len(able) == 0 {
+		able = append(able, self)
 	}
+	list := strongest(able)
 	slices.SortFunc(list, func(a, b peer.Incarnation) int {
 		if cell.score(string(a)) > cell.score(string(b)) {
 			return -1
@@ -171,3 +172,20 @@
 	})
 	return list
 }
+
+// strongest leaves out VMs with less than half of the power of the largest. One
+// with a fifth of a core stands still for most of each tenth of a second when
+// it has much to do, and every request of its cell with it.
+func strongest(members []peer.Member) []peer.Incarnation {
+	most := 0
+	for _, m := range members {
+		most = max(most, m.Power)
+	}
+	var list []peer.Incarnation
+	for _, m := range members {
+		if 2*m.Power >= most {
+			list = append(list, m.Incarnation)
+		}
+	}
+	return list
+}
--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/peer"
 )
 
 var start = time.Unix(1000, 0)
@@ -303,3 +305,16 @@
 		l.ask(start, groupKey{Request: "s"}, 1, promise{items: 4, due: start.Add(time.Second)}, can)
 	}
 }
+
+func TestWeakVMsDoNotGather(t *testing.T) {
+	of := func(powers ...int) []peer.Member {
+		var list []peer.Member
+		for i, power := range powers {
+			list = append(list, peer.Member{Incarnation: peer.Incarnation(rune('a' + i)), Power: power})
+		}
+		return list
+	}
+	assert.DeepEqual(t, strongest(of(80, 19, 40, 39)), []peer.Incarnation{"a", "c"})
+	assert.Equal(t, len(strongest(of(0, 0, 0))), 3, "where none tells, all do")
+	assert.Equal(t, len(strongest(of(19))), 1)
+}
--- a/internal/serve/run/stages.go
+++ b/internal/serve/run/stages.go
@@ -147,13 +147,13 @@
 }
 
 // plans lists what the request will want of each stage.
-func (g *graph) plans() []gather.Plan {
-	var list []gather.Plan
+func (g *graph) plans() []gather.Want {
+	var list []gather.Want
 	for i, s := range g.stages {
 		if g.pieces(i) == 0 {
 			continue
 		}
-		list = append(list, gather.Plan{
+		list = append(list, gather.Want{
 			Service: s.Service, Stage: i, Items: g.pieces(i), Due: g.due(i), Rank: plan.Rank(g.job.route, g.job.team),
 			Zone: g.zoneOf(i),
 		})
