--- a/internal/serve/run/play_test.go
+++ b/internal/serve/run/play_test.go
@@ -497,10 +497,10 @@
 		got := make(chan outcome, 1)
 		go func() { got <- ask(life, e, load.kinds[1].route, "r", []int{1, 8, 6}) }()
 		time.Sleep(200 * time.Millisecond)
-		assert.Equal(t, pools.Calls["intake"], 0)
+		assert.Equal(t, pools.CallsOf("intake"), 0)
 		load.process(life, policy{}, cluster.Add("second", "a"), pools, false)
 		time.Sleep(100 * time.Millisecond)
-		assert.Equal(t, pools.Calls["intake"], 1)
+		assert.Equal(t, pools.CallsOf("intake"), 1)
 		assert.Equal(t, <-got, inTime)
 		time.Sleep(time.Second)
 
--- a/internal/serve/servetest/network.go
+++ b/internal/serve/servetest/network.go
@@ -22,11 +22,13 @@
 	nodes []*Node
 }
 
+type handler = func(context.Context, json.RawMessage) (any, error)
+
 // Node is one process's side of the network. It implements peer.Network.
 type Node struct {
 	cluster  *Cluster
 	self     peer.Member
-	handlers map[string]func(context.Context, json.RawMessage) (any, error)
+	handlers map[string]handler
 	state    peer.MemberState
 	// silent nodes take messages and never answer, as a frozen process does.
 	silent bool
@@ -41,7 +43,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := &Node{
-		cluster: c, state: peer.Alive, handlers: map[string]func(context.Context, json.RawMessage) (any, error){},
+		cluster: c, state: peer.Alive, handlers: map[string]handler{},
 		self: peer.Member{Incarnation: peer.Incarnation(name), Zone: zone, State: peer.Alive},
 	}
 	c.nodes = append(c.nodes, n)
@@ -104,7 +106,7 @@
 
 // Handle answers calls of a method.
 func (n *Node) Handle(method string, fn func(context.Context, json.RawMessage) (any, error)) {
-	n.handlers[method] = fn
+	n.set(func() { n.handlers[method] = fn })
 }
 
 var errDead = errors.New("connection refused")
@@ -118,15 +120,15 @@
 	if err := sleep(ctx, n.cluster.Delay); err != nil {
 		return err
 	}
-	other, silent, dead := n.cluster.find(to)
-	if other == nil || dead {
+	handle, silent, dead := n.cluster.find(to, method)
+	if handle == nil || dead {
 		return errDead
 	}
 	if silent {
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	answer, err := other.handlers[method](ctx, data)
+	answer, err := handle(ctx, data)
 	if err != nil {
 		return err
 	}
@@ -147,12 +149,13 @@
 	return json.Unmarshal(data, result)
 }
 
-func (c *Cluster) find(id peer.Incarnation) (found *Node, silent, dead bool) {
+// find gives what answers a method at a process; nil where nothing does.
+func (c *Cluster) find(id peer.Incarnation, method string) (handle handler, silent, dead bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, n := range c.nodes {
 		if n.self.Incarnation == id {
-			return n, n.silent, n.dead
+			return n.handlers[method], n.silent, n.dead
 		}
 	}
 	return nil, false, false
--- a/internal/serve/servetest/stages.go
+++ b/internal/serve/servetest/stages.go
@@ -160,6 +160,13 @@
 	return nil
 }
 
+// CallsOf counts the calls of a service so far.
+func (p *Pools) CallsOf(service string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Calls[service]
+}
+
 // Held is how many bytes of results lie at all targets.
 func (p *Pools) Held() int {
 	p.mu.Lock()
