JSON bodies with a key twice or text that is no UTF-8 are refused

Cause: encoding/json takes the last of two values for a key and puts a replacement character in place of bytes that are no text. A request ran with an input that its caller didn't mean, and a change was accepted likewise. Ruled out: a stricter decoder (the standard library of this Go release has none). Before: both bodies were answered 200 (TestBadInputGetsClearProblems, run with the check off: two cases fail). After: 400, not_run; the same check stands before a change's body is read.

--- a/internal/command/change/validate.go
+++ b/internal/command/change/validate.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"github.com/vanillagate/vanillagate/internal/config"
+	"github.com/vanillagate/vanillagate/internal/jsonbody"
 )
 
 // Bounds of what is accepted.
@@ -80,6 +81,10 @@
 // decodeThen refuses fields that it does not know: a limit that is misspelt
 // would otherwise be accepted as "no limit".
 func decodeThen[T any](f *faults, body []byte, check func(T)) {
+	if err := jsonbody.Check(body); err != nil {
+		f.addf("body: %s", err)
+		return
+	}
 	var item T
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
--- a/internal/entry/pipelines.go
+++ b/internal/entry/pipelines.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillagate/vanillagate/internal/config"
+	"github.com/vanillagate/vanillagate/internal/jsonbody"
 	"github.com/vanillagate/vanillagate/internal/limit"
 	"github.com/vanillagate/vanillagate/internal/logging"
 	"github.com/vanillagate/vanillagate/internal/pipeline"
@@ -121,6 +122,9 @@
 	if !found {
 		return body, problem.New(404, "no-pipeline", "No such pipeline", "No pipeline named "+name+" is in force.", problem.NotRun)
 	}
+	if err := jsonbody.Check(ctx.PostBody()); err != nil {
+		return body, problem.New(400, "malformed", "Malformed JSON", err.Error(), problem.NotRun)
+	}
 	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
 		return body, problem.New(400, "malformed", "Malformed JSON", err.Error(), problem.NotRun)
 	}
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -32,6 +32,8 @@
 		says   string
 	}{
 		{"malformed JSON", request{path: "/v1/pipelines/quote", body: `{"input":`}, 400, "Malformed JSON"},
+		{"text that is not UTF-8", request{path: "/v1/pipelines/quote", body: "{\"input\":\"caf\xe9\"}"}, 400, "Malformed JSON"},
+		{"a key twice", request{path: "/v1/pipelines/quote", body: `{"input":"x","input":"y"}`}, 400, "Malformed JSON"},
 		{"no input", request{path: "/v1/pipelines/quote", body: `{}`}, 400, "No input"},
 		{"unknown pipeline", request{path: "/v1/pipelines/nope", body: `{"input":"x"}`}, 404, "No such pipeline"},
 		{"too large", request{path: "/v1/pipelines/quote", body: string(make([]byte, 8192))}, 413, "Body too large"},
