Unused connections to a target stay within this process's part of what it accepts

Cause: a target accepts a number of connections from all processes together and resets those beyond. A reset connection leaves a booking's outcome unknown. Ruled out: holding requests back for a free connection: how many are in use is bounded by the targets' places already. Test: TestNoMoreUnusedConnectionsAreKeptThanAllowed, run with the bound off: 4 kept instead of 2. What is in use at one moment stays unbounded.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -37,9 +37,19 @@
 	W *bufio.Writer
 	// Idle is how long the connection may stay unused; 0 is DefaultIdle.
 	Idle time.Duration
+	// Most is how many unused connections to the same target are kept at most,
+	// this one among them; 0 is maxIdle.
+	Most int
 	used time.Time
 }
 
+func (c *Conn) most() int {
+	if c.Most > 0 {
+		return min(c.Most, maxIdle)
+	}
+	return maxIdle
+}
+
 func (c *Conn) expired(now time.Time) bool {
 	idle := c.Idle
 	if idle == 0 {
@@ -93,7 +103,7 @@
 	_ = c.SetDeadline(time.Time{}) // fails on a closed one only, which Take notices
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.byAddress[address]) >= maxIdle {
+	if len(p.byAddress[address]) >= c.most() {
 		_ = c.Close() // unused: nothing is lost with it
 		return
 	}
--- a/internal/serve/quota/quota.go
+++ b/internal/serve/quota/quota.go
@@ -65,6 +65,14 @@
 	}
 }
 
+// Sharers is how many processes share what they have in common. It goes down
+// slowly, as Members says.
+func (b *Budget) Sharers() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.members
+}
+
 // memberMemory is how long a higher number of members counts. It covers a
 // partition of an ordinary length, several seconds, many times over.
 const memberMemory = 30 * time.Second
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -132,7 +132,7 @@
 	}
 	r := &upstream.Request{
 		Address: target.Address, Method: j.req.Method, URI: j.req.URI, Host: j.req.Host,
-		Header: j.Codec.Head(j.req, send), Body: j.req.Body,
+		Header: j.Codec.Head(j.req, send), Body: j.req.Body, MaxKept: j.maxKept(),
 		IsOurs: func(h *fasthttp.ResponseHeader) bool {
 			id := j.Codec.Read(h).ID
 			return id == "" || id == j.req.ID
@@ -144,6 +144,22 @@
 	return r
 }
 
+// maxKept is this process's part of the connections that a target of the
+// service accepts from all processes together; 0 is no bound. Were more kept
+// unused by the many that have nothing to send, the target would reset the new
+// connection of one that has, and nobody could say whether its request ran.
+func (j *job) maxKept() int {
+	p := j.Plans.Current()
+	if p == nil {
+		return 0
+	}
+	service := p.Service(j.service)
+	if service == nil || service.MaxConnections <= 0 {
+		return 0
+	}
+	return max(1, service.MaxConnections/j.Budget.Sharers())
+}
+
 // unanswered notes a try that got no answer.
 func (j *job) unanswered(ctx context.Context, target *pool.Target, call *pool.Call, err error) *attempt {
 	sent := !upstream.NotSent(err)
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -33,6 +33,9 @@
 	// MaxAge bounds how long a kept connection may have been unused; 0 is no
 	// bound beyond the pool's.
 	MaxAge time.Duration
+	// MaxKept is how many unused connections to the address are kept at most;
+	// 0 is no bound beyond the pool's.
+	MaxKept int
 	// IsOurs tells whether an answer's header belongs to this request. Others
 	// are late answers to earlier ones: they are read away.
 	IsOurs func(*fasthttp.ResponseHeader) bool
@@ -99,6 +102,7 @@
 	if err != nil {
 		return nil, &Failure{Err: err}
 	}
+	conn.Most = r.MaxKept
 	a := &Answer{client: c, address: r.Address, conn: conn, written: make(chan struct{})}
 	a.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if err := ctx.Err(); err != nil {
--- a/internal/serve/upstream/upstream_test.go
+++ b/internal/serve/upstream/upstream_test.go
@@ -114,6 +114,31 @@
 	}
 }
 
+// A target accepts so many connections from all processes together. If each
+// keeps as many as its busiest moment needed, the target resets new ones, and
+// bookings sent on them have an unknown outcome.
+func TestNoMoreUnusedConnectionsAreKeptThanAllowed(t *testing.T) {
+	address := target(t, answering(plain))
+	var c Client
+	var together []*Answer
+	for range 4 {
+		r := get(address)
+		r.MaxKept = 2
+		a, err := c.Send(context.Background(), r)
+		assert.NilError(t, err)
+		together = append(together, a)
+	}
+	for _, a := range together {
+		assert.Equal(t, readAll(t, a), "hello")
+		a.Close()
+	}
+	kept := 0
+	for c.idle.Take(address, time.Now(), 0) != nil {
+		kept++
+	}
+	assert.Equal(t, kept, 2)
+}
+
 func TestATargetThatClosesIsDialedAnew(t *testing.T) {
 	address := target(t, answering("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
 	var c Client
