--- a/internal/serve/quota/quota.go
+++ b/internal/serve/quota/quota.go
@@ -48,6 +48,22 @@
 	return &Budget{rule: rule, byService: map[string]*window{}, members: 1, since: now}
 }
 
+// SetRule puts another rule in force. What was counted stays, unless the window
+// has another length; then nothing is known of it, and counting starts anew
+// with the reserve held back as at a start.
+func (b *Budget) SetRule(rule Rule, now time.Time) {
+	if rule.Window <= 0 {
+		rule.Window = defaultWindow
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if rule.Window != b.rule.Window {
+		b.byService = map[string]*window{}
+		b.since = now
+	}
+	b.rule = rule
+}
+
 // Members notes how many processes share the reserve. The number goes down
 // only by a fifth each time: a process that is cut off from its peers must not
 // take the whole reserve, since they go on spending theirs.
--- a/internal/serve/quota/quota_test.go
+++ b/internal/serve/quota/quota_test.go
@@ -89,3 +89,18 @@
 	assert.Assert(t, !b.Repeat("b", start))
 	assert.Assert(t, b.Left("a", start) > 3)
 }
+
+// The operators lower the bound while repeats are being sent. What was counted
+// before counts against the new bound too.
+func TestANewRuleHoldsForWhatWasCounted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Rule{Ratio: 0.2, Reserve: 100, Window: 10 * time.Second}, now)
+	now = now.Add(settle)
+	for range 50 {
+		assert.Assert(t, b.Repeat("s", now))
+	}
+	b.SetRule(Rule{Ratio: 0.2, Reserve: 40, Window: 10 * time.Second}, now)
+	assert.Assert(t, !b.Repeat("s", now))
+	b.SetRule(Rule{Ratio: 0.2, Reserve: 100, Window: 5 * time.Second}, now)
+	assert.Assert(t, !b.Repeat("s", now), "the reserve is held back after a change of the window")
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -117,6 +117,9 @@
 // Plans gives the configuration in force.
 func (s *Server) Plans() *plan.Holder { return s.plans }
 
+// BoundRetries puts another bound on the repeats of all processes together.
+func (s *Server) BoundRetries(rule quota.Rule) { s.budget.SetRule(rule, time.Now()) }
+
 // Run answers one request; see run.Executor.
 func (s *Server) Run(ctx context.Context, r *run.Request) *run.Reply { return s.executor.Run(ctx, r) }
 
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -91,6 +91,29 @@
 	assert.Assert(t, tally.Attainment() > 0.98, "%v", tally)
 }
 
+// The platform tells each process that its settings have changed, some as soon as
+// they run. A process that ends at this signal breaks off what it serves.
+func TestPlatformSettingsChangeUnderLoad(t *testing.T) {
+	t.Parallel()
+	e := startEdges(t, 3)
+	tally := e.load(60, 4*time.Second, func() {
+		for range 5 {
+			time.Sleep(500 * time.Millisecond)
+			for _, run := range e.runs {
+				run.signal(t, syscall.SIGHUP)
+			}
+		}
+	})
+	assert.Assert(t, tally.Attainment() > 0.98, "%v", tally)
+	for _, run := range e.runs {
+		select {
+		case <-run.done:
+			t.Errorf("%s ended", run.name)
+		default:
+		}
+	}
+}
+
 // Processes are killed one after the other and start again. What they had is
 // lost, but nothing runs twice, and callers that come back are served by the
 // others.
