No unused connection is kept where a target takes fewer than two a process

Cause: 82 processes kept unused connections to three targets that take 120 each. Three of four requests open a new connection anyway, since bookings use only those of the last 500 ms. Conclusion: kept for the bookings.

--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -132,7 +132,7 @@
 	}
 	r := &upstream.Request{
 		Address: target.Address, Method: j.req.Method, URI: j.req.URI, Host: j.req.Host,
-		Header: j.Codec.Head(j.req, send), Body: j.req.Body, MaxKept: j.maxKept(),
+		Header: j.Codec.Head(j.req, send), Body: j.req.Body,
 		IsOurs: func(h *fasthttp.ResponseHeader) bool {
 			id := j.Codec.Read(h).ID
 			return id == "" || id == j.req.ID
@@ -141,23 +141,27 @@
 	if !j.route.Repeatable() {
 		r.MaxAge = freshWithin
 	}
+	j.keep(r)
 	return r
 }
 
-// maxKept is this process's part of the connections that a target of the
-// service accepts from all processes together; 0 is no bound. Were more kept
-// unused by the many that have nothing to send, the target would reset the new
-// connection of one that has, and nobody could say whether its request ran.
-func (j *job) maxKept() int {
+// keep says how many unused connections to a target of the service this process
+// keeps: its part of half of those that a target accepts from all processes
+// together. Were more kept by the many that have nothing to send, the target
+// would reset the new connection of one that has, and nobody could say whether
+// its request ran. The other half is for connections in use, and for those of
+// processes that lost their power, which a target holds for some seconds.
+func (j *job) keep(r *upstream.Request) {
 	p := j.Plans.Current()
 	if p == nil {
-		return 0
+		return
 	}
 	service := p.Service(j.service)
 	if service == nil || service.MaxConnections <= 0 {
-		return 0
+		return
 	}
-	return max(1, service.MaxConnections/j.Budget.Sharers())
+	r.MaxKept = service.MaxConnections / 2 / j.Budget.Sharers()
+	r.KeepNone = r.MaxKept == 0
 }
 
 // unanswered notes a try that got no answer.
--- a/internal/serve/upstream/answer.go
+++ b/internal/serve/upstream/answer.go
@@ -28,6 +28,8 @@
 	stop    func() bool
 	body    io.Reader
 	chunked bool
+	// keepNone is Request.KeepNone.
+	keepNone bool
 	whole   bool
 	closed  bool
 	reuse   bool
@@ -142,7 +144,7 @@
 	}
 	a.closed = true
 	inTime := a.stop()
-	if a.whole && a.reuse && inTime && a.conn.R.Buffered() == 0 && a.bodyWritten() {
+	if a.whole && a.reuse && !a.keepNone && inTime && a.conn.R.Buffered() == 0 && a.bodyWritten() {
 		a.conn.Idle = idleTime(&a.Header)
 		a.client.idle.Put(a.address, a.conn, time.Now())
 		return
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -34,8 +34,10 @@
 	// bound beyond the pool's.
 	MaxAge time.Duration
 	// MaxKept is how many unused connections to the address are kept at most;
-	// 0 is no bound beyond the pool's.
-	MaxKept int
+	// 0 is no bound beyond the pool's. KeepNone closes the connection after the
+	// answer.
+	MaxKept  int
+	KeepNone bool
 	// IsOurs tells whether an answer's header belongs to this request. Others
 	// are late answers to earlier ones: they are read away.
 	IsOurs func(*fasthttp.ResponseHeader) bool
@@ -103,7 +105,7 @@
 		return nil, &Failure{Err: err}
 	}
 	conn.Most = r.MaxKept
-	a := &Answer{client: c, address: r.Address, conn: conn, written: make(chan struct{})}
+	a := &Answer{client: c, address: r.Address, conn: conn, keepNone: r.KeepNone, written: make(chan struct{})}
 	a.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if err := ctx.Err(); err != nil {
 		a.Close()
