--- /dev/null
+++ b/internal/serve/run/keep_test.go
@@ -0,0 +1,40 @@
+package run
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
+	"github.com/vanillagate/vanillagate/internal/serve/quota"
+	"github.com/vanillagate/vanillagate/internal/serve/upstream"
+)
+
+// Many processes share the connections that a target accepts. Each that keeps one
+// too many unused makes the target reset another's booking, whose outcome nobody
+// knows then.
+func TestUnusedConnectionsAreShared(t *testing.T) {
+	for _, tc := range []struct {
+		accepted, processes int
+		most                int
+		none                bool
+	}{
+		{accepted: 0, processes: 9},
+		{accepted: 52, processes: 9, most: 2},
+		{accepted: 120, processes: 59, most: 1},
+		{accepted: 120, processes: 82, none: true},
+		{accepted: 670, processes: 1, most: 335},
+	} {
+		now := time.Now()
+		budget := quota.New(quota.Rule{}, now)
+		budget.Members(tc.processes, now)
+		plans := &plan.Holder{}
+		plans.Apply(&plan.Plan{Version: 1, Services: []plan.Service{{Name: "desk", MaxConnections: tc.accepted}}})
+		j := &job{Executor: &Executor{Plans: plans, Budget: budget}, service: "desk"}
+		var r upstream.Request
+		j.keep(&r)
+		assert.Equal(t, r.MaxKept, tc.most, "%+v", tc)
+		assert.Equal(t, r.KeepNone, tc.none, "%+v", tc)
+	}
+}
--- a/internal/serve/upstream/upstream_test.go
+++ b/internal/serve/upstream/upstream_test.go
@@ -118,25 +118,31 @@
 // keeps as many as its busiest moment needed, the target resets new ones, and
 // bookings sent on them have an unknown outcome.
 func TestNoMoreUnusedConnectionsAreKeptThanAllowed(t *testing.T) {
-	address := target(t, answering(plain))
-	var c Client
-	var together []*Answer
-	for range 4 {
-		r := get(address)
-		r.MaxKept = 2
-		a, err := c.Send(context.Background(), r)
-		assert.NilError(t, err)
-		together = append(together, a)
-	}
-	for _, a := range together {
-		assert.Equal(t, readAll(t, a), "hello")
-		a.Close()
-	}
-	kept := 0
-	for c.idle.Take(address, time.Now(), 0) != nil {
-		kept++
+	for name, tc := range map[string]struct {
+		most int
+		none bool
+		kept int
+	}{"no bound": {0, false, 4}, "two": {2, false, 2}, "none": {0, true, 0}} {
+		address := target(t, answering(plain))
+		var c Client
+		var together []*Answer
+		for range 4 {
+			r := get(address)
+			r.MaxKept, r.KeepNone = tc.most, tc.none
+			a, err := c.Send(context.Background(), r)
+			assert.NilError(t, err)
+			together = append(together, a)
+		}
+		for _, a := range together {
+			assert.Equal(t, readAll(t, a), "hello")
+			a.Close()
+		}
+		kept := 0
+		for c.idle.Take(address, time.Now(), 0) != nil {
+			kept++
+		}
+		assert.Equal(t, kept, tc.kept, name)
 	}
-	assert.Equal(t, kept, 2)
 }
 
 func TestATargetThatClosesIsDialedAnew(t *testing.T) {
