--- a/internal/serve/gather/call.go
+++ b/internal/serve/gather/call.go
@@ -102,9 +102,6 @@
 		}
 		g.again(c, w, target, Broken)
 	}
-	if errors.Is(err, ErrFull) && !g.mayGather(c.Cell) {
-		g.handBack(c)
-	}
 }
 
 // again puts an item back into the queue, or gives it up. The caller holds mu.
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -65,9 +65,6 @@
 	// release gives back results of any cell; final is false while their reader
 	// may still fail.
 	release func(cell Cell, handles []string, final bool)
-	// mayGather tells whether this process is to gather for a cell as far as it
-	// knows.
-	mayGather func(cell Cell) bool
 	// life ends the calls in progress when the process goes.
 	life context.Context
 
@@ -83,8 +80,6 @@
 	Failed   int
 	Late     int
 	Repeated int
-	// HandedBack counts items that another process is to gather.
-	HandedBack int
 	// InVain counts results that nobody waited for any more.
 	InVain int
 }
--- a/internal/serve/gather/item.go
+++ b/internal/serve/gather/item.go
@@ -83,8 +83,6 @@
 	NoRoom Reason = "room"
 	// Broken: the target failed, as often as it was tried.
 	Broken Reason = "error"
-	// Moved: another process gathers for the cell now.
-	Moved Reason = "moved"
 	// Idle: the service has no target that takes work.
 	Idle Reason = "no target"
 )
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -99,7 +99,6 @@
 	r.own = o.Gatherer
 	r.own.deliver = r.deliver
 	r.own.release = r.free
-	r.own.mayGather = r.mayGather
 	handle(o.Network, methodSubmit, func(c submitCall) any {
 		return r.own.Submit(string(c.Owner), c.Cell, c.Items, time.Now())
 	})
@@ -351,7 +350,6 @@
 // take hands results to the requests that wait; what nobody waits for is freed.
 func (r *Requester) take(cell Cell, results []Result) {
 	var unwanted []Result
-	var back []*pending
 	r.mu.Lock()
 	for _, result := range results {
 		p := r.pending[result.Key]
@@ -359,17 +357,10 @@
 			unwanted = append(unwanted, result)
 			continue
 		}
-		if result.Reason == Moved {
-			back = append(back, p)
-			continue
-		}
 		delete(r.pending, result.Key)
 		p.done <- result
 	}
 	r.mu.Unlock()
-	if len(back) > 0 {
-		go r.takeBack(cell, back)
-	}
 	r.own.inVain(len(unwanted))
 	r.Free(cell, handlesOf(unwanted))
 }
--- a/internal/serve/servetest/network.go
+++ b/internal/serve/servetest/network.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -35,8 +34,6 @@
 	silent bool
 	// dead nodes refuse connections.
 	dead bool
-	// known are the only processes that this one knows; nil for all.
-	known []*Node
 }
 
 var _ peer.Network = (*Node)(nil)
@@ -67,12 +64,6 @@
 	})
 }
 
-// Know makes a process know only the given others.
-func (n *Node) Know(others ...*Node) { n.set(func() { n.known = others }) }
-
-// KnowAll makes a process know all others.
-func (n *Node) KnowAll() { n.set(func() { n.known = nil }) }
-
 // Living tells whether the process wasn't killed.
 func (n *Node) Living() bool {
 	n.cluster.mu.Lock()
@@ -95,7 +86,7 @@
 	defer n.cluster.mu.Unlock()
 	var list []peer.Member
 	for _, other := range n.cluster.nodes {
-		if other != n && other.state != peer.Dead && (n.known == nil || slices.Contains(n.known, other)) {
+		if other != n && other.state != peer.Dead {
 			m := other.self
 			m.State = other.state
 			list = append(list, m)
--- a/internal/serve/servetest/stages.go
+++ b/internal/serve/servetest/stages.go
@@ -27,7 +27,6 @@
 	mu      sync.Mutex // guards what follows
 	targets map[string]*target
 	next    int
-	full    int
 	// Calls and Items count by service.
 	Calls map[string]int
 	Items map[string]int
@@ -90,7 +89,6 @@
 	defer p.mu.Unlock()
 	t := p.of(at.Address)
 	if t.busy || len(items) > batch.Size {
-		p.full++
 		return nil, 0, gather.ErrFull
 	}
 	t.busy = true
@@ -169,13 +167,6 @@
 	return p.Calls[service]
 }
 
-// FullCalls counts the calls so far that found a target busy.
-func (p *Pools) FullCalls() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.full
-}
-
 // Held is how many bytes of results lie at all targets.
 func (p *Pools) Held() int {
 	p.mu.Lock()
