Gatherers that don't answer aren't replaced by weak ones

Cause: each process passes by a gatherer that doesn't answer within 350 ms for two seconds. Ruled out: a longer time to answer: the links were full for longer than items can wait. Test: TestGatherersThatDoNotAnswerAreNotReplacedByWeakOnes, fails on the code before.

--- a/internal/serve/gather/choose.go
+++ b/internal/serve/gather/choose.go
@@ -148,15 +148,15 @@
 	return zones
 }
 
-// gatherers ranks the processes that may gather for a cell, best first; this
-// one is always among them.
+// gatherers ranks the processes that may gather for a cell, best first; there is
+// always one.
 func (r *Requester) gatherers(cell Cell, now time.Time) []peer.Incarnation {
 	self := r.network.Self()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	able := []peer.Member{}
 	for _, m := range r.network.Members() {
-		if m.State == peer.Alive && now.After(r.passed[m.Incarnation]) {
+		if m.State == peer.Alive {
 			able = append(able, m)
 		}
 	}
@@ -170,7 +170,23 @@
 		}
 		return 1
 	})
-	return list
+	return r.answering(list, now)
+}
+
+// answering leaves out the gatherers that are passed by. Where none is left
+// the trouble is on this side or everywhere, and weaker ones or one after the
+// other would only multiply it: then all stay. The caller holds mu.
+func (r *Requester) answering(list []peer.Incarnation, now time.Time) []peer.Incarnation {
+	var kept []peer.Incarnation
+	for _, id := range list {
+		if now.After(r.passed[id]) {
+			kept = append(kept, id)
+		}
+	}
+	if len(kept) == 0 {
+		return list
+	}
+	return kept
 }
 
 // strongest leaves out VMs with less than half of the power of the largest. One
--- /dev/null
+++ b/internal/serve/gather/choose_test.go
@@ -0,0 +1,46 @@
+package gather
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/peer"
+)
+
+// fixedNetwork knows some members and calls none.
+type fixedNetwork struct {
+	peer.Network
+	self    peer.Member
+	members []peer.Member
+}
+
+func (n *fixedNetwork) Self() peer.Member      { return n.self }
+func (n *fixedNetwork) Members() []peer.Member { return n.members }
+
+// A process's own link is full, and no gatherer seems to answer. If it passed by
+// one after the other down to the weakest VM, and all processes did, every cell
+// would have dozens of gatherers, whose calls find the targets full.
+func TestGatherersThatDoNotAnswerAreNotReplacedByWeakOnes(t *testing.T) {
+	member := func(name string, power int) peer.Member {
+		return peer.Member{Incarnation: peer.Incarnation(name), State: peer.Alive, Power: power}
+	}
+	now := time.Now()
+	r := &Requester{
+		log:     zap.NewNop(),
+		network: &fixedNetwork{self: member("self", 19), members: []peer.Member{member("a", 80), member("b", 80), member("weak", 19)}},
+		passed:  map[peer.Incarnation]time.Time{},
+	}
+	cell := Cell{Service: "s"}
+	all := r.gatherers(cell, now)
+	assert.Equal(t, len(all), 2)
+	r.passed[all[0]] = now.Add(passBy)
+	assert.DeepEqual(t, r.gatherers(cell, now), all[1:])
+	r.passed[all[1]] = now.Add(passBy)
+	got := r.gatherers(cell, now)
+	assert.DeepEqual(t, got, all)
+	assert.Assert(t, !slices.Contains(got, "weak"))
+}
