Cells promise four fifths of what they can make

Cause: in an overload all that is promised is made just in time, and cells made some 15% less than the ledger reckoned with: calls aren't full where items wait for a target in their zone, items fail, results are larger than said. So answers that were promised came 0.02 to 0.45 s late. In virtual time, two loads, share in time of explain and notice, late answers: 0.95: 0.75 and 0.92, 205; 0.85: 0.79 and 0.96, 85; 0.8: 0.80 and 0.97, 55; 0.7: 0.80 and 0.985, 25, more refused.

--- a/internal/serve/gather/ledger.go
+++ b/internal/serve/gather/ledger.go
@@ -47,9 +47,13 @@
 	// idleTime is how much work may stand before a request that is late anyway:
 	// then places are free, and a late answer takes nobody's.
 	idleTime = 150 * time.Millisecond
-	// usable is the part of the rate that is promised. The rest covers items
-	// that fail and sizes that differ.
-	usable = 0.95
+	// usable is the part of the rate that is promised. The rest covers items that
+	// fail, sizes that differ, and calls that aren't full because what waits is
+	// best made at another target. In a burst that fills what is promised for
+	// seconds, each hundredth too much makes answers late that were promised: of
+	// two kinds of request in virtual time 0.75 and 0.92 were in time with 0.95,
+	// 0.80 and 0.97 with 0.8, and no more with less.
+	usable = 0.8
 	// forget is how long after its due time a promise counts that nobody has
 	// redeemed.
 	forget = time.Second
--- a/internal/serve/run/play_test.go
+++ b/internal/serve/run/play_test.go
@@ -540,7 +540,8 @@
 		p := play(14, load, policy{})
 		report(t, "slow engines", p)
 		// 0.78 to 0.79 with one figure for all engines, 0.84 to 0.87 with what
-		// was learnt.
-		assert.Assert(t, p.kinds["notice"].share() > 0.81)
+		// was learnt, 0.90 to 0.93 with both that and a part of a cell's rate that
+		// isn't promised.
+		assert.Assert(t, p.kinds["notice"].share() > 0.87)
 	})
 }
