Engines' times are learnt by the length of prompts

Now: a line through the latest answers of a service, time against the tokens that the request's home engine hasn't read.

--- a/internal/serve/place/place.go
+++ b/internal/serve/place/place.go
@@ -33,6 +33,12 @@
 	return tokens, last
 }
 
+// Unshared is the number of tokens that the request's home has not read yet.
+func (p Prompt) Unshared() int {
+	shared, _ := p.shared()
+	return max(p.Input-shared, 0)
+}
+
 // Wish is what decides where a request goes.
 type Wish struct {
 	Prompt Prompt
--- a/internal/serve/run/firsts.go
+++ b/internal/serve/run/firsts.go
@@ -3,54 +3,90 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/vanillagate/vanillagate/internal/serve/place"
 )
 
 const (
-	// usualFirst is what an engine is reckoned to take from a request to its
-	// answer's first event until some have been seen: reading a prompt of ten
-	// thousand tokens and the first token.
-	usualFirst = 200 * time.Millisecond
-	// firstWeight is how much one answer counts in the mean: about the last
-	// sixteen decide, which a VM sees of a kind in ten to twenty seconds.
-	firstWeight = 1.0 / 16
-	// leastFirst and mostFirst bound the mean: below, messages between processes
-	// take as long; above, engines are in trouble, and stages that have to be
-	// done still sooner help nobody.
+	// firstMemory is over how many answers the line is drawn: what a VM sees in
+	// ten to twenty seconds.
+	firstMemory = 64
+	// leastFirst and mostFirst bound what is reckoned with: below, messages
+	// between processes take as long; above, engines are in trouble, and stages
+	// that have to be done still sooner help nobody.
 	leastFirst = 100 * time.Millisecond
-	mostFirst  = 600 * time.Millisecond
+	mostFirst  = 1500 * time.Millisecond
 )
 
-// firsts learns how long engines take to the first event of an answer, route by
-// route: prompts differ, and so do engines. Stages are due so much before an
+// usualFirsts is what an engine is reckoned to take until answers have been
+// seen: 0.1 s, and 0.1 s for each ten thousand tokens.
+var usualFirsts = []sample{{0, 0.1}, {0, 0.1}, {10_000, 0.2}, {10_000, 0.2}}
+
+// sample is one answer: the tokens of its prompt that an engine has to read, and
+// the seconds to the first event.
+type sample struct{ tokens, seconds float64 }
+
+// firsts learns how long engines take to the first event of an answer, by the
+// length of the prompt, service by service. Stages are due so much before an
 // answer's objective. With one figure for all, stages in a burst were done just
-// in time and a third of the answers of the kind with the longest prompts came
-// 0.2 to 0.4 s late. The zero value knows nothing yet.
+// in time and a third of the answers with the longest prompts came 0.2 to 0.4 s
+// late. The zero value knows nothing yet.
 type firsts struct {
-	mu      sync.Mutex // guards byRoute; a leaf
-	byRoute map[string]time.Duration
+	mu        sync.Mutex // guards byService; a leaf
+	byService map[string]*line
 }
 
 // note takes in one answer.
-func (f *firsts) note(route string, took time.Duration) {
+func (f *firsts) note(service string, prompt place.Prompt, took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.byRoute == nil {
-		f.byRoute = map[string]time.Duration{}
-	}
-	mean, known := f.byRoute[route]
-	if !known {
-		mean = usualFirst
-	}
-	f.byRoute[route] = mean + time.Duration(firstWeight*float64(took-mean))
+	f.of(service).add(sample{float64(prompt.Unshared()), took.Seconds()})
 }
 
-// of gives what is to be reckoned with on a route.
-func (f *firsts) of(route string) time.Duration {
+// expect gives what is to be reckoned with for a prompt.
+func (f *firsts) expect(service string, prompt place.Prompt) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	mean, known := f.byRoute[route]
-	if !known {
-		return usualFirst
+	expected := f.of(service).at(float64(prompt.Unshared()))
+	return min(max(time.Duration(expected*float64(time.Second)), leastFirst), mostFirst)
+}
+
+// of gives a service's line. The caller holds mu.
+func (f *firsts) of(service string) *line {
+	if f.byService == nil {
+		f.byService = map[string]*line{}
+	}
+	l := f.byService[service]
+	if l == nil {
+		l = &line{}
+		for _, s := range usualFirsts {
+			l.add(s)
+		}
+		f.byService[service] = l
+	}
+	return l
+}
+
+// line is the straight line through the latest samples with the least squares.
+// It holds sums, in which older samples count less.
+type line struct{ n, x, y, xx, xy float64 }
+
+func (l *line) add(s sample) {
+	const keep = 1 - 1.0/firstMemory
+	l.n = keep*l.n + 1
+	l.x = keep*l.x + s.tokens
+	l.y = keep*l.y + s.seconds
+	l.xx = keep*l.xx + s.tokens*s.tokens
+	l.xy = keep*l.xy + s.tokens*s.seconds
+}
+
+// at gives the line's value. Longer prompts never count as quicker: a slope
+// below 0 comes of a few slow answers to short ones.
+func (l *line) at(tokens float64) float64 {
+	spread := l.n*l.xx - l.x*l.x
+	slope := 0.0
+	if spread > 0 {
+		slope = max((l.n*l.xy-l.x*l.y)/spread, 0)
 	}
-	return min(max(mean, leastFirst), mostFirst)
+	return l.y/l.n + slope*(tokens-l.x/l.n)
 }
--- a/internal/serve/run/stages.go
+++ b/internal/serve/run/stages.go
@@ -320,7 +320,8 @@
 
 // due is when a stage must be done for the answer to be in time.
 func (g *graph) due(i int) time.Time {
-	due := g.job.req.Arrived.Add(g.job.route.Objective - g.job.firsts.of(g.job.route.Name))
+	first := g.job.firsts.expect(g.job.service, g.job.req.Prompt)
+	due := g.job.req.Arrived.Add(g.job.route.Objective - first)
 	for followers := g.followers(i); len(followers) > 0; followers = g.followers(i) {
 		next := followers[0]
 		due = due.Add(-g.callTime(next))
--- a/internal/serve/upstream/answer.go
+++ b/internal/serve/upstream/answer.go
@@ -30,9 +30,9 @@
 	chunked bool
 	// keepNone is Request.KeepNone.
 	keepNone bool
-	whole   bool
-	closed  bool
-	reuse   bool
+	whole    bool
+	closed   bool
+	reuse    bool
 	// written is closed when the request's body has been written; cut tells
 	// that it could not be.
 	written chan struct{}
