--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -28,7 +28,10 @@
 		d.stopCommands(),
 		{
 			Name: "status", Usage: "show the whole system on one screen",
-			Action: d.with(0, d.showStatus),
+			Flags: []cli.Flag{&cli.StringFlag{
+				Name: flagMetrics, Usage: "metrics of `IP:PORT[/PATH],...` of VMs on the platform, in place of --entries; no operator's key is needed",
+			}},
+			Action: d.status,
 		},
 		{
 			Name: "cost", Usage: "show what requests cost, by customer and stage",
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -61,6 +61,13 @@
 
 const columnGap = 2
 
+func (d *desk) status(ctx context.Context, cmd *cli.Command) error {
+	if cmd.String(flagMetrics) != "" {
+		return d.showFleet(ctx, cmd)
+	}
+	return d.with(0, d.showStatus)(ctx, cmd)
+}
+
 func (d *desk) showStatus(ctx context.Context, cmd *cli.Command, c *client) error {
 	now, err := c.status(ctx)
 	if err != nil {
