--- a/internal/serve/suspicion.go
+++ b/internal/serve/suspicion.go
@@ -28,14 +28,15 @@
 	lookAfter = 50 * time.Millisecond
 	// lookTimeout bounds the look; a target that takes a connection lives.
 	lookTimeout = 300 * time.Millisecond
-	// tellAfter and tellSpread are how long crashes are collected for one message
-	// to the peers, the second drawn by lot. When 28 engines of 112 die at once
-	// some 250 requests are suspected; told one by one they filled the links of
-	// 10 Mbit/s for half a second, gatherers seemed not to answer, and a burst
-	// was served by a third for five seconds. The users' bound counts from
-	// three seconds after the third crash.
-	tellAfter  = 300 * time.Millisecond
-	tellSpread = 500 * time.Millisecond
+	// tellSpread is within what time a crash is told to the peers, drawn by lot,
+	// tellPause how long after one message the next follows; what comes meanwhile
+	// goes into it. When 28 engines of 112 die at once some 250 requests are
+	// suspected; told one by one they filled the links of 10 Mbit/s for half a
+	// second, gatherers seemed not to answer, and a burst was served by a third for
+	// five seconds. A caller that sends a culprit again every quarter of a second
+	// is still stopped after the third target.
+	tellSpread = 100 * time.Millisecond
+	tellPause  = 500 * time.Millisecond
 	// maxTold bounds one message. What exceeds it is known here only.
 	maxTold = 64
 	// toldFor is how long the peers keep a message for those that join: longer
@@ -62,6 +63,7 @@
 	untold []crash
 	left   int // crashes that aren't told
 	told   uint64
+	toldAt time.Time
 }
 
 var _ run.Suspicion = (*suspicion)(nil)
@@ -125,7 +127,8 @@
 	}
 	s.untold = append(s.untold, crash{Fingerprint: f, Address: address})
 	if len(s.untold) == 1 {
-		time.AfterFunc(tellAfter+time.Duration(rand.Float64()*float64(tellSpread)), s.tell)
+		wait := max(tellPause-time.Since(s.toldAt), time.Duration(rand.Float64()*float64(tellSpread)))
+		time.AfterFunc(wait, s.tell)
 	}
 }
 
@@ -135,6 +138,7 @@
 	crashes, left := s.untold, s.left
 	s.untold, s.left = nil, 0
 	s.told++
+	s.toldAt = time.Now()
 	version := s.told
 	s.mu.Unlock()
 	if left > 0 {
--- a/internal/serve/suspicion_test.go
+++ b/internal/serve/suspicion_test.go
@@ -49,9 +49,13 @@
 		for i := range 2 * maxTold {
 			s.crashed(suspect.Fingerprint(fmt.Sprint("request-", i)), fmt.Sprintf("10.0.0.%d:80", i/8))
 		}
-		time.Sleep(time.Second)
+		time.Sleep(tellSpread)
 		assert.Equal(t, b.items, 1)
 		assert.Assert(t, b.bytes < maxTold*64, "%d bytes", b.bytes)
+		s.crashed("later", "10.0.1.1:80")
+		s.crashed("later still", "10.0.1.1:80")
+		time.Sleep(tellPause)
+		assert.Equal(t, b.items, 2)
 	})
 }
 
@@ -67,7 +71,7 @@
 		for i, s := range all {
 			assert.Assert(t, !s.Convicted("culprit"))
 			s.crashed("culprit", fmt.Sprintf("10.0.0.%d:80", i))
-			time.Sleep(tellAfter + tellSpread)
+			time.Sleep(tellPause + tellSpread)
 		}
 		for _, s := range all {
 			assert.Assert(t, s.Convicted("culprit"))
