--- a/internal/serve/plan/plan.go
+++ b/internal/serve/plan/plan.go
@@ -127,12 +127,9 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes int
-	BodyBytes   int
-	// HeaderTime is how long a caller may take to send its headers, IdleTime
-	// how long a connection may stay unused.
-	HeaderTime time.Duration
-	IdleTime   time.Duration
+	BodyBytes int
+	// IdleTime is how long a connection may stay unused.
+	IdleTime time.Duration
 }
 
 // Index makes the lookups. Call it once, before the plan is shared.
--- a/internal/serve/pool/entry.go
+++ b/internal/serve/pool/entry.go
@@ -30,8 +30,6 @@
 	// Slots is how many requests it works on at once.
 	Slots int
 	State State
-	// ColdMS is how much longer it stays slow after its start, in ms.
-	ColdMS int
 	// Revision of the list's row, growing with each change of any row.
 	Revision uint64
 }
--- a/internal/serve/pool/target.go
+++ b/internal/serve/pool/target.go
@@ -50,7 +50,6 @@
 	Report   Report
 	// Weight is 0 for a target out of use, 1 for a sound one.
 	Weight float64
-	Cold   bool
 }
 
 // Call is one call in progress at a target. End it once.
@@ -124,7 +123,7 @@
 	}
 	return View{
 		Target: t, Slots: t.entry.Slots, InFlight: t.inFlight, Tokens: t.tokens,
-		Report: report, Weight: e.Weight(t.health, now), Cold: t.entry.ColdMS > 0,
+		Report: report, Weight: e.Weight(t.health, now),
 	}
 }
 
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -45,7 +45,7 @@
 	// Suspicion knows the requests that crash their targets; nil for none.
 	Suspicion Suspicion
 
-	firsts firsts
+	firstEvents firstEvents
 }
 
 // Suspicion knows the requests that crash their targets, whichever process they
--- a/internal/serve/run/first_events.go
+++ b/internal/serve/run/first_events.go
@@ -8,58 +8,58 @@
 )
 
 const (
-	// firstMemory is over how many answers the line is drawn: what a VM sees in
+	// firstEventMemory is over how many answers the line is drawn: what a VM sees in
 	// ten to twenty seconds.
-	firstMemory = 64
-	// leastFirst and mostFirst bound what is reckoned with: below, messages
+	firstEventMemory = 64
+	// leastFirstEvent and mostFirstEvent bound what is reckoned with: below, messages
 	// between processes take as long; above, engines are in trouble, and stages
 	// that have to be done still sooner help nobody.
-	leastFirst = 100 * time.Millisecond
-	mostFirst  = 1500 * time.Millisecond
+	leastFirstEvent = 100 * time.Millisecond
+	mostFirstEvent  = 1500 * time.Millisecond
 )
 
-// usualFirsts is what an engine is reckoned to take until answers have been
+// usualFirstEvents is what an engine is reckoned to take until answers have been
 // seen: 0.1 s, and 0.1 s for each ten thousand tokens.
-var usualFirsts = []sample{{0, 0.1}, {0, 0.1}, {10_000, 0.2}, {10_000, 0.2}}
+var usualFirstEvents = []sample{{0, 0.1}, {0, 0.1}, {10_000, 0.2}, {10_000, 0.2}}
 
 // sample is one answer: the tokens of its prompt that an engine has to read, and
 // the seconds to the first event.
 type sample struct{ tokens, seconds float64 }
 
-// firsts learns how long engines take to the first event of an answer, by the
+// firstEvents learns how long engines take to the first event of an answer, by the
 // length of the prompt, service by service. Stages are due so much before an
 // answer's objective. With one figure for all, stages in a burst were done just
 // in time and a third of the answers with the longest prompts came 0.2 to 0.4 s
 // late. The zero value knows nothing yet.
-type firsts struct {
+type firstEvents struct {
 	mu        sync.Mutex // guards byService; a leaf
 	byService map[string]*line
 }
 
 // note takes in one answer.
-func (f *firsts) note(service string, prompt place.Prompt, took time.Duration) {
+func (f *firstEvents) note(service string, prompt place.Prompt, took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.of(service).add(sample{float64(prompt.Unshared()), took.Seconds()})
 }
 
 // expect gives what is to be reckoned with for a prompt.
-func (f *firsts) expect(service string, prompt place.Prompt) time.Duration {
+func (f *firstEvents) expect(service string, prompt place.Prompt) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	expected := f.of(service).at(float64(prompt.Unshared()))
-	return min(max(time.Duration(expected*float64(time.Second)), leastFirst), mostFirst)
+	return min(max(time.Duration(expected*float64(time.Second)), leastFirstEvent), mostFirstEvent)
 }
 
 // of gives a service's line. The caller holds mu.
-func (f *firsts) of(service string) *line {
+func (f *firstEvents) of(service string) *line {
 	if f.byService == nil {
 		f.byService = map[string]*line{}
 	}
 	l := f.byService[service]
 	if l == nil {
 		l = &line{}
-		for _, s := range usualFirsts {
+		for _, s := range usualFirstEvents {
 			l.add(s)
 		}
 		f.byService[service] = l
@@ -72,7 +72,7 @@
 type line struct{ n, x, y, xx, xy float64 }
 
 func (l *line) add(s sample) {
-	const keep = 1 - 1.0/firstMemory
+	const keep = 1 - 1.0/firstEventMemory
 	l.n = keep*l.n + 1
 	l.x = keep*l.x + s.tokens
 	l.y = keep*l.y + s.seconds
--- a/internal/serve/run/first_events_test.go
+++ b/internal/serve/run/first_events_test.go
@@ -17,7 +17,7 @@
 }
 
 func TestFirstEventsAreLearntByTheLengthOfPrompts(t *testing.T) {
-	var f firsts
+	var f firstEvents
 	near(t, f.expect("engines", promptOf(10_000)), 200*time.Millisecond)
 	for i := range 400 {
 		tokens := 500 + 3000*(i%8)
@@ -26,13 +26,13 @@
 	}
 	near(t, f.expect("engines", promptOf(30_000)), 660*time.Millisecond)
 	near(t, f.expect("engines", promptOf(5000)), 160*time.Millisecond)
-	assert.Equal(t, f.expect("engines", promptOf(200_000)), mostFirst)
+	assert.Equal(t, f.expect("engines", promptOf(200_000)), mostFirstEvent)
 	near(t, f.expect("others", promptOf(10_000)), 200*time.Millisecond)
 }
 
 // All prompts seen are alike, and some slow answers go to the shortest.
 func TestLongerPromptsNeverCountAsQuicker(t *testing.T) {
-	var f firsts
+	var f firstEvents
 	for range 100 {
 		f.note("engines", promptOf(800), 500*time.Millisecond)
 	}
--- a/internal/serve/run/metrics.go
+++ b/internal/serve/run/metrics.go
@@ -73,7 +73,7 @@
 			e.Metrics.observe(series("vanillagate_answer_us", "team", j.team.Name), took)
 		}
 		if !j.preparedAt.IsZero() {
-			e.firsts.note(j.service, j.req.Prompt, time.Since(j.askedAt))
+			e.firstEvents.note(j.service, j.req.Prompt, time.Since(j.askedAt))
 		}
 		if j.route.Objective > 0 && took > j.route.Objective {
 			e.late(j, took)
--- a/internal/serve/run/play_test.go
+++ b/internal/serve/run/play_test.go
@@ -226,7 +226,7 @@
 	}
 	engine := cmp.Or(k.engine, engineTime)
 	time.Sleep(engine)
-	e.firsts.note(j.service, j.req.Prompt, engine)
+	e.firstEvents.note(j.service, j.req.Prompt, engine)
 	if time.Since(start) <= route.Objective {
 		return inTime
 	}
--- a/internal/serve/run/stages.go
+++ b/internal/serve/run/stages.go
@@ -320,7 +320,7 @@
 
 // due is when a stage must be done for the answer to be in time.
 func (g *graph) due(i int) time.Time {
-	first := g.job.firsts.expect(g.job.service, g.job.req.Prompt)
+	first := g.job.firstEvents.expect(g.job.service, g.job.req.Prompt)
 	due := g.job.req.Arrived.Add(g.job.route.Objective - first)
 	for followers := g.followers(i); len(followers) > 0; followers = g.followers(i) {
 		next := followers[0]
