--- a/internal/serve/suspicion_test.go
+++ b/internal/serve/suspicion_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,11 +20,19 @@
 // board is a network that passes what one process publishes to all.
 type board struct {
 	*servetest.Node
-	hear  []func(peer.Item)
+	hear []func(peer.Item)
+
+	mu    sync.Mutex // guards what follows
 	items int
 	bytes int
 }
 
+func (b *board) published() (items, bytes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.items, b.bytes
+}
+
 func (b *board) Subscribe(_ peer.Topic, fn func(peer.Item)) { b.hear = append(b.hear, fn) }
 
 func (b *board) Publish(topic peer.Topic, key string, version uint64, ttl time.Duration, body any) error {
@@ -31,8 +40,10 @@
 	if err != nil {
 		return err
 	}
+	b.mu.Lock()
 	b.items++
 	b.bytes += len(encoded)
+	b.mu.Unlock()
 	for _, fn := range b.hear {
 		fn(peer.Item{Topic: topic, Key: key, Version: version, TTL: ttl, Body: encoded})
 	}
@@ -50,12 +61,14 @@
 			s.crashed(suspect.Fingerprint(fmt.Sprint("request-", i)), fmt.Sprintf("10.0.0.%d:80", i/8))
 		}
 		time.Sleep(tellSpread)
-		assert.Equal(t, b.items, 1)
-		assert.Assert(t, b.bytes < maxTold*64, "%d bytes", b.bytes)
+		items, bytes := b.published()
+		assert.Equal(t, items, 1)
+		assert.Assert(t, bytes < maxTold*64, "%d bytes", bytes)
 		s.crashed("later", "10.0.1.1:80")
 		s.crashed("later still", "10.0.1.1:80")
 		time.Sleep(tellPause)
-		assert.Equal(t, b.items, 2)
+		items, _ = b.published()
+		assert.Equal(t, items, 2)
 	})
 }
 
