Rereading settings and callers' idle time are the product's

Found in the review of the whole change: platform/ is to translate only, and held two things that know no name of the platform's: following a settings file (signal, period, what was held) and a listener whose connections' idle time follows the configuration. They are internal/settings.File and internal/idle now; platform/ keeps the translation and what may change while the process runs.

--- /dev/null
+++ b/internal/settings/file.go
@@ -0,0 +1,70 @@
+package settings
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// RereadPeriod is how often a file is read without a signal: whoever writes it
+// may do so without a word. Reading 2 KB takes some 0.1 ms.
+const RereadPeriod = 2 * time.Second
+
+// CatchReload takes over the signal that says that the settings have changed.
+// It comes first in a process's life: until then the signal ends the process,
+// and with it all requests that it serves.
+func CatchReload() <-chan os.Signal {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	return reload
+}
+
+// File is a file of settings that may change while the process runs.
+type File struct {
+	Log  *zap.Logger
+	Path string
+	// Held is what the file had when it was last taken over.
+	Held []byte
+	// Take takes over a changed file. Where it can't, what was in force stays.
+	Take func(raw []byte) error
+}
+
+// Follow rereads the file at each signal, and now and then without one, until
+// the context ends.
+func (f *File) Follow(ctx context.Context, reload <-chan os.Signal) {
+	ticker := time.NewTicker(RereadPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+			f.Log.Info("Asked to reread the settings.")
+		case <-ticker.C:
+		}
+		f.Reread()
+	}
+}
+
+// Reread takes the file over if it has changed. One that can't be used changes
+// nothing: it may be half written.
+func (f *File) Reread() {
+	raw, err := os.ReadFile(f.Path)
+	if err != nil {
+		f.Log.Warn("Settings can't be read; the old ones stay.", zap.Error(err))
+		return
+	}
+	if bytes.Equal(raw, f.Held) {
+		return
+	}
+	if err := f.Take(raw); err != nil {
+		f.Log.Warn("Settings can't be used; the old ones stay.", zap.Error(err))
+		return
+	}
+	f.Held = raw
+}
