One rendezvous hash, one look-up of a service, one bound on repeats

Found in the review of the whole change, written again where the project had it: - routing's rendezvous hash stood in place and in gather's cells as well; it is routing.Rendezvous now (a cell's last name is empty, which keeps its values). - waiting until a moment stood in two load tools beside internal/wait; wait.Until. - a service of the plan in force was looked up in four places, limits in two: Holder.Service and Holder.Limits. Holder.OnChange had no user but a test, which takes down what Apply put in force instead, with the same assertion. - a budget's Repeat and Left reckoned the same sum each. - vgctl explain encoded JSON beside print. - peer's field joined was only written since beats at the start go by their number.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"os"
 	"path/filepath"
 
@@ -38,9 +37,7 @@
 	}
 	story.Sort()
 	if cmd.String(flagOutput) == outputJSON {
-		encoder := json.NewEncoder(d.out)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(story)
+		return d.printJSON(story)
 	}
 	return story.Write(d.out)
 }
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -50,9 +50,7 @@
 // print shows a value as JSON, or as text in columns.
 func (d *desk) print(cmd *cli.Command, value any, text func(io.Writer)) error {
 	if cmd.String(flagOutput) == outputJSON {
-		encoder := json.NewEncoder(d.out)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(value)
+		return d.printJSON(value)
 	}
 	table := tabwriter.NewWriter(d.out, 0, 0, columnGap, ' ', 0)
 	text(table)
@@ -61,6 +59,12 @@
 
 const columnGap = 2
 
+func (d *desk) printJSON(value any) error {
+	encoder := json.NewEncoder(d.out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
 func (d *desk) status(ctx context.Context, cmd *cli.Command) error {
 	if cmd.String(flagMetrics) != "" {
 		return d.showFleet(ctx, cmd)
--- a/internal/load/fault/inject.go
+++ b/internal/load/fault/inject.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/vanillagate/vanillagate/internal/load/control"
+	"github.com/vanillagate/vanillagate/internal/wait"
 )
 
 const (
@@ -35,7 +36,7 @@
 func (i *Injector) Run(ctx context.Context, start time.Time, events []Event) error {
 	var failed []error
 	for _, event := range events {
-		if !waitUntil(ctx, start.Add(event.At)) {
+		if !wait.Until(ctx, start.Add(event.At)) {
 			break
 		}
 		if err := i.inject(ctx, event); err != nil {
@@ -67,7 +68,7 @@
 func (i *Injector) pid(ctx context.Context, entry int) (int, error) {
 	pid, err := PID(i.PIDDir, entry)
 	for until := time.Now().Add(replacedWithin); err != nil; pid, err = PID(i.PIDDir, entry) {
-		if !time.Now().Before(until) || !waitUntil(ctx, time.Now().Add(lookAgain)) {
+		if !time.Now().Before(until) || !wait.Until(ctx, time.Now().Add(lookAgain)) {
 			return 0, err
 		}
 	}
@@ -89,14 +90,3 @@
 	}
 	return pid, nil
 }
-
-func waitUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/load/runner/runner.go
+++ b/internal/load/runner/runner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/vanillagate/vanillagate/internal/load/caller"
+	"github.com/vanillagate/vanillagate/internal/wait"
 )
 
 // Planned is a call and when to send it, since the start.
@@ -29,7 +30,7 @@
 	var running sync.WaitGroup
 	sent := 0
 	for i, planned := range plan {
-		if !waitUntil(ctx, start.Add(planned.At)) {
+		if !wait.Until(ctx, start.Add(planned.At)) {
 			break
 		}
 		call := planned.Call
@@ -52,18 +53,3 @@
 		p.InTime.Add(1)
 	}
 }
-
-func waitUntil(ctx context.Context, at time.Time) bool {
-	wait := time.Until(at)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -66,7 +66,6 @@
 	planned  []member.Record
 	stale    bool // the view is being refreshed
 	members  int  // how many others live, as of the last plan
-	joined   bool // one comparison of views has succeeded
 	closed   bool
 	lastLazy uint64 // the beat of the last prune
 }
--- a/internal/peer/sync.go
+++ b/internal/peer/sync.go
@@ -35,7 +35,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.joined, n.stale = true, false
+	n.stale = false
 	return nil
 }
 
--- a/internal/routing/subset.go
+++ b/internal/routing/subset.go
@@ -26,7 +26,7 @@
 	}
 	ranked := make([]rankedMember, 0, len(members))
 	for _, m := range members {
-		ranked = append(ranked, rankedMember{member: m, score: rendezvous(node, m.Address)})
+		ranked = append(ranked, rankedMember{member: m, score: Rendezvous(node, m.Address)})
 	}
 	sort.Slice(ranked, func(i, j int) bool { return ranked[i].before(ranked[j]) })
 	chosen := make([]Member, 0, size)
@@ -68,11 +68,17 @@
 	return chosen
 }
 
-func rendezvous(node, address string) uint64 {
+// Rendezvous ranks the last of some names for the others: of several candidates
+// all processes that compare these figures choose the same, without exchange, and
+// most choices stay as they are when candidates come and go.
+func Rendezvous(names ...string) uint64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(node))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(address))
+	for i, name := range names {
+		if i > 0 {
+			_, _ = h.Write([]byte{0})
+		}
+		_, _ = h.Write([]byte(name)) // a hash.Hash never fails
+	}
 	return mix(h.Sum64())
 }
 
--- a/internal/serve/gather/choose.go
+++ b/internal/serve/gather/choose.go
@@ -2,12 +2,12 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math"
 	"slices"
 	"time"
 
 	"github.com/vanillagate/vanillagate/internal/peer"
+	"github.com/vanillagate/vanillagate/internal/routing"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 )
 
@@ -37,17 +37,7 @@
 
 // score ranks a member for a cell; the highest gathers.
 func (c Cell) score(member string) uint64 {
-	h := fnv.New64a()
-	for _, part := range []string{c.Service, c.Zone, member} {
-		_, _ = h.Write([]byte(part)) // a hash.Hash never fails
-		_, _ = h.Write([]byte{0})
-	}
-	// FNV's high bits barely depend on the last bytes; this spreads them.
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
+	return routing.Rendezvous(c.Service, c.Zone, member, "")
 }
 
 // pace is how fast one target works, against what its service's settings say.
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -191,11 +191,7 @@
 }
 
 func (g *Gatherer) batch(id Cell) *plan.Batch {
-	p := g.plans.Current()
-	if p == nil {
-		return nil
-	}
-	service := p.Service(id.Service)
+	service := g.plans.Service(id.Service)
 	if service == nil {
 		return nil
 	}
--- a/internal/serve/place/place.go
+++ b/internal/serve/place/place.go
@@ -3,8 +3,7 @@
 package place
 
 import (
-	"hash/fnv"
-
+	"github.com/vanillagate/vanillagate/internal/routing"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 )
 
@@ -136,7 +135,7 @@
 	home := ""
 	best := uint64(0)
 	for _, v := range views {
-		score := rendezvous(last, v.ID)
+		score := routing.Rendezvous(last, v.ID)
 		if v.Weight > 0 && score >= best {
 			best, home = score, v.ID
 		}
@@ -144,18 +143,6 @@
 	return home
 }
 
-func rendezvous(a, b string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(a)) // a hash.Hash never fails
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(b))
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
-}
-
 // crossZone is what another zone counts among a plain service's targets, in
 // requests: a target in this process's zone is taken unless it has more to do.
 const crossZone = 0.5
--- a/internal/serve/plan/holder.go
+++ b/internal/serve/plan/holder.go
@@ -10,9 +10,7 @@
 // and a caller that has seen the effect of a change must not see it undone.
 type Holder struct {
 	current atomic.Pointer[Plan]
-
-	mu      sync.Mutex // guards applying and watchers; taken before nothing else
-	watcher []func(*Plan)
+	mu      sync.Mutex // guards applying; a leaf
 }
 
 // Current is the plan in force; nil before the first one is known.
@@ -26,6 +24,22 @@
 	return 0
 }
 
+// Service finds a service of the plan in force; nil where there is none.
+func (h *Holder) Service(name string) *Service {
+	if p := h.current.Load(); p != nil {
+		return p.Service(name)
+	}
+	return nil
+}
+
+// Limits are those of the plan in force; zero before the first one.
+func (h *Holder) Limits() Limits {
+	if p := h.current.Load(); p != nil {
+		return p.Limits
+	}
+	return Limits{}
+}
+
 // Apply puts a plan in force if it is newer than the present one, and tells
 // whether it was.
 func (h *Holder) Apply(p *Plan) bool {
@@ -36,12 +50,5 @@
 	}
 	p.Index()
 	h.current.Store(p)
-	for _, watch := range h.watcher {
-		watch(p)
-	}
 	return true
 }
-
-// OnChange has fn called with each plan that comes into force. fn must not
-// call the Holder. Call before the first Apply.
-func (h *Holder) OnChange(fn func(*Plan)) { h.watcher = append(h.watcher, fn) }
--- a/internal/serve/plan/plan_test.go
+++ b/internal/serve/plan/plan_test.go
@@ -41,13 +41,15 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var h Holder
 		var seen []uint64
-		h.OnChange(func(p *Plan) { seen = append(seen, p.Version) })
 		newest := uint64(0)
 		for _, version := range rapid.SliceOf(rapid.Uint64Range(1, 20)).Draw(t, "versions") {
 			applied := h.Apply(&Plan{Version: version})
 			if applied != (version > newest) {
 				t.Fatalf("version %d after %d: applied %v", version, newest, applied)
 			}
+			if applied {
+				seen = append(seen, h.Version())
+			}
 			newest = max(newest, version)
 			if h.Version() != newest {
 				t.Fatalf("in force %d, newest %d", h.Version(), newest)
--- a/internal/serve/quota/quota.go
+++ b/internal/serve/quota/quota.go
@@ -117,9 +117,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.of(service, now)
-	allowed := b.rule.Ratio * float64(sum(w.requests))
-	allowed += b.part(now)
-	if float64(sum(w.repeats)+1) > margin*allowed {
+	if b.left(w, now) < 1 {
 		return false
 	}
 	w.repeats[0]++
@@ -138,7 +136,11 @@
 func (b *Budget) Left(service string, now time.Time) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.of(service, now)
+	return b.left(b.of(service, now), now)
+}
+
+// left is how many repeats a window still has. The caller holds mu.
+func (b *Budget) left(w *window, now time.Time) float64 {
 	allowed := b.rule.Ratio*float64(sum(w.requests)) + b.part(now)
 	return margin*allowed - float64(sum(w.repeats))
 }
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -47,10 +47,8 @@
 	if j.inputs != nil {
 		wish.Bytes = j.inputs.bytes
 	}
-	if p := j.Plans.Current(); p != nil {
-		if s := p.Service(j.service); s != nil && s.Engine != nil {
-			return place.Engine(views, wish)
-		}
+	if s := j.Plans.Service(j.service); s != nil && s.Engine != nil {
+		return place.Engine(views, wish)
 	}
 	return place.Plain(views, wish, rand.Float64())
 }
@@ -152,11 +150,7 @@
 // its request ran. The other half is for connections in use, and for those of
 // processes that lost their power, which a target holds for some seconds.
 func (j *job) keep(r *upstream.Request) {
-	p := j.Plans.Current()
-	if p == nil {
-		return
-	}
-	service := p.Service(j.service)
+	service := j.Plans.Service(j.service)
 	if service == nil || service.MaxConnections <= 0 {
 		return
 	}
--- a/internal/serve/run/stages.go
+++ b/internal/serve/run/stages.go
@@ -331,8 +331,7 @@
 }
 
 func (g *graph) callTime(i int) time.Duration {
-	p := g.job.Plans.Current()
-	service := p.Service(g.stages[i].Service)
+	service := g.job.Plans.Service(g.stages[i].Service)
 	if service == nil || service.Batch == nil {
 		return 0
 	}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -45,6 +45,13 @@
 	Again bool
 }
 
+func (o Options) budget(now time.Time) *quota.Budget {
+	if o.Again {
+		return quota.Again(o.Budget, now)
+	}
+	return quota.New(o.Budget, now)
+}
+
 // Server is the serving core of one process.
 type Server struct {
 	log      *zap.Logger
@@ -74,10 +81,7 @@
 	}
 	s := &Server{
 		log: logging.Part(o.Log, "serve"), metrics: o.Metrics, zone: o.Zone, network: network,
-		plans: &plan.Holder{}, client: &upstream.Client{}, budget: quota.New(o.Budget, time.Now()),
-	}
-	if o.Again {
-		s.budget = quota.Again(o.Budget, time.Now())
+		plans: &plan.Holder{}, client: &upstream.Client{}, budget: o.budget(time.Now()),
 	}
 	s.life, s.stop = context.WithCancel(context.Background())
 	s.table = pool.New(logging.Part(o.Log, "targets"))
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -19,6 +19,16 @@
 	}
 }
 
+// Until waits until a moment; false when the context ends first. A moment that
+// has passed isn't waited for.
+func Until(ctx context.Context, at time.Time) bool {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	return For(ctx, d)
+}
+
 // Around waits for a time drawn between half and one and a half of d, so that
 // processes that began or failed together don't go on together.
 func Around(ctx context.Context, d time.Duration) bool {
