Scripts and tests: what was written twice is one piece

Found in the review of the whole change: four scripts ended their children with the same lines (scripts/children.sh now; overhead.sh handles signals by it too), and three test files repeated their set-up: one exchange with a target, two views of a store, a load of which each kind must be in time to a share. All assertions and their figures are as they were.

--- a/internal/serve/follow/follow_test.go
+++ b/internal/serve/follow/follow_test.go
@@ -47,6 +47,16 @@
 
 func newFakeStore() *fakeStore { return &fakeStore{wake: make(chan struct{})} }
 
+// twoStores are one store as two groups of processes see it: what operators and
+// targets write reaches both by the function.
+func twoStores() (one, other *fakeStore, both func(func(*fakeStore))) {
+	one, other = newFakeStore(), newFakeStore()
+	return one, other, func(fn func(*fakeStore)) {
+		fn(one)
+		fn(other)
+	}
+}
+
 func (s *fakeStore) change(fn func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -246,11 +256,7 @@
 // on with targets that have left for as long as a call may last.
 func TestAStoreThatIsSilentTowardsOneProcess(t *testing.T) {
 	inBubble(t, func(t *testing.T, ctx context.Context) {
-		sound, silent := newFakeStore(), newFakeStore()
-		both := func(fn func(*fakeStore)) {
-			fn(sound)
-			fn(silent)
-		}
+		sound, silent, both := twoStores()
 		both(func(s *fakeStore) { s.putPlan(1); s.putTarget("x", pool.Ready) })
 		all := cluster(ctx, 6, silent, sound)
 		time.Sleep(10 * time.Second)
@@ -366,11 +372,7 @@
 // than a change may take.
 func TestAChangeWhileAllLookoutsAreCutOff(t *testing.T) {
 	inBubble(t, func(t *testing.T, ctx context.Context) {
-		sound, cut := newFakeStore(), newFakeStore()
-		both := func(fn func(*fakeStore)) {
-			fn(sound)
-			fn(cut)
-		}
+		sound, cut, both := twoStores()
 		both(func(s *fakeStore) { s.putPlan(1); s.putTarget("x", pool.Ready) })
 		stores := make([]*fakeStore, 10)
 		for i := range stores {
@@ -502,11 +504,7 @@
 // the target must not take it back from one that has not.
 func TestAnEntryThatEndsAfterAPartialOutageIsGone(t *testing.T) {
 	inBubble(t, func(t *testing.T, ctx context.Context) {
-		sound, refusing := newFakeStore(), newFakeStore()
-		both := func(fn func(*fakeStore)) {
-			fn(sound)
-			fn(refusing)
-		}
+		sound, refusing, both := twoStores()
 		both(func(s *fakeStore) { s.putPlan(1); s.putTarget("x", pool.Ready); s.putTarget("y", pool.Ready) })
 		all := cluster(ctx, 9, refusing, refusing, refusing, sound)
 		time.Sleep(5 * time.Second)
--- a/internal/serve/run/play_test.go
+++ b/internal/serve/run/play_test.go
@@ -356,6 +356,18 @@
 	assert.Assert(t, present["explain"].late < without["explain"].late/2, "%+v %+v", present, without)
 }
 
+// playAll plays a load in which of each kind more than a share is to be in time.
+func playAll(t *testing.T, name string, seed uint64, load site, share float64) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := play(seed, load, policy{})
+		report(t, name, p)
+		for kind, k := range p.kinds {
+			assert.Assert(t, k.share() > share, "%s: %+v", kind, k)
+		}
+	})
+}
+
 func add(sums map[string]tally, p played) {
 	for name, k := range p.kinds {
 		sum := sums[name]
@@ -378,13 +390,7 @@
 			n.Thaw()
 		}
 	}
-	synctest.Test(t, func(t *testing.T) {
-		p := play(4, load, policy{})
-		report(t, "two of eight frozen", p)
-		for name, k := range p.kinds {
-			assert.Assert(t, k.share() > 0.85, "%s: %+v", name, k)
-		}
-	})
+	playAll(t, "two of eight frozen", 4, load, 0.85)
 }
 
 // Processes die with what they gathered, one after the other. The owners of the
@@ -397,13 +403,7 @@
 			n.Kill()
 		}
 	}
-	synctest.Test(t, func(t *testing.T) {
-		p := play(5, load, policy{})
-		report(t, "three of eight killed", p)
-		for name, k := range p.kinds {
-			assert.Assert(t, k.share() > 0.85, "%s: %+v", name, k)
-		}
-	})
+	playAll(t, "three of eight killed", 5, load, 0.85)
 }
 
 // A new configuration has reached some processes and not yet others. The ones
@@ -412,13 +412,7 @@
 func TestAGathererThatDoesNotKnowTheServiceIsPassedBy(t *testing.T) {
 	load := reservoir()
 	load.behind, load.length = 3, 6*time.Second
-	synctest.Test(t, func(t *testing.T) {
-		p := play(9, load, policy{})
-		report(t, "three of eight behind", p)
-		for name, k := range p.kinds {
-			assert.Assert(t, k.share() > 0.9, "%s: %+v", name, k)
-		}
-	})
+	playAll(t, "three of eight behind", 9, load, 0.9)
 }
 
 // One stage target of five works four times as slowly. Whoever is in its call
@@ -485,13 +479,7 @@
 	for i := range load.kinds {
 		load.kinds[i].perSecond *= 10
 	}
-	synctest.Test(t, func(t *testing.T) {
-		p := play(8, load, policy{})
-		report(t, "ten times", p)
-		for name, k := range p.kinds {
-			assert.Assert(t, k.share() > 0.95, "%s: %+v", name, k)
-		}
-	})
+	playAll(t, "ten times", 8, load, 0.95)
 }
 
 // All processes start at the same moment, after a loss of power. For some
--- a/internal/serve/upstream/upstream_test.go
+++ b/internal/serve/upstream/upstream_test.go
@@ -77,6 +77,15 @@
 	return string(body)
 }
 
+// exchange sends a request and reads its whole answer.
+func exchange(t *testing.T, c *Client, address string) string {
+	t.Helper()
+	a, err := c.Send(context.Background(), get(address))
+	assert.NilError(t, err)
+	defer a.Close()
+	return readAll(t, a)
+}
+
 func TestTheRequestArrivesByteForByte(t *testing.T) {
 	got := make(chan string, 1)
 	address := target(t, func(conn net.Conn) {
@@ -105,10 +114,7 @@
 		address := target(t, answering(answer))
 		var c Client
 		for range 3 {
-			a, err := c.Send(context.Background(), get(address))
-			assert.NilError(t, err, name)
-			assert.Equal(t, readAll(t, a), "hello", name)
-			a.Close()
+			assert.Equal(t, exchange(t, &c, address), "hello", name)
 		}
 		assert.Equal(t, c.Dialed(), int64(1), name)
 	}
@@ -149,10 +155,7 @@
 	address := target(t, answering("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
 	var c Client
 	for range 2 {
-		a, err := c.Send(context.Background(), get(address))
-		assert.NilError(t, err)
-		assert.Equal(t, readAll(t, a), "")
-		a.Close()
+		assert.Equal(t, exchange(t, &c, address), "")
 	}
 	assert.Equal(t, c.Dialed(), int64(2))
 }
@@ -206,10 +209,7 @@
 	address := target(t, answering(plain+"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nstolen"))
 	var c Client
 	for range 3 {
-		a, err := c.Send(context.Background(), get(address))
-		assert.NilError(t, err)
-		assert.Equal(t, readAll(t, a), "hello")
-		a.Close()
+		assert.Equal(t, exchange(t, &c, address), "hello")
 	}
 }
 
@@ -228,10 +228,7 @@
 	})
 	var c Client
 	for range 3 {
-		a, err := c.Send(context.Background(), get(address))
-		assert.NilError(t, err)
-		assert.Equal(t, readAll(t, a), "hello")
-		a.Close()
+		assert.Equal(t, exchange(t, &c, address), "hello")
 	}
 }
 
@@ -298,10 +295,7 @@
 	})
 	var c Client
 	for range 3 {
-		a, err := c.Send(context.Background(), get(address))
-		assert.NilError(t, err)
-		assert.Equal(t, readAll(t, a), "hello")
-		a.Close()
+		assert.Equal(t, exchange(t, &c, address), "hello")
 		time.Sleep(20 * time.Millisecond)
 	}
 }
--- a/scripts/demo-platform.sh
+++ b/scripts/demo-platform.sh
@@ -11,16 +11,7 @@
 rm -rf "$out"
 mkdir -p "$out"
 
-started=()
-finish() {
-  trap - EXIT INT TERM
-  for pid in ${started[@]+"${started[@]}"}; do
-    kill -TERM "$pid" 2>/dev/null || true
-  done
-  wait 2>/dev/null || true
-}
-trap finish EXIT
-trap 'exit 130' INT TERM
+. scripts/children.sh
 
 "$bin/vgstandin" edge --folder "$out" --vms "$vms" --rate "${DEMO_RATE:-60}" --duration "${DEMO_DURATION:-10s}" \
   --require-attainment 0.98 >"$out/load.txt" 2>"$out/standin.log" &
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,16 +13,7 @@
 rm -rf "$out"
 mkdir -p "$out"
 
-started=()
-finish() {
-  trap - EXIT INT TERM
-  for pid in ${started[@]+"${started[@]}"}; do
-    kill -TERM "$pid" 2>/dev/null || true
-  done
-  wait 2>/dev/null || true
-}
-trap finish EXIT
-trap 'exit 130' INT TERM
+. scripts/children.sh
 
 # start NAME COMMAND... runs a program in the background, its logs in the
 # output folder.
--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -14,14 +14,8 @@
 "$bin/vgload" bench layout --experiments experiments/overhead --scenario overhead --dir "$dir"
 # shellcheck disable=SC1091
 . "$dir/env.sh"
-started=()
-finish() {
-  for pid in ${started[@]+"${started[@]}"}; do
-    kill -KILL "$pid" 2>/dev/null || true
-  done
-  { wait; } 2>/dev/null || true
-}
-trap finish EXIT
+finish_signal=KILL
+. scripts/children.sh
 "$bin/vgstandin" fleet --file "$dir/fleet.json" --log-level warn >"$dir/standin.log" 2>&1 &
 started+=($!)
 IFS=$'\t' read -r _ address peer zone region <"$dir/entries.tsv"
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -16,16 +16,8 @@
   "$bin/vgslopes" members | tee "$out/members.txt"
 fi
 
-started=()
-finish() {
-  trap - EXIT INT TERM
-  for pid in ${started[@]+"${started[@]}"}; do
-    kill -KILL "$pid" 2>/dev/null || true
-  done
-  { wait; } 2>/dev/null || true
-}
-trap finish EXIT
-trap 'exit 130' INT TERM
+finish_signal=KILL
+. scripts/children.sh
 
 # Ports below the kernel's own range, apart from those of the demo.
 base=$((12000 + RANDOM % 2000))
