Tests: signals to read settings again, and a log reader that ends, cut requests

Ruled out: a failure of what the stand-in does (the same calls without signal and with a reader that stays are whole in the other tests).

--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -107,8 +108,8 @@
 	t.Helper()
 	p := &process{name: name, log: &bytes.Buffer{}, done: make(chan struct{})}
 	p.cmd = exec.Command(program(binary), args...)
-	prepare(p.cmd)
 	p.cmd.Stdout, p.cmd.Stderr = p, p
+	prepare(p.cmd)
 	assert.NilError(t, p.cmd.Start())
 	go func() {
 		p.err = p.cmd.Wait()
@@ -247,6 +248,19 @@
 	return &next
 }
 
+// replaceEntry ends an entry VM and starts another at the same addresses, after
+// prepare has changed how.
+func (c *cluster) replaceEntry(i int, prepare func(*exec.Cmd), flags ...string) *entryVM {
+	c.t.Helper()
+	c.entries[i].kill(c.t)
+	next := *c.entries[i]
+	next.args = append(slices.Clone(next.args), flags...)
+	next.process = launchCommand(c.t, next.name+" (replaced)", prepare, "vanillagate", next.args...)
+	c.entries[i] = &next
+	c.waitReady(&next)
+	return &next
+}
+
 func (c *cluster) waitReady(e *entryVM) {
 	c.t.Helper()
 	waitFor(c.t, e.name+" to be ready", func() bool { return httpOK("http://" + e.address + "/readyz") })
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -46,8 +46,16 @@
 
 func (e *edgeSite) start(i int) {
 	e.t.Helper()
-	e.runs[i] = launchWith(e.t, e.vms[i].Name, "vgedge", []string{"VANILLAGATE_SETTINGS=" + e.vms[i].Settings},
-		"--peer-keys="+peerKeys, "--metrics=9464/metrics")
+	e.startAfter(i, func(*exec.Cmd) {})
+}
+
+// startAfter starts a process after prepare has changed how.
+func (e *edgeSite) startAfter(i int, prepare func(*exec.Cmd)) {
+	e.t.Helper()
+	e.runs[i] = launchCommand(e.t, e.vms[i].Name, func(cmd *exec.Cmd) {
+		cmd.Env = append(cmd.Environ(), "VANILLAGATE_SETTINGS="+e.vms[i].Settings)
+		prepare(cmd)
+	}, "vgedge", "--peer-keys="+peerKeys, "--metrics=9464/metrics")
 }
 
 func (e *edgeSite) waitReady(i int) {
