SIGHUP ends no serving program

Cause: vanillagate and vgsteward left SIGHUP to its default action, like vgedge before it reread its settings: the process ends with code 129, with all that it serves and without a line. Each program had to remember to catch it; two didn't. Ruled out: what the streams themselves do (whole without the signal). Now a serving program's command is made with the reload signals, so that none can be written without them; the two whose settings can't change log that they hold. Before: TestAskedToReadSettingsAgainCutsNothing fails after 30.4 s. After: it passes, with the tests of settings and stewards, three times of three (7.8 s each).

--- a/cmd/vanillagate/main.go
+++ b/cmd/vanillagate/main.go
@@ -7,4 +7,4 @@
 	"github.com/vanillagate/vanillagate/internal/program"
 )
 
-func main() { program.Run(entry.Command()) }
+func main() { program.Serve(entry.Command) }
--- a/cmd/vgedge/main.go
+++ b/cmd/vgedge/main.go
@@ -6,4 +6,4 @@
 	"github.com/vanillagate/vanillagate/platform"
 )
 
-func main() { program.Run(platform.Command()) }
+func main() { program.Serve(platform.Command) }
--- a/cmd/vgsteward/main.go
+++ b/cmd/vgsteward/main.go
@@ -6,4 +6,4 @@
 	steward "github.com/vanillagate/vanillagate/internal/steward/program"
 )
 
-func main() { program.Run(steward.Command()) }
+func main() { program.Serve(steward.Command) }
--- a/internal/entry/command.go
+++ b/internal/entry/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"regexp"
 	"strings"
 	"time"
@@ -34,8 +35,8 @@
 	flagMaxInFlight  = "max-in-flight"
 )
 
-// Command is the program's command line.
-func Command() *cli.Command {
+// Command is the program's command line. Its settings stay at a reload signal.
+func Command(reload <-chan os.Signal) *cli.Command {
 	return &cli.Command{
 		Name:    "vanillagate",
 		Usage:   "serve callers of multi-stage model pipelines and plain services",
@@ -45,7 +46,7 @@
 			"answer, and cuts no request.",
 		Flags: append(flags(), program.SharedFlags()...),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return run(ctx, c)
+			return run(ctx, c, reload)
 		},
 	}
 }
@@ -70,7 +71,7 @@
 
 // run checks the settings, wires the process and serves until it is told to
 // leave.
-func run(ctx context.Context, c *cli.Command) error {
+func run(ctx context.Context, c *cli.Command, reload <-chan os.Signal) error {
 	var check settings.Checker
 	shared := program.CheckShared(c, &check)
 	opts := checkOptions(c, &check)
@@ -82,6 +83,7 @@
 		return eris.Wrap(err, "logs")
 	}
 	defer func() { _ = log.Sync() }()
+	go settings.LogReloads(ctx, logging.Part(log, "settings"), reload)
 	opts.Log = log
 	opts.Metrics = metrics.NewRegistry()
 	opts.Zone, opts.Region = shared.Zone, shared.Region
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -31,6 +31,15 @@
 	return cli.EnvVars(EnvPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_")))
 }
 
+// Serve runs a program that serves others, like Run. Its command is made with
+// the signals that ask it to read its settings again: left to its default
+// action, SIGHUP ends a process with all that it serves, and its log doesn't say
+// why.
+func Serve(command func(reload <-chan os.Signal) *cli.Command) {
+	reload := settings.CatchReload()
+	Run(command(reload))
+}
+
 // Run runs a command until it ends or SIGTERM or SIGINT asks it to leave, and
 // exits with its code.
 func Run(command *cli.Command) {
--- a/internal/settings/file.go
+++ b/internal/settings/file.go
@@ -24,6 +24,20 @@
 	return reload
 }
 
+// LogReloads serves programs whose settings are flags and environment variables,
+// which can't change while they run. Whoever asks one to read them again finds
+// in its log that they hold until its next start.
+func LogReloads(ctx context.Context, log *zap.Logger, reload <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+			log.Info("Asked to reread the settings; they hold until the next start.")
+		}
+	}
+}
+
 // File is a file of settings that may change while the process runs.
 type File struct {
 	Log  *zap.Logger
--- a/internal/steward/program/program.go
+++ b/internal/steward/program/program.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -42,8 +43,8 @@
 	leaveTimeout        = 2 * time.Second
 )
 
-// Command is the whole command line.
-func Command() *cli.Command {
+// Command is the whole command line. The settings stay at a reload signal.
+func Command(reload <-chan os.Signal) *cli.Command {
 	return &cli.Command{
 		Name:    "vgsteward",
 		Usage:   "have the engines of each pool serve the model, version, adapter and role that the configuration wants",
@@ -54,8 +55,10 @@
 			"Example:\n" +
 			"  vgsteward --table-url http://10.0.0.5:8000 --objects-url http://10.0.0.5:9000 \\\n" +
 			"    --vm-list-url http://10.0.0.5:7003 --peer-listen 10.0.1.1:7610 --zone a --region r1",
-		Flags:  append(flags(), program.SharedFlags()...),
-		Action: run,
+		Flags: append(flags(), program.SharedFlags()...),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return run(ctx, cmd, reload)
+		},
 	}
 }
 
@@ -76,7 +79,7 @@
 }
 
 // run checks the settings all at once and wires the process.
-func run(ctx context.Context, cmd *cli.Command) error {
+func run(ctx context.Context, cmd *cli.Command, reload <-chan os.Signal) error {
 	var check settings.Checker
 	shared := program.CheckShared(cmd, &check)
 	check.Between(flagLeaseTerm, cmd.Duration(flagLeaseTerm), minTerm, maxTerm)
@@ -91,6 +94,7 @@
 		return eris.Wrap(err, "logs")
 	}
 	defer func() { _ = log.Sync() }()
+	go settings.LogReloads(ctx, logging.Part(log, "settings"), reload)
 	return serve(ctx, cmd, shared, log)
 }
 
