A log that nobody reads any more ends no serving program

Cause: a write to standard output or error whose reader has ended raises SIGPIPE, whose default action ends the process (code 141). Ruled out: connections of callers and targets (for those the runtime gives an error), the bounded writer (it had no chance to see one).

--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -125,7 +125,9 @@
 			close(q.ended)
 			return
 		}
-		_, _ = q.out.Write(line) // nowhere is left to tell of it
+		if _, err := q.out.Write(line); err != nil {
+			q.dropped.Inc(1) // the log itself is the only place to tell of it
+		}
 	}
 }
 
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -74,3 +75,21 @@
 	assert.Assert(t, written <= 2*sampleFirst, "%d", written)
 	assert.Equal(t, int64(written)+left, int64(500))
 }
+
+// gone is an output that nobody reads any more.
+type gone struct{}
+
+func (gone) Write([]byte) (int, error) { return 0, syscall.EPIPE }
+
+// What reads the log has ended. Whoever looks at the metrics must see that lines
+// are missing.
+func TestLinesThatCannotBeWrittenAreCounted(t *testing.T) {
+	registry := metrics.NewRegistry()
+	b, err := newBounded("info", registry, gone{})
+	assert.NilError(t, err)
+	for i := range 30 {
+		b.Info(fmt.Sprintf("line %d", i))
+	}
+	b.Close()
+	assert.Equal(t, metrics.GetOrRegisterCounter(MetricDropped, registry).Count(), int64(30))
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -37,9 +37,18 @@
 // why.
 func Serve(command func(reload <-chan os.Signal) *cli.Command) {
 	reload := settings.CatchReload()
+	outliveLogReaders()
 	Run(command(reload))
 }
 
+// outliveLogReaders lets a process go on when nobody reads its standard output
+// or error any more, as when the program that collects logs is replaced. The
+// next line written would end it by SIGPIPE (code 141), with all that it serves;
+// now that write fails and the line is counted as dropped.
+func outliveLogReaders() {
+	signal.Ignore(syscall.SIGPIPE)
+}
+
 // Run runs a command until it ends or SIGTERM or SIGINT asks it to leave, and
 // exits with its code.
 func Run(command *cli.Command) {
