Tests: a log reader that stands still stops requests, repeated lines of parts aren't bounded

Cause: vanillagate and vgsteward write each line at once to standard error, and wait there; a part's logger goes past the check that leaves repeated lines out. Before: TestAStuckLogReaderDelaysNobody fails (not ready after 30 s: it waits with its first line), TestRepeatedLinesOfAPartAreCounted: 500 of 500 lines written, not 80. TestRepeatedLinesAreCounted missed it: it logs without a part, which nothing else does.

--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -93,3 +93,22 @@
 	b.Close()
 	assert.Equal(t, metrics.GetOrRegisterCounter(MetricDropped, registry).Count(), int64(30))
 }
+
+// The same for the lines of a part of the program, which are all but a few.
+func TestRepeatedLinesOfAPartAreCounted(t *testing.T) {
+	out := &output{}
+	registry := metrics.NewRegistry()
+	b, err := newBounded("info", registry, out)
+	assert.NilError(t, err)
+	part := Part(b.Logger, "request").With(RequestID("r1"))
+	for range 500 {
+		part.Info("the same")
+	}
+	part.Debug("not asked for")
+	b.Close()
+	written := strings.Count(out.text.String(), `"msg":"request: the same","request":"r1"`)
+	left := metrics.GetOrRegisterCounter(MetricSampled, registry).Count()
+	assert.Assert(t, written <= 2*sampleFirst, "%d", written)
+	assert.Equal(t, int64(written)+left, int64(500))
+	assert.Assert(t, !strings.Contains(out.text.String(), "not asked for"))
+}
--- a/test/signals_test.go
+++ b/test/signals_test.go
@@ -99,6 +99,21 @@
 	})
 }
 
+// What reads the logs stands still while a process writes a lot of them. Callers
+// waited for their answers until their time was up: each request wrote its lines
+// to a pipe that was full.
+func TestAStuckLogReaderDelaysNobody(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, shape{})
+	_, out := logPipe(t)
+	fillPipe(t, out)
+	e := c.replaceEntry(2, writesTo(out), "--log-level", "debug")
+	c.waitLinked()
+	for i := range 50 {
+		assert.Equal(t, sendNow(e.address, pipelineRequest("S", 8)).output(t), wholeText("S", 8), "request %d", i)
+	}
+}
+
 // logPipe is where a process writes its logs and where they are read.
 func logPipe(t *testing.T) (reader, out *os.File) {
 	t.Helper()
@@ -110,3 +125,11 @@
 	})
 	return reader, out
 }
+
+// fillPipe writes until the pipe takes no more.
+func fillPipe(t *testing.T, out *os.File) {
+	t.Helper()
+	assert.NilError(t, out.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err := out.Write(make([]byte, 1<<20))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
