Logs of vanillagate and vgsteward wait for nobody

Cause: they wrote each line at once to standard error; while what reads it stands still and its pipe is full, the write waits, and the request with it. Ruled out: vgedge, which has had the queue of bounded length all along. Now all serving programs log as vgedge does: to standard output, through a queue, with repeated lines left out and both counted. Before: TestAStuckLogReaderDelaysNobody: not ready after 30 s. After: it passes, twice of twice.

--- a/internal/entry/command.go
+++ b/internal/entry/command.go
@@ -78,14 +78,15 @@
 	if err := check.Err(); err != nil {
 		return err
 	}
-	log, err := logging.New(shared.LogLevel)
+	opts.Metrics = metrics.NewRegistry()
+	bounded, err := logging.NewBounded(shared.LogLevel, opts.Metrics)
 	if err != nil {
 		return eris.Wrap(err, "logs")
 	}
-	defer func() { _ = log.Sync() }()
+	defer bounded.Close()
+	log := bounded.Logger
 	go settings.LogReloads(ctx, logging.Part(log, "settings"), reload)
 	opts.Log = log
-	opts.Metrics = metrics.NewRegistry()
 	opts.Zone, opts.Region = shared.Zone, shared.Region
 	opts.Table, opts.Objects, opts.VMs = shared.Table, shared.Objects, shared.VMs
 	peerOptions := shared.PeerOptions(peer.Member{
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -8,7 +8,8 @@
 )
 
 // New logs JSON lines to standard error at the given level: "debug", "info",
-// "warn" or "error".
+// "warn" or "error". It waits for who reads them; what serves others uses
+// NewBounded.
 func New(level string) (*zap.Logger, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
--- a/internal/steward/program/program.go
+++ b/internal/steward/program/program.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
@@ -89,13 +90,13 @@
 	if err := check.Err(); err != nil {
 		return err
 	}
-	log, err := logging.New(shared.LogLevel)
+	log, err := logging.NewBounded(shared.LogLevel, metrics.NewRegistry())
 	if err != nil {
 		return eris.Wrap(err, "logs")
 	}
-	defer func() { _ = log.Sync() }()
-	go settings.LogReloads(ctx, logging.Part(log, "settings"), reload)
-	return serve(ctx, cmd, shared, log)
+	defer log.Close()
+	go settings.LogReloads(ctx, logging.Part(log.Logger, "settings"), reload)
+	return serve(ctx, cmd, shared, log.Logger)
 }
 
 func serve(ctx context.Context, cmd *cli.Command, shared program.Shared, log *zap.Logger) error {
