A leaving VM takes only what it can finish, and answers what it can't

Cause: after SIGTERM every request was taken until the listeners closed, whatever time it had; at the end of the grace period the process just ended. A caller may hold an old answer on addresses for three times its lifetime and more, 6 s and more, and the VM ends 7.6 s after the signal. Now all are taken for 2.5 s as before; later ones only if all their time fits into what is left, others are refused at once (503, come back at once). Those in flight at the end get their final answer: 503 if nothing ran, else 504.

--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -46,6 +47,8 @@
 	Suspicion Suspicion
 
 	firstEvents firstEvents
+	// departure is this process's planned stop; nil before.
+	departure atomic.Pointer[Departure]
 }
 
 // Suspicion knows the requests that crash their targets, whichever process they
@@ -126,6 +129,9 @@
 	if j.Suspicion != nil && j.Suspicion.Convicted(j.content) {
 		return refuse(fasthttp.StatusServiceUnavailable, CrashesTargets, 0)
 	}
+	if j.leaves() {
+		return refuse(fasthttp.StatusServiceUnavailable, Leaving, leavingRetry)
+	}
 	j.service = j.route.Pick(rand.Float64())
 	j.deadline = j.req.Arrived.Add(j.patience())
 	j.ctx, j.cancel = context.WithDeadlineCause(ctx, j.deadline, ErrTimeout)
@@ -252,10 +258,14 @@
 }
 
 func ended(cause error) Reason {
-	if errors.Is(cause, ErrCallerLeft) {
+	switch {
+	case errors.Is(cause, ErrCallerLeft):
 		return CallerLeft
+	case errors.Is(cause, ErrLeaving):
+		return Leaving
+	default:
+		return TimedOut
 	}
-	return TimedOut
 }
 
 // notRun is the answer to a request that no target has run or will run.
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -96,6 +96,7 @@
 	CallerLeft      Reason = "caller left"
 	TooManyPieces   Reason = "too many pieces"
 	CrashesTargets  Reason = "it crashes its targets"
+	Leaving         Reason = "this VM is leaving"
 )
 
 // Reply is the answer to a caller.
