A lack of descriptors ends no listener

Ruled out: passing the error on for some errno values; those that accept(2) names are all either of one connection or of the system for a moment. Conclusion: whoever is at the door during the lack is served after it.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/vanillagate/vanillagate/internal/accept"
 	"github.com/vanillagate/vanillagate/internal/command/change"
 	"github.com/vanillagate/vanillagate/internal/command/claim"
 	"github.com/vanillagate/vanillagate/internal/config"
@@ -162,10 +163,11 @@
 
 func (s *Server) serve() error {
 	s.log.Info("Serving.", zap.String("address", s.listener.Addr().String()), zap.String("zone", s.opts.Zone))
+	kept := &accept.Listener{Listener: s.listener, Log: s.log}
 	if s.opts.TLS != nil {
-		return eris.Wrap(s.http.ServeTLS(s.listener, "", ""), "entry: serve")
+		return eris.Wrap(s.http.ServeTLS(kept, "", ""), "entry: serve")
 	}
-	return eris.Wrap(s.http.Serve(s.listener), "entry: serve")
+	return eris.Wrap(s.http.Serve(kept), "entry: serve")
 }
 
 func (s *Server) startLoops(ctx context.Context, wait *sync.WaitGroup) {
