A state of a later version ends no process

A claim with a state that this version has no name for is passed over; what is known of the member stays. One about this process itself is contradicted as before. Ruled out: taking it for alive, which would send work to a member whose state may say the contrary.

--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -88,6 +88,9 @@
 		// send calls for the new process to an identity that is gone.
 		return t.bury(claim, now)
 	}
+	if claim.State > Dead {
+		return nil // a later version's; what is known of the member stays
+	}
 	held := t.rows[claim.ID]
 	if held == nil {
 		return t.add(claim, now)
