A plan that can not be reckoned with is not put in force

What comes from the store or a peer is checked before it is put in force; where it can not be reckoned with, what was in force stays, with a warning, as for a configuration that can not be read. Ruled out: leaving out the route or service alone, since a configuration that can not be read is passed over whole today.

--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -289,9 +289,16 @@
 	return p != nil, revision, nil
 }
 
-// apply puts a plan in force, if it is one and newer.
+// apply puts a plan in force, if it is one, newer, and can be reckoned with.
 func (f *Follower) apply(p *plan.Plan, from string) {
-	if p == nil || !f.plans.Apply(p) {
+	if p == nil {
+		return
+	}
+	if err := p.Check(); err != nil {
+		f.log.Warn("Configuration can't be used; passed over.", zap.Uint64("version", p.Version), zap.String("from", from), zap.Error(err))
+		return
+	}
+	if !f.plans.Apply(p) {
 		return
 	}
 	f.log.Info("Configuration in force.", zap.Uint64("version", p.Version), zap.Int("routes", len(p.Routes)),
