Test: any power leaves somebody to gather

Cause: strongest() compares 2*Power with the largest Power. Of a negative one, and of one above half of the largest int (the product overflows), nobody is left, and the callers take element 0 of the empty list: Ask, Withdraw, freeAt, in goroutines of requests and timers. Power comes from cpu-share of the settings unchecked, and from every peer, so that one VM with cpu-share = 1e17 ends all that hear of it; one with -1 ends itself while it knows nobody.

--- a/internal/serve/gather/choose_test.go
+++ b/internal/serve/gather/choose_test.go
@@ -1,6 +1,7 @@
 package gather
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -44,3 +45,18 @@
 	assert.DeepEqual(t, got, all)
 	assert.Assert(t, !slices.Contains(got, "weak"))
 }
+
+// A VM's settings say that its power is negative or beyond all bounds, and each
+// peer hears of it. There must be somebody who gathers: the first of an empty list
+// would end every process at its next request with stages.
+func TestAnyPowerLeavesSomebodyToGather(t *testing.T) {
+	for _, power := range []int{math.MinInt, -100, 0, math.MaxInt/2 + 1, math.MaxInt} {
+		for _, others := range [][]peer.Member{nil, {{Incarnation: "a", State: peer.Alive, Power: 80}}} {
+			r := &Requester{
+				log: zap.NewNop(), passed: map[peer.Incarnation]time.Time{},
+				network: &fixedNetwork{self: peer.Member{Incarnation: "self", State: peer.Alive, Power: power}, members: others},
+			}
+			assert.Assert(t, len(r.gatherers(Cell{Service: "s"}, time.Now())) > 0, "power %d beside %d others", power, len(others))
+		}
+	}
+}
