Any power leaves somebody to gather

A power counts as 0 if it is negative, and the halves are compared without a product; the strongest member always remains. Before: the test fails. After: passes; gather passes with -race.

--- a/internal/serve/gather/choose.go
+++ b/internal/serve/gather/choose.go
@@ -189,7 +189,9 @@
 	}
 	var list []peer.Incarnation
 	for _, m := range members {
-		if 2*m.Power >= most {
+		// Any number may come from a peer. Twice a large one overflows, and with a
+		// negative one all could be left out; somebody has to gather.
+		if power := max(m.Power, 0); power >= most-power {
 			list = append(list, m.Incarnation)
 		}
 	}
