Test: a window too short to count in is passed over

Cause: a budget divides its window into ten slices and the time passed by one slice. A window of 1 to 9 ns, which a settings file may hold from the start or after a reload, gives a slice of 0, and the next request panics with a division by zero. Before: the test panics.

--- a/internal/serve/quota/quota_test.go
+++ b/internal/serve/quota/quota_test.go
@@ -159,3 +159,19 @@
 	b.SetRule(Rule{Ratio: 0.2, Reserve: 100, Window: 5 * time.Second}, now)
 	assert.Assert(t, !b.Repeat("s", now), "the reserve is held back after a change of the window")
 }
+
+// The settings name a window too short to be divided for counting, at the start or
+// when they change. The next request must not end the process.
+func TestAWindowTooShortToCountInIsPassedOver(t *testing.T) {
+	for _, window := range []time.Duration{1, slices - 1, -time.Second, 0} {
+		short := Rule{Ratio: 0.2, Reserve: 58, Window: window}
+		b := New(short, start)
+		b.Request("s", start)
+		b.Request("s", start.Add(time.Second))
+		changed := New(rule, start)
+		changed.SetRule(short, start)
+		changed.Request("s", start)
+		changed.Request("s", start.Add(time.Second))
+		assert.Assert(t, !b.Repeat("s", start.Add(time.Second)), "two requests pay for no repeat")
+	}
+}
