A window too short to count in is passed over

A window that can not be divided into slices counts as none, for which there is a default already. Before: the test panics. After: passes; quota passes with -race.

--- a/internal/serve/quota/quota.go
+++ b/internal/serve/quota/quota.go
@@ -39,15 +39,20 @@
 	alone time.Time
 }
 
-// defaultWindow is used where a rule has no window.
+// defaultWindow is used where a rule has no window, or one too short to be divided
+// into slices: a slice of no length would be divided by, at every request.
 const defaultWindow = 10 * time.Second
 
+func (r Rule) countable() Rule {
+	if r.Window < slices {
+		r.Window = defaultWindow
+	}
+	return r
+}
+
 // New makes a budget for a process of a system that starts for the first time.
 func New(rule Rule, now time.Time) *Budget {
-	if rule.Window <= 0 {
-		rule.Window = defaultWindow
-	}
-	return &Budget{rule: rule, byService: map[string]*window{}, members: 1, since: now}
+	return &Budget{rule: rule.countable(), byService: map[string]*window{}, members: 1, since: now}
 }
 
 // Again makes a budget for a process that takes the place of another. For a whole
@@ -64,9 +69,7 @@
 // has another length; then nothing is known of it, and counting starts anew
 // with the reserve held back as at a start.
 func (b *Budget) SetRule(rule Rule, now time.Time) {
-	if rule.Window <= 0 {
-		rule.Window = defaultWindow
-	}
+	rule = rule.countable()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if rule.Window != b.rule.Window {
