Test: a request that came in time is read after the idle time

Cause: the runtime gives a read whose deadline has passed no look at the socket. A process that stands still (frozen, or out of its share of the processor) as the idle time of a kept connection runs out closes it with the request unread, though that came before. Ruled out: a change of the configured idle time by itself: the deadline is set as a connection falls idle, and the first byte of a request replaces it by the time for reading (fasthttp server.go, serveConnCounted). Two more tests hold what must stay: an unused connection ends, and half a request ends with the time for reading.

--- /dev/null
+++ b/internal/idle/idle_test.go
@@ -0,0 +1,66 @@
+package idle
+
+import (
+	"errors"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// pair gives a connection as the server has it, with an idle time, and the
+// caller's end of it.
+func pair(t *testing.T, idleTime time.Duration) (server, caller net.Conn) {
+	t.Helper()
+	opened, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = opened.Close() })
+	caller, err = net.Dial("tcp", opened.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = caller.Close() })
+	listener := &Listener{Listener: opened, Time: func() time.Duration { return idleTime }}
+	server, err = listener.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = server.Close() })
+	return server, caller
+}
+
+// The process stands still for a moment: it was frozen, or has used up its share of
+// the processor. A request comes on a kept connection in time, and the idle time
+// passes before anybody reads it. It is there and has to be served; closed, its
+// caller would wait for an answer and get none.
+func TestARequestThatCameInTimeIsReadAfterTheIdleTime(t *testing.T) {
+	server, caller := pair(t, 20*time.Millisecond)
+	assert.NilError(t, server.SetReadDeadline(time.Now().Add(Mark)))
+	_, err := caller.Write([]byte("GET"))
+	assert.NilError(t, err)
+	time.Sleep(60 * time.Millisecond) // nobody reads
+	buffer := make([]byte, 16)
+	n, err := server.Read(buffer)
+	assert.NilError(t, err)
+	assert.Equal(t, string(buffer[:n]), "GET")
+}
+
+func TestAnUnusedConnectionEndsWithItsIdleTime(t *testing.T) {
+	server, _ := pair(t, 20*time.Millisecond)
+	assert.NilError(t, server.SetReadDeadline(time.Now().Add(Mark)))
+	begun := time.Now()
+	_, err := server.Read(make([]byte, 16))
+	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+	assert.Assert(t, time.Since(begun) < time.Second)
+}
+
+// A caller sends half a request and waits. The time for reading it bounds that,
+// however much of it is there.
+func TestTheTimeForReadingARequestHolds(t *testing.T) {
+	server, caller := pair(t, time.Hour)
+	assert.NilError(t, server.SetReadDeadline(time.Now().Add(Mark)))
+	assert.NilError(t, server.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+	_, err := caller.Write([]byte("GET"))
+	assert.NilError(t, err)
+	time.Sleep(60 * time.Millisecond)
+	_, err = server.Read(make([]byte, 16))
+	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+}
