A request that came in time is read after the idle time

Where the idle time has run out and there are bytes to read, they are read, within a second. Ruled out: the same for the time for reading a request, whose end is answered with 408, a promise that nothing ran. Before: the test fails.

--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -3,8 +3,12 @@
 package idle
 
 import (
+	"errors"
 	"net"
+	"os"
 	"time"
+
+	"github.com/vanillagate/vanillagate/internal/socket"
 )
 
 // Mark stands for the idle time where fasthttp wants it fixed. It is longer than
@@ -33,16 +37,38 @@
 	return &callerConn{TCPConn: tcp, time: l.Time}, nil
 }
 
+// takeTime is how long a request that is there may take to be taken in: it needs no
+// waiting, but the process may stand still once more.
+const takeTime = time.Second
+
 // callerConn is a caller's connection.
 type callerConn struct {
 	*net.TCPConn
 	time func() time.Duration
+	// unused tells that the idle time runs. As the deadlines it is the serving
+	// goroutine's alone.
+	unused bool
 }
 
 // SetReadDeadline puts the idle time of now in the place of Mark.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
-	if time.Until(t) > Mark/2 {
+	c.unused = time.Until(t) > Mark/2
+	if c.unused {
 		t = time.Now().Add(c.time())
 	}
 	return c.TCPConn.SetReadDeadline(t)
 }
+
+// Read reads a request that has come although the idle time is over. A process
+// that stood still meanwhile would otherwise close the connection with a whole
+// request in it, and its caller would have to guess.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if !c.unused || !errors.Is(err, os.ErrDeadlineExceeded) || socket.Peek(c.TCPConn) != socket.Readable {
+		return n, err
+	}
+	if err := c.TCPConn.SetReadDeadline(time.Now().Add(takeTime)); err != nil {
+		return 0, err
+	}
+	return c.TCPConn.Read(p)
+}
