--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -132,20 +132,7 @@
 
 // Run serves until the context ends, then leaves without cutting a request.
 func (s *Server) Run(ctx context.Context) error {
-	s.http = &fasthttp.Server{
-		Handler:               s.handle,
-		Name:                  "vanillagate",
-		ReadBufferSize:        maxHeaderBytes,
-		MaxRequestBodySize:    s.opts.MaxBody,
-		ReadTimeout:           readTimeout,
-		IdleTimeout:           idleTimeout,
-		TLSConfig:             s.opts.TLS,
-		NoDefaultServerHeader: true,
-		NoDefaultDate:         true,
-		CloseOnShutdown:       true,
-		ErrorHandler:          refuseUnreadable,
-		Logger:                quietLogger{},
-	}
+	s.prepare(s.handle)
 	defer s.stopLoops()
 	var background sync.WaitGroup
 	s.startLoops(s.loops, &background)
@@ -161,6 +148,24 @@
 	return err
 }
 
+// prepare makes what serves the port.
+func (s *Server) prepare(handler fasthttp.RequestHandler) {
+	s.http = &fasthttp.Server{
+		Handler:               handler,
+		Name:                  "vanillagate",
+		ReadBufferSize:        maxHeaderBytes,
+		MaxRequestBodySize:    s.opts.MaxBody,
+		ReadTimeout:           readTimeout,
+		IdleTimeout:           idleTimeout,
+		TLSConfig:             s.opts.TLS,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		CloseOnShutdown:       true,
+		ErrorHandler:          refuseUnreadable,
+		Logger:                quietLogger{},
+	}
+}
+
 func (s *Server) serve() error {
 	s.log.Info("Serving.", zap.String("address", s.listener.Addr().String()), zap.String("zone", s.opts.Zone))
 	kept := &accept.Listener{Listener: s.listener, Log: s.log}
@@ -202,7 +207,7 @@
 	defer cancel()
 	s.announceLeave(ctx)
 	s.waitForOldCallers(ctx)
-	err := s.http.ShutdownWithContext(ctx)
+	err := s.closePort(ctx)
 	s.waitForLast(ctx)
 	drainCtx, drained := context.WithTimeout(ctx, drainTimeout)
 	defer drained()
@@ -214,6 +219,9 @@
 	return eris.Wrap(err, "entry: shutdown")
 }
 
+// closePort stops listening and closes connections as they fall idle.
+func (s *Server) closePort(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
+
 // waitForOldCallers waits until the last answer of /v1/entries that named this
 // VM has run out, also one that a peer gave before it heard of the leave.
 func (s *Server) waitForOldCallers(ctx context.Context) {
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"bufio"
+	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -34,14 +37,63 @@
 	assert.NilError(t, err)
 	s := &Server{
 		log: zap.NewNop(), listener: &troubled{Listener: listener, left: 3},
-		http: &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("served") }},
 	}
+	s.prepare(func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("served") })
 	ended := make(chan error, 1)
 	go func() { ended <- s.serve() }()
 	client := http.Client{Timeout: 2 * time.Second}
 	resp, err := client.Get("http://" + listener.Addr().String())
 	assert.NilError(t, err)
 	_ = resp.Body.Close()
-	assert.NilError(t, s.http.Shutdown())
+	assert.NilError(t, s.closePort(context.Background()))
 	assert.NilError(t, <-ended)
 }
+
+// Callers use kept connections once more, and right after that the port closes. What
+// has come by then has to be answered; its callers can't know that nobody read it.
+func TestWhatHasComeByTheEndIsAnswered(t *testing.T) {
+	const callers = 200
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &Server{log: zap.NewNop(), listener: listener}
+	s.prepare(func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("served") })
+	ended := make(chan error, 1)
+	go func() { ended <- s.serve() }()
+	var conns []net.Conn
+	for range callers {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+		askOn(t, conn)
+		readOn(t, conn)
+		conns = append(conns, conn)
+	}
+	for _, conn := range conns {
+		askOn(t, conn)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	assert.NilError(t, s.closePort(ctx))
+	for _, conn := range conns {
+		readOn(t, conn)
+	}
+	assert.NilError(t, <-ended)
+}
+
+func askOn(t *testing.T, conn net.Conn) {
+	t.Helper()
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+}
+
+func readOn(t *testing.T, conn net.Conn) {
+	t.Helper()
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if !assert.Check(t, err == nil, "no answer: %v", err) {
+		return
+	}
+	_, err = io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.StatusCode, http.StatusOK)
+}
