What has come by the end is answered by vanillagate too

Its port has the listener of vgedge, with its own fixed idle time; that also reads what came before the idle time was over.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -18,6 +18,7 @@
 	"github.com/vanillagate/vanillagate/internal/config"
 	"github.com/vanillagate/vanillagate/internal/directory"
 	"github.com/vanillagate/vanillagate/internal/hangup"
+	"github.com/vanillagate/vanillagate/internal/idle"
 	"github.com/vanillagate/vanillagate/internal/inforce"
 	"github.com/vanillagate/vanillagate/internal/limit"
 	"github.com/vanillagate/vanillagate/internal/logging"
@@ -64,6 +65,7 @@
 
 	http     *fasthttp.Server
 	listener net.Listener
+	port     *idle.Listener // the listener as http has it
 	// inFlight counts all requests, callers those of pipelines and services.
 	inFlight atomic.Int64
 	callers  atomic.Int64
@@ -150,13 +152,17 @@
 
 // prepare makes what serves the port.
 func (s *Server) prepare(handler fasthttp.RequestHandler) {
+	s.port = &idle.Listener{
+		Listener: &accept.Listener{Listener: s.listener, Log: s.log},
+		Time:     func() time.Duration { return idleTimeout },
+	}
 	s.http = &fasthttp.Server{
 		Handler:               handler,
 		Name:                  "vanillagate",
 		ReadBufferSize:        maxHeaderBytes,
 		MaxRequestBodySize:    s.opts.MaxBody,
 		ReadTimeout:           readTimeout,
-		IdleTimeout:           idleTimeout,
+		IdleTimeout:           idle.Mark,
 		TLSConfig:             s.opts.TLS,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
@@ -168,11 +174,10 @@
 
 func (s *Server) serve() error {
 	s.log.Info("Serving.", zap.String("address", s.listener.Addr().String()), zap.String("zone", s.opts.Zone))
-	kept := &accept.Listener{Listener: s.listener, Log: s.log}
 	if s.opts.TLS != nil {
-		return eris.Wrap(s.http.ServeTLS(kept, "", ""), "entry: serve")
+		return eris.Wrap(s.http.ServeTLS(s.port, "", ""), "entry: serve")
 	}
-	return eris.Wrap(s.http.Serve(kept), "entry: serve")
+	return eris.Wrap(s.http.Serve(s.port), "entry: serve")
 }
 
 func (s *Server) startLoops(ctx context.Context, wait *sync.WaitGroup) {
@@ -220,7 +225,10 @@
 }
 
 // closePort stops listening and closes connections as they fall idle.
-func (s *Server) closePort(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
+func (s *Server) closePort(ctx context.Context) error {
+	s.port.Drain(ctx)
+	return s.http.ShutdownWithContext(ctx)
+}
 
 // waitForOldCallers waits until the last answer of /v1/entries that named this
 // VM has run out, also one that a peer gave before it heard of the leave.
