Test: names that look alike together have links all the same

Cause: zones are kept by "region/zone". Where the names have slashes, two regions can share such a key; the second gets no name in its own list, and the next zone is sought in an empty one: a division by zero in the beat of every process that knows more than 8 others. Regions and zones come from settings and from peers.

--- a/internal/member/links_test.go
+++ b/internal/member/links_test.go
@@ -109,3 +109,18 @@
 	links := graph(append(all, lone), DefaultBounds)
 	assert.Assert(t, len(links["lone"]) >= 1 && len(links["lone"]) <= 6, "%d", len(links["lone"]))
 }
+
+// Names of regions and zones have slashes, and two pairs of them look alike when they
+// are put together. Every process plans its links by them; none may end at that.
+func TestNamesThatLookAlikeTogetherHaveLinksAllTheSame(t *testing.T) {
+	self := record("self", 1)
+	self.Region, self.Zone = "a", "b/c"
+	var others []Record
+	for i := range DefaultBounds.All + 1 {
+		other := record(fmt.Sprintf("other-%d", i), 1)
+		other.Region, other.Zone = "a/b", "c"
+		others = append(others, other)
+	}
+	assert.Assert(t, len(Links(self, others, DefaultBounds)) > 0)
+	assert.Assert(t, len(Links(others[0], append(others[1:], self), DefaultBounds)) > 0)
+}
