Names that look alike together have links all the same

Each region lists the zones of its own. Ruled out: another key, which would differ from that of other versions in the comparison of views. Before: the test panics. After: passes; member passes with -race.

--- a/internal/member/links.go
+++ b/internal/member/links.go
@@ -60,7 +60,8 @@
 	g := grouping{zones: map[string][]point{}, regions: map[string][]point{}, zoneNames: map[string][]string{}}
 	for _, r := range all {
 		p := point{Hash(r.ID), r}
-		if len(g.zones[r.ZoneKey()]) == 0 {
+		// By the names of this region: another one's zone may have the same key.
+		if !slices.Contains(g.zoneNames[r.Region], r.ZoneKey()) {
 			g.zoneNames[r.Region] = append(g.zoneNames[r.Region], r.ZoneKey())
 		}
 		if len(g.regions[r.Region]) == 0 {
