--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,11 +12,13 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/vanillagate/vanillagate/internal/accept"
 	"github.com/vanillagate/vanillagate/internal/command/change"
 	"github.com/vanillagate/vanillagate/internal/command/claim"
 	"github.com/vanillagate/vanillagate/internal/config"
 	"github.com/vanillagate/vanillagate/internal/directory"
 	"github.com/vanillagate/vanillagate/internal/hangup"
+	"github.com/vanillagate/vanillagate/internal/idle"
 	"github.com/vanillagate/vanillagate/internal/inforce"
 	"github.com/vanillagate/vanillagate/internal/limit"
 	"github.com/vanillagate/vanillagate/internal/logging"
@@ -63,6 +65,7 @@
 
 	http     *fasthttp.Server
 	listener net.Listener
+	port     *idle.Listener // the listener as http has it
 	// inFlight counts all requests, callers those of pipelines and services.
 	inFlight atomic.Int64
 	callers  atomic.Int64
@@ -131,20 +134,7 @@
 
 // Run serves until the context ends, then leaves without cutting a request.
 func (s *Server) Run(ctx context.Context) error {
-	s.http = &fasthttp.Server{
-		Handler:               s.handle,
-		Name:                  "vanillagate",
-		ReadBufferSize:        maxHeaderBytes,
-		MaxRequestBodySize:    s.opts.MaxBody,
-		ReadTimeout:           readTimeout,
-		IdleTimeout:           idleTimeout,
-		TLSConfig:             s.opts.TLS,
-		NoDefaultServerHeader: true,
-		NoDefaultDate:         true,
-		CloseOnShutdown:       true,
-		ErrorHandler:          refuseUnreadable,
-		Logger:                quietLogger{},
-	}
+	s.prepare(s.handle)
 	defer s.stopLoops()
 	var background sync.WaitGroup
 	s.startLoops(s.loops, &background)
@@ -160,12 +150,34 @@
 	return err
 }
 
+// prepare makes what serves the port.
+func (s *Server) prepare(handler fasthttp.RequestHandler) {
+	s.port = &idle.Listener{
+		Listener: &accept.Listener{Listener: s.listener, Log: s.log},
+		Time:     func() time.Duration { return idleTimeout },
+	}
+	s.http = &fasthttp.Server{
+		Handler:               handler,
+		Name:                  "vanillagate",
+		ReadBufferSize:        maxHeaderBytes,
+		MaxRequestBodySize:    s.opts.MaxBody,
+		ReadTimeout:           readTimeout,
+		IdleTimeout:           idle.Mark,
+		TLSConfig:             s.opts.TLS,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		CloseOnShutdown:       true,
+		ErrorHandler:          refuseUnreadable,
+		Logger:                quietLogger{},
+	}
+}
+
 func (s *Server) serve() error {
 	s.log.Info("Serving.", zap.String("address", s.listener.Addr().String()), zap.String("zone", s.opts.Zone))
 	if s.opts.TLS != nil {
-		return eris.Wrap(s.http.ServeTLS(s.listener, "", ""), "entry: serve")
+		return eris.Wrap(s.http.ServeTLS(s.port, "", ""), "entry: serve")
 	}
-	return eris.Wrap(s.http.Serve(s.listener), "entry: serve")
+	return eris.Wrap(s.http.Serve(s.port), "entry: serve")
 }
 
 func (s *Server) startLoops(ctx context.Context, wait *sync.WaitGroup) {
@@ -200,7 +212,7 @@
 	defer cancel()
 	s.announceLeave(ctx)
 	s.waitForOldCallers(ctx)
-	err := s.http.ShutdownWithContext(ctx)
+	err := s.closePort(ctx)
 	s.waitForLast(ctx)
 	drainCtx, drained := context.WithTimeout(ctx, drainTimeout)
 	defer drained()
@@ -212,6 +224,12 @@
 	return eris.Wrap(err, "entry: shutdown")
 }
 
+// closePort stops listening and closes connections as they fall idle.
+func (s *Server) closePort(ctx context.Context) error {
+	s.port.Drain(ctx)
+	return s.http.ShutdownWithContext(ctx)
+}
+
 // waitForOldCallers waits until the last answer of /v1/entries that named this
 // VM has run out, also one that a peer gave before it heard of the leave.
 func (s *Server) waitForOldCallers(ctx context.Context) {
