Test: sites of two test processes have addresses of their own

Cause: the n-th site of every test process was at 127.(200+n).0.x. Where two processes run these tests on one machine, the later one's VMs can't listen, its wait for readiness is answered by the other's VMs, and its callers send them their load. After: addresses hold the process id; waiting for a VM fails when its process has ended. Conclusion: results of platform tests that overlapped in time are suspect.

--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"os/exec"
 	"sync/atomic"
 	"syscall"
@@ -26,12 +27,19 @@
 // edgeSites counts the sites, so that each has loopback addresses of its own.
 var edgeSites atomic.Int64
 
+// edgeAddresses are those of one more site. Tests that run in two processes at
+// once don't share any: callers of one would come to the VMs of the other, whose
+// targets would see requests that nobody there sent.
+func edgeAddresses() string {
+	return fmt.Sprintf("127.%d.%d.%%d", 200+edgeSites.Add(1), 1+os.Getpid()%250)
+}
+
 func startEdges(t *testing.T, n int) *edgeSite {
 	t.Helper()
 	site, err := standin.NewSite("127.0.0.1")
 	assert.NilError(t, err)
 	t.Cleanup(site.Close)
-	vms, err := site.VMs(t.TempDir(), fmt.Sprintf("127.%d.0.%%d", 200+edgeSites.Add(1)), n)
+	vms, err := site.VMs(t.TempDir(), edgeAddresses(), n)
 	assert.NilError(t, err)
 	e := &edgeSite{t: t, site: site, vms: vms, runs: make([]*process, n)}
 	for i := range vms {
@@ -54,6 +62,11 @@
 	e.t.Helper()
 	limit := time.Now().Add(patience)
 	for time.Now().Before(limit) {
+		select {
+		case <-e.runs[i].done:
+			e.t.Fatalf("%s has ended", e.vms[i].Name)
+		default:
+		}
 		if e.vms[i].IsReady() {
 			return
 		}
