Test: a VM that is asked to leave until it has left

Cause: after the command has ended, program.Run takes back the catching of SIGTERM before the process exits; in between the default action ends it. Before: not tested; the second SIGTERM of TestPlatformPlannedWork never met it. Ruled out: lost requests; the process has served its last one and closed its listeners by then.

--- a/test/platform_planned_work_test.go
+++ b/test/platform_planned_work_test.go
@@ -166,6 +166,42 @@
 	e.waitReady(0)
 }
 
+// A VM is asked to leave again and again until it has left. A process that stops
+// catching the signal before its very end is ended by the last one: whoever looks at
+// its exit code takes a stop that cut nothing for a failure.
+func TestPlatformAskedToLeaveUntilItHasLeft(t *testing.T) {
+	t.Parallel()
+	site, err := standin.NewSite("127.0.0.1")
+	assert.NilError(t, err)
+	t.Cleanup(site.Close)
+	const n = 12 // each meets the moment by chance only
+	vms, err := site.VMs(t.TempDir(), edgeAddresses(), n)
+	assert.NilError(t, err)
+	e := &edgeSite{t: t, site: site, vms: vms, runs: make([]*process, n)}
+	for i := range vms {
+		e.start(i)
+	}
+	for i := range vms {
+		e.waitReady(i)
+	}
+	until := time.Now().Add(firstGrace * time.Second)
+	for _, run := range e.runs {
+		for time.Now().Before(until) && run.cmd.Process.Signal(syscall.SIGTERM) == nil {
+			e.askAll()
+		}
+	}
+	for _, run := range e.runs {
+		assert.Check(t, run.exited(t, firstGrace*time.Second) == 0, "%s: %s", run.name, run.cmd.ProcessState)
+	}
+}
+
+// askAll asks all processes to leave; those that have left don't mind.
+func (e *edgeSite) askAll() {
+	for _, run := range e.runs {
+		_ = run.cmd.Process.Signal(syscall.SIGTERM)
+	}
+}
+
 // plannedWork is a site on which planned work of several kinds goes on at once.
 // Each kind has its own random numbers, so that a seed gives the same sequence of
 // each.
