Programs catch SIGTERM to their very end

Cause: Run took back the catching of SIGTERM after the command had ended and before the process did; a SIGTERM in between ended it by the default action. Ruled out: a use of the second signal to end a program that hangs: it was caught all the while that the command ran.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -32,11 +32,11 @@
 }
 
 // Run runs a command until it ends or SIGTERM or SIGINT asks it to leave, and
-// exits with its code.
+// exits with its code. The signals stay caught to the end: one that comes last,
+// asking again, would end the process with another code than its own.
 func Run(command *cli.Command) {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	err := command.Run(ctx, os.Args)
-	stop()
 	if err == nil {
 		return
 	}
