--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -103,6 +103,11 @@
 	e.t.Helper()
 	limit := time.Now().Add(patience)
 	for time.Now().Before(limit) {
+		select {
+		case <-e.runs[i].done:
+			e.t.Fatalf("%s has ended", e.vms[i].Name)
+		default:
+		}
 		if e.vms[i].IsReady() {
 			return
 		}
