--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -19,10 +18,12 @@
 )
 
 // ErrTimeout ends the work on a request whose time is up, ErrCallerLeft that of
-// one whose caller is gone.
+// one whose caller is gone, ErrLeaving that of those still on their way when this
+// process's grace period is over.
 var (
 	ErrTimeout    = errors.New("the request's time is up")
 	ErrCallerLeft = errors.New("the caller left")
+	ErrLeaving    = errors.New("this process ends")
 )
 
 // defaultPatience bounds requests whose route and caller set no time.
@@ -47,8 +48,6 @@
 	Suspicion Suspicion
 
 	firstEvents firstEvents
-	// departure is this process's planned stop; nil before.
-	departure atomic.Pointer[Departure]
 }
 
 // Suspicion knows the requests that crash their targets, whichever process they
@@ -129,9 +128,6 @@
 	if j.Suspicion != nil && j.Suspicion.Convicted(j.content) {
 		return refuse(fasthttp.StatusServiceUnavailable, CrashesTargets, 0)
 	}
-	if j.leaves() {
-		return refuse(fasthttp.StatusServiceUnavailable, Leaving, leavingRetry)
-	}
 	j.service = j.route.Pick(rand.Float64())
 	j.deadline = j.req.Arrived.Add(j.patience())
 	j.ctx, j.cancel = context.WithDeadlineCause(ctx, j.deadline, ErrTimeout)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -188,10 +188,9 @@
 }
 
 // StartLeaving takes this process out of what callers and peers are told. It
-// goes on serving those that come all the same, as far as the stop lets it.
-func (s *Server) StartLeaving(d run.Departure) {
+// goes on serving those that come all the same.
+func (s *Server) StartLeaving() {
 	s.leaving.Store(true)
-	s.executor.Leave(d)
 	s.stages.Leave()
 	s.network.AnnounceLeave()
 }
