The answer of an attempt that lost is charged

Cause: both attempts of a stage may answer before the race between them is looked at. The one read first was charged, the other one's result was read by nobody: the target had worked and told for how long, and the bill had neither that nor an estimate. Ruled out: that a call was charged with an estimate instead, or that nobody saw it: in traces of four runs of TestCostsAreWhatTheTargetsCounted/hedges beside other work (load 37) 18 calls at encoders, retrievers and rerankers ended well at the attempt and had no charge of any kind, one of them a call of 72 ms. Before: TestAnswerThatCameSecondIsCharged fails, one charge for two answers; in these four runs 84, 17, 9 and 2 ms of the bill missing for that reason. After: the test passes, five times with the race detector. Conclusion: results that come after the race are charged as waste, with what their targets told.

--- a/internal/pipeline/attempts.go
+++ b/internal/pipeline/attempts.go
@@ -284,14 +284,17 @@
 }
 
 func wasteOf(a *attempt, f *target.Failure) Waste {
-	switch {
-	case f.Kind == target.FailedCancelled && a.hedge:
+	if f.Kind == target.FailedCancelled {
+		return wasteOfLoser(a)
+	}
+	return WasteFailed
+}
+
+func wasteOfLoser(a *attempt) Waste {
+	if a.hedge {
 		return WasteHedge
-	case f.Kind == target.FailedCancelled:
-		return WasteCanceled
-	default:
-		return WasteFailed
 	}
+	return WasteCanceled
 }
 
 // resultOf: a call that was cancelled, or cut short by the request's deadline,
--- a/internal/pipeline/race.go
+++ b/internal/pipeline/race.go
@@ -10,12 +10,13 @@
 
 // race makes attempts until one gives an answer: a next one after a failure,
 // and a hedge beside one that is slow. The first answer wins, the others are
-// cancelled, and their answers, should they come, are read by nobody.
+// cancelled, and their answers, should they come, are charged and not used.
 func (r *stageRun) race(ctx context.Context, path string, body []byte) *problem.Problem {
 	ctx, cancelAll := context.WithCancel(ctx)
 	defer cancelAll()
 	results := make(chan outcome, retry.MaxTries+1)
 	running := 0
+	defer func() { go r.chargeLate(results, running) }()
 	launch := func(hedge bool) bool {
 		a := r.acquire(ctx, hedge, 1, nil)
 		if a == nil {
@@ -51,6 +52,19 @@
 	}
 }
 
+// chargeLate charges the answers of the attempts that still run when the race is
+// over. A target may answer before it sees that it lost; what it told would be
+// missing in the bill. Failures were charged where they ended. It returns soon:
+// the attempts were cancelled, and each gives exactly one result.
+func (r *stageRun) chargeLate(results <-chan outcome, running int) {
+	for range running {
+		o := <-results
+		if o.err == nil {
+			r.x.Observer.Charged(r.charge(o, wasteOfLoser(o.attempt)))
+		}
+	}
+}
+
 // maxBeside bounds the attempts of one stage that run beside each other.
 const maxBeside = 3
 
