The work of a slow target that hedges beat is estimated nearly whole

Cause: a call that no target told of was estimated at four times the pool's usual call at most. That bound keeps a busy machine's stalls off the bill. At a target thirty times slower than its pool hedges win nearly all calls. In the first trace its 18 untold calls had worked 14 to 54 ms each, as the stand-in counted, and each was billed as 9.5 to 9.7 ms. Ruled out: that the stand-in counts what no process can know: without the bound, the time that passed less the usual wait gives 0.87 to 1.04 of what the stand-in counted for these calls, in 29 traces. No bound at all: a trace of healthy targets on a busy machine then had 3.9 s too much. Bounded estimates cost little and keep a target that stands still from being charged for seconds. Before: TestRatesFindOutASlowTarget fails (8 ms for the third call, 32 wanted). Conclusion: the bound follows the target's own last two calls.

--- a/internal/command/cost/rates.go
+++ b/internal/command/cost/rates.go
@@ -7,6 +7,8 @@
 
 // Sample is one call at a target.
 type Sample struct {
+	// Target is the address of the target.
+	Target string
 	// Engine is what the target said that the call cost; Took how long this
 	// process waited for it.
 	Engine, Took time.Duration
@@ -36,6 +38,28 @@
 	// Sums for the two prices by least squares: p is for prompt tokens, g for
 	// generated ones, e for engine time in ns.
 	p, pp, g, gg, pg, pe, ge float64
+
+	byTarget map[string]lastCalls // where nothing is generated
+}
+
+// lastCalls is the engine time of the last two calls at a target, told or
+// estimated. Zero stands for a call that has not been.
+type lastCalls [2]time.Duration
+
+// maxTargets bounds what is remembered of a pool, about 64 KB. It is well above
+// the largest pools, since all is forgotten at once: that costs the estimates of
+// two calls at each slow target.
+const maxTargets = 1024
+
+func (k *rate) saw(target string, engine time.Duration) {
+	if k.byTarget == nil {
+		k.byTarget = map[string]lastCalls{}
+	}
+	last, known := k.byTarget[target]
+	if !known && len(k.byTarget) == maxTargets {
+		clear(k.byTarget)
+	}
+	k.byTarget[target] = lastCalls{last[1], engine}
 }
 
 // fade is what each call leaves of the calls before it.
@@ -57,6 +81,9 @@
 		r.byPool[pool] = known
 	}
 	known.learn(s)
+	if s.Generated == 0 {
+		known.saw(s.Target, s.Engine)
+	}
 }
 
 func (k *rate) learn(s Sample) {
@@ -85,14 +112,33 @@
 	case known == nil:
 		return 0
 	case known.g == 0:
-		usual := time.Duration(known.engine / known.calls)
-		return min(max(0, s.Took-time.Duration(known.overhead/known.calls)), mostTimesUsual*usual)
+		return known.byTime(s)
 	}
 	prompt, generated := known.prices()
 	us := prompt*known.p/known.calls + generated*float64(s.Generated)
 	return min(time.Duration(us), s.Took)
 }
 
+// byTime estimates a call by the time that passed. The estimate counts as a call
+// of its target: where a target is slow, hedges win nearly all its calls, and the
+// few that it tells come too late to go by.
+func (k *rate) byTime(s Sample) time.Duration {
+	worked := max(0, s.Took-time.Duration(k.overhead/k.calls))
+	estimate := min(worked, mostTimesUsual*k.usualAt(s.Target))
+	k.saw(s.Target, estimate)
+	return estimate
+}
+
+// usualAt is what a call takes at a target: as at the pool, or longer where both
+// of the target's last calls took longer. One of them alone may have waited for
+// a busy machine. What counts of a call is its bounded estimate, not the time
+// that passed: a target that stands still does no work, and two calls that wait
+// long for it must not have the next one charged for seconds.
+func (k *rate) usualAt(target string) time.Duration {
+	last := k.byTarget[target]
+	return max(time.Duration(k.engine/k.calls), min(last[0], last[1]))
+}
+
 // PromptPrice is what reading one prompt token that isn't cached takes at a
 // pool; zero while that isn't known.
 func (r *Rates) PromptPrice(pool string) time.Duration {
--- a/internal/command/cost/rates_test.go
+++ b/internal/command/cost/rates_test.go
@@ -1,6 +1,7 @@
 package cost
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -40,3 +41,62 @@
 		})
 	}
 }
+
+const (
+	engineOfTest = 2 * time.Millisecond
+	waitOfTest   = time.Millisecond // beside the engine time
+	longCall     = 41 * time.Millisecond
+)
+
+// knowing has seen a pool's calls at a target that is as usual.
+func knowing(pool, address string) *Rates {
+	r := &Rates{}
+	for range 50 {
+		r.Learn(pool, endedWell(address))
+	}
+	return r
+}
+
+func endedWell(address string) Sample {
+	return Sample{Target: address, Engine: engineOfTest, Took: engineOfTest + waitOfTest}
+}
+
+// A target becomes many times slower than the others of its pool. Hedges win
+// nearly all its calls, so that it tells no cost, but it works for each until
+// the hedge has won. With the pool's usual calls as the only measure, most of
+// that work is on no bill.
+func TestRatesFindOutASlowTarget(t *testing.T) {
+	r := knowing("retriever", "a")
+	for i, want := range []time.Duration{8, 8, 32, 32, 40, 40} {
+		got := r.Estimate("retriever", Sample{Target: "b", Took: longCall})
+		assert.Equal(t, got.Round(time.Microsecond), want*time.Millisecond, "call %d", i)
+	}
+	got := r.Estimate("retriever", Sample{Target: "a", Took: longCall})
+	assert.Equal(t, got.Round(time.Microsecond), 4*engineOfTest, "a target that is not slow")
+	r.Learn("retriever", endedWell("b"))
+	got = r.Estimate("retriever", Sample{Target: "b", Took: longCall})
+	assert.Equal(t, got.Round(time.Microsecond), 4*engineOfTest, "a target that is slow no longer")
+}
+
+// A machine stalls again and again while calls run. Those calls take very long,
+// and the target has not worked for longer than usual: a customer that pays for
+// the stall pays many times too much. The calls between them show it.
+func TestRatesDoNotChargeStalls(t *testing.T) {
+	r := knowing("retriever", "a")
+	for range 10 {
+		got := r.Estimate("retriever", Sample{Target: "a", Took: time.Second})
+		assert.Equal(t, got.Round(time.Microsecond), 4*engineOfTest)
+		r.Learn("retriever", endedWell("a"))
+	}
+}
+
+// Targets come and go for as long as a process runs. What is known of those that
+// are gone must not fill its memory.
+func TestRatesRememberABoundedNumberOfTargets(t *testing.T) {
+	r := &Rates{}
+	for i := range 3 * maxTargets {
+		r.Learn("retriever", endedWell(strconv.Itoa(i)))
+		r.Estimate("retriever", Sample{Target: "e" + strconv.Itoa(i), Took: longCall})
+	}
+	assert.Assert(t, len(r.byPool["retriever"].byTarget) <= maxTargets)
+}
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -84,7 +84,7 @@
 
 func sampleOf(c pipeline.Charge) cost.Sample {
 	return cost.Sample{
-		Engine: c.EngineTime, Took: c.Took,
+		Target: c.Target, Engine: c.EngineTime, Took: c.Took,
 		Uncached: c.Usage.PromptTokens - c.Usage.CachedTokens, Generated: c.Usage.CompletionTokens,
 	}
 }
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -361,7 +361,8 @@
 		err = sc.refusedBy(answer)
 	}
 	charge := pipeline.Charge{
-		Customer: sc.contract.Customer, Pipeline: sc.name, Stage: sc.name, Pool: sc.service.Pool, Took: now.Sub(since),
+		Customer: sc.contract.Customer, Pipeline: sc.name, Stage: sc.name, Pool: sc.service.Pool, Target: lease.Address,
+		Took: now.Sub(since),
 	}
 	if err == nil {
 		sc.sent = true
--- a/internal/pipeline/attempts.go
+++ b/internal/pipeline/attempts.go
@@ -79,7 +79,8 @@
 func (r *stageRun) charge(o outcome, waste Waste) Charge {
 	c := Charge{
 		Customer: r.w.req.Customer, Pipeline: r.w.req.Pipeline.Name, Stage: r.stage.Name,
-		Usage: o.parsed.usage, Waste: waste, Pool: r.pool.Name, Took: time.Since(o.attempt.since),
+		Usage: o.parsed.usage, Waste: waste, Pool: r.pool.Name, Target: o.attempt.lease.Address,
+		Took: time.Since(o.attempt.since),
 	}
 	if o.answer != nil {
 		c.EngineTime = o.answer.EngineTime
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -69,9 +69,10 @@
 // Charge is what one call at a target cost.
 type Charge struct {
 	Customer, Pipeline, Stage string
-	// Pool is the target's, Took how long this process waited for it.
-	Pool string
-	Took time.Duration
+	// Pool and Target, an address, say who was called, Took how long this
+	// process waited for it.
+	Pool, Target string
+	Took         time.Duration
 	// EngineTime is what the target said; zero where it gave no answer.
 	EngineTime time.Duration
 	Usage      targetapi.Usage
