A reranker's late answer is read by the documents that it was asked about

Cause: the attempt that lost read its answer in its own goroutine against the request's documents, while the winner's answer replaced them: a data race, in which a sound answer was taken for malformed, the target counted as failed, and a slice could be read while it was written. Ruled out: a target that answers wrongly: the stand-in names each document once; the logs of two runs of TestCostsAreWhatTheTargetsCounted/hedges (both of which failed, other runs print no logs) have six lines such as "rerank names document 5 of 4", where eight documents were asked about and four are kept. Before: TestRerankAnswerThatCameSecondIsReadByWhatWasAsked fails (document 3 of 2). After: it passes; internal/pipeline, internal/entry and internal/command/cost pass with the race detector. Conclusion: a stage keeps the documents it began with, and its attempts use only these.

--- a/internal/pipeline/attempts.go
+++ b/internal/pipeline/attempts.go
@@ -25,6 +25,10 @@
 	pool  config.Pool
 	index int
 	since time.Time
+	// docs are the request's documents as the stage found them. An attempt that
+	// lost may still read its answer when the winner's has replaced work.docs,
+	// so attempts use these only.
+	docs []string
 	// before says that an earlier stage of the request ran.
 	before bool
 
@@ -55,6 +59,13 @@
 	err     error
 }
 
+func newStageRun(x *Executor, w *work, index int, pool config.Pool) *stageRun {
+	return &stageRun{
+		x: x, w: w, stage: w.req.Pipeline.Stages[index], pool: pool, index: index, since: time.Now(),
+		before: index > 0, docs: w.docs,
+	}
+}
+
 func (r *stageRun) budget() retry.BudgetKey {
 	return retry.BudgetKey{Customer: r.w.req.Customer, Pool: r.pool.Name}
 }
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -181,10 +181,7 @@
 		return StageReport{}, problem.New(500, "no-pool", "Pipeline is not complete",
 			"Stage "+stage.Name+" names a pool that doesn't exist.", ranIf(index > 0))
 	}
-	run := &stageRun{
-		x: x, w: w, stage: stage, pool: pool, index: index, since: time.Now(),
-		before: index > 0,
-	}
+	run := newStageRun(x, w, index, pool)
 	p := run.do(ctx)
 	report := StageReport{
 		Name: stage.Name, Target: run.answeredBy, Attempts: run.attempts,
--- a/internal/pipeline/race_test.go
+++ b/internal/pipeline/race_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/vanillagate/vanillagate/internal/config"
 	"github.com/vanillagate/vanillagate/internal/suspect"
+	"github.com/vanillagate/vanillagate/internal/target"
 	"github.com/vanillagate/vanillagate/internal/targetapi"
 )
 
@@ -87,3 +88,20 @@
 	}
 	assert.Equal(t, waste[NoWaste], 1, "%v", waste)
 }
+
+// Two attempts at a reranker answer at nearly the same time. The first answer is
+// taken and cuts the request's documents to the best two; the other is read
+// after that. Measured by the documents that are left it looks malformed, and a
+// sound target is held to have failed, which takes it out of use.
+func TestRerankAnswerThatCameSecondIsReadByWhatWasAsked(t *testing.T) {
+	pool := config.Pool{Name: "reranker", Kind: config.TargetReranker}
+	req := &Request{ID: "r", Pipeline: config.Pipeline{Name: "p", Stages: []config.Stage{{Name: "s", Pool: pool.Name}}}}
+	r := newStageRun(nil, &work{req: req, docs: []string{"d0", "d1", "d2", "d3"}}, 0, pool)
+	answer := &target.Answer{Body: []byte(`{"results":[{"index":3},{"index":1}]}`)}
+	for attempt := 1; attempt <= 2; attempt++ {
+		got, err := r.parse(answer, target.Identity{Request: "r", Stage: "s", Attempt: attempt})
+		assert.NilError(t, err, "attempt %d", attempt)
+		assert.DeepEqual(t, got.docs, []string{"d3", "d1"})
+		r.take(got)
+	}
+}
--- a/internal/pipeline/stages.go
+++ b/internal/pipeline/stages.go
@@ -34,7 +34,7 @@
 		}, true
 	case config.TargetReranker:
 		return targetapi.PathRerank, targetapi.RerankRequest{
-			Model: r.pool.Model, Query: r.w.req.Input, Documents: r.w.docs, TopN: r.topK(),
+			Model: r.pool.Model, Query: r.w.req.Input, Documents: r.docs, TopN: r.topK(),
 		}, true
 	default:
 		return "", nil, false
@@ -64,7 +64,7 @@
 	case config.TargetRetriever:
 		return parseSearch(answer.Body, r.w.req.Input)
 	default:
-		return parseRerank(answer.Body, id, r.w.docs)
+		return parseRerank(answer.Body, id, r.docs)
 	}
 }
 
