--- a/internal/pipeline/attempts.go
+++ b/internal/pipeline/attempts.go
@@ -25,6 +25,10 @@
 	pool  config.Pool
 	index int
 	since time.Time
+	// docs are the request's documents as the stage found them. An attempt that
+	// lost may still read its answer when the winner's has replaced work.docs,
+	// so attempts use these only.
+	docs []string
 	// before says that an earlier stage of the request ran.
 	before bool
 
@@ -55,6 +59,13 @@
 	err     error
 }
 
+func newStageRun(x *Executor, w *work, index int, pool config.Pool) *stageRun {
+	return &stageRun{
+		x: x, w: w, stage: w.req.Pipeline.Stages[index], pool: pool, index: index, since: time.Now(),
+		before: index > 0, docs: w.docs,
+	}
+}
+
 func (r *stageRun) budget() retry.BudgetKey {
 	return retry.BudgetKey{Customer: r.w.req.Customer, Pool: r.pool.Name}
 }
@@ -79,7 +90,8 @@
 func (r *stageRun) charge(o outcome, waste Waste) Charge {
 	c := Charge{
 		Customer: r.w.req.Customer, Pipeline: r.w.req.Pipeline.Name, Stage: r.stage.Name,
-		Usage: o.parsed.usage, Waste: waste, Pool: r.pool.Name, Took: time.Since(o.attempt.since),
+		Usage: o.parsed.usage, Waste: waste, Pool: r.pool.Name, Target: o.attempt.lease.Address,
+		Took: time.Since(o.attempt.since),
 	}
 	if o.answer != nil {
 		c.EngineTime = o.answer.EngineTime
@@ -284,14 +296,17 @@
 }
 
 func wasteOf(a *attempt, f *target.Failure) Waste {
-	switch {
-	case f.Kind == target.FailedCancelled && a.hedge:
+	if f.Kind == target.FailedCancelled {
+		return wasteOfLoser(a)
+	}
+	return WasteFailed
+}
+
+func wasteOfLoser(a *attempt) Waste {
+	if a.hedge {
 		return WasteHedge
-	case f.Kind == target.FailedCancelled:
-		return WasteCanceled
-	default:
-		return WasteFailed
 	}
+	return WasteCanceled
 }
 
 // resultOf: a call that was cancelled, or cut short by the request's deadline,
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -69,9 +69,10 @@
 // Charge is what one call at a target cost.
 type Charge struct {
 	Customer, Pipeline, Stage string
-	// Pool is the target's, Took how long this process waited for it.
-	Pool string
-	Took time.Duration
+	// Pool and Target, an address, say who was called, Took how long this
+	// process waited for it.
+	Pool, Target string
+	Took         time.Duration
 	// EngineTime is what the target said; zero where it gave no answer.
 	EngineTime time.Duration
 	Usage      targetapi.Usage
@@ -180,10 +181,7 @@
 		return StageReport{}, problem.New(500, "no-pool", "Pipeline is not complete",
 			"Stage "+stage.Name+" names a pool that doesn't exist.", ranIf(index > 0))
 	}
-	run := &stageRun{
-		x: x, w: w, stage: stage, pool: pool, index: index, since: time.Now(),
-		before: index > 0,
-	}
+	run := newStageRun(x, w, index, pool)
 	p := run.do(ctx)
 	report := StageReport{
 		Name: stage.Name, Target: run.answeredBy, Attempts: run.attempts,
