vgedge links no clients of table service and object store

Cause: package program held the flags of vanillagate and vgsteward beside what all programs use, and with them 86 packages of the stores' clients, which vgedge initialised at each start; docs/PLATFORM.md says that it links none. SIGHUP ends a process until its packages are up. Before: 20.3 MB; of 40 signals each, 5 ms after exec 32, 35, 25 ended it, 6 ms 2, 11, 0.

--- a/internal/entry/command.go
+++ b/internal/entry/command.go
@@ -15,6 +15,7 @@
 	"github.com/vanillagate/vanillagate/internal/logging"
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/program"
+	"github.com/vanillagate/vanillagate/internal/program/vmflags"
 	"github.com/vanillagate/vanillagate/internal/settings"
 )
 
@@ -44,7 +45,7 @@
 		Description: "Every entry VM runs this program, all alike. SIGTERM is a graceful shutdown:\n" +
 			"the VM drops out of what callers are told, serves those that hold an old\n" +
 			"answer, and cuts no request.",
-		Flags: append(flags(), program.SharedFlags()...),
+		Flags: append(flags(), vmflags.All()...),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return run(ctx, c, reload)
 		},
@@ -73,7 +74,7 @@
 // leave.
 func run(ctx context.Context, c *cli.Command, reload <-chan os.Signal) error {
 	var check settings.Checker
-	shared := program.CheckShared(c, &check)
+	shared := vmflags.Check(c, &check)
 	opts := checkOptions(c, &check)
 	if err := check.Err(); err != nil {
 		return err
@@ -155,7 +156,7 @@
 		check.OneOf(flagPolicy, c.String(flagPolicy), PolicyNames...)
 	}
 	opts.Policy = policy
-	opts.TLS = program.CheckCertificate(c, flagTLSCert, flagTLSKey, check)
+	opts.TLS = vmflags.Certificate(c, flagTLSCert, flagTLSKey, check)
 	opts.Operators = checkOperators(c.String(flagOperators), check)
 	return opts
 }
--- a/internal/program/shared.go
+++ b/internal/program/vmflags/vmflags.go
@@ -1,4 +1,8 @@
-package program
+// Package vmflags has the flags that vanillagate and vgsteward share, and what is
+// made from them. It stands apart from package program because it links the
+// clients of table service and object store: vgedge needs none of them, and pays
+// for what it links in memory and in time to start.
+package vmflags
 
 import (
 	"context"
@@ -15,6 +19,7 @@
 	"github.com/vanillagate/vanillagate/internal/backing/objects"
 	"github.com/vanillagate/vanillagate/internal/backing/vmlist"
 	"github.com/vanillagate/vanillagate/internal/peer"
+	"github.com/vanillagate/vanillagate/internal/program"
 	"github.com/vanillagate/vanillagate/internal/settings"
 )
 
@@ -35,8 +40,8 @@
 	flagLogLevel    = "log-level"
 )
 
-// SharedFlags are the flags of every program on an entry VM.
-func SharedFlags() []cli.Flag {
+// All are the flags of every program on an entry VM.
+func All() []cli.Flag {
 	return []cli.Flag{
 		text(flagPeerListen, "127.0.0.1:7600", "`IP:PORT` for the system's own processes"),
 		text(flagPeerKeys, "", "shared `KEYS` between the processes, comma-separated; the first signs, all are accepted"),
@@ -55,11 +60,11 @@
 }
 
 func text(name, value, usage string) *cli.StringFlag {
-	return &cli.StringFlag{Name: name, Value: value, Usage: usage, Sources: Env(name)}
+	return &cli.StringFlag{Name: name, Value: value, Usage: usage, Sources: program.Env(name)}
 }
 
-// Shared are the checked values of SharedFlags.
-type Shared struct {
+// Values are the checked values of All.
+type Values struct {
 	PeerListen string
 	PeerKeys   []string
 	Peers      []string
@@ -72,9 +77,9 @@
 	VMs        backing.VMList
 }
 
-// CheckShared reads the values and notes what can't be used.
-func CheckShared(c *cli.Command, check *settings.Checker) Shared {
-	sh := Shared{
+// Check reads the values and notes what can't be used.
+func Check(c *cli.Command, check *settings.Checker) Values {
+	sh := Values{
 		PeerListen: c.String(flagPeerListen),
 		PeerKeys:   list(c.String(flagPeerKeys)),
 		Peers:      list(c.String(flagPeers)),
@@ -93,7 +98,7 @@
 	for _, name := range []string{flagTableURL, flagObjectsURL, flagVMListURL} {
 		check.URL(name, c.String(name))
 	}
-	sh.PeerTLS = trustOwn(c, CheckCertificate(c, flagPeerCert, flagPeerCertKey, check), check)
+	sh.PeerTLS = trustOwn(c, Certificate(c, flagPeerCert, flagPeerCertKey, check), check)
 	sh.connect(c)
 	return sh
 }
@@ -109,9 +114,9 @@
 	}
 }
 
-// CheckCertificate loads a certificate and its key, or gives nil where neither
+// Certificate loads a certificate and its key, or gives nil where neither
 // is set.
-func CheckCertificate(c *cli.Command, certFlag, keyFlag string, check *settings.Checker) *tls.Config {
+func Certificate(c *cli.Command, certFlag, keyFlag string, check *settings.Checker) *tls.Config {
 	certFile, keyFile := c.String(certFlag), c.String(keyFlag)
 	if certFile == "" && keyFile == "" {
 		return nil
@@ -147,7 +152,7 @@
 // storeRegion signs requests; the platform's stores don't look at it.
 const storeRegion = "local"
 
-func (sh *Shared) connect(c *cli.Command) {
+func (sh *Values) connect(c *cli.Command) {
 	access, secret := c.String(flagAccessKey), c.String(flagSecretKey)
 	sh.Table = dynamo.New(backing.StoreConfig{
 		URL: c.String(flagTableURL), Region: storeRegion, AccessKey: access, SecretKey: secret,
@@ -162,7 +167,7 @@
 
 // Seeds gives the peer addresses to join by: those of the VM list, and those
 // of the settings.
-func (sh *Shared) Seeds(ctx context.Context) ([]string, error) {
+func (sh *Values) Seeds(ctx context.Context) ([]string, error) {
 	seeds := append([]string(nil), sh.Peers...)
 	vms, err := sh.VMs.List(ctx)
 	if err != nil && len(seeds) == 0 {
@@ -177,7 +182,7 @@
 }
 
 // PeerOptions are the options of this process's Node.
-func (sh *Shared) PeerOptions(self peer.Member) peer.Options {
+func (sh *Values) PeerOptions(self peer.Member) peer.Options {
 	return peer.Options{
 		Self: self, Listen: sh.PeerListen, Keys: sh.PeerKeys, TLS: sh.PeerTLS, Seeds: sh.Seeds,
 	}
--- a/internal/steward/program/program.go
+++ b/internal/steward/program/program.go
@@ -18,6 +18,7 @@
 	"github.com/vanillagate/vanillagate/internal/logging"
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/program"
+	"github.com/vanillagate/vanillagate/internal/program/vmflags"
 	"github.com/vanillagate/vanillagate/internal/settings"
 	"github.com/vanillagate/vanillagate/internal/steward"
 )
@@ -56,7 +57,7 @@
 			"Example:\n" +
 			"  vgsteward --table-url http://10.0.0.5:8000 --objects-url http://10.0.0.5:9000 \\\n" +
 			"    --vm-list-url http://10.0.0.5:7003 --peer-listen 10.0.1.1:7610 --zone a --region r1",
-		Flags: append(flags(), program.SharedFlags()...),
+		Flags: append(flags(), vmflags.All()...),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			return run(ctx, cmd, reload)
 		},
@@ -82,7 +83,7 @@
 // run checks the settings all at once and wires the process.
 func run(ctx context.Context, cmd *cli.Command, reload <-chan os.Signal) error {
 	var check settings.Checker
-	shared := program.CheckShared(cmd, &check)
+	shared := vmflags.Check(cmd, &check)
 	check.Between(flagLeaseTerm, cmd.Duration(flagLeaseTerm), minTerm, maxTerm)
 	check.Between(flagPeriod, cmd.Duration(flagPeriod), minPeriod, maxPeriod)
 	check.Between(flagConfigPeriod, cmd.Duration(flagConfigPeriod), minPeriod, maxPeriod)
@@ -99,7 +100,7 @@
 	return serve(ctx, cmd, shared, log.Logger)
 }
 
-func serve(ctx context.Context, cmd *cli.Command, shared program.Shared, log *zap.Logger) error {
+func serve(ctx context.Context, cmd *cli.Command, shared vmflags.Values, log *zap.Logger) error {
 	me := peer.NewIncarnation()
 	peerOptions := shared.PeerOptions(peer.Member{
 		Incarnation: me, PeerAddress: shared.PeerListen, Zone: shared.Zone, Region: shared.Region, State: peer.Alive,
