An answer of vanillagate that comes during a leave says that its connection closes

Whether the process leaves is now looked at as the answer is there. Conclusion: streams that began before the leave can't be told any more.

--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -32,9 +32,13 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	if s.leaving.Load() {
+	s.answer(ctx)
+	if s.leaving.Load() { // also where the leave began meanwhile
 		ctx.SetConnectionClose()
 	}
+}
+
+func (s *Server) answer(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
 	case path == pathEntries:
