--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -94,7 +94,9 @@
 	assert.Equal(t, metrics.GetOrRegisterCounter(MetricDropped, registry).Count(), int64(30))
 }
 
-// The same for the lines of a part of the program, which are all but a few.
+// In an outage every request writes the same line. Nearly all lines are those of a
+// part of the program: if theirs were not left out, the log would grow by as many
+// lines as there are requests.
 func TestRepeatedLinesOfAPartAreCounted(t *testing.T) {
 	out := &output{}
 	registry := metrics.NewRegistry()
--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -289,7 +289,7 @@
 	return p != nil, revision, nil
 }
 
-// apply puts a plan in force, if it is one, newer, and can be reckoned with.
+// apply puts a plan in force, if it is one, newer, and can be used.
 func (f *Follower) apply(p *plan.Plan, from string) {
 	if p == nil {
 		return
--- a/internal/serve/plan/check.go
+++ b/internal/serve/plan/check.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// Check tells what in a plan can't be reckoned with; nil where all can. A plan
+// Check tells what in a plan can't be used; nil where all can. A plan
 // comes from an operator or from a peer of another version. Stages that wait for
 // each other would be followed without end, an index without a stage, or a batch
 // without items, would end the process at the first request that needs it, and
--- a/test/signals_test.go
+++ b/test/signals_test.go
@@ -57,9 +57,9 @@
 }
 
 // What collects the logs of a process ends, or is replaced, and nobody reads them
-// any more. Callers got half a stream and then no connection: the next line that
-// the process wrote ended it by SIGPIPE, without a trace. With a reader that stays
-// the same calls are whole.
+// any more. A process that leaves SIGPIPE to its default action ends at the next
+// line that it writes, without a trace, and callers get half a stream and then no
+// connection. With a reader that stays the same calls are whole.
 func TestALogReaderThatEndsCutsNothing(t *testing.T) {
 	t.Parallel()
 	t.Run("vanillagate", func(t *testing.T) {
