A refusal of stages after an attempt doesn't say that nothing ran

Cause: see the test before. Ruled out: requests that must run once, which end after an attempt that may have run. Now one place makes all final answers: 503 for what certainly didn't run, else 502 or 504. Before: TestARefusalOfStagesIsTrueAfterAnAttempt: 503 for 502. After: it passes, with the packages of the serving core and platform under -race.

--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -237,19 +237,19 @@
 
 func (j *job) stageRefusal(err error) *Reply {
 	if cause := context.Cause(j.ctx); cause != nil {
-		return j.notRun(ended(cause), 0)
+		return j.finish(fasthttp.StatusGatewayTimeout, ended(cause), 0)
 	}
 	var refused *gather.Refused
 	if !errors.As(err, &refused) {
-		return j.notRun(StagesFailed, leastRetry)
+		return j.finish(fasthttp.StatusBadGateway, StagesFailed, leastRetry)
 	}
 	switch refused.Reason {
 	case gather.Late:
-		return j.notRun(StagesLate, retryAfter(refused.Wait))
+		return j.finish(fasthttp.StatusBadGateway, StagesLate, retryAfter(refused.Wait))
 	case gather.Idle:
-		return j.notRun(NoTarget, retryAfter(0))
+		return j.finish(fasthttp.StatusBadGateway, NoTarget, retryAfter(0))
 	default:
-		return j.notRun(StagesFailed, retryAfter(0))
+		return j.finish(fasthttp.StatusBadGateway, StagesFailed, retryAfter(0))
 	}
 }
 
@@ -264,11 +264,6 @@
 	}
 }
 
-// notRun is the answer to a request that no target has run or will run.
-func (j *job) notRun(reason Reason, after time.Duration) *Reply {
-	return refuse(fasthttp.StatusServiceUnavailable, reason, after)
-}
-
 // next decides what follows an attempt without an answer; nil means another.
 func (j *job) next(failed attempt) *Reply {
 	if cause := context.Cause(j.ctx); cause != nil {
@@ -297,11 +292,17 @@
 // maxArrivals bounds the targets that are asked in turn when each refuses.
 const maxArrivals = 4
 
-// giveUp is the final answer after attempts. Only a request that certainly
-// didn't run is told so.
+// giveUp is the final answer after attempts.
 func (j *job) giveUp(reason Reason, status int) *Reply {
+	return j.finish(status, reason, retryAfter(0))
+}
+
+// finish makes a final answer: 503 and when to come back for a request that
+// certainly didn't run and won't, the status for one that may have run. Its caller
+// must not be told that it hasn't.
+func (j *job) finish(status int, reason Reason, after time.Duration) *Reply {
 	if j.ran == 0 {
-		return j.notRun(reason, retryAfter(0))
+		return refuse(fasthttp.StatusServiceUnavailable, reason, after)
 	}
 	return refuse(status, reason, 0)
 }
