SIGHUP is caught before main

Cause: the signal was caught in main, after all packages had been set up; until then it ends the process, which the platform has to start again. Ruled out: catching it earlier still, from C before the runtime: not tried, the runtime sets its own handlers. Process tests of signals to read settings: passed.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -12,6 +12,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/vanillagate/vanillagate/internal/reload"
 	"github.com/vanillagate/vanillagate/internal/settings"
 )
 
@@ -36,9 +37,8 @@
 // action, SIGHUP ends a process with all that it serves, and its log doesn't say
 // why.
 func Serve(command func(reload <-chan os.Signal) *cli.Command) {
-	reload := settings.CatchReload()
 	outliveLogReaders()
-	Run(command(reload))
+	Run(command(reload.Requests()))
 }
 
 // outliveLogReaders lets a process go on when nobody reads its standard output
--- a/internal/settings/file.go
+++ b/internal/settings/file.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,15 +13,6 @@
 // may do so without a word. Reading 2 KB takes some 0.1 ms.
 const RereadPeriod = 2 * time.Second
 
-// CatchReload takes over the signal that says that the settings have changed.
-// It comes first in a process's life: until then the signal ends the process,
-// and with it all requests that it serves.
-func CatchReload() <-chan os.Signal {
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	return reload
-}
-
 // LogReloads serves programs whose settings are flags and environment variables,
 // which can't change while they run. Whoever asks one to read them again finds
 // in its log that they hold until its next start.
