Tests: callers with kept connections and sites without processes stand once

What is checked stays the same. Seen: platform and entry under -race, the process tests that were touched: passed.

--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -1,9 +1,7 @@
 package entry
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -13,7 +11,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
-	"github.com/vanillagate/vanillagate/internal/accept/accepttest"
+	"github.com/vanillagate/vanillagate/internal/listentest"
 )
 
 // For a moment the process has no descriptor left for one more connection. If
@@ -22,7 +20,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s := &Server{
-		log: zap.NewNop(), listener: accepttest.NewTroubled(listener, 3),
+		log: zap.NewNop(), listener: listentest.NewTroubled(listener, 3),
 	}
 	s.prepare(func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("served") })
 	ended := make(chan error, 1)
@@ -45,41 +43,19 @@
 	s.prepare(func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("served") })
 	ended := make(chan error, 1)
 	go func() { ended <- s.serve() }()
-	var conns []net.Conn
-	for range callers {
-		conn, err := net.Dial("tcp", listener.Addr().String())
-		assert.NilError(t, err)
-		defer func() { _ = conn.Close() }()
-		assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
-		askOn(t, conn)
-		readOn(t, conn)
-		conns = append(conns, conn)
+	kept := listentest.Dial(t, listener.Addr().String(), callers)
+	for _, caller := range kept {
+		caller.Ask(t)
+		caller.Answered(t)
 	}
-	for _, conn := range conns {
-		askOn(t, conn)
+	for _, caller := range kept {
+		caller.Ask(t)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	assert.NilError(t, s.closePort(ctx))
-	for _, conn := range conns {
-		readOn(t, conn)
+	for _, caller := range kept {
+		caller.Answered(t)
 	}
 	assert.NilError(t, <-ended)
 }
-
-func askOn(t *testing.T, conn net.Conn) {
-	t.Helper()
-	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-	assert.NilError(t, err)
-}
-
-func readOn(t *testing.T, conn net.Conn) {
-	t.Helper()
-	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if !assert.Check(t, err == nil, "no answer: %v", err) {
-		return
-	}
-	_, err = io.ReadAll(answer.Body)
-	assert.NilError(t, err)
-	assert.Equal(t, answer.StatusCode, http.StatusOK)
-}
--- a/internal/accept/accepttest/troubled.go
+++ b/internal/listentest/listener.go
@@ -1,5 +1,6 @@
-// Package accepttest has listeners in trouble for tests.
-package accepttest
+// Package listentest has what tests of listeners need: a listener in trouble, and
+// callers who keep their connections.
+package listentest
 
 import (
 	"net"
--- a/test/platform_planned_work_test.go
+++ b/test/platform_planned_work_test.go
@@ -139,18 +139,14 @@
 // its VM serves nobody until it is started again.
 func TestPlatformSettingsChangeWhileTheyAreRead(t *testing.T) {
 	t.Parallel()
-	site, err := standin.NewSite("127.0.0.1")
-	assert.NilError(t, err)
-	t.Cleanup(site.Close)
-	vms, err := site.VMs(t.TempDir(), freeLoopback(t, 1), 1)
-	assert.NilError(t, err)
-	e := &edgeSite{t: t, site: site, vms: vms, runs: make([]*process, 1)}
-	path := vms[0].Settings
+	e := newEdges(t, 1)
+	path := e.vms[0].Settings
 	assert.NilError(t, os.Rename(path, path+".whole"))
 	assert.NilError(t, syscall.Mkfifo(path, 0o600))
 	e.start(0)
 	var pipe *os.File
 	waitFor(t, "the process to open its settings", func() bool {
+		var err error
 		pipe, err = os.OpenFile(path, os.O_WRONLY|syscall.O_NONBLOCK, 0)
 		return err == nil
 	})
@@ -171,19 +167,8 @@
 // its exit code takes a stop that cut nothing for a failure.
 func TestPlatformAskedToLeaveUntilItHasLeft(t *testing.T) {
 	t.Parallel()
-	site, err := standin.NewSite("127.0.0.1")
-	assert.NilError(t, err)
-	t.Cleanup(site.Close)
-	const n = 12 // each meets the moment by chance only
-	vms, err := site.VMs(t.TempDir(), freeLoopback(t, n), n)
-	assert.NilError(t, err)
-	e := &edgeSite{t: t, site: site, vms: vms, runs: make([]*process, n)}
-	for i := range vms {
-		e.start(i)
-	}
-	for i := range vms {
-		e.waitReady(i)
-	}
+	e := newEdges(t, 12) // each meets the moment by chance only
+	e.startAll()
 	until := time.Now().Add(firstGrace * time.Second)
 	for _, run := range e.runs {
 		for time.Now().Before(until) && run.cmd.Process.Signal(syscall.SIGTERM) == nil {
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -67,22 +67,34 @@
 	return true
 }
 
-func startEdges(t *testing.T, n int) *edgeSite {
+// newEdges has a site's VMs, on which nothing runs yet.
+func newEdges(t *testing.T, n int) *edgeSite {
 	t.Helper()
 	site, err := standin.NewSite("127.0.0.1")
 	assert.NilError(t, err)
 	t.Cleanup(site.Close)
 	vms, err := site.VMs(t.TempDir(), freeLoopback(t, n), n)
 	assert.NilError(t, err)
-	e := &edgeSite{t: t, site: site, vms: vms, runs: make([]*process, n)}
-	for i := range vms {
+	return &edgeSite{t: t, site: site, vms: vms, runs: make([]*process, n)}
+}
+
+func startEdges(t *testing.T, n int) *edgeSite {
+	t.Helper()
+	e := newEdges(t, n)
+	e.startAll()
+	time.Sleep(3500 * time.Millisecond) // until all know each other and the budget its members
+	return e
+}
+
+// startAll starts a process on each VM and waits until all are ready.
+func (e *edgeSite) startAll() {
+	e.t.Helper()
+	for i := range e.vms {
 		e.start(i)
 	}
-	for i := range vms {
+	for i := range e.vms {
 		e.waitReady(i)
 	}
-	time.Sleep(3500 * time.Millisecond) // until all know each other and the budget its members
-	return e
 }
 
 func (e *edgeSite) start(i int) {
