Read once more: free loopback addresses, callers that ask again, no idle goroutine

Behaviour and checks stay as they are. Left: the loop in internal/peer that goes on accepting has other pauses than internal/accept, and its own counting of strangers.

--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -43,14 +43,7 @@
 	s.prepare(func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("served") })
 	ended := make(chan error, 1)
 	go func() { ended <- s.serve() }()
-	kept := listentest.Dial(t, listener.Addr().String(), callers)
-	for _, caller := range kept {
-		caller.Ask(t)
-		caller.Answered(t)
-	}
-	for _, caller := range kept {
-		caller.Ask(t)
-	}
+	kept := listentest.Again(t, listener.Addr().String(), callers)
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	assert.NilError(t, s.closePort(ctx))
--- a/internal/listentest/caller.go
+++ b/internal/listentest/caller.go
@@ -31,6 +31,21 @@
 	return all
 }
 
+// Again has n callers whose connections have served a request each and carry the
+// next one.
+func Again(t *testing.T, address string, n int) []*Caller {
+	t.Helper()
+	kept := Dial(t, address, n)
+	for _, caller := range kept {
+		caller.Ask(t)
+		caller.Answered(t)
+	}
+	for _, caller := range kept {
+		caller.Ask(t)
+	}
+	return kept
+}
+
 // Ask sends one request.
 func (c *Caller) Ask(t *testing.T) {
 	t.Helper()
--- a/internal/pipeline/race.go
+++ b/internal/pipeline/race.go
@@ -16,7 +16,11 @@
 	defer cancelAll()
 	results := make(chan outcome, retry.MaxTries+1)
 	running := 0
-	defer func() { go r.chargeLate(results, running) }()
+	defer func() {
+		if running > 0 {
+			go r.chargeLate(results, running)
+		}
+	}()
 	launch := func(hedge bool) bool {
 		a := r.acquire(ctx, hedge, 1, nil)
 		if a == nil {
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os/exec"
-	"strconv"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -26,54 +22,15 @@
 	runs []*process
 }
 
-// Sites have loopback addresses of their own, 127.A.B.1 and so on. The ports are
-// the same on all VMs, so that tests that run at the same time, also those of
-// another run on this machine, must not meet on an address: their processes
-// would not start, and their callers would ask the other's.
-const (
-	firstLoopback = 16 << 8  // 127.16.0
-	lastLoopback  = 200 << 8 // 127.200.0, not itself used
-	portOfPeers   = 8628
-)
-
-// nextLoopback is where the next site looks for addresses. Each run of the tests
-// begins somewhere else.
-var nextLoopback atomic.Int64
-
-func init() { nextLoopback.Store(rand.Int64N(lastLoopback - firstLoopback)) }
-
-// freeLoopback finds addresses that nobody listens at, as a pattern for n VMs.
-func freeLoopback(t *testing.T, n int) string {
-	t.Helper()
-	for range lastLoopback - firstLoopback {
-		at := firstLoopback + nextLoopback.Add(1)%(lastLoopback-firstLoopback)
-		base := fmt.Sprintf("127.%d.%d.%%d", at>>8, at&0xff)
-		if allListenable(base, n) {
-			return base
-		}
-	}
-	t.Fatal("no free loopback addresses")
-	return ""
-}
-
-func allListenable(base string, n int) bool {
-	for i := range n {
-		l, err := net.Listen("tcp", net.JoinHostPort(fmt.Sprintf(base, i+1), strconv.Itoa(portOfPeers)))
-		if err != nil {
-			return false
-		}
-		_ = l.Close()
-	}
-	return true
-}
-
 // newEdges has a site's VMs, on which nothing runs yet.
 func newEdges(t *testing.T, n int) *edgeSite {
 	t.Helper()
 	site, err := standin.NewSite("127.0.0.1")
 	assert.NilError(t, err)
 	t.Cleanup(site.Close)
-	vms, err := site.VMs(t.TempDir(), freeLoopback(t, n), n)
+	base, err := standin.FreeLoopback(n)
+	assert.NilError(t, err)
+	vms, err := site.VMs(t.TempDir(), base, n)
 	assert.NilError(t, err)
 	return &edgeSite{t: t, site: site, vms: vms, runs: make([]*process, n)}
 }
