A gatherer that was passed by is probed and used again as soon as it answers

The cell was divided: two gatherers, whose calls find targets and rooms full, while callers were refused by the one whose promises stood still. Now it is probed after 50 ms, pause doubled up to 1 s. Ruled out: a time-out that is too short (the calls broke, they weren't slow).

--- a/internal/serve/gather/ask.go
+++ b/internal/serve/gather/ask.go
@@ -60,13 +60,13 @@
 // time.
 func (r *Requester) Withdraw(request string, asked []Cell) {
 	for _, cell := range asked {
-		r.cancel(r.gatherers(cell, time.Now())[0], cell, request)
+		r.cancel(r.gatherers(cell)[0], cell, request)
 	}
 }
 
 func (r *Requester) askFor(ctx context.Context, request string, cell Cell, p Want, serial uint64) error {
 	now := time.Now()
-	gatherer := r.gatherers(cell, now)[0]
+	gatherer := r.gatherers(cell)[0]
 	call := askCall{
 		Cell: cell, Request: request, Stage: p.Stage, Rank: p.Rank, Items: p.Items, Due: ToMillis(p.Due.Sub(now)), Serial: serial,
 	}
--- a/internal/serve/gather/choose.go
+++ b/internal/serve/gather/choose.go
@@ -140,7 +140,7 @@
 
 // gatherers ranks the processes that may gather for a cell, best first; there is
 // always one.
-func (r *Requester) gatherers(cell Cell, now time.Time) []peer.Incarnation {
+func (r *Requester) gatherers(cell Cell) []peer.Incarnation {
 	self := r.network.Self()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -160,16 +160,16 @@
 		}
 		return 1
 	})
-	return r.answering(list, now)
+	return r.answering(list)
 }
 
 // answering leaves out the gatherers that are passed by. Where none is left
 // the trouble is on this side or everywhere, and weaker ones or one after the
 // other would only multiply it: then all stay. The caller holds mu.
-func (r *Requester) answering(list []peer.Incarnation, now time.Time) []peer.Incarnation {
+func (r *Requester) answering(list []peer.Incarnation) []peer.Incarnation {
 	var kept []peer.Incarnation
 	for _, id := range list {
-		if now.After(r.passed[id]) {
+		if !r.passed[id] {
 			kept = append(kept, id)
 		}
 	}
--- a/internal/serve/gather/choose_test.go
+++ b/internal/serve/gather/choose_test.go
@@ -4,7 +4,6 @@
 	"math"
 	"slices"
 	"testing"
-	"time"
 
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
@@ -29,19 +28,18 @@
 	member := func(name string, power int) peer.Member {
 		return peer.Member{Incarnation: peer.Incarnation(name), State: peer.Alive, Power: power}
 	}
-	now := time.Now()
 	r := &Requester{
 		log:     zap.NewNop(),
 		network: &fixedNetwork{self: member("self", 19), members: []peer.Member{member("a", 80), member("b", 80), member("weak", 19)}},
-		passed:  map[peer.Incarnation]time.Time{},
+		passed:  map[peer.Incarnation]bool{},
 	}
 	cell := Cell{Service: "s"}
-	all := r.gatherers(cell, now)
+	all := r.gatherers(cell)
 	assert.Equal(t, len(all), 2)
-	r.passed[all[0]] = now.Add(passBy)
-	assert.DeepEqual(t, r.gatherers(cell, now), all[1:])
-	r.passed[all[1]] = now.Add(passBy)
-	got := r.gatherers(cell, now)
+	r.passed[all[0]] = true
+	assert.DeepEqual(t, r.gatherers(cell), all[1:])
+	r.passed[all[1]] = true
+	got := r.gatherers(cell)
 	assert.DeepEqual(t, got, all)
 	assert.Assert(t, !slices.Contains(got, "weak"))
 }
@@ -53,10 +51,10 @@
 	for _, power := range []int{math.MinInt, -100, 0, math.MaxInt/2 + 1, math.MaxInt} {
 		for _, others := range [][]peer.Member{nil, {{Incarnation: "a", State: peer.Alive, Power: 80}}} {
 			r := &Requester{
-				log: zap.NewNop(), passed: map[peer.Incarnation]time.Time{},
+				log: zap.NewNop(), passed: map[peer.Incarnation]bool{},
 				network: &fixedNetwork{self: peer.Member{Incarnation: "self", State: peer.Alive, Power: power}, members: others},
 			}
-			assert.Assert(t, len(r.gatherers(Cell{Service: "s"}, time.Now())) > 0, "power %d beside %d others", power, len(others))
+			assert.Assert(t, len(r.gatherers(Cell{Service: "s"})) > 0, "power %d beside %d others", power, len(others))
 		}
 	}
 }
--- a/internal/serve/gather/free.go
+++ b/internal/serve/gather/free.go
@@ -47,7 +47,7 @@
 }
 
 func (r *Requester) freeAt(key freeKey, handles []string) {
-	gatherer := r.gatherers(key.Cell, time.Now())[0]
+	gatherer := r.gatherers(key.Cell)[0]
 	if gatherer == r.network.Self().Incarnation {
 		r.own.Free(key.Cell, handles, key.Final)
 		return
--- a/internal/serve/gather/lost.go
+++ b/internal/serve/gather/lost.go
@@ -10,13 +10,6 @@
 	"github.com/vanillagate/vanillagate/internal/peer"
 )
 
-func (r *Requester) passBy(member peer.Incarnation, err error) {
-	r.log.Warn("Gatherer doesn't answer; passed by.", zap.String("member", string(member)), zap.Error(err))
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.passed[member] = time.Now().Add(passBy)
-}
-
 // lookAfter asks the gatherers whether they still have the items, and hands
 // those to others that got lost: a gatherer may have died, or may be frozen.
 func (r *Requester) lookAfter(ctx context.Context, cell Cell, wanted []*pending, seen map[Key]bool) error {
--- /dev/null
+++ b/internal/serve/gather/passed.go
@@ -0,0 +1,65 @@
+package gather
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/peer"
+	"github.com/vanillagate/vanillagate/internal/wait"
+)
+
+const (
+	// firstProbe is how long after it failed to answer a gatherer is probed; the
+	// pause doubles with each probe that fails, up to lastProbe. A connection that
+	// was closed because both sides had opened one works again at once, a process
+	// that is just starting within 0.1 s. One that is frozen for seconds costs a
+	// message each time.
+	firstProbe = 50 * time.Millisecond
+	lastProbe  = time.Second
+)
+
+// passBy has a gatherer get no items until it answers again. Two processes that
+// gather for one cell fill each other's targets and rooms unawares, so it is
+// probed instead of being left alone for a fixed time: after a start of all
+// processes, one connection that broke kept a cell divided for two seconds.
+func (r *Requester) passBy(member peer.Incarnation, err error) {
+	r.mu.Lock()
+	known := r.passed[member]
+	r.passed[member] = true
+	r.mu.Unlock()
+	if known {
+		return
+	}
+	r.log.Warn("Gatherer doesn't answer; passed by.", zap.String("member", string(member)), zap.Error(err))
+	go r.probe(member)
+}
+
+// probe waits until a gatherer answers, or is no member any more.
+func (r *Requester) probe(member peer.Incarnation) {
+	life := r.own.life
+	since := time.Now()
+	for pause := firstProbe; wait.For(life, pause); pause = min(2*pause, lastProbe) {
+		if !r.isMember(member) || r.answers(life, member) {
+			break
+		}
+	}
+	r.mu.Lock()
+	delete(r.passed, member)
+	r.mu.Unlock()
+	r.log.Info("Gatherer is no longer passed by.", zap.String("member", string(member)), zap.Duration("after", time.Since(since)))
+}
+
+func (r *Requester) isMember(id peer.Incarnation) bool {
+	return slices.ContainsFunc(r.network.Members(), func(m peer.Member) bool { return m.Incarnation == id })
+}
+
+// answers asks a gatherer after no items.
+func (r *Requester) answers(life context.Context, member peer.Incarnation) bool {
+	ctx, cancel := context.WithTimeout(life, ackTimeout)
+	defer cancel()
+	var unknown []Key
+	return r.network.Call(ctx, member, methodCheck, checkCall{}, &unknown) == nil
+}
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -25,8 +25,6 @@
 	// it still has the items; a call takes 300 to 450 ms.
 	checkAfter  = 600 * time.Millisecond
 	checkPeriod = 200 * time.Millisecond
-	// passBy is how long a gatherer that didn't answer gets no items.
-	passBy = 2 * time.Second
 	// handPeriod is how long results to be freed are collected for one message
 	// to their gatherer: long enough for those of one request.
 	handPeriod = 5 * time.Millisecond
@@ -48,7 +46,7 @@
 
 	mu      sync.Mutex // guards what follows; never held during a call
 	pending map[Key]*pending
-	passed  map[peer.Incarnation]time.Time
+	passed  map[peer.Incarnation]bool
 	freeing map[freeKey][]string
 	freer   bool
 	leaving bool
@@ -94,7 +92,7 @@
 func New(o Options) *Requester {
 	r := &Requester{
 		log: o.Log, network: o.Network, table: o.Table, askNobody: o.AskNobody, started: time.Now(),
-		pending: map[Key]*pending{}, passed: map[peer.Incarnation]time.Time{}, freeing: map[freeKey][]string{},
+		pending: map[Key]*pending{}, passed: map[peer.Incarnation]bool{}, freeing: map[freeKey][]string{},
 	}
 	r.own = o.Gatherer
 	r.own.deliver = r.deliver
@@ -189,7 +187,7 @@
 // this process itself.
 func (r *Requester) submit(ctx context.Context, cell Cell, wanted []*pending) error {
 	self := r.network.Self().Incarnation
-	for _, candidate := range r.gatherers(cell, time.Now()) {
+	for _, candidate := range r.gatherers(cell) {
 		ack, err := r.offer(ctx, candidate, cell, wanted)
 		if err == nil && !ack.Unknown {
 			return refusal(cell, ack)
