Results are given back to the process that had them made

The targets were told, but the process that had made them went on counting them: 24 to 33 MB of 40 taken for used, targets idle beside 400 waiting items, until the results lapsed after four seconds. Ruled out: orphans alone (they explain 9 to 15 MB). Now a result bears the process that had it made, and goes back there. Test first: TestResultsAreGivenBackToWhoHadThemMade.

--- a/internal/serve/gather/call.go
+++ b/internal/serve/gather/call.go
@@ -58,7 +58,7 @@
 	groups := c.feeding.fetched(items)
 	g.mu.Unlock()
 	for _, group := range groups {
-		g.release(group.cell, group.inputs, false)
+		g.release(group.keeper, group.inputs, false)
 	}
 }
 
@@ -137,7 +137,7 @@
 		case Made:
 			g.roomOf(c, target.Address, now).put(r.Handle, w.Bytes, now.Add(batch.Keep))
 			if group := c.feeding.made(w.Key); group != nil {
-				go g.release(group.cell, group.inputs, true)
+				go g.release(group.keeper, group.inputs, true)
 			}
 		}
 		byOwner[w.owner] = append(byOwner[w.owner], r)
--- a/internal/serve/gather/free.go
+++ b/internal/serve/gather/free.go
@@ -17,14 +17,21 @@
 	return handles
 }
 
-// Free gives back the space of results, several requests' together.
-func (r *Requester) Free(cell Cell, handles []string) { r.free(cell, handles, true) }
-
-func (r *Requester) free(cell Cell, handles []string, final bool) {
-	if len(handles) == 0 {
-		return
+// Free gives back the space of results of a cell, several requests' together.
+func (r *Requester) Free(cell Cell, results []Result) {
+	byKeeper := map[Keeper][]string{}
+	for _, result := range results {
+		if result.Reason == Made {
+			byKeeper[result.Keeper(cell)] = append(byKeeper[result.Keeper(cell)], result.Handle)
+		}
+	}
+	for keeper, handles := range byKeeper {
+		r.free(keeper, handles, true)
 	}
-	key := freeKey{Cell: cell, Final: final}
+}
+
+func (r *Requester) free(keeper Keeper, handles []string, final bool) {
+	key := freeKey{Keeper: keeper, Final: final}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.freeing[key] = append(r.freeing[key], handles...)
@@ -47,7 +54,7 @@
 }
 
 func (r *Requester) freeAt(key freeKey, handles []string) {
-	gatherer := r.gatherers(key.Cell)[0]
+	gatherer := key.Gatherer
 	if gatherer == r.network.Self().Incarnation {
 		r.own.Free(key.Cell, handles, key.Final)
 		return
--- /dev/null
+++ b/internal/serve/gather/free_test.go
@@ -0,0 +1,62 @@
+package gather
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/peer"
+)
+
+// calledNetwork notes who was called to free what.
+type calledNetwork struct {
+	fixedNetwork
+	freed chan peer.Incarnation
+}
+
+func (n *calledNetwork) Call(_ context.Context, to peer.Incarnation, method string, _, _ any) error {
+	if method == methodFree {
+		n.freed <- to
+	}
+	return nil
+}
+
+// After a start of all processes, or while one is frozen, two processes take
+// different ones for a cell's gatherer. Were results given back to whom the reader
+// takes for it, the one that had them made would go on counting them, take its
+// targets' rooms for full, and have callers refused for the four seconds until they
+// lapse, though the targets stand idle.
+func TestResultsAreGivenBackToWhoHadThemMade(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		member := func(name string) peer.Member {
+			return peer.Member{Incarnation: peer.Incarnation(name), State: peer.Alive, Power: 1}
+		}
+		network := &calledNetwork{
+			fixedNetwork: fixedNetwork{self: member("self"), members: []peer.Member{member("a"), member("b")}},
+			freed:        make(chan peer.Incarnation, 1),
+		}
+		r := &Requester{
+			log: zap.NewNop(), network: network, passed: map[peer.Incarnation]bool{}, freeing: map[freeKey][]string{},
+			pending: map[Key]*pending{}, own: &Gatherer{},
+		}
+		cell := Cell{Service: "s"}
+		list := r.gatherers(cell)
+		maker := list[len(list)-1] // the last that anybody here would choose
+		if maker == "self" {
+			maker = list[1]
+		}
+		results := make(chan Result, 1)
+		key := Key{Request: "r"}
+		r.pending[key] = &pending{done: results}
+		r.take(maker, cell, []Result{{Key: key, Handle: "10.0.0.1:1/h"}})
+		r.Free(cell, []Result{<-results})
+		time.Sleep(time.Second)
+		assert.Equal(t, <-network.freed, maker)
+		assert.Assert(t, !slices.Contains(list[:1], maker))
+	})
+}
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -62,9 +62,9 @@
 	plans   *plan.Holder
 	stager  Stager
 	deliver func(owner string, cell Cell, results []Result)
-	// release gives back results of any cell; final is false while their reader
+	// release gives back results of any keeper; final is false while their reader
 	// may still fail.
-	release func(cell Cell, handles []string, final bool)
+	release func(keeper Keeper, handles []string, final bool)
 	// life ends the calls in progress when the process goes.
 	life context.Context
 
--- a/internal/serve/gather/inputs.go
+++ b/internal/serve/gather/inputs.go
@@ -19,7 +19,7 @@
 type feeding struct{ groups map[groupKey]*feed }
 
 type feed struct {
-	cell   Cell
+	keeper Keeper
 	inputs []string
 	// unfetched and unmade are the items of the group whose inputs haven't been
 	// fetched, and those that haven't been made.
@@ -38,7 +38,7 @@
 	}
 	group := f.groups[item.group()]
 	if group == nil {
-		group = &feed{cell: item.InputCell, inputs: item.Inputs, unfetched: map[Key]bool{}, unmade: map[Key]bool{}}
+		group = &feed{keeper: item.InputOf, inputs: item.Inputs, unfetched: map[Key]bool{}, unmade: map[Key]bool{}}
 		f.groups[item.group()] = group
 	}
 	group.serial = max(group.serial, item.Serial)
--- a/internal/serve/gather/item.go
+++ b/internal/serve/gather/item.go
@@ -13,6 +13,8 @@
 
 import (
 	"time"
+
+	"github.com/vanillagate/vanillagate/internal/peer"
 )
 
 // Key names an item: one piece of one stage of one request.
@@ -45,9 +47,9 @@
 	// that is overtaken by a new try of the same request leaves that alone.
 	Serial uint64 `json:"n,omitempty"`
 	// Last means that no other stage needs the inputs: whoever gathers for this
-	// one gives back their space, which is InputCell's.
-	Last      bool `json:"last,omitempty"`
-	InputCell Cell `json:"ic,omitzero"`
+	// one gives back their space, of which InputOf keeps account.
+	Last    bool   `json:"last,omitempty"`
+	InputOf Keeper `json:"io,omitzero"`
 }
 
 // groupKey names the items of one stage of one request, which share their
@@ -95,8 +97,23 @@
 	// Zone is its maker's.
 	Zone   string `json:"z,omitempty"`
 	Reason Reason `json:"why,omitempty"`
+	// gatherer is the process that had it made; set where it arrives.
+	gatherer peer.Incarnation
+}
+
+// Keeper is who keeps account of the space that results take: the process that
+// had them made, for one cell. They are given back there and nowhere else. In the
+// eyes of others another process may gather for the cell by then; were they given
+// back to that one, their maker would go on taking its targets' rooms for full
+// until the results lapse, and leave targets idle for four seconds.
+type Keeper struct {
+	Cell     Cell             `json:"cell"`
+	Gatherer peer.Incarnation `json:"by,omitempty"`
 }
 
+// Keeper tells who keeps account of a result of a cell.
+func (r Result) Keeper(cell Cell) Keeper { return Keeper{Cell: cell, Gatherer: r.gatherer} }
+
 // Cell is a group of targets that one process gathers for.
 type Cell struct {
 	Service string `json:"service"`
--- a/internal/serve/gather/messages.go
+++ b/internal/serve/gather/messages.go
@@ -34,7 +34,7 @@
 }
 
 type doneCall struct {
-	Cell    Cell     `json:"cell"`
+	Keeper
 	Results []Result `json:"results"`
 }
 
@@ -52,7 +52,7 @@
 
 // freeKey is what results to be freed are collected by.
 type freeKey struct {
-	Cell Cell `json:"cell"`
+	Keeper
 	// Final is false while a reader of the results may still fail.
 	Final bool `json:"final,omitempty"`
 }
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -101,7 +101,7 @@
 		return r.own.Submit(string(c.Owner), c.Cell, c.Items, time.Now())
 	})
 	handle(o.Network, methodDone, func(c doneCall) any {
-		r.take(c.Cell, c.Results)
+		r.take(c.Gatherer, c.Cell, c.Results)
 		return struct{}{}
 	})
 	handle(o.Network, methodCancel, func(c cancelCall) any {
@@ -263,7 +263,7 @@
 			return nil, context.Cause(ctx)
 		case result := <-results:
 			if seen[result.Key] {
-				r.Free(cell, []string{result.Handle})
+				r.Free(cell, []Result{result})
 				continue
 			}
 			if result.Reason != Made {
@@ -298,8 +298,8 @@
 	for gatherer, request := range byGatherer {
 		r.cancel(gatherer, cell, request)
 	}
-	made := handlesOf(append(done.Results, unread(results)...))
-	r.own.inVain(len(made))
+	made := append(done.Results, unread(results)...)
+	r.own.inVain(len(handlesOf(made)))
 	r.Free(cell, made)
 }
 
@@ -332,12 +332,14 @@
 // deliver gives results to their owner; what reaches nobody is freed.
 func (r *Requester) deliver(owner string, cell Cell, results []Result) {
 	if owner == string(r.network.Self().Incarnation) {
-		r.take(cell, results)
+		r.take(r.network.Self().Incarnation, cell, results)
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), doneTimeout)
 	defer cancel()
-	err := r.network.Call(ctx, peer.Incarnation(owner), methodDone, doneCall{Cell: cell, Results: results}, nil)
+	err := r.network.Call(ctx, peer.Incarnation(owner), methodDone, doneCall{
+		Keeper: Keeper{Cell: cell, Gatherer: r.network.Self().Incarnation}, Results: results,
+	}, nil)
 	if err == nil {
 		return
 	}
@@ -345,11 +347,13 @@
 	r.own.Free(cell, handlesOf(results), true)
 }
 
-// take hands results to the requests that wait; what nobody waits for is freed.
-func (r *Requester) take(cell Cell, results []Result) {
+// take hands a gatherer's results to the requests that wait; what nobody waits
+// for is freed.
+func (r *Requester) take(gatherer peer.Incarnation, cell Cell, results []Result) {
 	var unwanted []Result
 	r.mu.Lock()
 	for _, result := range results {
+		result.gatherer = gatherer
 		p := r.pending[result.Key]
 		if p == nil {
 			unwanted = append(unwanted, result)
@@ -360,5 +364,5 @@
 	}
 	r.mu.Unlock()
 	r.own.inVain(len(unwanted))
-	r.Free(cell, handlesOf(unwanted))
+	r.Free(cell, unwanted)
 }
--- a/internal/serve/run/stages.go
+++ b/internal/serve/run/stages.go
@@ -271,7 +271,7 @@
 		if len(s.After) == 0 {
 			item.Source = j.req.PieceKey
 		}
-		item.InputCell, item.Last = g.lastUse(i)
+		item.InputOf, item.Last = g.lastUse(i)
 		items = append(items, item)
 	}
 	return gather.Work{Service: s.Service, Items: items, Due: g.due(i), Expires: j.deadline, Zone: g.zoneOf(i)}
@@ -302,20 +302,26 @@
 	return best, most
 }
 
-// lastUse tells whether a stage's inputs are all of one cell and of no use to
+// lastUse tells whether a stage's inputs have all one keeper and are of no use to
 // any other stage; then they are given back as soon as they have been read.
-func (g *graph) lastUse(i int) (gather.Cell, bool) {
-	var cell gather.Cell
+func (g *graph) lastUse(i int) (gather.Keeper, bool) {
+	var keeper gather.Keeper
 	for _, a := range g.stages[i].After {
 		if g.done[a] == nil {
 			continue
 		}
-		if len(g.followers(a)) > 1 || (cell != (gather.Cell{}) && cell != g.done[a].Cell) {
-			return gather.Cell{}, false
+		if len(g.followers(a)) > 1 {
+			return gather.Keeper{}, false
+		}
+		for _, r := range g.done[a].Results {
+			other := r.Keeper(g.done[a].Cell)
+			if keeper != (gather.Keeper{}) && keeper != other {
+				return gather.Keeper{}, false
+			}
+			keeper = other
 		}
-		cell = g.done[a].Cell
 	}
-	return cell, cell != (gather.Cell{})
+	return keeper, keeper != (gather.Keeper{})
 }
 
 // due is when a stage must be done for the answer to be in time.
@@ -367,7 +373,7 @@
 		return
 	}
 	g.freed[i] = true
-	g.job.Stages.Free(g.done[i].Cell, handles(g.done[i]))
+	g.job.Stages.Free(g.done[i].Cell, g.done[i].Results)
 }
 
 func (g *graph) freeAll() {
