--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -108,6 +108,10 @@
 	interrupt context.CancelFunc
 }
 
+// LookAlone has this process follow the store itself whatever its peers do, for
+// measurements. Call it after UsePeers.
+func (f *Follower) LookAlone() { f.lookout = func() bool { return true } }
+
 // New makes a follower.
 func New(log *zap.Logger, source Source, plans *plan.Holder, table *pool.Table) *Follower {
 	f := &Follower{log: log, source: source, plans: plans, table: table, lookout: func() bool { return true }}
--- a/internal/serve/gather/ask.go
+++ b/internal/serve/gather/ask.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/wait"
 )
 
@@ -26,7 +27,7 @@
 // to be withdrawn.
 func (r *Requester) Ask(ctx context.Context, request string, plans []Want) ([]Cell, error) {
 	r.meetPeers(ctx)
-	if r.askNobody {
+	if r.leaveOut.Has(leaveout.Promises) {
 		return nil, nil
 	}
 	answers := make(chan error, len(plans))
--- a/internal/serve/gather/call.go
+++ b/internal/serve/gather/call.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
@@ -54,6 +55,9 @@
 // fetched tells those who gathered the inputs of some items that they have been
 // fetched.
 func (g *Gatherer) fetched(c *cell, items []Item) {
+	if g.leaveOut.Has(leaveout.EarlyRelease) {
+		return
+	}
 	g.mu.Lock()
 	groups := c.feeding.fetched(items)
 	g.mu.Unlock()
@@ -80,6 +84,9 @@
 }
 
 func (g *Gatherer) notePace(c *cell, target *pool.Target, actual, expected time.Duration, now time.Time) {
+	if g.leaveOut.Has(leaveout.SlowTargets) {
+		return
+	}
 	p := c.paces[target.ID]
 	if p == nil {
 		p = &pace{}
--- a/internal/serve/gather/choose.go
+++ b/internal/serve/gather/choose.go
@@ -8,6 +8,7 @@
 
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/routing"
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 )
 
@@ -111,6 +112,9 @@
 // of a chain are best made in one zone, since their results don't cross then.
 // The first is drawn by the request, each zone as often as it has targets.
 func (r *Requester) Zones(services []string, request string) []string {
+	if r.leaveOut.Has(leaveout.OneZone) {
+		return nil
+	}
 	now := time.Now()
 	weight := map[string]float64{}
 	divided := false
@@ -142,6 +146,9 @@
 // always one.
 func (r *Requester) gatherers(cell Cell) []peer.Incarnation {
 	self := r.network.Self()
+	if r.leaveOut.Has(leaveout.Sharing) {
+		return []peer.Incarnation{self.Incarnation}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	able := []peer.Member{}
@@ -154,6 +161,9 @@
 		able = append(able, self)
 	}
 	list := strongest(able)
+	if r.leaveOut.Has(leaveout.StrongOnly) {
+		list = incarnations(able)
+	}
 	slices.SortFunc(list, func(a, b peer.Incarnation) int {
 		if cell.score(string(a)) > cell.score(string(b)) {
 			return -1
@@ -197,3 +207,11 @@
 	}
 	return list
 }
+
+func incarnations(members []peer.Member) []peer.Incarnation {
+	list := make([]peer.Incarnation, 0, len(members))
+	for _, m := range members {
+		list = append(list, m.Incarnation)
+	}
+	return list
+}
--- a/internal/serve/gather/free.go
+++ b/internal/serve/gather/free.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 )
 
 func handlesOf(results []Result) []string {
@@ -55,6 +57,9 @@
 
 func (r *Requester) freeAt(key freeKey, handles []string) {
 	gatherer := key.Gatherer
+	if r.leaveOut.Has(leaveout.Keepers) {
+		gatherer = r.gatherers(key.Cell)[0]
+	}
 	if gatherer == r.network.Self().Incarnation {
 		r.own.Free(key.Cell, handles, key.Final)
 		return
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 )
@@ -65,6 +66,8 @@
 	// release gives back results of any keeper; final is false while their reader
 	// may still fail.
 	release func(keeper Keeper, handles []string, final bool)
+	// leaveOut is Options.LeaveOut.
+	leaveOut leaveout.Set
 	// life ends the calls in progress when the process goes.
 	life context.Context
 
@@ -119,7 +122,7 @@
 	c := g.cells[id]
 	if c == nil {
 		c = &cell{
-			Cell: id, queue: newQueue(), ledger: newLedger(), working: map[string]*waitingCall{}, running: map[Key]bool{},
+			Cell: id, queue: newQueue(g.leaveOut), ledger: newLedger(g.leaveOut), working: map[string]*waitingCall{}, running: map[Key]bool{},
 			rooms: map[string]*room{}, paces: map[string]*pace{}, pauses: map[string]time.Time{},
 			freeing: map[string][]string{},
 		}
--- a/internal/serve/gather/ledger.go
+++ b/internal/serve/gather/ledger.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 )
 
 // ledger holds what a cell has promised to make, and decides what else it can
@@ -15,6 +17,7 @@
 //
 // It does no I/O and reads no clock. It is not safe for concurrent use.
 type ledger struct {
+	leaveOut leaveout.Set
 	promises map[groupKey]*promise
 	ranks    map[int]*demand
 }
@@ -88,8 +91,8 @@
 
 func (d *demand) starved() bool { return d.admitted < leastShare*d.asked }
 
-func newLedger() *ledger {
-	return &ledger{promises: map[groupKey]*promise{}, ranks: map[int]*demand{}}
+func newLedger(leaveOut leaveout.Set) *ledger {
+	return &ledger{leaveOut: leaveOut, promises: map[groupKey]*promise{}, ranks: map[int]*demand{}}
 }
 
 func (l *ledger) demandOf(rank int, now time.Time) *demand {
@@ -108,7 +111,8 @@
 	d := l.demandOf(rank, now)
 	d.note(p.items, p.due.Sub(now))
 	reserved := 0.0
-	if !d.starved() {
+	starved := d.starved() && !l.leaveOut.Has(leaveout.LeastShare)
+	if !starved && !l.leaveOut.Has(leaveout.Reserve) {
 		reserved = l.moreUrgent(rank, now, p.due)
 	}
 	excess = l.excess(now, p, reserved, c)
--- a/internal/serve/gather/passed.go
+++ b/internal/serve/gather/passed.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillagate/vanillagate/internal/peer"
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/wait"
 )
 
@@ -26,6 +27,9 @@
 // probed instead of being left alone for a fixed time: after a start of all
 // processes, one connection that broke kept a cell divided for two seconds.
 func (r *Requester) passBy(member peer.Incarnation, err error) {
+	if r.leaveOut.Has(leaveout.Passing) {
+		return
+	}
 	r.mu.Lock()
 	known := r.passed[member]
 	r.passed[member] = true
--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 )
 
 // waiting is an item in a queue.
@@ -19,11 +21,14 @@
 // queue holds what waits for a cell's targets. It does no I/O and reads no
 // clock. It is not safe for concurrent use.
 type queue struct {
-	items []*waiting
-	byKey map[Key]*waiting
+	leaveOut leaveout.Set
+	items    []*waiting
+	byKey    map[Key]*waiting
 }
 
-func newQueue() *queue { return &queue{byKey: map[Key]*waiting{}} }
+func newQueue(leaveOut leaveout.Set) *queue {
+	return &queue{leaveOut: leaveOut, byKey: map[Key]*waiting{}}
+}
 
 func (q *queue) has(k Key) bool { return q.byKey[k] != nil }
 
@@ -124,20 +129,14 @@
 // nothing is gained by haste, while each of them ahead of the others would make
 // one more late.
 func (q *queue) take(now time.Time, o offer) []*waiting {
-	slices.SortStableFunc(q.items, func(a, b *waiting) int {
-		lateA, lateB := now.Add(o.call).After(a.due), now.Add(o.call).After(b.due)
-		if lateA != lateB {
-			if lateA {
-				return 1
-			}
-			return -1
-		}
-		return a.order().Compare(b.order())
-	})
+	if !q.leaveOut.Has(leaveout.DueOrder) {
+		q.sort(now, o.call)
+	}
+	anyZone := q.leaveOut.Has(leaveout.OwnZone)
 	var taken []*waiting
 	rest := q.items[:0]
 	for _, w := range q.items {
-		if len(taken) >= o.items || w.Bytes > o.room || w.avoid == o.target || !w.welcome(o.zone, now, o.call) {
+		if len(taken) >= o.items || w.Bytes > o.room || w.avoid == o.target || !(anyZone || w.welcome(o.zone, now, o.call)) {
 			rest = append(rest, w)
 			continue
 		}
@@ -150,6 +149,21 @@
 	return taken
 }
 
+// sort puts those that can still be in time first, each group in the order in
+// which they are due.
+func (q *queue) sort(now time.Time, call time.Duration) {
+	slices.SortStableFunc(q.items, func(a, b *waiting) int {
+		lateA, lateB := now.Add(call).After(a.due), now.Add(call).After(b.due)
+		if lateA != lateB {
+			if lateA {
+				return 1
+			}
+			return -1
+		}
+		return a.order().Compare(b.order())
+	})
+}
+
 // firstZone is the zone in which the most urgent item is best made; empty for
 // anywhere.
 func (q *queue) firstZone() string {
--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillagate/vanillagate/internal/peer"
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 )
 
 var start = time.Unix(1000, 0)
@@ -20,7 +21,7 @@
 }
 
 func queueOf(items ...*waiting) *queue {
-	q := newQueue()
+	q := newQueue(leaveout.Set{})
 	for _, w := range items {
 		q.add(w)
 	}
@@ -116,7 +117,7 @@
 }
 
 func TestLedgerPromisesOnlyWhatCanBeMade(t *testing.T) {
-	l := newLedger()
+	l := newLedger(leaveout.Set{})
 	can := capacity{rate: 100, call: 400 * time.Millisecond}
 	granted := 0
 	for i := range 100 {
@@ -132,7 +133,7 @@
 // A request that is due later must not be accepted at the cost of one that was
 // promised before and is due later still.
 func TestLedgerKeepsEarlierPromises(t *testing.T) {
-	l := newLedger()
+	l := newLedger(leaveout.Set{})
 	can := capacity{rate: 100, call: 400 * time.Millisecond}
 	ok, _ := l.ask(start, groupKey{Request: "big"}, 0, promise{items: 140, due: start.Add(2 * time.Second)}, can)
 	assert.Assert(t, ok)
@@ -144,7 +145,7 @@
 // With nothing else to do a cell makes what is late anyway: the answer is still
 // of use, and takes nobody's place.
 func TestLedgerTakesLateWorkWhenIdle(t *testing.T) {
-	l := newLedger()
+	l := newLedger(leaveout.Set{})
 	ok, _ := l.ask(start, groupKey{Request: "a"}, 0, promise{items: 5, due: start.Add(-time.Second)}, capacity{rate: 100, call: callTime})
 	assert.Assert(t, ok)
 }
@@ -152,7 +153,7 @@
 // A burst of urgent requests could keep the least urgent kind out for as long as
 // it lasts. It gets a third of what it asks for.
 func TestLedgerStarvesNoRank(t *testing.T) {
-	l := newLedger()
+	l := newLedger(leaveout.Set{})
 	can := capacity{rate: 100, call: 400 * time.Millisecond}
 	asked, got := 0, 0
 	now := start
@@ -254,7 +255,7 @@
 // Items come that nobody asked for: their request's gatherer has changed. Each
 // of them counts.
 func TestLedgerCountsItemsThatNobodyAskedFor(t *testing.T) {
-	l := newLedger()
+	l := newLedger(leaveout.Set{})
 	key := groupKey{Request: "r", Stage: 1}
 	for range 3 {
 		l.note(key, start.Add(time.Second), 0)
@@ -281,7 +282,7 @@
 	q.remove("r", 4)
 	assert.Equal(t, q.len(), 1)
 	assert.Assert(t, q.has(second.Key))
-	l := newLedger()
+	l := newLedger(leaveout.Set{})
 	l.note(groupKey{Request: "r"}, start.Add(time.Second), 5)
 	l.drop("r", 4)
 	assert.Equal(t, l.standing(), 1)
@@ -296,7 +297,7 @@
 // Asking a cell with 300 promises outstanding, three times a busy cell's at the
 // largest site tried.
 func BenchmarkLedgerAsk(b *testing.B) {
-	l := newLedger()
+	l := newLedger(leaveout.Set{})
 	for i := range 300 {
 		l.note(groupKey{Request: "r", Stage: i}, start.Add(time.Duration(i)*10*time.Millisecond), 0)
 	}
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillagate/vanillagate/internal/peer"
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 )
 
@@ -38,9 +39,9 @@
 	network peer.Network
 	table   *pool.Table
 	own     *Gatherer
-	// askNobody is Options.AskNobody.
-	askNobody bool
-	started   time.Time
+	// leaveOut is Options.LeaveOut.
+	leaveOut leaveout.Set
+	started  time.Time
 	// serial counts what was handed over or asked for.
 	serial atomic.Uint64
 
@@ -83,18 +84,18 @@
 	Table   *pool.Table
 	// Gatherer is this process's own.
 	Gatherer *Gatherer
-	// AskNobody leaves out the question whether a request's stages can be done
-	// in time: a baseline for measurements.
-	AskNobody bool
+	// LeaveOut switches mechanisms off, for measurements.
+	LeaveOut leaveout.Set
 }
 
 // New wires a requester and its gatherer. Call before the network starts.
 func New(o Options) *Requester {
 	r := &Requester{
-		log: o.Log, network: o.Network, table: o.Table, askNobody: o.AskNobody, started: time.Now(),
+		log: o.Log, network: o.Network, table: o.Table, leaveOut: o.LeaveOut, started: time.Now(),
 		pending: map[Key]*pending{}, passed: map[peer.Incarnation]bool{}, freeing: map[freeKey][]string{},
 	}
 	r.own = o.Gatherer
+	r.own.leaveOut = o.LeaveOut
 	r.own.deliver = r.deliver
 	r.own.release = r.free
 	handle(o.Network, methodSubmit, func(c submitCall) any {
--- /dev/null
+++ b/internal/serve/leaveout/leaveout.go
@@ -0,0 +1,92 @@
+// Package leaveout names the mechanisms of the serving core that can be switched
+// off one at a time, so that what each is worth can be measured against the rest.
+// In production nothing is left out.
+package leaveout
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Mechanism is one part of the policy.
+type Mechanism string
+
+// The mechanisms, by the job that each does.
+const (
+	// Sharing: one process gathers for a cell. Without it each gathers for itself.
+	Sharing Mechanism = "sharing"
+	// Promises: a request is refused before its first stage where its stages
+	// can't be done in time. Without them all are taken.
+	Promises Mechanism = "promises"
+	// Reserve: capacity is kept for more urgent requests still to come.
+	Reserve Mechanism = "reserve"
+	// LeastShare: no kind of request gets less than a part of what it asks for.
+	LeastShare Mechanism = "least-share"
+	// DueOrder: items are made in the order in which they are due. Without it
+	// they are made as they come.
+	DueOrder Mechanism = "due-order"
+	// OwnZone: an item waits for a target where its inputs are.
+	OwnZone Mechanism = "own-zone"
+	// OneZone: all stages of a chain are made in one zone at a large site.
+	OneZone Mechanism = "one-zone"
+	// Homes: each shared prompt has one engine as its home.
+	Homes Mechanism = "homes"
+	// SlowTargets: stage targets that work slowly are passed over.
+	SlowTargets Mechanism = "slow-targets"
+	// EarlyRelease: inputs are given back once they have been fetched.
+	EarlyRelease Mechanism = "early-release"
+	// LearntEngines: engines' times to the first event are learnt.
+	LearntEngines Mechanism = "learnt-engines"
+	// Passing: a gatherer that doesn't answer is passed by. Without it its items
+	// wait for it.
+	Passing Mechanism = "passing"
+	// Keepers: results are given back to the process that had them made. Without
+	// it they go to the one that gathers now in the reader's eyes.
+	Keepers Mechanism = "keepers"
+	// StrongOnly: weak VMs don't gather.
+	StrongOnly Mechanism = "strong-only"
+	// LeavingAlone: a target that took no connection is left alone for a while.
+	LeavingAlone Mechanism = "leaving-alone"
+	// Lookouts: a few processes follow the store for all.
+	Lookouts Mechanism = "lookouts"
+	// Containment: a request that crashes its targets gets no more of them.
+	Containment Mechanism = "containment"
+	// FewKept: unused connections to targets are bounded by what they accept.
+	FewKept Mechanism = "few-kept"
+	// Ages: what callers state tells how old their requests are.
+	Ages Mechanism = "ages"
+)
+
+// All lists the mechanisms.
+func All() []Mechanism {
+	return []Mechanism{
+		Sharing, Promises, Reserve, LeastShare, DueOrder, OwnZone, OneZone, Homes, SlowTargets, EarlyRelease, LearntEngines,
+		Passing, Keepers, StrongOnly, LeavingAlone, Lookouts, Containment, FewKept, Ages,
+	}
+}
+
+// Set is what is left out. The zero value leaves nothing out.
+type Set struct{ names []Mechanism }
+
+// Of makes a set.
+func Of(names ...Mechanism) Set { return Set{names: names} }
+
+// Has tells whether a mechanism is left out.
+func (s Set) Has(m Mechanism) bool { return slices.Contains(s.names, m) }
+
+// Names lists what is left out.
+func (s Set) Names() []Mechanism { return s.names }
+
+// Parse reads names separated by commas; the empty text leaves nothing out.
+func Parse(text string) (Set, error) {
+	var s Set
+	for _, name := range strings.FieldsFunc(text, func(r rune) bool { return r == ',' }) {
+		m := Mechanism(strings.TrimSpace(name))
+		if !slices.Contains(All(), m) {
+			return Set{}, fmt.Errorf("no mechanism %q; there are %v", m, All())
+		}
+		s.names = append(s.names, m)
+	}
+	return s, nil
+}
--- a/internal/serve/place/place.go
+++ b/internal/serve/place/place.go
@@ -47,6 +47,8 @@
 	Zone string
 	// Avoid lists targets that were tried already, by ID.
 	Avoid map[string]bool
+	// Homeless means that shared prompts have no homes.
+	Homeless bool
 }
 
 // Weights in prompt tokens, the unit in which an engine's work is reckoned. An
@@ -77,7 +79,10 @@
 // processes, so that they agree without exchange; a home that is busy gives
 // way. nil where no target is left.
 func Engine(views []pool.View, w Wish) *pool.Target {
-	home := homeOf(views, w.Prompt)
+	home := ""
+	if !w.Homeless {
+		home = homeOf(views, w.Prompt)
+	}
 	total := 0
 	for _, n := range w.Bytes {
 		total += n
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -15,6 +15,8 @@
 type Table struct {
 	log      *zap.Logger
 	ejection routing.Ejection
+	// keepTrying means that targets that take no connection aren't left alone.
+	keepTrying bool
 
 	mu sync.RWMutex // guards what follows
 	// byID is what the list says, lapsed what it lacks since an outage and is
@@ -56,6 +58,10 @@
 	return e
 }
 
+// KeepTrying has targets that take no connection tried on, for measurements. Call
+// before the first Apply.
+func (t *Table) KeepTrying() { t.keepTrying = true }
+
 // OnLeave has fn called with each target that leaves the list, starts anew or
 // begins to drain. fn must not call the Table. Call before the first Apply.
 func (t *Table) OnLeave(fn func(*Target)) { t.onLeave = append(t.onLeave, fn) }
@@ -357,7 +363,9 @@
 	c.tokens = 0
 	switch outcome {
 	case Unreachable:
-		target.unreachable(now)
+		if !t.keepTrying {
+			target.unreachable(now)
+		}
 		return
 	case Answered:
 		target.downFor = 0
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/place"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
@@ -43,7 +44,7 @@
 
 func (j *job) choose() *pool.Target {
 	views := j.Table.Views(j.service, time.Now())
-	wish := place.Wish{Prompt: j.req.Prompt, Zone: j.Zone, Avoid: j.tried}
+	wish := place.Wish{Prompt: j.req.Prompt, Zone: j.Zone, Avoid: j.tried, Homeless: j.LeaveOut.Has(leaveout.Homes)}
 	if j.inputs != nil {
 		wish.Bytes = j.inputs.bytes
 	}
@@ -151,7 +152,7 @@
 // processes that lost their power, which a target holds for some seconds.
 func (j *job) keep(r *upstream.Request) {
 	service := j.Plans.Service(j.service)
-	if service == nil || service.MaxConnections <= 0 {
+	if service == nil || service.MaxConnections <= 0 || j.LeaveOut.Has(leaveout.FewKept) {
 		return
 	}
 	r.MaxKept = service.MaxConnections / 2 / j.Budget.Sharers()
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillagate/vanillagate/internal/serve/gather"
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/quota"
@@ -44,6 +45,8 @@
 	Budget  *quota.Budget
 	Zone    string
 	Metrics *Metrics
+	// LeaveOut switches mechanisms off, for measurements.
+	LeaveOut leaveout.Set
 	// Suspicion knows the requests that crash their targets; nil for none.
 	Suspicion Suspicion
 
--- a/internal/serve/run/metrics.go
+++ b/internal/serve/run/metrics.go
@@ -6,6 +6,8 @@
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 )
 
 // Metrics counts requests by their outcome and keeps a histogram of the time to
@@ -72,7 +74,7 @@
 		if j.team != nil {
 			e.Metrics.observe(series("vanillagate_answer_us", "team", j.team.Name), took)
 		}
-		if !j.preparedAt.IsZero() {
+		if !j.preparedAt.IsZero() && !e.LeaveOut.Has(leaveout.LearntEngines) {
 			e.firstEvents.note(j.service, j.req.Prompt, time.Since(j.askedAt))
 		}
 		if j.route.Objective > 0 && took > j.route.Objective {
--- a/internal/serve/run/play_test.go
+++ b/internal/serve/run/play_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillagate/vanillagate/internal/serve/gather"
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/place"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
@@ -71,13 +72,11 @@
 	meanwhile func([]*servetest.Node)
 }
 
-// policy is how the stages are run.
-type policy struct {
-	// alone: each process gathers for itself only.
-	alone bool
-	// askNobody: nothing is promised.
-	askNobody bool
-}
+// policy is how the stages are run: what is left out of it.
+type policy struct{ leaveOut leaveout.Set }
+
+// leaving is the policy without some mechanisms.
+func leaving(names ...leaveout.Mechanism) policy { return policy{leaveOut: leaveout.Of(names...)} }
 
 // tally counts what callers of one kind got.
 type tally struct{ asked, inTime, late, refused int }
@@ -247,9 +246,6 @@
 func (s site) start(life context.Context, p policy, pools *servetest.Pools) (executors []*Executor, nodes []*servetest.Node) {
 	cluster := &servetest.Cluster{Delay: time.Millisecond}
 	for i := range s.vms {
-		if p.alone {
-			cluster = &servetest.Cluster{Delay: time.Millisecond}
-		}
 		node := cluster.Add(fmt.Sprintf("vm-%d", i), zoneName(i%len(s.perZone)))
 		executors = append(executors, s.process(life, p, node, pools, i < s.behind))
 		nodes = append(nodes, node)
@@ -270,9 +266,9 @@
 	plans.Apply(&plan.Plan{Version: 1, Services: services})
 	return &Executor{
 		Log: zap.NewNop(), Plans: plans, Table: table, Zone: node.Self().Zone,
-		Budget: quota.New(quota.Rule{}, time.Now()),
+		Budget: quota.New(quota.Rule{}, time.Now()), LeaveOut: p.leaveOut,
 		Stages: gather.New(gather.Options{
-			Log: zap.NewNop(), Network: node, Table: table, AskNobody: p.askNobody,
+			Log: zap.NewNop(), Network: node, Table: table, LeaveOut: p.leaveOut,
 			Gatherer: gather.NewGatherer(life, zap.NewNop(), table, plans, pools),
 		}),
 	}
@@ -322,7 +318,7 @@
 		assert.Equal(t, gathered.held, 0, "results were left behind")
 	})
 	synctest.Test(t, func(t *testing.T) {
-		alone := play(1, reservoir(), policy{alone: true})
+		alone := play(1, reservoir(), leaving(leaveout.Sharing))
 		report(t, "alone", alone)
 		assert.Assert(t, alone.kinds["explain"].share() < 0.85, "alone serves as well: %+v", alone.kinds)
 	})
@@ -345,7 +341,7 @@
 			assert.Equal(t, p.held, 0, "results were left behind")
 		})
 		synctest.Test(t, func(t *testing.T) {
-			p := play(seed, load, policy{askNobody: true})
+			p := play(seed, load, leaving(leaveout.Promises))
 			report(t, "asks nobody", p)
 			add(without, p)
 		})
--- a/internal/serve/run/stages.go
+++ b/internal/serve/run/stages.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/vanillagate/vanillagate/internal/serve/gather"
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/place"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 )
@@ -184,6 +185,9 @@
 // engineZone is where the request will probably run; empty for anywhere.
 func (g *graph) engineZone() string {
 	j := g.job
+	if j.LeaveOut.Has(leaveout.Homes) {
+		return ""
+	}
 	return place.HomeZone(j.Table.Views(j.service, time.Now()), j.req.Prompt)
 }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -19,6 +19,7 @@
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/serve/follow"
 	"github.com/vanillagate/vanillagate/internal/serve/gather"
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/quota"
@@ -43,6 +44,8 @@
 	Budget quota.Rule
 	// Again means that another process may have run in this one's place.
 	Again bool
+	// LeaveOut switches mechanisms off, for measurements.
+	LeaveOut leaveout.Set
 }
 
 func (o Options) budget(now time.Time) *quota.Budget {
@@ -88,14 +91,23 @@
 	s.table.OnLeave(func(t *pool.Target) { s.client.Drop(t.Address) })
 	s.follower = follow.New(logging.Part(o.Log, "follow"), o.Source, s.plans, s.table)
 	s.follower.UsePeers(network)
+	if o.LeaveOut.Has(leaveout.Lookouts) {
+		s.follower.LookAlone()
+	}
+	if o.LeaveOut.Has(leaveout.LeavingAlone) {
+		s.table.KeepTrying()
+	}
 	s.stages = gather.New(gather.Options{
-		Log: logging.Part(o.Log, "stages"), Network: network, Table: s.table,
+		Log: logging.Part(o.Log, "stages"), Network: network, Table: s.table, LeaveOut: o.LeaveOut,
 		Gatherer: gather.NewGatherer(s.life, logging.Part(o.Log, "gather"), s.table, s.plans, o.Stager(s.client)),
 	})
 	s.executor = &run.Executor{
 		Log: logging.Part(o.Log, "request"), Plans: s.plans, Table: s.table, Client: s.client, Codec: o.Codec,
 		Stages: s.stages, Budget: s.budget, Zone: o.Zone, Metrics: &run.Metrics{Registry: o.Metrics},
-		Suspicion: newSuspicion(s.life, logging.Part(o.Log, "suspicion"), network),
+		LeaveOut: o.LeaveOut,
+	}
+	if !o.LeaveOut.Has(leaveout.Containment) {
+		s.executor.Suspicion = newSuspicion(s.life, logging.Part(o.Log, "suspicion"), network)
 	}
 	return s, nil
 }
