--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -54,15 +54,13 @@
 	Containment Mechanism = "containment"
 	// FewKept: unused connections to targets are bounded by what they accept.
 	FewKept Mechanism = "few-kept"
-	// Ages: what callers state tells how old their requests are.
-	Ages Mechanism = "ages"
 )
 
 // All lists the mechanisms.
 func All() []Mechanism {
 	return []Mechanism{
 		Sharing, Promises, Reserve, LeastShare, DueOrder, OwnZone, OneZone, Homes, SlowTargets, EarlyRelease, LearntEngines,
-		Passing, Keepers, StrongOnly, LeavingAlone, Lookouts, Containment, FewKept, Ages,
+		Passing, Keepers, StrongOnly, LeavingAlone, Lookouts, Containment, FewKept,
 	}
 }
 
