Results of a gatherer that has died are freed from here at once

Found on reading the change to keepers: results whose keeper is no member any more were offered to it first, each time until the call failed (a dial that hangs takes 300 ms), and a keeper that hangs held up what others were to get back in the same message round. Test first: TestResultsOfADeadGathererAreFreedFromHere (the dead one was called).

--- a/internal/serve/gather/free.go
+++ b/internal/serve/gather/free.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 )
 
@@ -50,16 +51,14 @@
 	r.freeing = map[freeKey][]string{}
 	r.freer = false
 	r.mu.Unlock()
+	// One after the other, a keeper that hangs would hold up what others get back.
 	for key, handles := range freeing {
-		r.freeAt(key, handles)
+		go r.freeAt(key, handles)
 	}
 }
 
 func (r *Requester) freeAt(key freeKey, handles []string) {
-	gatherer := key.Gatherer
-	if r.leaveOut.Has(leaveout.Keepers) {
-		gatherer = r.gatherers(key.Cell)[0]
-	}
+	gatherer := r.accountant(key.Keeper)
 	if gatherer == r.network.Self().Incarnation {
 		r.own.Free(key.Cell, handles, key.Final)
 		return
@@ -71,3 +70,16 @@
 		r.own.Free(key.Cell, handles, key.Final)
 	}
 }
+
+// accountant is the process to which results are given back: their keeper, or this
+// one where that has died and its account with it.
+func (r *Requester) accountant(keeper Keeper) peer.Incarnation {
+	switch {
+	case r.leaveOut.Has(leaveout.Keepers):
+		return r.gatherers(keeper.Cell)[0]
+	case r.isMember(keeper.Gatherer):
+		return keeper.Gatherer
+	default:
+		return r.network.Self().Incarnation
+	}
+}
--- a/internal/serve/gather/free_test.go
+++ b/internal/serve/gather/free_test.go
@@ -11,6 +11,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillagate/vanillagate/internal/peer"
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
 )
 
 // calledNetwork notes who was called to free what.
@@ -60,3 +62,42 @@
 		assert.Assert(t, !slices.Contains(list[:1], maker))
 	})
 }
+
+// The process that had results made has died. Its targets' rooms would stay full of
+// them until they lapse if they were only given back to it, and a call to it that
+// hangs would hold up what is given back to others.
+func TestResultsOfADeadGathererAreFreedFromHere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		life, stop := context.WithCancel(context.Background())
+		defer stop()
+		table := pool.New(zap.NewNop())
+		table.Reset([]pool.Entry{
+			{ID: "t", Service: "s", Address: "10.0.0.1:1", Slots: 1, State: pool.Ready, Revision: 1},
+		}, 1, time.Now())
+		plans := &plan.Holder{}
+		plans.Apply(&plan.Plan{Version: 1, Services: []plan.Service{{Name: "s", Batch: &plan.Batch{Size: 1, RoomBytes: 100}}}})
+		stager := &freedStager{freed: make(chan string, 1)}
+		network := &calledNetwork{
+			fixedNetwork: fixedNetwork{self: peer.Member{Incarnation: "self", State: peer.Alive}},
+			freed:        make(chan peer.Incarnation, 1),
+		}
+		r := &Requester{
+			log: zap.NewNop(), network: network, passed: map[peer.Incarnation]bool{}, freeing: map[freeKey][]string{},
+			own: NewGatherer(life, zap.NewNop(), table, plans, stager),
+		}
+		r.Free(Cell{Service: "s"}, []Result{{Handle: "10.0.0.1:1/h", gatherer: "dead"}})
+		assert.Equal(t, <-stager.freed, "10.0.0.1:1/h")
+		assert.Equal(t, len(network.freed), 0, "the dead one was called")
+	})
+}
+
+// freedStager notes what is freed at targets.
+type freedStager struct {
+	Stager
+	freed chan string
+}
+
+func (s *freedStager) Free(_ context.Context, _ *pool.Target, handles []string) error {
+	s.freed <- handles[0]
+	return nil
+}
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -124,7 +124,8 @@
 	c := g.cells[id]
 	if c == nil {
 		c = &cell{
-			Cell: id, since: time.Now(), queue: newQueue(g.leaveOut), ledger: newLedger(g.leaveOut), working: map[string]*waitingCall{}, running: map[Key]bool{},
+			Cell: id, since: time.Now(), queue: newQueue(g.leaveOut), ledger: newLedger(g.leaveOut),
+			working: map[string]*waitingCall{}, running: map[Key]bool{},
 			rooms: map[string]*room{}, paces: map[string]*pace{}, pauses: map[string]time.Time{},
 			freeing: map[string][]string{},
 		}
