--- a/internal/serve/gather/free_test.go
+++ b/internal/serve/gather/free_test.go
@@ -70,12 +70,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		life, stop := context.WithCancel(context.Background())
 		defer stop()
-		table := pool.New(zap.NewNop())
-		table.Reset([]pool.Entry{
-			{ID: "t", Service: "s", Address: "10.0.0.1:1", Slots: 1, State: pool.Ready, Revision: 1},
-		}, 1, time.Now())
-		plans := &plan.Holder{}
-		plans.Apply(&plan.Plan{Version: 1, Services: []plan.Service{{Name: "s", Batch: &plan.Batch{Size: 1, RoomBytes: 100}}}})
 		stager := &freedStager{freed: make(chan string, 1)}
 		network := &calledNetwork{
 			fixedNetwork: fixedNetwork{self: peer.Member{Incarnation: "self", State: peer.Alive}},
@@ -83,7 +77,7 @@
 		}
 		r := &Requester{
 			log: zap.NewNop(), network: network, passed: map[peer.Incarnation]bool{}, freeing: map[freeKey][]string{},
-			own: NewGatherer(life, zap.NewNop(), table, plans, stager),
+			own: gathererOf(life, &plan.Batch{Size: 1, RoomBytes: 100}, stager, "10.0.0.1:1"),
 		}
 		r.Free(Cell{Service: "s"}, []Result{{Handle: "10.0.0.1:1/h", gatherer: "dead"}})
 		assert.Equal(t, <-stager.freed, "10.0.0.1:1/h")
--- a/internal/serve/gather/newcomer_test.go
+++ b/internal/serve/gather/newcomer_test.go
@@ -13,6 +13,21 @@
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 )
 
+// gathererOf is a gatherer for service s with a target at each address.
+func gathererOf(life context.Context, batch *plan.Batch, stager Stager, addresses ...string) *Gatherer {
+	var entries []pool.Entry
+	for _, address := range addresses {
+		entries = append(entries, pool.Entry{
+			ID: "t-" + address, Service: "s", Address: address, Slots: 1, State: pool.Ready, Revision: 1,
+		})
+	}
+	table := pool.New(zap.NewNop())
+	table.Reset(entries, 1, time.Now())
+	plans := &plan.Holder{}
+	plans.Apply(&plan.Plan{Version: 1, Services: []plan.Service{{Name: "s", Batch: batch}}})
+	return NewGatherer(life, zap.NewNop(), table, plans, stager)
+}
+
 // queuedStager is a target at which the first calls wait behind those of a process
 // that gathered before.
 type queuedStager struct{ behind time.Time }
@@ -34,15 +49,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		life, stop := context.WithCancel(context.Background())
 		defer stop()
-		table := pool.New(zap.NewNop())
-		table.Reset([]pool.Entry{
-			{ID: "t1", Service: "s", Address: "10.0.0.1:1", Slots: 1, State: pool.Ready, Revision: 1},
-			{ID: "t2", Service: "s", Address: "10.0.0.2:1", Slots: 1, State: pool.Ready, Revision: 1},
-		}, 1, time.Now())
 		batch := &plan.Batch{Size: 10, CallTime: callTime, RoomBytes: 1000, Keep: time.Second}
-		plans := &plan.Holder{}
-		plans.Apply(&plan.Plan{Version: 1, Services: []plan.Service{{Name: "s", Batch: batch}}})
-		g := NewGatherer(life, zap.NewNop(), table, plans, &queuedStager{behind: time.Now().Add(2 * callTime)})
+		g := gathererOf(life, batch, &queuedStager{behind: time.Now().Add(2 * callTime)}, "10.0.0.1:1", "10.0.0.2:1")
 		g.deliver = func(string, Cell, []Result) {}
 		g.release = func(Keeper, []string, bool) {}
 		cell := Cell{Service: "s"}
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -73,9 +73,6 @@
 // Has tells whether a mechanism is left out.
 func (s Set) Has(m Mechanism) bool { return slices.Contains(s.names, m) }
 
-// Names lists what is left out.
-func (s Set) Names() []Mechanism { return s.names }
-
 // Parse reads names separated by commas; the empty text leaves nothing out.
 func Parse(text string) (Set, error) {
 	var s Set
