--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -40,10 +40,10 @@
 	// watchTime is how long the store holds a call without news. A store may go
 	// silent and never answer the calls that it holds, though it serves others
 	// again; only the end of a call shows it. Each call has its price, so that a
-	// few processes look out, and the others hear from them. A change has to be
-	// in force within 2 s, also where all lookouts are cut off from the store at
+	// few processes watch the store, and the others hear from them. A change has to be
+	// in force within 2 s, also where all watchers are cut off from the store at
 	// the moment of the change: the others find out when the last answer that a
-	// lookout got is older than trust.
+	// watcher got is older than trust.
 	watchTime = 800 * time.Millisecond
 	// watchSlack is how much later the answer may come.
 	watchSlack = 700 * time.Millisecond
@@ -60,11 +60,11 @@
 	// outage is how long the store must have failed for entries of sound targets
 	// to have lapsed meanwhile: about two of the intervals in which they report.
 	outage = 2 * time.Second
-	// relayedPause is how often a process that hears from lookouts looks whether
+	// relayedPause is how often a process that hears from watchers looks whether
 	// it still does.
 	relayedPause = 100 * time.Millisecond
-	// servedLater is how long after this process's first failure a lookout must
-	// have been served: longer than lookouts take to notice an outage for all.
+	// servedLater is how long after this process's first failure a watcher must
+	// have been served: longer than watchers take to notice an outage for all.
 	servedLater = watchTime + watchSlack
 	// sweepPeriod is how often lapsed entries are looked at.
 	sweepPeriod = 250 * time.Millisecond
@@ -80,8 +80,8 @@
 	// served is the Unix nanosecond since when the store has answered without a
 	// break.
 	served atomic.Int64
-	// lookout tells whether this process is one of those that look out.
-	lookout func() bool
+	// watcher tells whether this process is one of those that watch the store.
+	watcher func() bool
 	// planFeed and targetFeed are the two things followed.
 	planFeed   *feed
 	targetFeed *feed
@@ -108,13 +108,13 @@
 	interrupt context.CancelFunc
 }
 
-// LookAlone has this process follow the store itself whatever its peers do, for
+// WatchAlone has this process follow the store itself whatever its peers do, for
 // measurements. Call it after UsePeers.
-func (f *Follower) LookAlone() { f.lookout = func() bool { return true } }
+func (f *Follower) WatchAlone() { f.watcher = func() bool { return true } }
 
 // New makes a follower.
 func New(log *zap.Logger, source Source, plans *plan.Holder, table *pool.Table) *Follower {
-	f := &Follower{log: log, source: source, plans: plans, table: table, lookout: func() bool { return true }}
+	f := &Follower{log: log, source: source, plans: plans, table: table, watcher: func() bool { return true }}
 	f.served.Store(time.Now().UnixNano())
 	f.planFeed = &feed{name: "configuration", read: f.readPlan, watch: f.watchPlan}
 	f.targetFeed = &feed{
@@ -224,7 +224,7 @@
 }
 
 // lastWord is since when the store may have been away, as seen at a first
-// failure: since a lookout last vouched for it, if one did until just now.
+// failure: since a watcher last vouched for it, if one did until just now.
 func (f *Follower) lastWord(now time.Time) time.Time {
 	if f.peers == nil {
 		return now
--- a/internal/serve/follow/follow_test.go
+++ b/internal/serve/follow/follow_test.go
@@ -336,14 +336,14 @@
 		time.Sleep(time.Minute)
 		store.mu.Lock()
 		defer store.mu.Unlock()
-		// Three lookouts with two calls every 0.8 s, and none from the others.
+		// Three watchers with two calls every 0.8 s, and none from the others.
 		assert.Assert(t, store.calls <= 3*2*(75+1), "%d calls", store.calls)
 	})
 }
 
-// The lookouts die one after the other. Others take their places, and every
+// The watchers die one after the other. Others take their places, and every
 // process goes on hearing of changes.
-func TestLookoutsThatDieAreReplaced(t *testing.T) {
+func TestWatchersThatDieAreReplaced(t *testing.T) {
 	inBubble(t, func(t *testing.T, ctx context.Context) {
 		store := newFakeStore()
 		store.putPlan(1)
@@ -351,7 +351,7 @@
 		time.Sleep(5 * time.Second)
 		for round := range uint64(6) {
 			for i, p := range all {
-				if p.lookout() && nodes[i].Living() {
+				if p.watcher() && nodes[i].Living() {
 					nodes[i].Kill()
 					p.store = newFakeStore()
 					break
@@ -369,17 +369,17 @@
 	})
 }
 
-// All lookouts are cut off from the store at the very moment of a change, and
+// All watchers are cut off from the store at the very moment of a change, and
 // don't know it yet. Those that hear from them must not trust them for longer
 // than a change may take.
-func TestAChangeWhileAllLookoutsAreCutOff(t *testing.T) {
+func TestAChangeWhileAllWatchersAreCutOff(t *testing.T) {
 	inBubble(t, func(t *testing.T, ctx context.Context) {
 		sound, cut, both := twoStores()
 		both(func(s *fakeStore) { s.putPlan(1); s.putTarget("x", pool.Ready) })
 		stores := make([]*fakeStore, 10)
 		for i := range stores {
 			stores[i] = sound
-			if isLookoutOf(10, i) {
+			if isWatcherOf(10, i) {
 				stores[i] = cut
 			}
 		}
@@ -405,18 +405,18 @@
 	})
 }
 
-// isLookoutOf tells whether process i of n is a lookout.
-func isLookoutOf(n, i int) bool {
+// isWatcherOf tells whether process i of n is a watcher.
+func isWatcherOf(n, i int) bool {
 	network := &servetest.Cluster{}
 	var nodes []*servetest.Node
 	for k := range n {
 		nodes = append(nodes, network.Add(string(rune('a'+k)), "z"))
 	}
 	self := nodes[i].Self()
-	return isLookout(self.Incarnation, self, nodes[i].Members())
+	return isWatcher(self.Incarnation, self, nodes[i].Members())
 }
 
-// A target's entry lapsed in an outage and didn't come back. The lookouts drop
+// A target's entry lapsed in an outage and didn't come back. The watchers drop
 // it when its time is up, which no row of the store tells; the others must drop
 // it too.
 func TestALapsedEntryIsDroppedEverywhere(t *testing.T) {
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -20,32 +20,32 @@
 const methodNews = "follow.news"
 
 const (
-	// askPeriod is how often a process asks a lookout for news: several times
+	// askPeriod is how often a process asks a watcher for news: several times
 	// within the shortest time in which a change has to be in force, 2 s.
 	askPeriod = 300 * time.Millisecond
 	// askTimeout bounds one question.
 	askTimeout = 250 * time.Millisecond
-	// trust is how long what the store told a lookout stands for its word here.
+	// trust is how long what the store told a watcher stands for its word here.
 	// Usually it is 0.8 s and a question's period old at most. What is left to
 	// 2 s is for this process's own call of the store.
 	trust = 1500 * time.Millisecond
 	// catchUp is how much later than a peer the store may tell of a change
 	// before its silence is taken for an outage.
 	catchUp = 300 * time.Millisecond
-	// leastLookouts is how many processes look out for changes with short calls
-	// of the store. Two may be gone at once without anybody noticing. A lookout
-	// answers perLookout others, twice a second each, which takes about 0.2% of
+	// leastWatchers is how many processes watch the store for changes with short calls
+	// of the store. Two may be gone at once without anybody noticing. A watcher
+	// answers perWatcher others, twice a second each, which takes about 0.2% of
 	// a core.
-	leastLookouts = 3
-	perLookout    = 20
+	leastWatchers = 3
+	perWatcher    = 20
 )
 
 // peers are the other processes. Most of them hear of changes from the
-// lookouts alone, so that a change doesn't cost a call of the store from each.
+// watchers alone, so that a change doesn't cost a call of the store from each.
 type peers struct {
 	network peer.Network
 	// heard is the Unix nanosecond at which the store had last told a sound
-	// lookout, as far as known here; servedSince since when it had served that one.
+	// watcher, as far as known here; servedSince since when it had served that one.
 	heard       atomic.Int64
 	servedSince atomic.Int64
 }
@@ -61,7 +61,7 @@
 	Plan     *plan.Plan   `json:"plan,omitempty"`
 	Entries  []pool.Entry `json:"entries,omitempty"`
 	Revision uint64       `json:"revision,omitempty"`
-	// Sound tells that the store answers this process, and that it is a lookout.
+	// Sound tells that the store answers this process, and that it is a watcher.
 	Sound bool `json:"sound,omitempty"`
 	// ServedMS is for how long the store has served this process without a break.
 	ServedMS int64 `json:"served_ms,omitempty"`
@@ -73,7 +73,7 @@
 // Call before the network starts.
 func (f *Follower) UsePeers(network peer.Network) {
 	f.peers = &peers{network: network}
-	f.lookout = func() bool { return isLookout(network.Self().Incarnation, network.Self(), network.Members()) }
+	f.watcher = func() bool { return isWatcher(network.Self().Incarnation, network.Self(), network.Members()) }
 	network.Handle(methodNews, func(_ context.Context, params json.RawMessage) (any, error) {
 		var call newsCall
 		if err := json.Unmarshal(params, &call); err != nil {
@@ -86,7 +86,7 @@
 func (f *Follower) newsSince(call newsCall) news {
 	now := time.Now()
 	n := news{
-		Sound:    f.sound() && f.lookout(),
+		Sound:    f.sound() && f.watcher(),
 		ServedMS: now.Sub(time.Unix(0, f.served.Load())).Milliseconds(),
 		AgeMS:    now.Sub(f.told()).Milliseconds(),
 	}
@@ -110,17 +110,17 @@
 	return time.Unix(0, min(f.planFeed.told.Load(), f.targetFeed.told.Load()))
 }
 
-// relayed tells whether a sound lookout's answers stand for the store's.
+// relayed tells whether a sound watcher's answers stand for the store's.
 func (f *Follower) relayed() bool {
-	if f.peers == nil || f.lookout() {
+	if f.peers == nil || f.watcher() {
 		return false
 	}
 	return time.Since(time.Unix(0, f.peers.heard.Load())) < trust
 }
 
-// isLookout tells whether a process is among the first by rendezvous, which all
+// isWatcher tells whether a process is among the first by rendezvous, which all
 // processes reckon alike.
-func isLookout(id peer.Incarnation, self peer.Member, others []peer.Member) bool {
+func isWatcher(id peer.Incarnation, self peer.Member, others []peer.Member) bool {
 	all, before := 1, 0
 	own := member.Hash(string(id))
 	for _, m := range append(others, self) {
@@ -132,7 +132,7 @@
 			before++
 		}
 	}
-	return before < max(leastLookouts, (all+perLookout-1)/perLookout)
+	return before < max(leastWatchers, (all+perWatcher-1)/perWatcher)
 }
 
 func (f *Follower) askPeers(ctx context.Context) {
@@ -141,8 +141,8 @@
 	}
 }
 
-// whomToAsk draws a lookout, or any process where this one can't reach the
-// store: a lookout may be cut off alike.
+// whomToAsk draws a watcher, or any process where this one can't reach the
+// store: a watcher may be cut off alike.
 func (f *Follower) whomToAsk() (peer.Incarnation, bool) {
 	others := f.peers.network.Members()
 	if len(others) == 0 {
@@ -150,11 +150,11 @@
 	}
 	if f.sound() {
 		self := f.peers.network.Self()
-		lookouts := slices.DeleteFunc(slices.Clone(others), func(m peer.Member) bool {
-			return m.State != peer.Alive || !isLookout(m.Incarnation, self, others)
+		watchers := slices.DeleteFunc(slices.Clone(others), func(m peer.Member) bool {
+			return m.State != peer.Alive || !isWatcher(m.Incarnation, self, others)
 		})
-		if len(lookouts) > 0 {
-			others = lookouts
+		if len(watchers) > 0 {
+			others = watchers
 		}
 	}
 	return others[rand.IntN(len(others))].Incarnation, true
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -48,8 +48,8 @@
 	StrongOnly Mechanism = "strong-only"
 	// LeavingAlone: a target that took no connection is left alone for a while.
 	LeavingAlone Mechanism = "leaving-alone"
-	// Lookouts: a few processes follow the store for all.
-	Lookouts Mechanism = "lookouts"
+	// Watchers: a few processes follow the store for all.
+	Watchers Mechanism = "watchers"
 	// Containment: a request that crashes its targets gets no more of them.
 	Containment Mechanism = "containment"
 	// FewKept: unused connections to targets are bounded by what they accept.
@@ -60,7 +60,7 @@
 func All() []Mechanism {
 	return []Mechanism{
 		Sharing, Promises, Reserve, LeastShare, DueOrder, OwnZone, OneZone, Homes, SlowTargets, EarlyRelease, LearntEngines,
-		Passing, Keepers, StrongOnly, LeavingAlone, Lookouts, Containment, FewKept,
+		Passing, Keepers, StrongOnly, LeavingAlone, Watchers, Containment, FewKept,
 	}
 }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -91,8 +91,8 @@
 	s.table.OnLeave(func(t *pool.Target) { s.client.Drop(t.Address) })
 	s.follower = follow.New(logging.Part(o.Log, "follow"), o.Source, s.plans, s.table)
 	s.follower.UsePeers(network)
-	if o.LeaveOut.Has(leaveout.Lookouts) {
-		s.follower.LookAlone()
+	if o.LeaveOut.Has(leaveout.Watchers) {
+		s.follower.WatchAlone()
 	}
 	if o.LeaveOut.Has(leaveout.LeavingAlone) {
 		s.table.KeepTrying()
