What follows from the members is worked out once a view, not for each question

Cause: whom to ask for news hashed all members for each member (N squared, 3.3 times a second on each VM), and who gathers for a cell was ranked anew for each question of each request.

Change: peer.Network gives a View, the same until a member changes, and peer.Derived keeps what is computed from one. Watchers and the ranking of gatherers are kept so.

--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -24,6 +24,8 @@
 	newest map[string]*row
 	// digests is the XOR of the marks of a zone's rows that are not dead.
 	digests map[string]uint64
+	// version grows with every change of what is believed.
+	version uint64
 }
 
 type row struct {
@@ -41,6 +43,7 @@
 }
 
 func (t *Table) clear() {
+	t.version++
 	t.rows = map[string]*row{}
 	t.byHash = map[uint64]*row{}
 	t.newest = map[string]*row{}
@@ -68,6 +71,7 @@
 }
 
 func (t *Table) setSelf(change func(*Record)) {
+	t.version++
 	t.digests[t.self.ZoneKey()] ^= mark(t.self)
 	change(&t.self)
 	t.digests[t.self.ZoneKey()] ^= mark(t.self)
@@ -241,6 +245,9 @@
 	return addresses
 }
 
+// Version grows with every change of what Self, Get and Living give.
+func (t *Table) Version() uint64 { return t.version }
+
 // Get is what is believed of one incarnation.
 func (t *Table) Get(id string) (Record, bool) {
 	held := t.rows[id]
@@ -268,6 +275,7 @@
 }
 
 func (t *Table) insert(r Record, now time.Time) []Record {
+	t.version++
 	added := &row{Record: r, hash: Hash(r.ID), since: now}
 	t.rows[r.ID] = added
 	t.byHash[added.hash] = added
@@ -276,6 +284,7 @@
 }
 
 func (t *Table) change(held *row, now time.Time, apply func(*Record)) {
+	t.version++
 	before := held.State
 	t.digests[held.ZoneKey()] ^= mark(held.Record)
 	apply(&held.Record)
@@ -286,6 +295,7 @@
 }
 
 func (t *Table) remove(id string) {
+	t.version++
 	gone := t.rows[id]
 	t.digests[gone.ZoneKey()] ^= mark(gone.Record)
 	delete(t.rows, id)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,6 +67,8 @@
 	planned  []member.Record
 	stale    bool // the view is being refreshed
 	members  int  // how many others live, as of the last plan
+	view     *View
+	viewed   uint64 // the table's version that view shows
 	closed   bool
 	lastLazy uint64 // the beat of the last prune
 }
@@ -135,6 +138,7 @@
 		n.opts.Self.PeerAddress = listener.Addr().String()
 	}
 	n.table = member.NewTable(n.record(), n.opts.limits())
+	n.view = nil
 	n.clock = newBeatClock(instantOf(time.Now()), max(stalePeriods*n.opts.Period, leastStale))
 	n.mu.Unlock()
 	n.ctx, n.stop = context.WithCancel(ctx)
@@ -228,23 +232,10 @@
 }
 
 // Self is this process.
-func (n *Node) Self() Member {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return toMember(n.table.Self())
-}
+func (n *Node) Self() Member { return n.View().Self }
 
 // Members lists the other processes that are not dead.
-func (n *Node) Members() []Member {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	living := n.table.Living()
-	members := make([]Member, 0, len(living))
-	for _, r := range living {
-		members = append(members, toMember(r))
-	}
-	return members
-}
+func (n *Node) Members() []Member { return slices.Clone(n.View().Members) }
 
 // Stale tells that this process was frozen and hasn't yet learned anew who
 // its peers are.
--- a/internal/peer/spread.go
+++ b/internal/peer/spread.go
@@ -73,6 +73,9 @@
 	Self() Member
 	// Members lists the other processes that are not dead.
 	Members() []Member
+	// View is what Self and Members give. It is the same until one of them
+	// changes, so that what is derived from it can be kept as long; see Derived.
+	View() *View
 	// Publish spreads an item of this process at once. Version must grow for
 	// each Topic and Key.
 	Publish(topic Topic, key string, version uint64, ttl time.Duration, body any) error
--- a/internal/serve/follow/follow_test.go
+++ b/internal/serve/follow/follow_test.go
@@ -197,6 +197,12 @@
 	store *fakeStore
 }
 
+func newProcess(store *fakeStore) *process {
+	p := &process{plans: &plan.Holder{}, table: pool.New(zap.NewNop()), store: store}
+	p.Follower = New(zap.NewNop(), p.store, p.plans, p.table)
+	return p
+}
+
 // cluster makes processes, each with a store of its own to fail.
 func cluster(ctx context.Context, n int, stores ...*fakeStore) []*process {
 	list, _ := clusterOf(ctx, n, stores...)
@@ -206,8 +212,7 @@
 func clusterOf(ctx context.Context, n int, stores ...*fakeStore) (list []*process, nodes []*servetest.Node) {
 	network := &servetest.Cluster{Delay: time.Millisecond}
 	for i := range n {
-		p := &process{plans: &plan.Holder{}, table: pool.New(zap.NewNop()), store: stores[min(i, len(stores)-1)]}
-		p.Follower = New(zap.NewNop(), p.store, p.plans, p.table)
+		p := newProcess(stores[min(i, len(stores)-1)])
 		node := network.Add(string(rune('a'+i)), "z")
 		p.UsePeers(node)
 		list, nodes = append(list, p), append(nodes, node)
@@ -412,8 +417,7 @@
 	for k := range n {
 		nodes = append(nodes, network.Add(string(rune('a'+k)), "z"))
 	}
-	self := nodes[i].Self()
-	return isWatcher(self.Incarnation, self, nodes[i].Members())
+	return chooseWatchers(nodes[i].View()).self
 }
 
 // A target's entry lapsed in an outage and didn't come back. The watchers drop
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -4,13 +4,11 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/vanillagate/vanillagate/internal/member"
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
@@ -32,12 +30,6 @@
 	// catchUp is how much later than a peer the store may tell of a change
 	// before its silence is taken for an outage.
 	catchUp = 300 * time.Millisecond
-	// leastWatchers is how many processes watch the store for changes with short calls
-	// of the store. Two may be gone at once without anybody noticing. A watcher
-	// answers perWatcher others, twice a second each, which takes about 0.2% of
-	// a core.
-	leastWatchers = 3
-	perWatcher    = 20
 )
 
 // peers are the other processes. Most of them hear of changes from the
@@ -48,8 +40,11 @@
 	// watcher, as far as known here; servedSince since when it had served that one.
 	heard       atomic.Int64
 	servedSince atomic.Int64
+	watchers    peer.Derived[watchers]
 }
 
+func (p *peers) chosen(view *peer.View) watchers { return p.watchers.Get(view, chooseWatchers) }
+
 // newsCall asks for what is newer than this.
 type newsCall struct {
 	Version  uint64 `json:"version"`
@@ -73,7 +68,7 @@
 // Call before the network starts.
 func (f *Follower) UsePeers(network peer.Network) {
 	f.peers = &peers{network: network}
-	f.watcher = func() bool { return isWatcher(network.Self().Incarnation, network.Self(), network.Members()) }
+	f.watcher = func() bool { return f.peers.chosen(network.View()).self }
 	network.Handle(methodNews, func(_ context.Context, params json.RawMessage) (any, error) {
 		var call newsCall
 		if err := json.Unmarshal(params, &call); err != nil {
@@ -118,23 +113,6 @@
 	return time.Since(time.Unix(0, f.peers.heard.Load())) < trust
 }
 
-// isWatcher tells whether a process is among the first by rendezvous, which all
-// processes reckon alike.
-func isWatcher(id peer.Incarnation, self peer.Member, others []peer.Member) bool {
-	all, before := 1, 0
-	own := member.Hash(string(id))
-	for _, m := range append(others, self) {
-		if m.State != peer.Alive || m.Incarnation == id {
-			continue
-		}
-		all++
-		if member.Hash(string(m.Incarnation)) > own {
-			before++
-		}
-	}
-	return before < max(leastWatchers, (all+perWatcher-1)/perWatcher)
-}
-
 func (f *Follower) askPeers(ctx context.Context) {
 	for wait.For(ctx, askPeriod) {
 		f.askOne(ctx)
@@ -144,20 +122,16 @@
 // whomToAsk draws a watcher, or any process where this one can't reach the
 // store: a watcher may be cut off alike.
 func (f *Follower) whomToAsk() (peer.Incarnation, bool) {
-	others := f.peers.network.Members()
-	if len(others) == 0 {
-		return "", false
-	}
+	view := f.peers.network.View()
 	if f.sound() {
-		self := f.peers.network.Self()
-		watchers := slices.DeleteFunc(slices.Clone(others), func(m peer.Member) bool {
-			return m.State != peer.Alive || !isWatcher(m.Incarnation, self, others)
-		})
-		if len(watchers) > 0 {
-			others = watchers
+		if others := f.peers.chosen(view).others; len(others) > 0 {
+			return others[rand.IntN(len(others))], true
 		}
 	}
-	return others[rand.IntN(len(others))].Incarnation, true
+	if len(view.Members) == 0 {
+		return "", false
+	}
+	return view.Members[rand.IntN(len(view.Members))].Incarnation, true
 }
 
 func (f *Follower) askOne(ctx context.Context) {
--- /dev/null
+++ b/internal/serve/follow/watchers_test.go
@@ -0,0 +1,59 @@
+package follow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
+	"github.com/vanillagate/vanillagate/internal/serve/servetest"
+)
+
+// fleet makes a process that knows a configuration and no targets, beside n-1
+// others.
+func fleet(n int) *process {
+	network := &servetest.Cluster{}
+	p := newProcess(newFakeStore())
+	p.plans.Apply(&plan.Plan{Version: 1})
+	p.table.Reset(nil, 1, time.Now())
+	p.UsePeers(network.Add("self", "z"))
+	for i := range n - 1 {
+		network.Add(fmt.Sprintf("vm-%d", i), "z")
+	}
+	return p
+}
+
+// A question to a watcher must not cost work that grows with the fleet: each of N
+// processes asks several times a second.
+func TestAQuestionCostsTheSameInAnyFleet(t *testing.T) {
+	for _, n := range []int{30, 3000} {
+		p := fleet(n)
+		p.whomToAsk()
+		allocations := testing.AllocsPerRun(100, func() { p.whomToAsk() })
+		assert.Equal(t, allocations, 0.0, "%d members", n)
+	}
+}
+
+func TestWatchersAreAFewOfTheLiving(t *testing.T) {
+	for _, c := range []struct{ members, watchers int }{{1, 1}, {2, 2}, {9, 3}, {82, 5}, {295, 15}, {640, 32}} {
+		chosen := chooseWatchers(fleet(c.members).peers.network.View())
+		got := len(chosen.others)
+		if chosen.self {
+			got++
+		}
+		assert.Equal(t, got, c.watchers, "%d members", c.members)
+	}
+}
+
+func BenchmarkWhomToAsk(b *testing.B) {
+	for _, n := range []int{30, 300, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := fleet(n)
+			for b.Loop() {
+				p.whomToAsk()
+			}
+		})
+	}
+}
--- a/internal/serve/gather/ask.go
+++ b/internal/serve/gather/ask.go
@@ -105,7 +105,7 @@
 
 // meetPeers waits, just after the start, until a peer is known.
 func (r *Requester) meetPeers(ctx context.Context) {
-	for time.Since(r.started) < acquaintance && len(r.network.Members()) == 0 {
+	for time.Since(r.started) < acquaintance && len(r.network.View().Members) == 0 {
 		if !wait.For(ctx, alonePoll) {
 			return
 		}
--- a/internal/serve/gather/choose.go
+++ b/internal/serve/gather/choose.go
@@ -165,40 +165,56 @@
 }
 
 // gatherers ranks the processes that may gather for a cell, best first; there is
-// always one.
+// always one. The list is shared and must not be changed.
 func (r *Requester) gatherers(cell Cell) []peer.Incarnation {
-	self := r.network.Self()
+	view := r.network.View()
 	if r.leaveOut.Has(leaveout.Sharing) {
-		return []peer.Incarnation{self.Incarnation}
+		return []peer.Incarnation{view.Self.Incarnation}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.rankedOf != view || r.ranked == nil {
+		r.rankedOf = view
+		r.ranked = map[Cell][]peer.Incarnation{}
+	}
+	list := r.ranked[cell]
+	if list == nil {
+		list = r.rank(cell, view)
+		r.ranked[cell] = list
+	}
+	return r.answering(list)
+}
+
+// rank sorts the processes that may gather for a cell. The caller holds mu.
+func (r *Requester) rank(cell Cell, view *peer.View) []peer.Incarnation {
 	able := []peer.Member{}
-	for _, m := range r.network.Members() {
+	for _, m := range view.Members {
 		if m.State == peer.Alive {
 			able = append(able, m)
 		}
 	}
 	if !r.leaving || len(able) == 0 {
-		able = append(able, self)
+		able = append(able, view.Self)
 	}
 	list := strongest(able)
 	if r.leaveOut.Has(leaveout.StrongOnly) {
 		list = incarnations(able)
 	}
-	slices.SortFunc(list, func(a, b peer.Incarnation) int {
-		if cell.score(string(a)) > cell.score(string(b)) {
-			return -1
-		}
-		return 1
-	})
-	return r.answering(list)
+	scores := make(map[peer.Incarnation]uint64, len(list))
+	for _, id := range list {
+		scores[id] = cell.score(string(id))
+	}
+	slices.SortFunc(list, func(a, b peer.Incarnation) int { return cmp.Compare(scores[b], scores[a]) })
+	return list
 }
 
 // answering leaves out the gatherers that are passed by. Where none is left
 // the trouble is on this side or everywhere, and weaker ones or one after the
 // other would only multiply it: then all stay. The caller holds mu.
 func (r *Requester) answering(list []peer.Incarnation) []peer.Incarnation {
+	if len(r.passed) == 0 {
+		return list
+	}
 	var kept []peer.Incarnation
 	for _, id := range list {
 		if !r.passed[id] {
--- a/internal/serve/gather/choose_test.go
+++ b/internal/serve/gather/choose_test.go
@@ -16,11 +16,19 @@
 	peer.Network
 	self    peer.Member
 	members []peer.Member
+	view    *peer.View
 }
 
 func (n *fixedNetwork) Self() peer.Member      { return n.self }
 func (n *fixedNetwork) Members() []peer.Member { return n.members }
 
+func (n *fixedNetwork) View() *peer.View {
+	if n.view == nil {
+		n.view = &peer.View{Self: n.self, Members: n.members}
+	}
+	return n.view
+}
+
 // A process's own link is full, and no gatherer seems to answer. If it passed by
 // one after the other down to the weakest VM, and all processes did, every cell
 // would have dozens of gatherers, whose calls find the targets full.
--- a/internal/serve/gather/passed.go
+++ b/internal/serve/gather/passed.go
@@ -57,7 +57,7 @@
 }
 
 func (r *Requester) isMember(id peer.Incarnation) bool {
-	return slices.ContainsFunc(r.network.Members(), func(m peer.Member) bool { return m.Incarnation == id })
+	return slices.ContainsFunc(r.network.View().Members, func(m peer.Member) bool { return m.Incarnation == id })
 }
 
 // answers asks a gatherer after no items.
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -51,6 +51,9 @@
 	freeing map[freeKey][]string
 	freer   bool
 	leaving bool
+	// ranked are the gatherers of each cell as of the view rankedOf.
+	ranked   map[Cell][]peer.Incarnation
+	rankedOf *peer.View
 }
 
 type pending struct {
@@ -128,6 +131,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.leaving = true
+	r.ranked = nil
 }
 
 // Work is what one request wants of one stage.
--- a/internal/serve/gauges.go
+++ b/internal/serve/gauges.go
@@ -19,7 +19,7 @@
 	g := gauges{registry: s.metrics}
 	g.set("plan.version", int64(s.plans.Version()))
 	g.set("targets.revision", int64(s.table.Newest()))
-	g.set("members", int64(1+len(s.network.Members())))
+	g.set("members", int64(1+len(s.network.View().Members)))
 	g.set("requests.in_flight", s.inFlight.Load())
 	g.set("targets.connections_opened", s.client.Dialed())
 	plan, targets := s.follower.Failing()
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -130,7 +130,7 @@
 	for wait.For(s.life, housekeepPeriod) {
 		now := time.Now()
 		s.client.Prune(now)
-		s.budget.Members(1+len(s.network.Members()), now)
+		s.budget.Members(1+len(s.network.View().Members), now)
 		s.observe(now)
 	}
 }
@@ -172,16 +172,16 @@
 		far = append(far, m.CallerAddress)
 	}
 	zones := map[string]bool{}
-	for _, m := range s.network.Members() {
+	view := s.network.View()
+	for _, m := range view.Members {
 		if m.State == peer.Alive && m.CallerAddress != "" {
 			add(m)
 			zones[m.Zone] = true
 		}
 	}
 	if !s.leaving.Load() {
-		self := s.network.Self()
-		add(self)
-		zones[self.Zone] = true
+		add(view.Self)
+		zones[view.Self.Zone] = true
 	}
 	shuffle(near)
 	shuffle(far)
--- a/internal/serve/servetest/network.go
+++ b/internal/serve/servetest/network.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,8 @@
 
 	mu    sync.Mutex // guards nodes and their states
 	nodes []*Node
+	// version grows with every change of them.
+	version uint64
 }
 
 type handler = func(context.Context, json.RawMessage) (any, error)
@@ -34,6 +37,9 @@
 	silent bool
 	// dead nodes refuse connections.
 	dead bool
+	// view was made of the cluster's version viewed.
+	view   *peer.View
+	viewed uint64
 }
 
 var _ peer.Network = (*Node)(nil)
@@ -47,6 +53,7 @@
 		self: peer.Member{Incarnation: peer.Incarnation(name), Zone: zone, State: peer.Alive},
 	}
 	c.nodes = append(c.nodes, n)
+	c.version++
 	return n
 }
 
@@ -75,15 +82,29 @@
 	n.cluster.mu.Lock()
 	defer n.cluster.mu.Unlock()
 	change()
+	n.cluster.version++
 }
 
 // Self is this process.
 func (n *Node) Self() peer.Member { return n.self }
 
 // Members lists the other processes that aren't dead.
-func (n *Node) Members() []peer.Member {
+func (n *Node) Members() []peer.Member { return slices.Clone(n.View().Members) }
+
+// View is part of peer.Network.
+func (n *Node) View() *peer.View {
 	n.cluster.mu.Lock()
 	defer n.cluster.mu.Unlock()
+	if n.view == nil || n.viewed != n.cluster.version {
+		n.view = &peer.View{Self: n.self, Members: n.others()}
+		n.viewed = n.cluster.version
+	}
+	return n.view
+}
+
+// others lists the other processes that aren't dead. The caller holds the
+// cluster's mu.
+func (n *Node) others() []peer.Member {
 	var list []peer.Member
 	for _, other := range n.cluster.nodes {
 		if other != n && other.state != peer.Dead {
