--- a/internal/serve/gather/ask.go
+++ b/internal/serve/gather/ask.go
@@ -25,19 +25,19 @@
 // in time; the error is *Refused where one can't. A gatherer that doesn't
 // answer is no reason to refuse. What was promised and isn't wanted any more is
 // to be withdrawn.
-func (r *Requester) Ask(ctx context.Context, request string, plans []Want) ([]Cell, error) {
+func (r *Requester) Ask(ctx context.Context, request string, plans []Want) ([]Shard, error) {
 	r.meetPeers(ctx)
 	if r.leaveOut.Has(leaveout.Promises) {
 		return nil, nil
 	}
 	answers := make(chan error, len(plans))
-	asked := make([]Cell, len(plans))
+	asked := make([]Shard, len(plans))
 	for i, p := range plans {
-		cell, err := r.cellOf(p.Service, p.Zone, request)
+		shard, err := r.shardOf(p.Service, p.Zone, request)
 		if err != nil {
 			return nil, err
 		}
-		asked[i] = cell
+		asked[i] = shard
 	}
 	serial := r.serial.Add(1)
 	for i, p := range plans {
@@ -56,23 +56,23 @@
 	return asked, nil
 }
 
-// Withdraw gives back what cells have promised a request and hold for it.
+// Withdraw gives back what shards have promised a request and hold for it.
 // Without it a request that was given up would keep others out until its due
 // time.
-func (r *Requester) Withdraw(request string, asked []Cell) {
-	for _, cell := range asked {
-		r.cancel(r.gatherers(cell)[0], cell, request)
+func (r *Requester) Withdraw(request string, asked []Shard) {
+	for _, shard := range asked {
+		r.cancel(r.gatherers(shard)[0], shard, request)
 	}
 }
 
-func (r *Requester) askFor(ctx context.Context, request string, cell Cell, p Want, serial uint64) error {
+func (r *Requester) askFor(ctx context.Context, request string, shard Shard, p Want, serial uint64) error {
 	now := time.Now()
-	gatherer := r.gatherers(cell)[0]
+	gatherer := r.gatherers(shard)[0]
 	call := askCall{
-		Cell: cell, Request: request, Stage: p.Stage, Rank: p.Rank, Items: p.Items, Due: ToMillis(p.Due.Sub(now)), Serial: serial,
+		Shard: shard, Request: request, Stage: p.Stage, Rank: p.Rank, Items: p.Items, Due: ToMillis(p.Due.Sub(now)), Serial: serial,
 	}
 	if gatherer == r.network.Self().Incarnation {
-		return promised(cell, r.own.Ask(call, now))
+		return promised(shard, r.own.Ask(call, now))
 	}
 	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
 	defer cancel()
@@ -83,16 +83,16 @@
 		}
 		return nil
 	}
-	return promised(cell, ack)
+	return promised(shard, ack)
 }
 
-// promised tells whether a cell's answer is a refusal. One that doesn't know the
+// promised tells whether a shard's answer is a refusal. One that doesn't know the
 // service can't say.
-func promised(cell Cell, ack Ack) error {
+func promised(shard Shard, ack Ack) error {
 	if ack.Unknown {
 		return nil
 	}
-	return refusal(cell, ack)
+	return refusal(shard, ack)
 }
 
 const (
--- a/internal/serve/gather/call.go
+++ b/internal/serve/gather/call.go
@@ -13,7 +13,7 @@
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
 )
 
-func (g *Gatherer) call(c *cell, batch *plan.Batch, target *pool.Target, taken []*waiting, items []Item, expected time.Duration) {
+func (g *Gatherer) call(c *shard, batch *plan.Batch, target *pool.Target, taken []*waiting, items []Item, expected time.Duration) {
 	ctx, cancel := context.WithTimeout(g.life, callPatience*expected+callSlack)
 	defer cancel()
 	started := time.Now()
@@ -44,7 +44,7 @@
 // inputs, unless it ends before. The time counts from the writing: a small VM
 // may stand still for a tenth of a second between its decision and that, and
 // inputs given back too soon cost their request its whole chain.
-func (g *Gatherer) watchFetch(c *cell, items []Item, ended <-chan struct{}) {
+func (g *Gatherer) watchFetch(c *shard, items []Item, ended <-chan struct{}) {
 	timer := time.NewTimer(fetchTime)
 	defer timer.Stop()
 	select {
@@ -56,7 +56,7 @@
 
 // fetched tells those who gathered the inputs of some items that they have been
 // fetched.
-func (g *Gatherer) fetched(c *cell, items []Item) {
+func (g *Gatherer) fetched(c *shard, items []Item) {
 	if g.leaveOut.Has(leaveout.EarlyRelease) {
 		return
 	}
@@ -85,7 +85,7 @@
 	return pool.Failed
 }
 
-func (g *Gatherer) notePace(c *cell, target *pool.Target, actual, expected time.Duration, now time.Time) {
+func (g *Gatherer) notePace(c *shard, target *pool.Target, actual, expected time.Duration, now time.Time) {
 	if g.leaveOut.Has(leaveout.SlowTargets) {
 		return
 	}
@@ -98,7 +98,7 @@
 }
 
 // failed puts the items of a call without an answer back. The caller holds mu.
-func (g *Gatherer) failed(c *cell, target *pool.Target, taken []*waiting, err error, now time.Time) {
+func (g *Gatherer) failed(c *shard, target *pool.Target, taken []*waiting, err error, now time.Time) {
 	notRun := errors.Is(err, ErrFull) || upstream.NotSent(err)
 	if notRun {
 		c.pauses[target.ID] = now.Add(fullPause)
@@ -114,7 +114,7 @@
 }
 
 // again puts an item back into the queue, or gives it up. The caller holds mu.
-func (g *Gatherer) again(c *cell, w *waiting, target *pool.Target, reason Reason) {
+func (g *Gatherer) again(c *shard, w *waiting, target *pool.Target, reason Reason) {
 	if w.tries >= maxTries {
 		g.stats.Failed++
 		g.hand(c, w.owner, Result{Key: w.Key, Reason: reason})
@@ -127,7 +127,7 @@
 }
 
 // finished hands out the results of a call. The caller holds mu.
-func (g *Gatherer) finished(c *cell, batch *plan.Batch, target *pool.Target, taken []*waiting, results []Result, now time.Time) {
+func (g *Gatherer) finished(c *shard, batch *plan.Batch, target *pool.Target, taken []*waiting, results []Result, now time.Time) {
 	byOwner := map[string][]Result{}
 	lacking := false
 	for i, w := range taken {
--- a/internal/serve/gather/choose.go
+++ b/internal/serve/gather/choose.go
@@ -13,20 +13,20 @@
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 )
 
-// maxCell is the most targets of one cell. A larger service is divided by
+// maxShard is the most targets of one shard. A larger service is divided by
 // availability zone, so that no process gathers for a whole large pool and
 // results stay in their zone. At eight targets a call ends every 40 ms, so a
-// larger cell would shorten no wait that matters.
-const maxCell = 8
+// larger shard would shorten no wait that matters.
+const maxShard = 8
 
-// cells lists the cells of a service's targets.
-func cells(service string, views []pool.View) []Cell {
-	if len(views) <= maxCell {
-		return []Cell{{Service: service}}
+// shards lists the shards of a service's targets.
+func shards(service string, views []pool.View) []Shard {
+	if len(views) <= maxShard {
+		return []Shard{{Service: service}}
 	}
-	var list []Cell
+	var list []Shard
 	for _, v := range views {
-		c := Cell{Service: service, Zone: v.Zone}
+		c := Shard{Service: service, Zone: v.Zone}
 		if !slices.Contains(list, c) {
 			list = append(list, c)
 		}
@@ -34,20 +34,20 @@
 	return list
 }
 
-// in tells whether a target belongs to the cell.
-func (c Cell) in(v pool.View) bool { return c.Zone == "" || c.Zone == v.Zone }
+// in tells whether a target belongs to the shard.
+func (c Shard) in(v pool.View) bool { return c.Zone == "" || c.Zone == v.Zone }
 
-// Targets is how many targets a cell of a service has, on average.
+// Targets is how many targets a shard of a service has, on average.
 func (r *Requester) Targets(service string) int {
 	views := r.table.Views(service, time.Now())
 	if len(views) == 0 {
 		return 0
 	}
-	return len(views) / len(cells(service, views))
+	return len(views) / len(shards(service, views))
 }
 
-// score ranks a member for a cell; the highest gathers.
-func (c Cell) score(member string) uint64 {
+// score ranks a member for a shard; the highest gathers.
+func (c Shard) score(member string) uint64 {
 	return routing.Rendezvous(c.Service, c.Zone, member, "")
 }
 
@@ -78,8 +78,8 @@
 // for slow and passed over for two seconds, and callers refused.
 const newcomerCalls = 3
 
-// newcomer tells whether this process has only just begun to gather for a cell.
-func (c *cell) newcomer(batch *plan.Batch, callBegan time.Time) bool {
+// newcomer tells whether this process has only just begun to gather for a shard.
+func (c *shard) newcomer(batch *plan.Batch, callBegan time.Time) bool {
 	return callBegan.Sub(c.since) < newcomerCalls*batch.FullCall()
 }
 
@@ -106,21 +106,21 @@
 	return p.ratio
 }
 
-// cellOf chooses the cell for some work: the wanted zone's, else one by the
-// request, so that the cells get equal shares.
-func (r *Requester) cellOf(service, zone, request string) (Cell, error) {
+// shardOf chooses the shard for some work: the wanted zone's, else one by the
+// request, so that the shards get equal shares.
+func (r *Requester) shardOf(service, zone, request string) (Shard, error) {
 	views := r.table.Views(service, time.Now())
 	if len(views) == 0 {
-		return Cell{}, &Refused{Reason: Idle, Service: service}
+		return Shard{}, &Refused{Reason: Idle, Service: service}
 	}
-	list := cells(service, views)
+	list := shards(service, views)
 	for _, c := range list {
 		if c.Zone == zone {
 			return c, nil
 		}
 	}
-	// Each target is as likely as another, so a cell's share follows its size.
-	v := views[Cell{Service: service}.score(request)%uint64(len(views))]
+	// Each target is as likely as another, so a shard's share follows its size.
+	v := views[Shard{Service: service}.score(request)%uint64(len(views))]
 	for _, c := range list {
 		if c.in(v) {
 			return c, nil
@@ -142,7 +142,7 @@
 	divided := false
 	for _, service := range services {
 		views := r.table.Views(service, now)
-		divided = divided || len(views) > maxCell
+		divided = divided || len(views) > maxShard
 		for _, v := range views {
 			weight[v.Zone] += 1 / float64(len(views))
 		}
@@ -157,16 +157,16 @@
 	// The highest of u^(1/w), u drawn by request and zone, falls on each zone
 	// as often as its weight says.
 	draw := func(zone string) float64 {
-		u := float64(Cell{Zone: zone}.score(request)>>11) / (1 << 53)
+		u := float64(Shard{Zone: zone}.score(request)>>11) / (1 << 53)
 		return math.Pow(u, 1/weight[zone])
 	}
 	slices.SortFunc(zones, func(a, b string) int { return cmp.Compare(draw(b), draw(a)) })
 	return zones
 }
 
-// gatherers ranks the processes that may gather for a cell, best first; there is
+// gatherers ranks the processes that may gather for a shard, best first; there is
 // always one. The list is shared and must not be changed.
-func (r *Requester) gatherers(cell Cell) []peer.Incarnation {
+func (r *Requester) gatherers(shard Shard) []peer.Incarnation {
 	view := r.network.View()
 	if r.leaveOut.Has(leaveout.Sharing) {
 		return []peer.Incarnation{view.Self.Incarnation}
@@ -175,18 +175,18 @@
 	defer r.mu.Unlock()
 	if r.rankedOf != view || r.ranked == nil {
 		r.rankedOf = view
-		r.ranked = map[Cell][]peer.Incarnation{}
+		r.ranked = map[Shard][]peer.Incarnation{}
 	}
-	list := r.ranked[cell]
+	list := r.ranked[shard]
 	if list == nil {
-		list = r.rank(cell, view)
-		r.ranked[cell] = list
+		list = r.rank(shard, view)
+		r.ranked[shard] = list
 	}
 	return r.answering(list)
 }
 
-// rank sorts the processes that may gather for a cell. The caller holds mu.
-func (r *Requester) rank(cell Cell, view *peer.View) []peer.Incarnation {
+// rank sorts the processes that may gather for a shard. The caller holds mu.
+func (r *Requester) rank(shard Shard, view *peer.View) []peer.Incarnation {
 	able := []peer.Member{}
 	for _, m := range view.Members {
 		if m.State == peer.Alive {
@@ -202,7 +202,7 @@
 	}
 	scores := make(map[peer.Incarnation]uint64, len(list))
 	for _, id := range list {
-		scores[id] = cell.score(string(id))
+		scores[id] = shard.score(string(id))
 	}
 	slices.SortFunc(list, func(a, b peer.Incarnation) int { return cmp.Compare(scores[b], scores[a]) })
 	return list
@@ -229,7 +229,7 @@
 
 // strongest leaves out VMs with less than half of the power of the largest. One
 // with a fifth of a core stands still for most of each tenth of a second when
-// it has much to do, and every request of its cell with it.
+// it has much to do, and every request of its shard with it.
 func strongest(members []peer.Member) []peer.Incarnation {
 	most := 0
 	for _, m := range members {
--- a/internal/serve/gather/choose_scale_test.go
+++ b/internal/serve/gather/choose_scale_test.go
@@ -20,13 +20,13 @@
 	return &Requester{log: zap.NewNop(), network: network, passed: map[peer.Incarnation]bool{}}
 }
 
-// Each request asks several times who gathers for a cell; the members must not be
+// Each request asks several times who gathers for a shard; the members must not be
 // ranked anew for each question.
 func TestWhoGathersIsRankedOnceAView(t *testing.T) {
 	for _, n := range []int{30, 3000} {
 		r := ofFleet(n)
-		r.gatherers(Cell{Service: "s"})
-		allocations := testing.AllocsPerRun(100, func() { r.gatherers(Cell{Service: "s"}) })
+		r.gatherers(Shard{Service: "s"})
+		allocations := testing.AllocsPerRun(100, func() { r.gatherers(Shard{Service: "s"}) })
 		assert.Equal(t, allocations, 0.0, "%d members", n)
 	}
 }
@@ -36,7 +36,7 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			r := ofFleet(n)
 			for b.Loop() {
-				r.gatherers(Cell{Service: "s"})
+				r.gatherers(Shard{Service: "s"})
 			}
 		})
 	}
--- a/internal/serve/gather/choose_test.go
+++ b/internal/serve/gather/choose_test.go
@@ -30,7 +30,7 @@
 }
 
 // A process's own link is full, and no gatherer seems to answer. If it passed by
-// one after the other down to the weakest VM, and all processes did, every cell
+// one after the other down to the weakest VM, and all processes did, every shard
 // would have dozens of gatherers, whose calls find the targets full.
 func TestGatherersThatDoNotAnswerAreNotReplacedByWeakOnes(t *testing.T) {
 	member := func(name string, power int) peer.Member {
@@ -41,13 +41,13 @@
 		network: &fixedNetwork{self: member("self", 19), members: []peer.Member{member("a", 80), member("b", 80), member("weak", 19)}},
 		passed:  map[peer.Incarnation]bool{},
 	}
-	cell := Cell{Service: "s"}
-	all := r.gatherers(cell)
+	shard := Shard{Service: "s"}
+	all := r.gatherers(shard)
 	assert.Equal(t, len(all), 2)
 	r.passed[all[0]] = true
-	assert.DeepEqual(t, r.gatherers(cell), all[1:])
+	assert.DeepEqual(t, r.gatherers(shard), all[1:])
 	r.passed[all[1]] = true
-	got := r.gatherers(cell)
+	got := r.gatherers(shard)
 	assert.DeepEqual(t, got, all)
 	assert.Assert(t, !slices.Contains(got, "weak"))
 }
@@ -62,7 +62,7 @@
 				log: zap.NewNop(), passed: map[peer.Incarnation]bool{},
 				network: &fixedNetwork{self: peer.Member{Incarnation: "self", State: peer.Alive, Power: power}, members: others},
 			}
-			assert.Assert(t, len(r.gatherers(Cell{Service: "s"})) > 0, "power %d beside %d others", power, len(others))
+			assert.Assert(t, len(r.gatherers(Shard{Service: "s"})) > 0, "power %d beside %d others", power, len(others))
 		}
 	}
 }
--- a/internal/serve/gather/dispatch.go
+++ b/internal/serve/gather/dispatch.go
@@ -11,7 +11,7 @@
 
 // dispatch starts a call at each free target while items wait. The caller
 // holds mu.
-func (g *Gatherer) dispatch(c *cell, batch *plan.Batch, now time.Time) {
+func (g *Gatherer) dispatch(c *shard, batch *plan.Batch, now time.Time) {
 	c.queue.tempo = tempoOf(batch)
 	g.expire(c, batch, now, overdue)
 	passed := map[string]bool{}
@@ -36,8 +36,8 @@
 	}
 }
 
-// lookLater looks at the cell again soon. The caller holds mu.
-func (g *Gatherer) lookLater(c *cell) {
+// lookLater looks at the shard again soon. The caller holds mu.
+func (g *Gatherer) lookLater(c *shard) {
 	if c.looking {
 		return
 	}
@@ -46,14 +46,14 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		c.looking = false
-		if batch := g.batch(c.Cell); batch != nil {
+		if batch := g.batch(c.Shard); batch != nil {
 			g.dispatch(c, batch, time.Now())
 		}
 	})
 }
 
 // expire gives up the items to which a condition applies. The caller holds mu.
-func (g *Gatherer) expire(c *cell, batch *plan.Batch, now time.Time, applies condition) {
+func (g *Gatherer) expire(c *shard, batch *plan.Batch, now time.Time, applies condition) {
 	for _, w := range c.queue.drop(now, batch.CallTime, applies) {
 		g.stats.Late++
 		c.ledger.begun(w.Key)
@@ -62,14 +62,14 @@
 }
 
 // hand gives one result to its owner without blocking. The caller holds mu.
-func (g *Gatherer) hand(c *cell, owner string, results ...Result) {
-	go g.deliver(owner, c.Cell, results)
+func (g *Gatherer) hand(c *shard, owner string, results ...Result) {
+	go g.deliver(owner, c.Shard, results)
 }
 
 // pick chooses a free target that wasn't passed: sound ones before slow ones,
 // then one in the zone of what is most urgent, then the one with most room. The
 // caller holds mu.
-func (g *Gatherer) pick(c *cell, batch *plan.Batch, passed map[string]bool, now time.Time) *pool.Target {
+func (g *Gatherer) pick(c *shard, batch *plan.Batch, passed map[string]bool, now time.Time) *pool.Target {
 	var best *pool.Target
 	bestScore := -1.0
 	zone := c.queue.firstZone()
@@ -100,7 +100,7 @@
 	return best
 }
 
-func (g *Gatherer) roomOf(c *cell, address string, now time.Time) *room {
+func (g *Gatherer) roomOf(c *shard, address string, now time.Time) *room {
 	r := c.rooms[address]
 	if r == nil {
 		r = &room{}
@@ -111,7 +111,7 @@
 }
 
 // start makes one call. The caller holds mu.
-func (g *Gatherer) start(c *cell, batch *plan.Batch, target *pool.Target, taken []*waiting, now time.Time) {
+func (g *Gatherer) start(c *shard, batch *plan.Batch, target *pool.Target, taken []*waiting, now time.Time) {
 	expected := batch.CallTime + time.Duration(len(taken))*batch.ItemTime
 	c.working[target.ID] = &waitingCall{ends: now.Add(expected)}
 	items := make([]Item, 0, len(taken))
--- a/internal/serve/gather/free.go
+++ b/internal/serve/gather/free.go
@@ -20,12 +20,12 @@
 	return handles
 }
 
-// Free gives back the space of results of a cell, several requests' together.
-func (r *Requester) Free(cell Cell, results []Result) {
+// Free gives back the space of results of a shard, several requests' together.
+func (r *Requester) Free(shard Shard, results []Result) {
 	byKeeper := map[Keeper][]string{}
 	for _, result := range results {
 		if result.Reason == Made {
-			byKeeper[result.Keeper(cell)] = append(byKeeper[result.Keeper(cell)], result.Handle)
+			byKeeper[result.Keeper(shard)] = append(byKeeper[result.Keeper(shard)], result.Handle)
 		}
 	}
 	for keeper, handles := range byKeeper {
@@ -60,14 +60,14 @@
 func (r *Requester) freeAt(key freeKey, handles []string) {
 	gatherer := r.accountant(key.Keeper)
 	if gatherer == r.network.Self().Incarnation {
-		r.own.Free(key.Cell, handles, key.Final)
+		r.own.Free(key.Shard, handles, key.Final)
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), doneTimeout)
 	defer cancel()
 	if err := r.network.Call(ctx, gatherer, methodFree, freeCall{freeKey: key, Handles: handles}, nil); err != nil {
 		r.log.Debug("Results not freed by their gatherer; freed from here.", zap.Error(err))
-		r.own.Free(key.Cell, handles, key.Final)
+		r.own.Free(key.Shard, handles, key.Final)
 	}
 }
 
@@ -76,7 +76,7 @@
 func (r *Requester) accountant(keeper Keeper) peer.Incarnation {
 	switch {
 	case r.leaveOut.Has(leaveout.Keepers):
-		return r.gatherers(keeper.Cell)[0]
+		return r.gatherers(keeper.Shard)[0]
 	case r.isMember(keeper.Gatherer):
 		return keeper.Gatherer
 	default:
--- a/internal/serve/gather/free_test.go
+++ b/internal/serve/gather/free_test.go
@@ -29,7 +29,7 @@
 }
 
 // After a start of all processes, or while one is frozen, two processes take
-// different ones for a cell's gatherer. Were results given back to whom the reader
+// different ones for a shard's gatherer. Were results given back to whom the reader
 // takes for it, the one that had them made would go on counting them, take its
 // targets' rooms for full, and have callers refused for the four seconds until they
 // lapse, though the targets stand idle.
@@ -46,8 +46,8 @@
 			log: zap.NewNop(), network: network, passed: map[peer.Incarnation]bool{}, freeing: map[freeKey][]string{},
 			pending: map[Key]*pending{}, own: &Gatherer{},
 		}
-		cell := Cell{Service: "s"}
-		list := r.gatherers(cell)
+		shard := Shard{Service: "s"}
+		list := r.gatherers(shard)
 		maker := list[len(list)-1] // the last that anybody here would choose
 		if maker == "self" {
 			maker = list[1]
@@ -55,8 +55,8 @@
 		results := make(chan Result, 1)
 		key := Key{Request: "r"}
 		r.pending[key] = &pending{done: results}
-		r.take(maker, cell, []Result{{Key: key, Handle: "10.0.0.1:1/h"}})
-		r.Free(cell, []Result{<-results})
+		r.take(maker, shard, []Result{{Key: key, Handle: "10.0.0.1:1/h"}})
+		r.Free(shard, []Result{<-results})
 		time.Sleep(time.Second)
 		assert.Equal(t, <-network.freed, maker)
 		assert.Assert(t, !slices.Contains(list[:1], maker))
@@ -79,7 +79,7 @@
 			log: zap.NewNop(), network: network, passed: map[peer.Incarnation]bool{}, freeing: map[freeKey][]string{},
 			own: gathererOf(life, &plan.Batch{Size: 1, RoomBytes: 100}, stager, "10.0.0.1:1"),
 		}
-		r.Free(Cell{Service: "s"}, []Result{{Handle: "10.0.0.1:1/h", gatherer: "dead"}})
+		r.Free(Shard{Service: "s"}, []Result{{Handle: "10.0.0.1:1/h", gatherer: "dead"}})
 		assert.Equal(t, <-stager.freed, "10.0.0.1:1/h")
 		assert.Equal(t, len(network.freed), 0, "the dead one was called")
 	})
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -33,7 +33,7 @@
 	// fullPause is how long a target that was full isn't tried: another process
 	// gathers for it as well, or a call that was given up still runs.
 	fullPause = 100 * time.Millisecond
-	// lookPeriod is how often a cell whose items wait is looked at for those
+	// lookPeriod is how often a shard whose items wait is looked at for those
 	// that can no longer be in time, when no call ends meanwhile.
 	lookPeriod = 40 * time.Millisecond
 	// foreignTime is how long a room that was full of results unknown here is
@@ -56,13 +56,13 @@
 	callSlack    = 300 * time.Millisecond
 )
 
-// Gatherer gathers for the cells whose items are handed to this process.
+// Gatherer gathers for the shards whose items are handed to this process.
 type Gatherer struct {
 	log     *zap.Logger
 	table   *pool.Table
 	plans   *plan.Holder
 	stager  Stager
-	deliver func(owner string, cell Cell, results []Result)
+	deliver func(owner string, shard Shard, results []Result)
 	// release gives back results of any keeper; final is false while their reader
 	// may still fail.
 	release func(keeper Keeper, handles []string, final bool)
@@ -71,8 +71,8 @@
 	// life ends the calls in progress when the process goes.
 	life context.Context
 
-	mu    sync.Mutex // guards cells and all in them; taken before pool.Table's
-	cells map[Cell]*cell
+	mu    sync.Mutex // guards shards and all in them; taken before pool.Table's
+	shards map[Shard]*shard
 	stats Stats
 }
 
@@ -87,9 +87,9 @@
 	InVain int
 }
 
-// cell is the state of one cell.
-type cell struct {
-	Cell
+// shard is the state of one shard.
+type shard struct {
+	Shard
 	// since is when this process began to gather for it.
 	since   time.Time
 	queue   *queue
@@ -110,7 +110,7 @@
 
 // NewGatherer makes a gatherer whose calls end with life.
 func NewGatherer(life context.Context, log *zap.Logger, table *pool.Table, plans *plan.Holder, stager Stager) *Gatherer {
-	return &Gatherer{log: log, table: table, plans: plans, stager: stager, life: life, cells: map[Cell]*cell{}}
+	return &Gatherer{log: log, table: table, plans: plans, stager: stager, life: life, shards: map[Shard]*shard{}}
 }
 
 // Stats gives the counts so far.
@@ -120,16 +120,16 @@
 	return g.stats
 }
 
-func (g *Gatherer) of(id Cell) *cell {
-	c := g.cells[id]
+func (g *Gatherer) of(id Shard) *shard {
+	c := g.shards[id]
 	if c == nil {
-		c = &cell{
-			Cell: id, since: time.Now(), queue: newQueue(g.leaveOut), ledger: newLedger(g.leaveOut),
+		c = &shard{
+			Shard: id, since: time.Now(), queue: newQueue(g.leaveOut), ledger: newLedger(g.leaveOut),
 			working: map[string]*waitingCall{}, running: map[Key]bool{},
 			rooms: map[string]*room{}, paces: map[string]*pace{}, pauses: map[string]time.Time{},
 			freeing: map[string][]string{},
 		}
-		g.cells[id] = c
+		g.shards[id] = c
 	}
 	return c
 }
@@ -145,9 +145,9 @@
 	Wait Millis `json:"wait,omitempty"`
 }
 
-// Submit takes items for a cell. It answers at once; the results come through
+// Submit takes items for a shard. It answers at once; the results come through
 // deliver. Items that it has already are left as they are.
-func (g *Gatherer) Submit(owner string, id Cell, items []Item, now time.Time) Ack {
+func (g *Gatherer) Submit(owner string, id Shard, items []Item, now time.Time) Ack {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	batch := g.batch(id)
@@ -166,7 +166,7 @@
 			continue
 		}
 		if id.Zone != "" {
-			item.Zone = "" // all targets of the cell are alike
+			item.Zone = "" // all targets of the shard are alike
 		}
 		c.feeding.add(item)
 		c.ledger.note(item.group(), now.Add(item.Due.Duration()), item.Serial)
@@ -178,16 +178,16 @@
 	return Ack{Wait: ToMillis(wait)}
 }
 
-// Ask decides whether a cell promises to make the items of one stage of a
+// Ask decides whether a shard promises to make the items of one stage of a
 // request in time.
 func (g *Gatherer) Ask(call askCall, now time.Time) Ack {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	batch := g.batch(call.Cell)
+	batch := g.batch(call.Shard)
 	if batch == nil {
 		return Ack{Unknown: true}
 	}
-	c := g.of(call.Cell)
+	c := g.of(call.Shard)
 	targets, room := g.strength(c, batch, now)
 	can := sustained(targets, batch, room, int(c.size.mean))
 	key := groupKey{Request: call.Request, Stage: call.Stage}
@@ -196,7 +196,7 @@
 	return Ack{Refused: !granted, Wait: ToMillis(excess)}
 }
 
-func (g *Gatherer) batch(id Cell) *plan.Batch {
+func (g *Gatherer) batch(id Shard) *plan.Batch {
 	service := g.plans.Service(id.Service)
 	if service == nil {
 		return nil
@@ -213,10 +213,10 @@
 
 // Cancel drops what waits for a request that was given up, as far as it was
 // handed over or asked for under a serial up to the given one.
-func (g *Gatherer) Cancel(id Cell, request string, upTo uint64) {
+func (g *Gatherer) Cancel(id Shard, request string, upTo uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := g.cells[id]
+	c := g.shards[id]
 	if c == nil {
 		return
 	}
@@ -226,10 +226,10 @@
 }
 
 // Unknown lists those of the items that neither wait nor run here.
-func (g *Gatherer) Unknown(id Cell, keys []Key) []Key {
+func (g *Gatherer) Unknown(id Shard, keys []Key) []Key {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := g.cells[id]
+	c := g.shards[id]
 	var unknown []Key
 	for _, k := range keys {
 		if c == nil || (!c.running[k] && !c.queue.has(k)) {
@@ -242,7 +242,7 @@
 // Free gives back the space of results. Several calls' results go to their
 // maker together. Where it isn't final their reader may still fail, and only
 // those are given back whose space is needed.
-func (g *Gatherer) Free(id Cell, handles []string, final bool) {
+func (g *Gatherer) Free(id Shard, handles []string, final bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	batch := g.batch(id)
@@ -266,7 +266,7 @@
 	time.AfterFunc(freePeriod, func() { g.flush(c) })
 }
 
-func (g *Gatherer) flush(c *cell) {
+func (g *Gatherer) flush(c *shard) {
 	g.mu.Lock()
 	freeing := c.freeing
 	c.freeing = map[string][]string{}
@@ -284,7 +284,7 @@
 	}
 }
 
-func (g *Gatherer) free(c *cell, target *pool.Target, handles []string) {
+func (g *Gatherer) free(c *shard, target *pool.Target, handles []string) {
 	ctx, cancel := context.WithTimeout(g.life, freeTimeout)
 	defer cancel()
 	if err := g.stager.Free(ctx, target, handles); err != nil {
--- a/internal/serve/gather/inputs.go
+++ b/internal/serve/gather/inputs.go
@@ -15,7 +15,7 @@
 // over, which costs a second; so it is done only where the room is needed.
 const tightRoom = 0.15
 
-// feeding follows the groups of items whose inputs a cell has to give back.
+// feeding follows the groups of items whose inputs a shard has to give back.
 type feeding struct{ groups map[groupKey]*feed }
 
 type feed struct {
--- a/internal/serve/gather/item.go
+++ b/internal/serve/gather/item.go
@@ -4,7 +4,7 @@
 // A stage target works on one call at a time, and a call takes nearly the same
 // time whatever it carries. One process alone sees too few requests to fill a
 // call; if each sent what it has, the pools would be overloaded several times
-// over. So for each cell of targets one process gathers: all processes compute
+// over. So for each shard of targets one process gathers: all processes compute
 // the same one from the live members, hand it their items, and get the results
 // back. Nothing of it is agreed or kept: when members are seen differently two
 // processes gather for a while, which costs batch size, and when a gatherer
@@ -102,22 +102,22 @@
 }
 
 // Keeper is who keeps account of the space that results take: the process that
-// had them made, for one cell. They are given back there and nowhere else. In the
-// eyes of others another process may gather for the cell by then; were they given
+// had them made, for one shard. They are given back there and nowhere else. In the
+// eyes of others another process may gather for the shard by then; were they given
 // back to that one, their maker would go on taking its targets' rooms for full
 // until the results lapse, and leave targets idle for four seconds.
 type Keeper struct {
-	Cell     Cell             `json:"cell"`
+	Shard     Shard             `json:"shard"`
 	Gatherer peer.Incarnation `json:"by,omitempty"`
 }
 
-// Keeper tells who keeps account of a result of a cell.
-func (r Result) Keeper(cell Cell) Keeper { return Keeper{Cell: cell, Gatherer: r.gatherer} }
+// Keeper tells who keeps account of a result of a shard.
+func (r Result) Keeper(shard Shard) Keeper { return Keeper{Shard: shard, Gatherer: r.gatherer} }
 
-// Cell is a group of targets that one process gathers for.
-type Cell struct {
+// Shard is a group of targets that one process gathers for.
+type Shard struct {
 	Service string `json:"service"`
-	// Zone limits the cell to the targets of one availability zone; empty is
+	// Zone limits the shard to the targets of one availability zone; empty is
 	// the whole service.
 	Zone string `json:"zone,omitempty"`
 }
--- a/internal/serve/gather/ledger.go
+++ b/internal/serve/gather/ledger.go
@@ -9,8 +9,8 @@
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 )
 
-// ledger holds what a cell has promised to make, and decides what else it can
-// promise. Once more is asked of a cell than it can make, working on all of it
+// ledger holds what a shard has promised to make, and decides what else it can
+// promise. Once more is asked of a shard than it can make, working on all of it
 // makes everything late: in a burst of 2.4 times a kind's rate with one target
 // of five away, three quarters of all answers were late or lost for ten seconds,
 // though capacity was there for three quarters. So a request is told at once,
@@ -32,7 +32,7 @@
 	serial  uint64
 }
 
-// capacity is what a cell can make.
+// capacity is what a shard can make.
 type capacity struct {
 	// rate in items a second.
 	rate float64
@@ -105,7 +105,7 @@
 	return d
 }
 
-// ask decides whether the cell promises some work. Where it doesn't, excess is
+// ask decides whether the shard promises some work. Where it doesn't, excess is
 // about how much sooner the work should have come, or how much later it could.
 func (l *ledger) ask(now time.Time, key groupKey, rank int, p promise, c capacity) (granted bool, excess time.Duration) {
 	d := l.demandOf(rank, now)
@@ -233,7 +233,7 @@
 	}
 }
 
-// sustained is what a cell can make in the long run: as many items a call as
+// sustained is what a shard can make in the long run: as many items a call as
 // fit into a batch and into half of the room, since the results of one call
 // still lie there when the next begins.
 func sustained(targets float64, b *plan.Batch, room, itemBytes int) capacity {
--- a/internal/serve/gather/lost.go
+++ b/internal/serve/gather/lost.go
@@ -12,7 +12,7 @@
 
 // lookAfter asks the gatherers whether they still have the items, and hands
 // those to others that got lost: a gatherer may have died, or may be frozen.
-func (r *Requester) lookAfter(ctx context.Context, cell Cell, wanted []*pending, seen map[Key]bool) error {
+func (r *Requester) lookAfter(ctx context.Context, shard Shard, wanted []*pending, seen map[Key]bool) error {
 	byGatherer := map[peer.Incarnation][]*pending{}
 	r.mu.Lock()
 	for _, p := range wanted {
@@ -22,31 +22,31 @@
 	}
 	r.mu.Unlock()
 	for gatherer, list := range byGatherer {
-		lost := r.lost(ctx, gatherer, cell, list)
+		lost := r.lost(ctx, gatherer, shard, list)
 		if len(lost) == 0 {
 			continue
 		}
 		r.log.Warn("Items got lost; handed over again.", zap.String("member", string(gatherer)),
 			zap.String("request", lost[0].item.Request), zap.Int("items", len(lost)))
-		if err := r.submit(ctx, cell, lost); err != nil {
+		if err := r.submit(ctx, shard, lost); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (r *Requester) lost(ctx context.Context, gatherer peer.Incarnation, cell Cell, list []*pending) []*pending {
+func (r *Requester) lost(ctx context.Context, gatherer peer.Incarnation, shard Shard, list []*pending) []*pending {
 	keys := make([]Key, 0, len(list))
 	for _, p := range list {
 		keys = append(keys, p.item.Key)
 	}
 	var unknown []Key
 	if gatherer == r.network.Self().Incarnation {
-		unknown = r.own.Unknown(cell, keys)
+		unknown = r.own.Unknown(shard, keys)
 	} else {
 		ctx, cancel := context.WithTimeout(ctx, ackTimeout)
 		defer cancel()
-		if err := r.network.Call(ctx, gatherer, methodCheck, checkCall{Cell: cell, Keys: keys}, &unknown); err != nil {
+		if err := r.network.Call(ctx, gatherer, methodCheck, checkCall{Shard: shard, Keys: keys}, &unknown); err != nil {
 			r.passBy(gatherer, err)
 			return list
 		}
--- a/internal/serve/gather/newcomer_test.go
+++ b/internal/serve/gather/newcomer_test.go
@@ -51,34 +51,34 @@
 		defer stop()
 		batch := &plan.Batch{Size: 10, CallTime: callTime, RoomBytes: 1000, Keep: time.Second}
 		g := gathererOf(life, batch, &queuedStager{behind: time.Now().Add(2 * callTime)}, "10.0.0.1:1", "10.0.0.2:1")
-		g.deliver = func(string, Cell, []Result) {}
+		g.deliver = func(string, Shard, []Result) {}
 		g.release = func(Keeper, []string, bool) {}
-		cell := Cell{Service: "s"}
+		shard := Shard{Service: "s"}
 		for _, request := range []string{"a", "b"} {
 			item := Item{Key: Key{Request: request}, Due: 2000, Expires: 5000, Bytes: 1}
-			g.Submit("owner", cell, []Item{item}, time.Now())
+			g.Submit("owner", shard, []Item{item}, time.Now())
 		}
 		time.Sleep(4 * callTime)
 		g.mu.Lock()
-		targets, _ := g.strength(g.of(cell), batch, time.Now())
+		targets, _ := g.strength(g.of(shard), batch, time.Now())
 		g.mu.Unlock()
 		assert.Equal(t, targets, 2.0)
 
 		// A target that works slowly later on is found out all the same.
-		late := newLateCalls(g, cell, batch)
+		late := newLateCalls(g, shard, batch)
 		assert.Assert(t, late < 2, "%v targets' worth are reckoned with", late)
 	})
 }
 
 // newLateCalls has calls made that take three times as long as they should, and
 // gives the strength after them.
-func newLateCalls(g *Gatherer, cell Cell, batch *plan.Batch) float64 {
+func newLateCalls(g *Gatherer, shard Shard, batch *plan.Batch) float64 {
 	g.stager = &queuedStager{behind: time.Now().Add(2 * callTime)}
 	item := Item{Key: Key{Request: "c"}, Due: 2000, Expires: 5000, Bytes: 1}
-	g.Submit("owner", cell, []Item{item}, time.Now())
+	g.Submit("owner", shard, []Item{item}, time.Now())
 	time.Sleep(4 * callTime)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	targets, _ := g.strength(g.of(cell), batch, time.Now())
+	targets, _ := g.strength(g.of(shard), batch, time.Now())
 	return targets
 }
--- a/internal/serve/gather/passed.go
+++ b/internal/serve/gather/passed.go
@@ -23,9 +23,9 @@
 )
 
 // passBy has a gatherer get no items until it answers again. Two processes that
-// gather for one cell fill each other's targets and rooms unawares, so it is
+// gather for one shard fill each other's targets and rooms unawares, so it is
 // probed instead of being left alone for a fixed time: after a start of all
-// processes, one connection that broke kept a cell divided for two seconds.
+// processes, one connection that broke kept a shard divided for two seconds.
 func (r *Requester) passBy(member peer.Incarnation, err error) {
 	if r.leaveOut.Has(leaveout.Passing) {
 		return
--- a/internal/serve/gather/passed_test.go
+++ b/internal/serve/gather/passed_test.go
@@ -47,7 +47,7 @@
 		Due: time.Now().Add(time.Second), Expires: time.Now().Add(5 * time.Second),
 	})
 	if err == nil {
-		m.Free(done.Cell, done.Results)
+		m.Free(done.Shard, done.Results)
 	}
 	return err
 }
--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -18,7 +18,7 @@
 	avoid   string // target that failed it last
 }
 
-// queue holds what waits for a cell's targets. It does no I/O and reads no
+// queue holds what waits for a shard's targets. It does no I/O and reads no
 // clock. It is not safe for concurrent use.
 type queue struct {
 	leaveOut leaveout.Set
--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -147,7 +147,7 @@
 	assert.Assert(t, excess > 0)
 }
 
-// With nothing else to do a cell makes what is late anyway: the answer is still
+// With nothing else to do a shard makes what is late anyway: the answer is still
 // of use, and takes nobody's place.
 func TestLedgerTakesLateWorkWhenIdle(t *testing.T) {
 	l := newLedger(leaveout.Set{})
@@ -299,7 +299,7 @@
 	assert.Equal(t, len(f.groups), 0)
 }
 
-// Asking a cell with 300 promises outstanding, three times a busy cell's at the
+// Asking a shard with 300 promises outstanding, three times a busy shard's at the
 // largest site tried.
 func BenchmarkLedgerAsk(b *testing.B) {
 	l := newLedger(leaveout.Set{})
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -51,8 +51,8 @@
 	freeing map[freeKey][]string
 	freer   bool
 	leaving bool
-	// ranked are the gatherers of each cell as of the view rankedOf.
-	ranked   map[Cell][]peer.Incarnation
+	// ranked are the gatherers of each shard as of the view rankedOf.
+	ranked   map[Shard][]peer.Incarnation
 	rankedOf *peer.View
 }
 
@@ -60,7 +60,7 @@
 	item     Item
 	due      time.Time
 	expires  time.Time
-	cell     Cell
+	shard     Shard
 	gatherer peer.Incarnation
 	asked    time.Time
 	done     chan<- Result
@@ -102,24 +102,24 @@
 	r.own.deliver = r.deliver
 	r.own.release = r.free
 	handle(o.Network, methodSubmit, func(c submitCall) any {
-		return r.own.Submit(string(c.Owner), c.Cell, c.Items, time.Now())
+		return r.own.Submit(string(c.Owner), c.Shard, c.Items, time.Now())
 	})
 	handle(o.Network, methodDone, func(c doneCall) any {
-		r.take(c.Gatherer, c.Cell, c.Results)
+		r.take(c.Gatherer, c.Shard, c.Results)
 		return struct{}{}
 	})
 	handle(o.Network, methodCancel, func(c cancelCall) any {
-		r.own.Cancel(c.Cell, c.Request, c.UpTo)
+		r.own.Cancel(c.Shard, c.Request, c.UpTo)
 		return struct{}{}
 	})
 	handle(o.Network, methodFree, func(c freeCall) any {
-		r.own.Free(c.Cell, c.Handles, c.Final)
+		r.own.Free(c.Shard, c.Handles, c.Final)
 		return struct{}{}
 	})
 	handle(o.Network, methodAsk, func(c askCall) any {
 		return r.own.Ask(c, time.Now())
 	})
-	handle(o.Network, methodCheck, func(c checkCall) any { return r.own.Unknown(c.Cell, c.Keys) })
+	handle(o.Network, methodCheck, func(c checkCall) any { return r.own.Unknown(c.Shard, c.Keys) })
 	return r
 }
 
@@ -146,32 +146,32 @@
 
 // Done is what became of the work.
 type Done struct {
-	Cell    Cell
+	Shard    Shard
 	Results []Result
 }
 
 // Make has the items made and waits for all of them. The error is *Refused or
 // the context's.
 func (r *Requester) Make(ctx context.Context, w Work) (*Done, error) {
-	cell, err := r.cellOf(w.Service, w.Zone, w.Items[0].Request)
+	shard, err := r.shardOf(w.Service, w.Zone, w.Items[0].Request)
 	if err != nil {
 		return nil, err
 	}
 	results := make(chan Result, 2*len(w.Items))
-	wanted := r.register(w, cell, results)
+	wanted := r.register(w, shard, results)
 	defer r.forget(wanted)
-	if err := r.submit(ctx, cell, wanted); err != nil {
+	if err := r.submit(ctx, shard, wanted); err != nil {
 		return nil, err
 	}
-	return r.wait(ctx, cell, wanted, results)
+	return r.wait(ctx, shard, wanted, results)
 }
 
-func (r *Requester) register(w Work, cell Cell, results chan<- Result) []*pending {
+func (r *Requester) register(w Work, shard Shard, results chan<- Result) []*pending {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	wanted := make([]*pending, 0, len(w.Items))
 	for _, item := range w.Items {
-		p := &pending{item: item, due: w.Due, expires: w.Expires, cell: cell, done: results}
+		p := &pending{item: item, due: w.Due, expires: w.Expires, shard: shard, done: results}
 		r.pending[item.Key] = p
 		wanted = append(wanted, p)
 	}
@@ -190,12 +190,12 @@
 
 // submit hands items to the best gatherer that answers. The last resort is
 // this process itself.
-func (r *Requester) submit(ctx context.Context, cell Cell, wanted []*pending) error {
+func (r *Requester) submit(ctx context.Context, shard Shard, wanted []*pending) error {
 	self := r.network.Self().Incarnation
-	for _, candidate := range r.gatherers(cell) {
-		ack, err := r.offer(ctx, candidate, cell, wanted)
+	for _, candidate := range r.gatherers(shard) {
+		ack, err := r.offer(ctx, candidate, shard, wanted)
 		if err == nil && !ack.Unknown {
-			return refusal(cell, ack)
+			return refusal(shard, ack)
 		}
 		if err == nil {
 			err = errUnknownService
@@ -205,33 +205,33 @@
 		}
 		r.passBy(candidate, err)
 	}
-	ack := r.own.Submit(string(self), cell, r.items(wanted, self), time.Now())
-	return refusal(cell, ack)
+	ack := r.own.Submit(string(self), shard, r.items(wanted, self), time.Now())
+	return refusal(shard, ack)
 }
 
 // errUnknownService means that a gatherer's configuration lacks the service.
 var errUnknownService = errors.New("the gatherer doesn't know the service")
 
-func refusal(cell Cell, ack Ack) error {
+func refusal(shard Shard, ack Ack) error {
 	if ack.Unknown {
-		return &Refused{Reason: Idle, Service: cell.Service}
+		return &Refused{Reason: Idle, Service: shard.Service}
 	}
 	if ack.Refused {
-		return &Refused{Reason: Late, Service: cell.Service, Wait: ack.Wait.Duration()}
+		return &Refused{Reason: Late, Service: shard.Service, Wait: ack.Wait.Duration()}
 	}
 	return nil
 }
 
-func (r *Requester) offer(ctx context.Context, to peer.Incarnation, cell Cell, wanted []*pending) (Ack, error) {
+func (r *Requester) offer(ctx context.Context, to peer.Incarnation, shard Shard, wanted []*pending) (Ack, error) {
 	items := r.items(wanted, to)
 	self := r.network.Self().Incarnation
 	if to == self {
-		return r.own.Submit(string(self), cell, items, time.Now()), nil
+		return r.own.Submit(string(self), shard, items, time.Now()), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
 	defer cancel()
 	var ack Ack
-	err := r.network.Call(ctx, to, methodSubmit, submitCall{Owner: self, Cell: cell, Items: items}, &ack)
+	err := r.network.Call(ctx, to, methodSubmit, submitCall{Owner: self, Shard: shard, Items: items}, &ack)
 	return ack, err
 }
 
@@ -256,30 +256,30 @@
 }
 
 // wait collects the results of all items, and looks after those that stay away.
-func (r *Requester) wait(ctx context.Context, cell Cell, wanted []*pending, results <-chan Result) (*Done, error) {
-	done := &Done{Cell: cell}
+func (r *Requester) wait(ctx context.Context, shard Shard, wanted []*pending, results <-chan Result) (*Done, error) {
+	done := &Done{Shard: shard}
 	timer := time.NewTimer(checkAfter)
 	defer timer.Stop()
 	seen := map[Key]bool{}
 	for len(seen) < len(wanted) {
 		select {
 		case <-ctx.Done():
-			r.abandon(cell, wanted, results, done)
+			r.abandon(shard, wanted, results, done)
 			return nil, context.Cause(ctx)
 		case result := <-results:
 			if seen[result.Key] {
-				r.Free(cell, []Result{result})
+				r.Free(shard, []Result{result})
 				continue
 			}
 			if result.Reason != Made {
-				r.abandon(cell, wanted, results, done)
-				return nil, &Refused{Reason: result.Reason, Service: cell.Service}
+				r.abandon(shard, wanted, results, done)
+				return nil, &Refused{Reason: result.Reason, Service: shard.Service}
 			}
 			seen[result.Key] = true
 			done.Results = append(done.Results, result)
 		case <-timer.C:
-			if err := r.lookAfter(ctx, cell, wanted, seen); err != nil {
-				r.abandon(cell, wanted, results, done)
+			if err := r.lookAfter(ctx, shard, wanted, seen); err != nil {
+				r.abandon(shard, wanted, results, done)
 				return nil, err
 			}
 			timer.Reset(checkPeriod)
@@ -290,7 +290,7 @@
 }
 
 // abandon drops what is no longer wanted and frees what was made.
-func (r *Requester) abandon(cell Cell, wanted []*pending, results <-chan Result, done *Done) {
+func (r *Requester) abandon(shard Shard, wanted []*pending, results <-chan Result, done *Done) {
 	byGatherer := map[peer.Incarnation]string{}
 	r.mu.Lock()
 	for _, p := range wanted {
@@ -301,11 +301,11 @@
 	r.mu.Unlock()
 	r.forget(wanted)
 	for gatherer, request := range byGatherer {
-		r.cancel(gatherer, cell, request)
+		r.cancel(gatherer, shard, request)
 	}
 	made := append(done.Results, unread(results)...)
 	r.own.inVain(len(handlesOf(made)))
-	r.Free(cell, made)
+	r.Free(shard, made)
 }
 
 // unread are the results that have come and that nobody has taken in. No more
@@ -318,16 +318,16 @@
 	return list
 }
 
-func (r *Requester) cancel(gatherer peer.Incarnation, cell Cell, request string) {
+func (r *Requester) cancel(gatherer peer.Incarnation, shard Shard, request string) {
 	upTo := r.serial.Load()
 	if gatherer == r.network.Self().Incarnation {
-		r.own.Cancel(cell, request, upTo)
+		r.own.Cancel(shard, request, upTo)
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), doneTimeout)
 		defer cancel()
-		err := r.network.Call(ctx, gatherer, methodCancel, cancelCall{Cell: cell, Request: request, UpTo: upTo}, nil)
+		err := r.network.Call(ctx, gatherer, methodCancel, cancelCall{Shard: shard, Request: request, UpTo: upTo}, nil)
 		if err != nil {
 			r.log.Debug("Cancel not delivered; the items expire.", zap.Error(err))
 		}
--- a/internal/serve/gather/strength.go
+++ b/internal/serve/gather/strength.go
@@ -7,10 +7,10 @@
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 )
 
-// strength is how many targets at the usual pace the cell's are worth, and the
+// strength is how many targets at the usual pace the shard's are worth, and the
 // mean room that each has for results of ours. Slow ones count only where all
 // are slow: then they are what there is.
-func (g *Gatherer) strength(c *cell, batch *plan.Batch, now time.Time) (targets float64, room int) {
+func (g *Gatherer) strength(c *shard, batch *plan.Batch, now time.Time) (targets float64, room int) {
 	views := g.sound(c, now)
 	allSlow := g.allSlow(c, views, now)
 	counted := 0
@@ -31,7 +31,7 @@
 
 // allSlow tells whether every target is slow. That is no straggler but a pool
 // under strain, or one whose settings promise too much.
-func (g *Gatherer) allSlow(c *cell, views []pool.View, now time.Time) bool {
+func (g *Gatherer) allSlow(c *shard, views []pool.View, now time.Time) bool {
 	for _, v := range views {
 		if p := c.paces[v.ID]; p == nil || !p.slow(now) {
 			return false
@@ -42,7 +42,7 @@
 
 // wait is about how long a new item waits for its call's turn. The caller
 // holds mu.
-func (g *Gatherer) wait(c *cell, batch *plan.Batch, now time.Time) time.Duration {
+func (g *Gatherer) wait(c *shard, batch *plan.Batch, now time.Time) time.Duration {
 	targets, free := 0, false
 	soonest := batch.CallTime
 	for _, v := range g.sound(c, now) {
@@ -64,8 +64,8 @@
 	return soonest + time.Duration(rounds)*batch.FullCall()/time.Duration(targets)
 }
 
-// sound lists the cell's targets that may get calls.
-func (g *Gatherer) sound(c *cell, now time.Time) []pool.View {
+// sound lists the shard's targets that may get calls.
+func (g *Gatherer) sound(c *shard, now time.Time) []pool.View {
 	views := g.table.Views(c.Service, now)
 	kept := views[:0]
 	for _, v := range views {
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -14,7 +14,7 @@
 
 // The mechanisms, by the job that each does.
 const (
-	// Sharing: one process gathers for a cell. Without it each gathers for itself.
+	// Sharing: one process gathers for a shard. Without it each gathers for itself.
 	Sharing Mechanism = "sharing"
 	// Promises: a request is refused before its first stage where its stages
 	// can't be done in time. Without them all are taken.
--- a/internal/serve/run/graph.go
+++ b/internal/serve/run/graph.go
@@ -220,7 +220,7 @@
 			return gather.Keeper{}, false
 		}
 		for _, r := range g.done[a].Results {
-			other := r.Keeper(g.done[a].Cell)
+			other := r.Keeper(g.done[a].Shard)
 			if keeper != (gather.Keeper{}) && keeper != other {
 				return gather.Keeper{}, false
 			}
@@ -279,7 +279,7 @@
 		return
 	}
 	g.freed[i] = true
-	g.job.Stages.Free(g.done[i].Cell, g.done[i].Results)
+	g.job.Stages.Free(g.done[i].Shard, g.done[i].Results)
 }
 
 func (g *graph) freeAll() {
--- a/internal/serve/run/play_test.go
+++ b/internal/serve/run/play_test.go
@@ -473,7 +473,7 @@
 }
 
 // A site ten times as large: sixty processes, and pools that are divided into
-// cells by zone, so that nobody gathers for all of a large pool.
+// shards by zone, so that nobody gathers for all of a large pool.
 func TestALargeSiteIsServedAlike(t *testing.T) {
 	load := reservoir()
 	load.length = 5 * time.Second
@@ -542,7 +542,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := play(14, load, policy{})
 		report(t, "slow engines", p)
-		// 0.78 to 0.79 with one figure for all engines and nearly all of a cell's
+		// 0.78 to 0.79 with one figure for all engines and nearly all of a shard's
 		// rate promised, 0.90 to 0.93 with engines' times learnt by route and four
 		// fifths promised, 0.95 to 0.96 with times learnt by length.
 		assert.Assert(t, p.kinds["notice"].share() > 0.92)
--- a/internal/serve/run/stages.go
+++ b/internal/serve/run/stages.go
@@ -46,7 +46,7 @@
 const zonesAsked = 2
 
 // askStages asks whether the stages can be done in time, and settles where.
-func (j *job) askStages() ([]gather.Cell, error) {
+func (j *job) askStages() ([]gather.Shard, error) {
 	g := newGraph(j)
 	zones := j.Stages.Zones(g.services(), j.req.ID)
 	if len(zones) == 0 {
