Shards are of bounded size, their owners evenly loaded and worked out once

Cause: a service's targets were divided by zone alone, so that a shard grew with its zone (130 to 400 targets at the planned size), by what each process itself saw of the targets, and the division was worked out for each question of each request from a copy of all targets of the service. Owners were drawn by rendezvous, so that of 15 strong VMs some owned three or four of 15 shards and a third none.

Change: a zone's targets are shared out to shards of about ten by rendezvous with bounded load, from the store's list alone (pool.Roster); owners likewise, at most 1.25 times the mean. Both are kept until members, configuration or targets change. A target's end of call counts its service's targets only where it may be ejected.

Tests: sizes, evenness and moves up to 4,000 targets and 640 VMs.

--- a/internal/peer/spread.go
+++ b/internal/peer/spread.go
@@ -74,7 +74,7 @@
 	// Members lists the other processes that are not dead.
 	Members() []Member
 	// View is what Self and Members give. It is the same until one of them
-	// changes, so that what is derived from it can be kept as long; see Derived.
+	// changes, so that what is derived from it can be kept as long.
 	View() *View
 	// Publish spreads an item of this process at once. Version must grow for
 	// each Topic and Key.
--- a/internal/peer/view.go
+++ b/internal/peer/view.go
@@ -1,10 +1,6 @@
 package peer
 
-import (
-	"sync"
-
-	"github.com/vanillagate/vanillagate/internal/member"
-)
+import "github.com/vanillagate/vanillagate/internal/member"
 
 // View is what a process knows of its peers at one moment. Views are shared
 // and never changed.
@@ -48,22 +44,3 @@
 	}
 	return alive
 }
-
-// Derived keeps what was computed from a View until the view changes. The zero
-// value is empty. It is safe for concurrent use.
-type Derived[T any] struct {
-	mu    sync.Mutex // guards what follows; a leaf, held during the computation
-	of    *View
-	value T
-}
-
-// Get gives what compute makes of the view, computed once for each view.
-func (d *Derived[T]) Get(v *View, compute func(*View) T) T {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.of != v {
-		d.value = compute(v)
-		d.of = v
-	}
-	return d.value
-}
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/derived"
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
@@ -40,7 +41,7 @@
 	// watcher, as far as known here; servedSince since when it had served that one.
 	heard       atomic.Int64
 	servedSince atomic.Int64
-	watchers    peer.Derived[watchers]
+	watchers    derived.Value[*peer.View, watchers]
 }
 
 func (p *peers) chosen(view *peer.View) watchers { return p.watchers.Get(view, chooseWatchers) }
--- a/internal/serve/gather/choose.go
+++ b/internal/serve/gather/choose.go
@@ -10,45 +10,15 @@
 	"github.com/vanillagate/vanillagate/internal/routing"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
-	"github.com/vanillagate/vanillagate/internal/serve/pool"
 )
 
-// maxShard is the most targets of one shard. A larger service is divided by
-// availability zone, so that no process gathers for a whole large pool and
-// results stay in their zone. At eight targets a call ends every 40 ms, so a
-// larger shard would shorten no wait that matters.
-const maxShard = 8
-
-// shards lists the shards of a service's targets.
-func shards(service string, views []pool.View) []Shard {
-	if len(views) <= maxShard {
-		return []Shard{{Service: service}}
-	}
-	var list []Shard
-	for _, v := range views {
-		c := Shard{Service: service, Zone: v.Zone}
-		if !slices.Contains(list, c) {
-			list = append(list, c)
-		}
-	}
-	return list
-}
-
-// in tells whether a target belongs to the shard.
-func (c Shard) in(v pool.View) bool { return c.Zone == "" || c.Zone == v.Zone }
-
 // Targets is how many targets a shard of a service has, on average.
 func (r *Requester) Targets(service string) int {
-	views := r.table.Views(service, time.Now())
-	if len(views) == 0 {
+	s := r.shardingOf(service)
+	if len(s.shards) == 0 {
 		return 0
 	}
-	return len(views) / len(shards(service, views))
-}
-
-// score ranks a member for a shard; the highest gathers.
-func (c Shard) score(member string) uint64 {
-	return routing.Rendezvous(c.Service, c.Zone, member, "")
+	return len(s.roster.Targets) / len(s.shards)
 }
 
 // pace is how fast one target works, against what its service's settings say.
@@ -106,27 +76,14 @@
 	return p.ratio
 }
 
-// shardOf chooses the shard for some work: the wanted zone's, else one by the
-// request, so that the shards get equal shares.
+// shardOf chooses the shard for some work: one of the wanted zone, else any, by
+// the request.
 func (r *Requester) shardOf(service, zone, request string) (Shard, error) {
-	views := r.table.Views(service, time.Now())
-	if len(views) == 0 {
+	s := r.shardingOf(service)
+	if len(s.shards) == 0 {
 		return Shard{}, &Refused{Reason: Idle, Service: service}
 	}
-	list := shards(service, views)
-	for _, c := range list {
-		if c.Zone == zone {
-			return c, nil
-		}
-	}
-	// Each target is as likely as another, so a shard's share follows its size.
-	v := views[Shard{Service: service}.score(request)%uint64(len(views))]
-	for _, c := range list {
-		if c.in(v) {
-			return c, nil
-		}
-	}
-	return list[0], nil
+	return s.choose(zone, request), nil
 }
 
 // Zones lists the zones in which a request's stages may be made, the one to try
@@ -137,14 +94,13 @@
 	if r.leaveOut.Has(leaveout.OneZone) {
 		return nil
 	}
-	now := time.Now()
 	weight := map[string]float64{}
 	divided := false
 	for _, service := range services {
-		views := r.table.Views(service, now)
-		divided = divided || len(views) > maxShard
-		for _, v := range views {
-			weight[v.Zone] += 1 / float64(len(views))
+		s := r.shardingOf(service)
+		divided = divided || s.divided()
+		for zone, targets := range s.byZone {
+			weight[zone] += float64(len(targets)) / float64(len(s.roster.Targets))
 		}
 	}
 	if !divided {
@@ -157,57 +113,13 @@
 	// The highest of u^(1/w), u drawn by request and zone, falls on each zone
 	// as often as its weight says.
 	draw := func(zone string) float64 {
-		u := float64(Shard{Zone: zone}.score(request)>>11) / (1 << 53)
+		u := float64(routing.Rendezvous(zone, request)>>11) / (1 << 53)
 		return math.Pow(u, 1/weight[zone])
 	}
 	slices.SortFunc(zones, func(a, b string) int { return cmp.Compare(draw(b), draw(a)) })
 	return zones
 }
 
-// gatherers ranks the processes that may gather for a shard, best first; there is
-// always one. The list is shared and must not be changed.
-func (r *Requester) gatherers(shard Shard) []peer.Incarnation {
-	view := r.network.View()
-	if r.leaveOut.Has(leaveout.Sharing) {
-		return []peer.Incarnation{view.Self.Incarnation}
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.rankedOf != view || r.ranked == nil {
-		r.rankedOf = view
-		r.ranked = map[Shard][]peer.Incarnation{}
-	}
-	list := r.ranked[shard]
-	if list == nil {
-		list = r.rank(shard, view)
-		r.ranked[shard] = list
-	}
-	return r.answering(list)
-}
-
-// rank sorts the processes that may gather for a shard. The caller holds mu.
-func (r *Requester) rank(shard Shard, view *peer.View) []peer.Incarnation {
-	able := []peer.Member{}
-	for _, m := range view.Members {
-		if m.State == peer.Alive {
-			able = append(able, m)
-		}
-	}
-	if !r.leaving || len(able) == 0 {
-		able = append(able, view.Self)
-	}
-	list := strongest(able)
-	if r.leaveOut.Has(leaveout.StrongOnly) {
-		list = incarnations(able)
-	}
-	scores := make(map[peer.Incarnation]uint64, len(list))
-	for _, id := range list {
-		scores[id] = shard.score(string(id))
-	}
-	slices.SortFunc(list, func(a, b peer.Incarnation) int { return cmp.Compare(scores[b], scores[a]) })
-	return list
-}
-
 // answering leaves out the gatherers that are passed by. Where none is left
 // the trouble is on this side or everywhere, and weaker ones or one after the
 // other would only multiply it: then all stay. The caller holds mu.
--- a/internal/serve/gather/choose_test.go
+++ b/internal/serve/gather/choose_test.go
@@ -1,6 +1,7 @@
 package gather
 
 import (
+	"context"
 	"math"
 	"slices"
 	"testing"
@@ -9,6 +10,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillagate/vanillagate/internal/peer"
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
 )
 
 // fixedNetwork knows some members and calls none.
@@ -29,6 +32,15 @@
 	return n.view
 }
 
+// aRequester makes a requester that knows no targets and no configuration.
+func aRequester(network peer.Network) *Requester {
+	table, plans := pool.New(zap.NewNop()), &plan.Holder{}
+	return &Requester{
+		log: zap.NewNop(), network: network, table: table, passed: map[peer.Incarnation]bool{},
+		own: NewGatherer(context.Background(), zap.NewNop(), table, plans, nil),
+	}
+}
+
 // A process's own link is full, and no gatherer seems to answer. If it passed by
 // one after the other down to the weakest VM, and all processes did, every shard
 // would have dozens of gatherers, whose calls find the targets full.
@@ -36,11 +48,7 @@
 	member := func(name string, power int) peer.Member {
 		return peer.Member{Incarnation: peer.Incarnation(name), State: peer.Alive, Power: power}
 	}
-	r := &Requester{
-		log:     zap.NewNop(),
-		network: &fixedNetwork{self: member("self", 19), members: []peer.Member{member("a", 80), member("b", 80), member("weak", 19)}},
-		passed:  map[peer.Incarnation]bool{},
-	}
+	r := aRequester(&fixedNetwork{self: member("self", 19), members: []peer.Member{member("a", 80), member("b", 80), member("weak", 19)}})
 	shard := Shard{Service: "s"}
 	all := r.gatherers(shard)
 	assert.Equal(t, len(all), 2)
@@ -58,10 +66,7 @@
 func TestAnyPowerLeavesSomebodyToGather(t *testing.T) {
 	for _, power := range []int{math.MinInt, -100, 0, math.MaxInt/2 + 1, math.MaxInt} {
 		for _, others := range [][]peer.Member{nil, {{Incarnation: "a", State: peer.Alive, Power: 80}}} {
-			r := &Requester{
-				log: zap.NewNop(), passed: map[peer.Incarnation]bool{},
-				network: &fixedNetwork{self: peer.Member{Incarnation: "self", State: peer.Alive, Power: power}, members: others},
-			}
+			r := aRequester(&fixedNetwork{self: peer.Member{Incarnation: "self", State: peer.Alive, Power: power}, members: others})
 			assert.Assert(t, len(r.gatherers(Shard{Service: "s"})) > 0, "power %d beside %d others", power, len(others))
 		}
 	}
--- a/internal/serve/gather/free_test.go
+++ b/internal/serve/gather/free_test.go
@@ -42,10 +42,8 @@
 			fixedNetwork: fixedNetwork{self: member("self"), members: []peer.Member{member("a"), member("b")}},
 			freed:        make(chan peer.Incarnation, 1),
 		}
-		r := &Requester{
-			log: zap.NewNop(), network: network, passed: map[peer.Incarnation]bool{}, freeing: map[freeKey][]string{},
-			pending: map[Key]*pending{}, own: &Gatherer{},
-		}
+		r := aRequester(network)
+		r.freeing, r.pending = map[freeKey][]string{}, map[Key]*pending{}
 		shard := Shard{Service: "s"}
 		list := r.gatherers(shard)
 		maker := list[len(list)-1] // the last that anybody here would choose
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -67,13 +67,14 @@
 	// may still fail.
 	release func(keeper Keeper, handles []string, final bool)
 	// leaveOut is Options.LeaveOut.
-	leaveOut leaveout.Set
+	leaveOut  leaveout.Set
+	shardings shardings
 	// life ends the calls in progress when the process goes.
 	life context.Context
 
-	mu    sync.Mutex // guards shards and all in them; taken before pool.Table's
+	mu     sync.Mutex // guards shards and all in them; taken before pool.Table's
 	shards map[Shard]*shard
-	stats Stats
+	stats  Stats
 }
 
 // Stats counts what a gatherer did.
--- a/internal/serve/gather/item.go
+++ b/internal/serve/gather/item.go
@@ -107,7 +107,7 @@
 // back to that one, their maker would go on taking its targets' rooms for full
 // until the results lapse, and leave targets idle for four seconds.
 type Keeper struct {
-	Shard     Shard             `json:"shard"`
+	Shard    Shard            `json:"shard"`
 	Gatherer peer.Incarnation `json:"by,omitempty"`
 }
 
@@ -120,4 +120,6 @@
 	// Zone limits the shard to the targets of one availability zone; empty is
 	// the whole service.
 	Zone string `json:"zone,omitempty"`
+	// Part numbers the shards of a zone that is divided further, from 0.
+	Part int `json:"part,omitempty"`
 }
--- a/internal/serve/gather/messages.go
+++ b/internal/serve/gather/messages.go
@@ -19,12 +19,12 @@
 
 type submitCall struct {
 	Owner peer.Incarnation `json:"owner"`
-	Shard  Shard             `json:"shard"`
+	Shard Shard            `json:"shard"`
 	Items []Item           `json:"items"`
 }
 
 type askCall struct {
-	Shard    Shard   `json:"shard"`
+	Shard   Shard  `json:"shard"`
 	Request string `json:"request"`
 	Stage   int    `json:"stage"`
 	Rank    int    `json:"rank"`
@@ -39,7 +39,7 @@
 }
 
 type cancelCall struct {
-	Shard    Shard   `json:"shard"`
+	Shard   Shard  `json:"shard"`
 	Request string `json:"request"`
 	// UpTo is the last serial that is cancelled.
 	UpTo uint64 `json:"up_to"`
@@ -58,8 +58,8 @@
 }
 
 type checkCall struct {
-	Shard Shard  `json:"shard"`
-	Keys []Key `json:"keys"`
+	Shard Shard `json:"shard"`
+	Keys  []Key `json:"keys"`
 }
 
 func handle[T any](network peer.Network, method string, fn func(T) any) {
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/derived"
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
@@ -51,16 +52,15 @@
 	freeing map[freeKey][]string
 	freer   bool
 	leaving bool
-	// ranked are the gatherers of each shard as of the view rankedOf.
-	ranked   map[Shard][]peer.Incarnation
-	rankedOf *peer.View
+	// owners is read and its rankings are added to with mu held.
+	owners derived.Value[layout, *owners]
 }
 
 type pending struct {
 	item     Item
 	due      time.Time
 	expires  time.Time
-	shard     Shard
+	shard    Shard
 	gatherer peer.Incarnation
 	asked    time.Time
 	done     chan<- Result
@@ -131,7 +131,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.leaving = true
-	r.ranked = nil
 }
 
 // Work is what one request wants of one stage.
@@ -146,7 +145,7 @@
 
 // Done is what became of the work.
 type Done struct {
-	Shard    Shard
+	Shard   Shard
 	Results []Result
 }
 
--- /dev/null
+++ b/internal/serve/gather/shards_test.go
@@ -0,0 +1,91 @@
+package gather
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+)
+
+// rosterOf makes a service's targets, the same number in each zone.
+func rosterOf(t *testing.T, zones, each int, without string) *pool.Roster {
+	t.Helper()
+	var entries []pool.Entry
+	for z := range zones {
+		for i := range each {
+			id := fmt.Sprintf("t-%d-%d", z, i)
+			if id != without {
+				entries = append(entries, pool.Entry{ID: id, Service: "s", Zone: fmt.Sprintf("z%d", z), State: pool.Ready, Revision: 1})
+			}
+		}
+	}
+	table := pool.New(zap.NewNop())
+	table.Reset(entries, 1, time.Now())
+	return table.Roster("s")
+}
+
+func TestShardsAreOfBoundedSizeAndFewTargetsMove(t *testing.T) {
+	for _, c := range []struct{ zones, each, shards int }{
+		{1, 5, 1}, {4, 2, 1}, {4, 5, 4}, {5, 9, 5}, {5, 14, 5}, {5, 15, 10}, {10, 400, 400},
+	} {
+		all := divide("s", rosterOf(t, c.zones, c.each, ""))
+		assert.Equal(t, len(all.shards), c.shards, "%+v", c)
+		for shard, targets := range all.targets {
+			assert.Assert(t, len(targets) <= 15, "%+v: %v has %d targets", c, shard, len(targets))
+		}
+		fewer := divide("s", rosterOf(t, c.zones, c.each, "t-0-1"))
+		if len(fewer.shards) != len(all.shards) {
+			continue
+		}
+		moved := 0
+		for id, shard := range fewer.of {
+			if all.of[id] != shard {
+				moved++
+			}
+		}
+		assert.Assert(t, moved <= 2+c.each/50, "%+v: %d targets moved", c, moved)
+	}
+}
+
+// Work goes to the shards of the zone in which it is wanted, to each as often as it
+// has targets, and to any where the zone has none.
+func TestWorkIsSharedOutByTargets(t *testing.T) {
+	s := divide("s", rosterOf(t, 3, 20, ""))
+	counts := map[Shard]int{}
+	for i := range 4000 {
+		shard := s.choose("z1", fmt.Sprint(i))
+		assert.Equal(t, shard.Zone, "z1")
+		counts[shard]++
+	}
+	for shard, n := range counts {
+		wanted := 4000 * len(s.targets[shard]) / 20
+		assert.Assert(t, n > wanted*9/10 && n < wanted*11/10, "%v: %d of %d", shard, n, wanted)
+	}
+	assert.Equal(t, s.of[s.roster.Targets[0].ID].Service, "s")
+	assert.Assert(t, s.choose("elsewhere", "r").Zone != "")
+}
+
+func BenchmarkDivide(b *testing.B) {
+	for _, each := range []int{10, 100, 400} {
+		b.Run(fmt.Sprint(10*each), func(b *testing.B) {
+			var entries []pool.Entry
+			for z := range 10 {
+				for i := range each {
+					entries = append(entries, pool.Entry{
+						ID: fmt.Sprintf("t-%d-%d", z, i), Service: "s", Zone: fmt.Sprint(z), State: pool.Ready, Revision: 1,
+					})
+				}
+			}
+			table := pool.New(zap.NewNop())
+			table.Reset(entries, 1, time.Now())
+			roster := table.Roster("s")
+			for b.Loop() {
+				divide("s", roster)
+			}
+		})
+	}
+}
--- a/internal/serve/gather/strength.go
+++ b/internal/serve/gather/strength.go
@@ -64,12 +64,17 @@
 	return soonest + time.Duration(rounds)*batch.FullCall()/time.Duration(targets)
 }
 
+// shardingOf gives the shards of a service.
+func (g *Gatherer) shardingOf(service string) *sharding {
+	return g.shardings.of(service, g.table.Roster(service))
+}
+
 // sound lists the shard's targets that may get calls.
 func (g *Gatherer) sound(c *shard, now time.Time) []pool.View {
-	views := g.table.Views(c.Service, now)
+	views := g.table.ViewsOf(g.shardingOf(c.Service).targets[c.Shard], now)
 	kept := views[:0]
 	for _, v := range views {
-		if c.in(v) && v.Weight > 0 {
+		if v.Weight > 0 {
 			kept = append(kept, v)
 		}
 	}
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -1,6 +1,9 @@
 package pool
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,9 +24,14 @@
 	mu sync.RWMutex // guards what follows
 	// byID is what the list says, lapsed what it lacks since an outage and is
 	// used on for a while; byService has both.
-	byID      map[string]*Target
-	lapsed    map[string]*Target
-	byService map[string][]*Target // replaced, never changed in place
+	byID   map[string]*Target
+	lapsed map[string]*Target
+	// in an order of this process's own, so that processes that choose among equals
+	// don't all choose the same; the lists are replaced, never changed in place.
+	byService map[string][]*Target
+	rosters   map[string]*Roster
+	// generation grows with every change of a roster.
+	generation uint64
 	// revision up to which all changes are known, newest that of the last change
 	// itself: the list's revision grows with changes of other things too. byID is
 	// the list as of newest, and any later revision up to revision.
@@ -47,6 +55,7 @@
 	return &Table{
 		log: log, ejection: defaultEjection(),
 		byID: map[string]*Target{}, lapsed: map[string]*Target{}, byService: map[string][]*Target{},
+		rosters: map[string]*Roster{},
 	}
 }
 
@@ -295,6 +304,42 @@
 		}
 	}
 	t.byService[service] = list
+	t.rosters[service] = rosterOf(list)
+	t.generation++
+}
+
+// Roster is the targets of a service that are ready by what the store says, in
+// the order of their IDs. Unlike Views it leaves out what this process alone has
+// seen of them, so that processes that know the same list have the same roster.
+// Rosters are shared and never changed.
+type Roster struct{ Targets []*Target }
+
+func rosterOf(list []*Target) *Roster {
+	r := &Roster{}
+	for _, target := range list {
+		if !target.Gone() {
+			r.Targets = append(r.Targets, target)
+		}
+	}
+	slices.SortFunc(r.Targets, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
+	return r
+}
+
+// Roster gives the targets of a service that are ready.
+func (t *Table) Roster(service string) *Roster {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if r := t.rosters[service]; r != nil {
+		return r
+	}
+	return &Roster{}
+}
+
+// Generation grows with every change of a roster.
+func (t *Table) Generation() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.generation
 }
 
 // Views lists the targets of a service that may get work now. One that failed
@@ -303,8 +348,13 @@
 	t.mu.RLock()
 	list := t.byService[service]
 	t.mu.RUnlock()
-	views := make([]View, 0, len(list))
-	for _, target := range list {
+	return t.ViewsOf(list, now)
+}
+
+// ViewsOf lists those of some targets that may get work now.
+func (t *Table) ViewsOf(targets []*Target, now time.Time) []View {
+	views := make([]View, 0, len(targets))
+	for _, target := range targets {
 		if target.usable(now) {
 			views = append(views, target.view(now, t.ejection))
 		}
@@ -354,7 +404,13 @@
 const failureWeight = 0.125
 
 func (t *Table) ended(c *Call, outcome Outcome, now time.Time) {
-	size, out := t.poolState(c.target.Service, now)
+	t.note(c, outcome, now)
+	if outcome == Failed {
+		t.judge(c.target, now)
+	}
+}
+
+func (t *Table) note(c *Call, outcome Outcome, now time.Time) {
 	target := c.target
 	target.mu.Lock()
 	defer target.mu.Unlock()
@@ -366,7 +422,6 @@
 		if !t.keepTrying {
 			target.unreachable(now)
 		}
-		return
 	case Answered:
 		target.downFor = 0
 		target.health.FailuresInRow = 0
@@ -374,14 +429,20 @@
 	case Failed:
 		target.health.FailuresInRow++
 		target.failing += failureWeight * (1 - target.failing)
-	default:
-		return
 	}
-	if now.Before(target.health.OutUntil) {
+}
+
+// judge takes a target out of use that has failed too often, unless too many of
+// its service are out of use already.
+func (t *Table) judge(target *Target, now time.Time) {
+	if !target.suspicious(t.ejection, now) {
 		return
 	}
+	size, out := t.poolState(target.Service, now)
+	target.mu.Lock()
+	defer target.mu.Unlock()
 	reason := t.ejection.Judge(target.health, 0, out, size)
-	if reason == routing.ReasonNone {
+	if reason == routing.ReasonNone || now.Before(target.health.OutUntil) {
 		return
 	}
 	target.health = t.ejection.Eject(target.health, now)
@@ -389,6 +450,14 @@
 		zap.String("reason", string(reason)), zap.Duration("for", target.health.OutUntil.Sub(now)))
 }
 
+// suspicious tells whether a target would be ejected if its service had targets
+// to spare.
+func (target *Target) suspicious(e routing.Ejection, now time.Time) bool {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	return !now.Before(target.health.OutUntil) && e.Judge(target.health, 0, 0, math.MaxInt) != routing.ReasonNone
+}
+
 // poolState counts a service's targets and those of them out of use.
 func (t *Table) poolState(service string, now time.Time) (size, out int) {
 	for _, v := range t.Views(service, now) {
