One store needs one question: whoever hears from a watcher doesn't call the store

Cause: a VM that the store turned away called it on, with both feeds at 0.1 to 0.7 s, though it heard everything from watchers; one in three watchers is then turned away as well, and since each question went to a watcher drawn anew, others lost their trust in the store too and called it. In an outage for all every VM called at that pace. Each change of targets sent the whole list (48 KB at 300 targets) to each VM.

Change: who was vouched for has no need of calls, also after a failure and from its start; each process asks the peer that vouched last, and another at once where it no longer does; whoever is served directly vouches, not watchers alone. Processes that don't watch call a failing store together as often as the watchers. One feed asks after a failing store for both. Peers tell changes since a revision instead of the list. All periods are parts of the shortest bound that the deployment states for changes (configuration, draining, revoked keys): unchanged at 2 s, half as many calls at 4 s.

Ruled out: waiting for a peer before a start's first read, since the worst seconds are those after a start of all.

Tests (in virtual time, each failed before): calls of 7 processes turned away for 10 s at most 7; an outage for 26 processes; a start without the store; changes told alone; a bound of 4 s kept with half of the calls while all watchers are cut off. go test of follow, pool, run and platform passed.

--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -37,35 +37,15 @@
 }
 
 const (
-	// watchTime is how long the store holds a call without news. A store may go
-	// silent and never answer the calls that it holds, though it serves others
-	// again; only the end of a call shows it. Each call has its price, so that a
-	// few processes watch the store, and the others hear from them. A change has to be
-	// in force within 2 s, also where all watchers are cut off from the store at
-	// the moment of the change: the others find out when the last answer that a
-	// watcher got is older than trust.
-	watchTime = 800 * time.Millisecond
-	// watchSlack is how much later the answer may come.
-	watchSlack = 700 * time.Millisecond
 	// readTimeout bounds the reading of the whole.
 	readTimeout = 2 * time.Second
-	// newsPause is waited after news of targets. When many start at once their
-	// rows stream in one by one, and each would cost a call from each process.
-	// It is a tenth of the time within which a leaving target must be left
-	// alone.
-	newsPause = 200 * time.Millisecond
-	// firstRetry and lastRetry pace the calls to a store that fails.
+	// firstRetry and lastRetry pace the calls to a store that fails by those that
+	// watch it for others; see leastRetry for the rest.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 700 * time.Millisecond
 	// outage is how long the store must have failed for entries of sound targets
 	// to have lapsed meanwhile: about two of the intervals in which they report.
 	outage = 2 * time.Second
-	// relayedPause is how often a process that hears from watchers looks whether
-	// it still does.
-	relayedPause = 100 * time.Millisecond
-	// servedLater is how long after this process's first failure a watcher must
-	// have been served: longer than watchers take to notice an outage for all.
-	servedLater = watchTime + watchSlack
 	// sweepPeriod is how often lapsed entries are looked at.
 	sweepPeriod = 250 * time.Millisecond
 )
@@ -77,6 +57,8 @@
 	plans  *plan.Holder
 	table  *pool.Table
 	peers  *peers // nil without
+	// bound is the Bound in force, in ns.
+	bound atomic.Int64
 	// served is the Unix nanosecond since when the store has answered without a
 	// break.
 	served atomic.Int64
@@ -92,17 +74,19 @@
 	name  string
 	read  func(context.Context) (uint64, error)
 	watch func(ctx context.Context, after uint64, wait time.Duration) (bool, uint64, error)
-	// pause is waited after news.
-	pause time.Duration
+	// paused tells that there is a pause after news; see Bound.newsPause.
+	paused bool
 	// back is called when the store answers again after an outage.
 	back func(time.Time)
 	// failingSince is the Unix nanosecond since when the store fails, 0 while it
 	// answers.
 	failingSince atomic.Int64
-	// revision up to which the store has told of changes itself, and the Unix
-	// nanosecond of its last answer.
+	// known tells that the whole was read, from the store or from a peer, and
+	// revision up to which it and all changes since are known.
+	known    atomic.Bool
 	revision atomic.Uint64
-	told     atomic.Int64
+	// told is the Unix nanosecond of the store's last answer to this process.
+	told atomic.Int64
 	// mu guards interrupt, which ends the call in progress; a leaf.
 	mu        sync.Mutex
 	interrupt context.CancelFunc
@@ -116,9 +100,10 @@
 func New(log *zap.Logger, source Source, plans *plan.Holder, table *pool.Table) *Follower {
 	f := &Follower{log: log, source: source, plans: plans, table: table, watcher: func() bool { return true }}
 	f.served.Store(time.Now().UnixNano())
+	f.SetBound(DefaultBound)
 	f.planFeed = &feed{name: "configuration", read: f.readPlan, watch: f.watchPlan}
 	f.targetFeed = &feed{
-		name: "targets", read: f.readTargets, watch: f.watchTargets, pause: newsPause, back: table.ListBack,
+		name: "targets", read: f.readTargets, watch: f.watchTargets, paused: true, back: table.ListBack,
 	}
 	return f
 }
@@ -150,54 +135,74 @@
 	}
 }
 
-// follow reads the whole, then waits for changes, again and again. After a
-// failure the first call asks for what is there already: a store that is still
-// silent shows at once.
+// follow reads the whole, then waits for changes, again and again, unless a
+// watcher does it for this process. After a failure the first call asks for what
+// is there already: a store that is still silent shows at once.
 func (f *Follower) follow(ctx context.Context, d *feed) {
-	known, sound := false, false
+	sound := false
 	retry := firstRetry
 	for ctx.Err() == nil {
-		if known && sound && f.relayed() {
-			wait.For(ctx, relayedPause)
+		if rest := f.rest(d); rest > 0 {
+			wait.For(ctx, rest)
 			continue
 		}
 		after := d.revision.Load()
-		news, next, err := f.call(ctx, d, known, sound)
+		news, next, err := f.call(ctx, d, sound)
 		if errors.Is(err, ErrHistoryGone) {
 			f.log.Info("Changes can't be had; reading the whole.", zap.String("what", d.name), zap.Uint64("after", after))
-			known = false
+			d.known.Store(false)
 			continue
 		}
 		if err != nil {
 			sound = false
 			f.failed(ctx, d, err)
-			wait.Around(ctx, retry)
+			wait.Around(ctx, max(retry, f.leastRetry()))
 			retry = min(2*retry, lastRetry)
 			continue
 		}
+		d.upTo(next)
 		f.answered(d)
-		d.revision.Store(next)
-		d.told.Store(time.Now().UnixNano())
-		known, sound, retry = true, true, firstRetry
-		if news && d.pause > 0 {
-			wait.For(ctx, d.pause)
+		sound, retry = true, firstRetry
+		if news && d.paused {
+			wait.For(ctx, f.within().newsPause())
 		}
 	}
 }
 
+// rest is how long a feed needs no call of the store; 0 if it needs one now.
+func (f *Follower) rest(d *feed) time.Duration {
+	if d.known.Load() {
+		if left := f.relayedFor(); left > 0 {
+			return min(left, f.within().askPeriod())
+		}
+	}
+	// While the store fails one feed asks after it for both.
+	if d == f.planFeed && d.failing() > 0 && f.targetFeed.failing() > 0 {
+		return firstRetry
+	}
+	return 0
+}
+
+// upTo notes that all changes up to a revision are known from the store.
+func (d *feed) upTo(revision uint64) {
+	d.revision.Store(revision)
+	d.known.Store(true)
+}
+
 // call makes one call of the store.
-func (f *Follower) call(ctx context.Context, d *feed, known, sound bool) (news bool, revision uint64, err error) {
-	if !known {
+func (f *Follower) call(ctx context.Context, d *feed, sound bool) (news bool, revision uint64, err error) {
+	if !d.known.Load() {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		revision, err = d.read(ctx)
 		return false, revision, err
 	}
-	hold := watchTime
+	bound := f.within()
+	hold := bound.watchTime()
 	if !sound {
 		hold = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, hold+watchSlack)
+	ctx, cancel := context.WithTimeout(ctx, hold+bound.watchSlack())
 	defer cancel()
 	d.mu.Lock()
 	d.interrupt = cancel
@@ -230,22 +235,33 @@
 		return now
 	}
 	heard := time.Unix(0, f.peers.heard.Load())
-	if now.Sub(heard) < 2*trust {
+	if now.Sub(heard) < 2*f.within().trust() {
 		return heard
 	}
 	return now
 }
 
+// answered notes an answer of the store.
 func (f *Follower) answered(d *feed) {
+	now := time.Now()
+	before := time.Unix(0, d.told.Swap(now.UnixNano()))
+	if now.Sub(before) > f.within().trust() {
+		f.served.Store(now.UnixNano())
+	}
+	f.ended(d, now)
+}
+
+// ended notes that the store is there, by its own answer or a watcher's word.
+func (f *Follower) ended(d *feed, now time.Time) {
 	since := d.failingSince.Swap(0)
 	if since == 0 {
 		return
 	}
-	f.served.Store(time.Now().UnixNano())
-	away := time.Since(time.Unix(0, since))
+	began := time.Unix(0, since)
+	away := now.Sub(began)
 	f.log.Info("Store answers again.", zap.String("what", d.name), zap.Duration("away", away))
-	if away >= outage && d.back != nil && !f.othersServed(time.Unix(0, since)) {
-		d.back(time.Now())
+	if away >= outage && d.back != nil && !f.othersServed(began) {
+		d.back(now)
 	}
 }
 
@@ -258,7 +274,7 @@
 	}
 	heard := time.Unix(0, f.peers.heard.Load())
 	served := time.Unix(0, f.peers.servedSince.Load())
-	return heard.Sub(since) > servedLater && !served.After(since)
+	return heard.Sub(since) > f.within().servedLater() && !served.After(since)
 }
 
 // Failing tells for how long the store hasn't answered about the configuration
--- /dev/null
+++ b/internal/serve/follow/outage_cost_test.go
@@ -0,0 +1,163 @@
+package follow
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+)
+
+// callsOf counts the calls of a store from now on.
+func (s *fakeStore) callsOf(act func()) int {
+	s.mu.Lock()
+	s.calls = 0
+	s.mu.Unlock()
+	act()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// The store turns a third of all processes away and serves the others. Those that
+// are turned away hear everything from watchers, and must not go on calling a store
+// that every call costs something.
+func TestProcessesThatTheStoreTurnsAwayRarelyCallIt(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		sound, refusing, both := twoStores()
+		both(func(s *fakeStore) { s.putPlan(1); s.putTarget("x", pool.Ready) })
+		stores := make([]*fakeStore, 24)
+		for i := range stores {
+			stores[i] = sound
+			if i%3 == 0 && !isWatcherOf(24, i) {
+				stores[i] = refusing
+			}
+		}
+		all := cluster(ctx, 24, stores...)
+		time.Sleep(5 * time.Second)
+		refusing.change(func() { refusing.failing = true })
+		sound.change(func() {})
+		calls := refusing.callsOf(func() {
+			time.Sleep(4 * time.Second)
+			both(func(s *fakeStore) { s.putPlan(2); s.putTarget("x", pool.Draining) })
+			time.Sleep(1900 * time.Millisecond)
+			for i, p := range all {
+				assert.Equal(t, p.plans.Version(), uint64(2), "process %d", i)
+				assert.Assert(t, !p.uses("x"), "process %d", i)
+			}
+			time.Sleep(4 * time.Second)
+		})
+		assert.Assert(t, calls <= 7, "%d calls by 7 processes", calls)
+	})
+}
+
+// The store is away for everybody. However many processes there are, they must not
+// call it more often than its watchers do, and all are back soon after it is.
+func TestAnOutageForAllCostsFewCalls(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		store := newFakeStore()
+		store.putPlan(1)
+		all := cluster(ctx, 26, store)
+		time.Sleep(5 * time.Second)
+		store.change(func() { store.failing = true })
+		calls := store.callsOf(func() { time.Sleep(10 * time.Second) })
+		// Three watchers call every 0.7 s at the longest, the others together about as
+		// often, and each feed of each process finds out once.
+		watching := 3 * (10000/700 + 4)
+		assert.Assert(t, calls <= 2*watching+2*26, "%d calls", calls)
+		store.change(func() { store.failing = false })
+		store.putPlan(2)
+		time.Sleep(1900 * time.Millisecond)
+		for i, p := range all {
+			assert.Equal(t, p.plans.Version(), uint64(2), "process %d", i)
+		}
+	})
+}
+
+// A process starts while the store turns it away. It takes configuration and
+// targets from a peer, and then has no need of calls.
+func TestAProcessThatStartsWithoutTheStoreLearnsFromPeers(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		sound, refusing, both := twoStores()
+		both(func(s *fakeStore) { s.putPlan(1); s.putTarget("x", pool.Ready) })
+		refusing.failing = true
+		stores := make([]*fakeStore, 12)
+		turnedAway := -1
+		for i := range stores {
+			stores[i] = sound
+			if turnedAway < 0 && !isWatcherOf(12, i) {
+				stores[i], turnedAway = refusing, i
+			}
+		}
+		all := cluster(ctx, 12, stores...)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, all[turnedAway].plans.Version(), uint64(1))
+		assert.Assert(t, all[turnedAway].uses("x"))
+		calls := refusing.callsOf(func() { time.Sleep(10 * time.Second) })
+		assert.Equal(t, calls, 0)
+	})
+}
+
+// With thousands of targets the list is megabytes; a peer must be told what has
+// changed, not all of it.
+func TestPeersTellChangesNotTheWholeList(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		store := newFakeStore()
+		store.putPlan(1)
+		for _, id := range []string{"x", "y", "z"} {
+			store.putTarget(id, pool.Ready)
+		}
+		p := cluster(ctx, 1, store)[0]
+		time.Sleep(3 * time.Second)
+		before := p.table.Newest()
+		store.putTarget("y", pool.Draining)
+		store.dropTarget("z")
+		time.Sleep(time.Second)
+		n := p.newsSince(newsCall{Version: 1, Revision: before})
+		assert.Equal(t, len(n.Entries), 0)
+		assert.Equal(t, len(n.Changes), 2)
+		behind := newProcess(newFakeStore())
+		behind.table.Reset([]pool.Entry{
+			{ID: "y", Service: "s", State: pool.Ready, Revision: 1}, {ID: "z", Service: "s", State: pool.Ready, Revision: 1},
+		}, before, time.Now())
+		behind.take(n)
+		assert.Assert(t, !behind.uses("y") && !behind.uses("z"))
+		assert.Equal(t, behind.table.Newest(), p.table.Newest())
+	})
+}
+
+// A deployment states a longer bound, and fewer calls keep it. All watchers are
+// cut off at the moment of a change.
+func TestALongerBoundIsKeptWithFewerCalls(t *testing.T) {
+	const bound = 4 * time.Second
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		sound, cut, both := twoStores()
+		both(func(s *fakeStore) { s.putPlan(1) })
+		stores := make([]*fakeStore, 12)
+		for i := range stores {
+			stores[i] = sound
+			if isWatcherOf(12, i) {
+				stores[i] = cut
+			}
+		}
+		all := cluster(ctx, 12, stores...)
+		for _, p := range all {
+			p.SetBound(Bound(bound))
+		}
+		time.Sleep(10 * time.Second)
+		calls := cut.callsOf(func() { time.Sleep(time.Minute) })
+		assert.Assert(t, calls <= 3*2*(60*1000/1600+2), "%d calls", calls)
+		cut.mu.Lock()
+		cut.silent = true
+		cut.mu.Unlock()
+		both(func(s *fakeStore) { s.putPlan(2) })
+		time.Sleep(bound - 100*time.Millisecond)
+		for i, p := range all {
+			if p.store == sound {
+				assert.Equal(t, p.plans.Version(), uint64(2), "process %d", i)
+			}
+		}
+	})
+}
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -19,15 +19,8 @@
 const methodNews = "follow.news"
 
 const (
-	// askPeriod is how often a process asks a watcher for news: several times
-	// within the shortest time in which a change has to be in force, 2 s.
-	askPeriod = 300 * time.Millisecond
 	// askTimeout bounds one question.
 	askTimeout = 250 * time.Millisecond
-	// trust is how long what the store told a watcher stands for its word here.
-	// Usually it is 0.8 s and a question's period old at most. What is left to
-	// 2 s is for this process's own call of the store.
-	trust = 1500 * time.Millisecond
 	// catchUp is how much later than a peer the store may tell of a change
 	// before its silence is taken for an outage.
 	catchUp = 300 * time.Millisecond
@@ -42,6 +35,9 @@
 	heard       atomic.Int64
 	servedSince atomic.Int64
 	watchers    derived.Value[*peer.View, watchers]
+	// source is the process that vouched for the store last; empty where it no
+	// longer does. Used by the asking loop alone.
+	source peer.Incarnation
 }
 
 func (p *peers) chosen(view *peer.View) watchers { return p.watchers.Get(view, chooseWatchers) }
@@ -54,10 +50,19 @@
 
 // news is what is newer; nil and empty where nothing is.
 type news struct {
-	Plan     *plan.Plan   `json:"plan,omitempty"`
-	Entries  []pool.Entry `json:"entries,omitempty"`
-	Revision uint64       `json:"revision,omitempty"`
-	// Sound tells that the store answers this process, and that it is a watcher.
+	Plan *plan.Plan `json:"plan,omitempty"`
+	// PlanUpTo and TargetsUpTo are the store's revisions up to which the answering
+	// process knows all changes of each.
+	PlanUpTo    uint64 `json:"plan_up_to,omitempty"`
+	TargetsUpTo uint64 `json:"targets_up_to,omitempty"`
+	// Revision is that of the list of targets; 0 where there is no news of it.
+	// Changes are those since the caller's, Entries the whole list where they
+	// can't be told.
+	Revision uint64        `json:"revision,omitempty"`
+	Changes  []pool.Change `json:"changes,omitempty"`
+	Entries  []pool.Entry  `json:"entries,omitempty"`
+	// Sound tells that the store answers this process and has told it of changes
+	// just now.
 	Sound bool `json:"sound,omitempty"`
 	// ServedMS is for how long the store has served this process without a break.
 	ServedMS int64 `json:"served_ms,omitempty"`
@@ -81,16 +86,22 @@
 
 func (f *Follower) newsSince(call newsCall) news {
 	now := time.Now()
+	age := now.Sub(f.told())
 	n := news{
-		Sound:    f.sound() && f.watcher(),
-		ServedMS: now.Sub(time.Unix(0, f.served.Load())).Milliseconds(),
-		AgeMS:    now.Sub(f.told()).Milliseconds(),
+		Sound:       f.sound() && age < f.within().trust(),
+		ServedMS:    now.Sub(time.Unix(0, f.served.Load())).Milliseconds(),
+		AgeMS:       age.Milliseconds(),
+		PlanUpTo:    f.planFeed.revision.Load(),
+		TargetsUpTo: f.table.UpTo(),
 	}
 	if p := f.plans.Current(); p != nil && p.Version > call.Version {
 		n.Plan = p
 	}
 	if f.table.Known() && f.table.Newest() > call.Revision {
-		n.Entries, n.Revision = f.table.Entries()
+		n.Changes, n.Revision = f.table.Since(call.Revision)
+		if len(n.Changes) == 0 {
+			n.Entries, n.Revision = f.table.Entries()
+		}
 	}
 	return n
 }
@@ -106,28 +117,57 @@
 	return time.Unix(0, min(f.planFeed.told.Load(), f.targetFeed.told.Load()))
 }
 
-// relayed tells whether a sound watcher's answers stand for the store's.
-func (f *Follower) relayed() bool {
+// relayedFor is for how long what is known here still stands for the store's word,
+// because a watcher vouches for it or the store itself has just told; 0 for a
+// watcher.
+func (f *Follower) relayedFor() time.Duration {
 	if f.peers == nil || f.watcher() {
-		return false
+		return 0
+	}
+	last := max(f.peers.heard.Load(), min(f.planFeed.told.Load(), f.targetFeed.told.Load()))
+	return f.within().trust() - time.Since(time.Unix(0, last))
+}
+
+// leastRetry is the shortest pause between calls of a store that fails. Those that
+// don't watch it together call no more often than the watchers: an outage for all
+// costs the same in any fleet, and when it ends the watchers tell the others.
+func (f *Follower) leastRetry() time.Duration {
+	if f.peers == nil || f.watcher() {
+		return firstRetry
 	}
-	return time.Since(time.Unix(0, f.peers.heard.Load())) < trust
+	view := f.peers.network.View()
+	watching := len(f.peers.chosen(view).others)
+	others := 1 + len(view.Members) - watching
+	return lastRetry * time.Duration(max(others, 1)) / time.Duration(max(watching, 1))
 }
 
 func (f *Follower) askPeers(ctx context.Context) {
-	for wait.For(ctx, askPeriod) {
-		f.askOne(ctx)
+	for wait.For(ctx, f.within().askPeriod()) {
+		f.askForNews(ctx)
 	}
 }
 
-// whomToAsk draws a watcher, or any process where this one can't reach the
-// store: a watcher may be cut off alike.
+// askForNews asks the process that vouched for the store last, and another one at
+// once where that one no longer does.
+func (f *Follower) askForNews(ctx context.Context) {
+	before := f.peers.source
+	if before != "" && f.ask(ctx, before) {
+		return
+	}
+	f.peers.source = ""
+	whom, found := f.whomToAsk()
+	if found && whom != before && f.ask(ctx, whom) {
+		f.peers.source = whom
+	}
+}
+
+// whomToAsk draws a watcher, or any process where this one has no word from the
+// store: all watchers may be cut off.
 func (f *Follower) whomToAsk() (peer.Incarnation, bool) {
 	view := f.peers.network.View()
-	if f.sound() {
-		if others := f.peers.chosen(view).others; len(others) > 0 {
-			return others[rand.IntN(len(others))], true
-		}
+	others := f.peers.chosen(view).others
+	if len(others) > 0 && (f.sound() || rand.IntN(2) == 0) {
+		return others[rand.IntN(len(others))], true
 	}
 	if len(view.Members) == 0 {
 		return "", false
@@ -135,25 +175,33 @@
 	return view.Members[rand.IntN(len(view.Members))].Incarnation, true
 }
 
-func (f *Follower) askOne(ctx context.Context) {
-	whom, found := f.whomToAsk()
-	if !found {
-		return
-	}
+// ask takes in one process's news and tells whether it vouches for the store.
+func (f *Follower) ask(ctx context.Context, whom peer.Incarnation) bool {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var n news
 	call := newsCall{Version: f.plans.Version(), Revision: f.table.Newest()}
 	if err := f.peers.network.Call(ctx, whom, methodNews, call, &n); err != nil {
 		f.log.Debug("Peer gave no news.", zap.String("member", string(whom)), zap.Error(err))
-		return
+		return false
 	}
 	if n.Sound {
-		now := time.Now()
-		f.peers.heard.Store(now.Add(-time.Duration(n.AgeMS) * time.Millisecond).UnixNano())
-		f.peers.servedSince.Store(now.Add(-time.Duration(n.ServedMS) * time.Millisecond).UnixNano())
+		f.vouched(n, time.Now())
 	}
 	f.take(n)
+	return n.Sound
+}
+
+// vouched notes that the store serves a peer. Through it this process is in touch
+// with the store as well.
+func (f *Follower) vouched(n news, now time.Time) {
+	f.peers.heard.Store(now.Add(-time.Duration(n.AgeMS) * time.Millisecond).UnixNano())
+	f.peers.servedSince.Store(now.Add(-time.Duration(n.ServedMS) * time.Millisecond).UnixNano())
+	if f.watcher() {
+		return // it has to know by itself
+	}
+	f.ended(f.planFeed, now)
+	f.ended(f.targetFeed, now)
 }
 
 // take applies a peer's news. The store should tell of the same; if it doesn't
@@ -167,9 +215,25 @@
 		f.mirror(n)
 		f.expect(f.targetFeed)
 	}
+	if f.plans.Current() != nil {
+		f.planFeed.learn(n.PlanUpTo)
+	}
+	if f.table.Known() {
+		f.targetFeed.learn(n.TargetsUpTo)
+	}
 }
 
-// mirror takes in a peer's list of targets. While the store doesn't answer this
+// learn notes that a peer has told all up to a revision. From there on the store
+// can be asked for changes, which keeps its history for some seconds only.
+func (d *feed) learn(revision uint64) {
+	if revision <= d.revision.Load() {
+		return
+	}
+	d.revision.Store(revision)
+	d.known.Store(true)
+}
+
+// mirror takes in a peer's news of targets. While the store doesn't answer this
 // process, what a peer's list lacks may have lapsed in the outage.
 func (f *Follower) mirror(n news) {
 	now := time.Now()
@@ -177,18 +241,22 @@
 	if failing >= outage && !f.othersServed(now.Add(-failing)) {
 		f.table.ListBack(now)
 	}
+	if len(n.Changes) > 0 {
+		f.table.Apply(n.Changes, n.TargetsUpTo, now)
+		return
+	}
 	f.table.Mirror(n.Entries, n.Revision, now)
 }
 
 // expect ends a feed's call if it brings nothing soon.
 func (f *Follower) expect(d *feed) {
-	if f.relayed() {
+	if f.relayedFor() > 0 {
 		return
 	}
-	before := d.revision.Load()
+	before := d.told.Load()
 	time.AfterFunc(catchUp, func() {
-		if d.revision.Load() == before && d.failing() == 0 {
-			f.log.Warn("A peer knows more than the store has told us.", zap.String("what", d.name), zap.Uint64("revision", before))
+		if d.told.Load() == before && d.failing() == 0 {
+			f.log.Warn("A peer knows more than the store has told us.", zap.String("what", d.name), zap.Uint64("revision", d.revision.Load()))
 			d.end()
 		}
 	})
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -38,6 +38,7 @@
 	revision uint64
 	newest   uint64
 	known    bool
+	recent   recent
 	// backAt is when the list came back after an outage, zero outside one's
 	// aftermath.
 	backAt  time.Time
@@ -159,6 +160,7 @@
 	}
 	left := t.apply(changes, now)
 	t.newest = max(t.newest, asOf)
+	t.recent.restart(t.newest)
 	return left
 }
 
@@ -180,6 +182,7 @@
 		if old != nil && (old.entry.Revision >= c.Revision || earlierRun(c, old)) {
 			continue
 		}
+		t.recent.add(c)
 		if old != nil {
 			touched[old.Service] = true
 		}
@@ -389,6 +392,21 @@
 	return entries, t.newest
 }
 
+// Since lists the changes of the list after a revision, and the revision as of which
+// it is then; none where they are no longer known.
+func (t *Table) Since(revision uint64) ([]Change, uint64) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.recent.since(revision), t.newest
+}
+
+// UpTo is the revision up to which all changes are known.
+func (t *Table) UpTo() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.revision
+}
+
 // Begin notes a call at a target. tokens is its prompt's length, 0 for calls
 // without one.
 func (t *Table) Begin(target *Target, tokens int, now time.Time) *Call {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -42,6 +42,9 @@
 	Stager func(*upstream.Client) gather.Stager
 	// Budget bounds the repeats of all processes together.
 	Budget quota.Rule
+	// ChangeBound is within what time changes in the store are in force; 0 is
+	// follow.DefaultBound.
+	ChangeBound follow.Bound
 	// Again means that another process may have run in this one's place.
 	Again bool
 	// LeaveOut switches mechanisms off, for measurements.
@@ -91,6 +94,9 @@
 	s.table.OnLeave(func(t *pool.Target) { s.client.Drop(t.Address) })
 	s.follower = follow.New(logging.Part(o.Log, "follow"), o.Source, s.plans, s.table)
 	s.follower.UsePeers(network)
+	if o.ChangeBound > 0 {
+		s.follower.SetBound(o.ChangeBound)
+	}
 	if o.LeaveOut.Has(leaveout.Watchers) {
 		s.follower.WatchAlone()
 	}
@@ -141,6 +147,9 @@
 // BoundRetries puts another bound on the repeats of all processes together.
 func (s *Server) BoundRetries(rule quota.Rule) { s.budget.SetRule(rule, time.Now()) }
 
+// BoundChanges puts another bound on the time until changes are in force.
+func (s *Server) BoundChanges(b follow.Bound) { s.follower.SetBound(b) }
+
 // Run answers one request; see run.Executor.
 func (s *Server) Run(ctx context.Context, r *run.Request) *run.Reply { return s.executor.Run(ctx, r) }
 
