A start of all compares views once a process, not once a link and round

Cause: a process that starts compared its whole view over each link that it opened, and again up to 16 times while anything differed. In a start of all something always differs, so that each of 100 processes sent 13 comparisons with 8.2 KB of exchanges; with 295 it is most of the processor time of the start, just when small VMs should serve again. A profile of 295 VMs just after the start had 45% in messages between peers and 3.5% in requests.

Change: views are compared over a new link only if they weren't within a period; what was put off is made up for at the next beat. A comparison is repeated only where it didn't fit into one exchange.

Also: peers are told changes of targets only if they say that they take them, and the messages between gatherers keep their field's name, so that processes of the version before and this one work side by side while a fleet is upgraded.

--- a/internal/peer/cluster_test.go
+++ b/internal/peer/cluster_test.go
@@ -124,11 +124,16 @@
 	assert.NilError(c.t, err)
 	assert.NilError(c.t, n.Start(context.Background()))
 	c.t.Cleanup(n.Close)
+	c.know(n)
+	return n
+}
+
+// know puts a node's address on the VM list.
+func (c *cluster) know(n *Node) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.seeds = append(c.seeds, n.Self().PeerAddress)
 	c.nodes = append(c.nodes, n)
-	c.mu.Unlock()
-	return n
 }
 
 func (c *cluster) startMany(count int, region, zone string) []*Node {
--- a/internal/peer/live.go
+++ b/internal/peer/live.go
@@ -74,6 +74,7 @@
 	}
 	target := n.nextProbe()
 	stray := n.stray()
+	overdue := n.overdue(now)
 	n.mu.Unlock()
 
 	// The phase keeps processes that start together from asking together.
@@ -86,6 +87,9 @@
 	if target != "" {
 		n.spawn(func() { n.probe(target) })
 	}
+	if overdue != nil {
+		n.spawn(func() { n.catchUp(overdue) })
+	}
 	if stray != "" && (beats+n.phase)%strayPeriods == 0 {
 		n.spawn(func() { n.visit(stray) })
 	}
@@ -174,7 +178,7 @@
 		n.mu.Unlock()
 	}()
 	l, err := n.dial(n.ctx, address)
-	if err == nil {
+	if err == nil && n.comparesNow(time.Now()) {
 		err = n.compare(l)
 	}
 	if err != nil && n.ctx.Err() == nil {
@@ -182,10 +186,56 @@
 	}
 }
 
+// comparesNow tells whether views are compared over a link that was just opened: not
+// if they were a moment ago, since what has changed meanwhile spreads by itself. Then
+// it is made up for at the next beat.
+func (n *Node) comparesNow(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if now.Sub(n.compared) < n.opts.Period {
+		n.behind = true
+		return false
+	}
+	n.compared = now
+	return true
+}
+
+// compare compares views over a link.
 func (n *Node) compare(l *link) error {
 	ctx, cancel := context.WithTimeout(n.ctx, max(time.Second, writePeriods*n.opts.Period))
 	defer cancel()
-	return n.compareViews(ctx, l)
+	err := n.compareViews(ctx, l)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err != nil {
+		n.compared = time.Time{}
+		n.behind = true
+	}
+	return err
+}
+
+// overdue is a link over which a comparison that was put off is made up for; nil
+// where there is none. The caller holds mu.
+func (n *Node) overdue(now time.Time) *link {
+	if !n.behind || now.Sub(n.compared) < n.opts.Period {
+		return nil
+	}
+	for _, l := range n.links {
+		if l.bye {
+			continue
+		}
+		n.behind = false
+		n.compared = now
+		return l
+	}
+	return nil
+}
+
+// catchUp makes up for a comparison.
+func (n *Node) catchUp(l *link) {
+	if err := n.compare(l); err != nil && n.ctx.Err() == nil {
+		n.log.Debug("Comparing views failed.", zap.String("member", l.id), zap.Error(err))
+	}
 }
 
 // closeIdle closes links that this process opened and needs no longer. The
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -65,8 +65,10 @@
 	phase    uint64 // random, fixed
 	replan   bool   // the members have changed since the last plan
 	planned  []member.Record
-	stale    bool // the view is being refreshed
-	members  int  // how many others live, as of the last plan
+	stale    bool      // the view is being refreshed
+	compared time.Time // when views were compared last
+	behind   bool      // a comparison was put off
+	members  int       // how many others live, as of the last plan
 	view     *View
 	viewed   uint64 // the table's version that view shows
 	closed   bool
--- a/internal/peer/sync.go
+++ b/internal/peer/sync.go
@@ -12,8 +12,8 @@
 
 // Bounds of comparing two views.
 const (
-	// maxRounds is how often one comparison is repeated while it still moves
-	// something; what is left comes with the next.
+	// maxRounds is how often one comparison is repeated while more differs than one
+	// exchange holds; what is left comes with the next comparison.
 	maxRounds = 16
 	// maxExchange bounds the records of one exchange.
 	maxExchange = 1000
@@ -39,7 +39,8 @@
 	return nil
 }
 
-// compareOnce tells whether nothing was left to move.
+// compareOnce tells whether nothing is left to move. What has changed meanwhile
+// doesn't count: it spreads by itself, and in a start of all there is always more.
 func (n *Node) compareOnce(ctx context.Context, l *link) (bool, error) {
 	digest, err := n.digest()
 	if err != nil {
@@ -52,7 +53,7 @@
 	if diff.empty() {
 		return true, nil
 	}
-	request, err := n.settle(diff)
+	request, whole, err := n.settle(diff)
 	if err != nil {
 		return false, err
 	}
@@ -64,7 +65,15 @@
 		return false, eris.Wrap(err, "exchange views")
 	}
 	n.takeAll(l, answer.Records, answer.Items)
-	return false, nil
+	return whole && len(answer.Items) >= wantedItems(request), nil
+}
+
+func wantedItems(r exchangeRequest) int {
+	count := 0
+	for _, stamps := range r.WantItems {
+		count += len(stamps)
+	}
+	return count
 }
 
 // errStale means that this process stood still and has just forgotten what it
@@ -80,20 +89,23 @@
 	return digestRequest{Zones: n.table.Digest(), Topics: n.store.digests()}, nil
 }
 
-func (n *Node) settle(diff digestAnswer) (exchangeRequest, error) {
+// settle makes an exchange of what differs, and tells whether it holds all of it.
+func (n *Node) settle(diff digestAnswer) (request exchangeRequest, whole bool, err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.awake(time.Now()) {
-		return exchangeRequest{}, errStale
+		return exchangeRequest{}, false, errStale
 	}
-	var request exchangeRequest
 	request.Records, request.WantRecords = n.table.Compare(diff.Zones)
 	items, want := n.store.compare(diff.Topics, time.Now())
 	request.Items = boundItems(items)
-	request.WantItems, _ = splitStamps(want)
+	whole = len(request.Items) == len(items)
+	var later map[Topic][]stamp
+	request.WantItems, later = splitStamps(want)
+	whole = whole && len(later) == 0 && len(request.Records) <= maxExchange && len(request.WantRecords) <= maxExchange
 	request.Records, _ = split(request.Records, maxExchange)
 	request.WantRecords, _ = split(request.WantRecords, maxExchange)
-	return request, nil
+	return request, whole, nil
 }
 
 func boundItems(items []Item) []wireItem {
--- a/internal/serve/follow/outage_cost_test.go
+++ b/internal/serve/follow/outage_cost_test.go
@@ -115,9 +115,11 @@
 		store.putTarget("y", pool.Draining)
 		store.dropTarget("z")
 		time.Sleep(time.Second)
-		n := p.newsSince(newsCall{Version: 1, Revision: before})
+		n := p.newsSince(newsCall{Version: 1, Revision: before, Changes: true})
 		assert.Equal(t, len(n.Entries), 0)
 		assert.Equal(t, len(n.Changes), 2)
+		earlier := p.newsSince(newsCall{Version: 1, Revision: before})
+		assert.Equal(t, len(earlier.Entries), 2, "a process that doesn't take changes gets the list")
 		behind := newProcess(newFakeStore())
 		behind.table.Reset([]pool.Entry{
 			{ID: "y", Service: "s", State: pool.Ready, Revision: 1}, {ID: "z", Service: "s", State: pool.Ready, Revision: 1},
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -46,6 +46,9 @@
 type newsCall struct {
 	Version  uint64 `json:"version"`
 	Revision uint64 `json:"revision"`
+	// Changes tells that the caller takes changes since Revision in place of the
+	// whole list. A process of an earlier version doesn't.
+	Changes bool `json:"changes,omitempty"`
 }
 
 // news is what is newer; nil and empty where nothing is.
@@ -98,7 +101,7 @@
 		n.Plan = p
 	}
 	if f.table.Known() && f.table.Newest() > call.Revision {
-		n.Changes, n.Revision = f.table.Since(call.Revision)
+		n.Revision, n.Changes = f.changesFor(call)
 		if len(n.Changes) == 0 {
 			n.Entries, n.Revision = f.table.Entries()
 		}
@@ -106,6 +109,16 @@
 	return n
 }
 
+// changesFor lists the changes of targets that a caller lacks, if it takes them and
+// they are known, and the revision as of which they are.
+func (f *Follower) changesFor(call newsCall) (uint64, []pool.Change) {
+	if !call.Changes {
+		return 0, nil
+	}
+	changes, revision := f.table.Since(call.Revision)
+	return revision, changes
+}
+
 // sound tells whether the store answers this process.
 func (f *Follower) sound() bool {
 	plan, targets := f.Failing()
@@ -180,7 +193,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var n news
-	call := newsCall{Version: f.plans.Version(), Revision: f.table.Newest()}
+	call := newsCall{Version: f.plans.Version(), Revision: f.table.Newest(), Changes: true}
 	if err := f.peers.network.Call(ctx, whom, methodNews, call, &n); err != nil {
 		f.log.Debug("Peer gave no news.", zap.String("member", string(whom)), zap.Error(err))
 		return false
--- a/internal/serve/gather/item.go
+++ b/internal/serve/gather/item.go
@@ -107,7 +107,7 @@
 // back to that one, their maker would go on taking its targets' rooms for full
 // until the results lapse, and leave targets idle for four seconds.
 type Keeper struct {
-	Shard    Shard            `json:"shard"`
+	Shard    Shard            `json:"cell"`
 	Gatherer peer.Incarnation `json:"by,omitempty"`
 }
 
--- a/internal/serve/gather/messages.go
+++ b/internal/serve/gather/messages.go
@@ -19,12 +19,12 @@
 
 type submitCall struct {
 	Owner peer.Incarnation `json:"owner"`
-	Shard Shard            `json:"shard"`
+	Shard Shard            `json:"cell"`
 	Items []Item           `json:"items"`
 }
 
 type askCall struct {
-	Shard   Shard  `json:"shard"`
+	Shard   Shard  `json:"cell"`
 	Request string `json:"request"`
 	Stage   int    `json:"stage"`
 	Rank    int    `json:"rank"`
@@ -39,7 +39,7 @@
 }
 
 type cancelCall struct {
-	Shard   Shard  `json:"shard"`
+	Shard   Shard  `json:"cell"`
 	Request string `json:"request"`
 	// UpTo is the last serial that is cancelled.
 	UpTo uint64 `json:"up_to"`
@@ -58,7 +58,7 @@
 }
 
 type checkCall struct {
-	Shard Shard `json:"shard"`
+	Shard Shard `json:"cell"`
 	Keys  []Key `json:"keys"`
 }
 
