Fewer store watchers, and none before a process knows its peers

One of 20 watched, 15 of 295.

Change: a process that has just read the whole doesn't watch for half of the bound (1 s at 2 s; what it read is as fresh as a watcher's word until then). One of 40 watches, two at least, since a lost watcher is now replaced at the next question.

Also: bytes that a target doesn't acknowledge end their connection after 2.5 s (TCP_USER_TIMEOUT). Keep-alive probes don't run beside unacknowledged bytes, so that a request written just after its target went dark hung until its deadline.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -30,6 +30,11 @@
 // until its own deadline. After 1 s of silence three probes 500 ms apart decide.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
 
+// silenceTimeout is how long what was sent may stay unacknowledged. Keep-alive probes
+// are sent on a quiet connection only: a request that was written just after the other
+// side went silent would else be sent again and again until its own deadline.
+const silenceTimeout = 2500 * time.Millisecond
+
 // Conn is one connection to a target, used for one call at a time.
 type Conn struct {
 	net.Conn
@@ -148,7 +153,7 @@
 
 // Dial opens a connection.
 func Dial(ctx context.Context, address string) (*Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: socket.BoundSilence(silenceTimeout)}
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -57,6 +57,8 @@
 	plans  *plan.Holder
 	table  *pool.Table
 	peers  *peers // nil without
+	// started is when this process began to follow.
+	started time.Time
 	// bound is the Bound in force, in ns.
 	bound atomic.Int64
 	// served is the Unix nanosecond since when the store has answered without a
@@ -98,7 +100,7 @@
 
 // New makes a follower.
 func New(log *zap.Logger, source Source, plans *plan.Holder, table *pool.Table) *Follower {
-	f := &Follower{log: log, source: source, plans: plans, table: table, watcher: func() bool { return true }}
+	f := &Follower{log: log, source: source, plans: plans, table: table, started: time.Now(), watcher: func() bool { return true }}
 	f.served.Store(time.Now().UnixNano())
 	f.SetBound(DefaultBound)
 	f.planFeed = &feed{name: "configuration", read: f.readPlan, watch: f.watchPlan}
@@ -172,7 +174,7 @@
 // rest is how long a feed needs no call of the store; 0 if it needs one now.
 func (f *Follower) rest(d *feed) time.Duration {
 	if d.known.Load() {
-		if left := f.relayedFor(); left > 0 {
+		if left := f.relayedFor(d); left > 0 {
 			return min(left, f.within().askPeriod())
 		}
 	}
--- a/internal/serve/follow/outage_cost_test.go
+++ b/internal/serve/follow/outage_cost_test.go
@@ -163,3 +163,17 @@
 		}
 	})
 }
+
+// All processes start together. Each reads configuration and targets once; who
+// watches the store for all is known before anybody does.
+func TestAStartCostsTwoCalls(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		store := newFakeStore()
+		store.putPlan(1)
+		calls := store.callsOf(func() {
+			cluster(ctx, 26, store)
+			time.Sleep(900 * time.Millisecond)
+		})
+		assert.Equal(t, calls, 2*26)
+	})
+}
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -130,14 +130,15 @@
 	return time.Unix(0, min(f.planFeed.told.Load(), f.targetFeed.told.Load()))
 }
 
-// relayedFor is for how long what is known here still stands for the store's word,
+// relayedFor is for how long what a feed knows still stands for the store's word,
 // because a watcher vouches for it or the store itself has just told; 0 for a
-// watcher.
-func (f *Follower) relayedFor() time.Duration {
-	if f.peers == nil || f.watcher() {
+// watcher. A process that has just started may only seem to be one, since it doesn't
+// know its peers yet.
+func (f *Follower) relayedFor(d *feed) time.Duration {
+	if f.peers == nil || f.watcher() && time.Since(f.started) > f.within().settling() {
 		return 0
 	}
-	last := max(f.peers.heard.Load(), min(f.planFeed.told.Load(), f.targetFeed.told.Load()))
+	last := max(f.peers.heard.Load(), d.told.Load())
 	return f.within().trust() - time.Since(time.Unix(0, last))
 }
 
@@ -263,7 +264,7 @@
 
 // expect ends a feed's call if it brings nothing soon.
 func (f *Follower) expect(d *feed) {
-	if f.relayedFor() > 0 {
+	if f.relayedFor(d) > 0 {
 		return
 	}
 	before := d.told.Load()
--- a/internal/serve/follow/watchers.go
+++ b/internal/serve/follow/watchers.go
@@ -10,10 +10,10 @@
 
 const (
 	// leastWatchers is how many processes watch the store for changes with short
-	// calls. Two may be gone at once without anybody noticing. A watcher answers
-	// perWatcher others.
-	leastWatchers = 3
-	perWatcher    = 20
+	// calls. One may be gone without anybody noticing; where all are, the others
+	// call the store themselves. A watcher answers perWatcher others.
+	leastWatchers = 2
+	perWatcher    = 40
 )
 
 // watchers are the processes that follow the store for all.
--- /dev/null
+++ b/internal/socket/silence.go
@@ -0,0 +1,23 @@
+package socket
+
+import (
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// BoundSilence is a net.Dialer's Control that ends a connection when bytes that were
+// sent stay unacknowledged for so long.
+func BoundSilence(limit time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failed
+	}
+}
