--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -146,15 +146,28 @@
 // don't watch it together call no more often than the watchers: an outage for all
 // costs the same in any fleet, and when it ends the watchers tell the others.
 func (f *Follower) leastRetry() time.Duration {
-	if f.peers == nil || f.watcher() {
+	if f.peers == nil {
 		return firstRetry
 	}
+	if f.watcher() {
+		return f.watcherRetry()
+	}
 	view := f.peers.network.View()
 	watching := len(f.peers.chosen(view).others)
 	others := 1 + len(view.Members) - watching
 	return lastRetry * time.Duration(max(others, 1)) / time.Duration(max(watching, 1))
 }
 
+// watcherRetry is longer while another watcher is served: then the store turns this
+// process away, which a watcher elsewhere makes up for.
+func (f *Follower) watcherRetry() time.Duration {
+	trust := f.within().trust()
+	if time.Since(time.Unix(0, f.peers.heard.Load())) < trust {
+		return trust
+	}
+	return firstRetry
+}
+
 func (f *Follower) askPeers(ctx context.Context) {
 	for wait.For(ctx, f.within().askPeriod()) {
 		f.askForNews(ctx)
