--- a/internal/serve/servetest/network.go
+++ b/internal/serve/servetest/network.go
@@ -23,6 +23,9 @@
 	nodes []*Node
 	// version grows with every change of them.
 	version uint64
+	// published and calls count what processes told each other.
+	published int
+	calls     int
 }
 
 type handler = func(context.Context, json.RawMessage) (any, error)
@@ -32,7 +35,9 @@
 	cluster  *Cluster
 	self     peer.Member
 	handlers map[string]handler
-	state    peer.MemberState
+	// subscribed are the functions to call with published items.
+	subscribed map[peer.Topic][]func(peer.Item)
+	state      peer.MemberState
 	// silent nodes take messages and never answer, as a frozen process does.
 	silent bool
 	// dead nodes refuse connections.
@@ -49,7 +54,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := &Node{
-		cluster: c, state: peer.Alive, handlers: map[string]handler{},
+		cluster: c, state: peer.Alive, handlers: map[string]handler{}, subscribed: map[peer.Topic][]func(peer.Item){},
 		self: peer.Member{Incarnation: peer.Incarnation(name), Zone: zone, State: peer.Alive},
 	}
 	c.nodes = append(c.nodes, n)
@@ -116,14 +121,53 @@
 	return list
 }
 
-// Publish does nothing: no test needs it.
-func (n *Node) Publish(peer.Topic, string, uint64, time.Duration, any) error { return nil }
+// Publish hands an item to the subscribers at all other processes that live.
+func (n *Node) Publish(topic peer.Topic, key string, version uint64, ttl time.Duration, body any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	item := peer.Item{Topic: topic, Origin: n.self.Incarnation, Key: key, Version: version, TTL: ttl, Body: encoded}
+	for _, hear := range n.cluster.subscribers(topic, n) {
+		hear(item)
+	}
+	return nil
+}
+
+func (c *Cluster) subscribers(topic peer.Topic, except *Node) []func(peer.Item) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.published++
+	var list []func(peer.Item)
+	for _, n := range c.nodes {
+		if n != except && !n.dead {
+			list = append(list, n.subscribed[topic]...)
+		}
+	}
+	return list
+}
+
+// Published counts the items that all processes have published.
+func (c *Cluster) Published() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.published
+}
+
+// Calls counts the calls between processes.
+func (c *Cluster) Calls() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
 
 // Items is always empty.
 func (n *Node) Items(peer.Topic) []peer.Item { return nil }
 
-// Subscribe does nothing.
-func (n *Node) Subscribe(peer.Topic, func(peer.Item)) {}
+// Subscribe has fn called with the items of a topic that others publish.
+func (n *Node) Subscribe(topic peer.Topic, fn func(peer.Item)) {
+	n.set(func() { n.subscribed[topic] = append(n.subscribed[topic], fn) })
+}
 
 // Handle answers calls of a method.
 func (n *Node) Handle(method string, fn func(context.Context, json.RawMessage) (any, error)) {
@@ -174,6 +218,7 @@
 func (c *Cluster) find(id peer.Incarnation, method string) (handle handler, silent, dead bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.calls++
 	for _, n := range c.nodes {
 		if n.self.Incarnation == id {
 			return n.handlers[method], n.silent, n.dead
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -143,6 +143,21 @@
 	return len(r.crashes)
 }
 
+// Addresses lists the targets that died under a request.
+func (t *Table) Addresses(f Fingerprint, now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[f]
+	if r == nil || now.Sub(r.seenAt) > Memory {
+		return nil
+	}
+	list := make([]string, 0, len(r.crashes))
+	for _, c := range r.crashes {
+		list = append(list, c.Address)
+	}
+	return list
+}
+
 func (t *Table) verdict(f Fingerprint, now time.Time) Verdict {
 	r := t.records[f]
 	if r == nil || now.Sub(r.seenAt) > Memory {
