--- a/internal/serve/gather/ask.go
+++ b/internal/serve/gather/ask.go
@@ -23,11 +23,11 @@
 
 // Ask asks the gatherers of all stages whether they can make a request's items
 // in time; the error is *Refused where one can't. A gatherer that doesn't
-// answer is no reason to refuse. What was promised and isn't wanted any more is
+// answer is no reason to refuse. What was reserved and isn't wanted any more is
 // to be withdrawn.
 func (r *Requester) Ask(ctx context.Context, request string, plans []Want) ([]Shard, error) {
 	r.meetPeers(ctx)
-	if r.leaveOut.Has(leaveout.Promises) {
+	if r.leaveOut.Has(leaveout.Reservations) {
 		return nil, nil
 	}
 	answers := make(chan error, len(plans))
@@ -56,7 +56,7 @@
 	return asked, nil
 }
 
-// Withdraw gives back what shards have promised a request and hold for it.
+// Withdraw releases what shards have reserved for a request.
 // Without it a request that was given up would keep others out until its due
 // time.
 func (r *Requester) Withdraw(request string, asked []Shard) {
@@ -72,7 +72,7 @@
 		Shard: shard, Request: request, Stage: p.Stage, Rank: p.Rank, Items: p.Items, Due: ToMillis(p.Due.Sub(now)), Serial: serial,
 	}
 	if gatherer == r.network.Self().Incarnation {
-		return promised(shard, r.own.Ask(call, now))
+		return reserved(shard, r.own.Ask(call, now))
 	}
 	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
 	defer cancel()
@@ -83,12 +83,12 @@
 		}
 		return nil
 	}
-	return promised(shard, ack)
+	return reserved(shard, ack)
 }
 
-// promised tells whether a shard's answer is a refusal. One that doesn't know the
+// reserved tells whether a shard's answer is a refusal. One that doesn't know the
 // service can't say.
-func promised(shard Shard, ack Ack) error {
+func reserved(shard Shard, ack Ack) error {
 	if ack.Unknown {
 		return nil
 	}
--- a/internal/serve/gather/dispatch.go
+++ b/internal/serve/gather/dispatch.go
@@ -56,7 +56,7 @@
 func (g *Gatherer) expire(c *shard, batch *plan.Batch, now time.Time, applies condition) {
 	for _, w := range c.queue.drop(now, batch.CallTime, applies) {
 		g.stats.Late++
-		c.ledger.begun(w.Key)
+		c.reservations.begun(w.Key)
 		g.hand(c, w.owner, Result{Key: w.Key, Reason: Late})
 	}
 }
@@ -117,7 +117,7 @@
 	items := make([]Item, 0, len(taken))
 	for _, w := range taken {
 		w.tries++
-		c.ledger.begun(w.Key)
+		c.reservations.begun(w.Key)
 		c.size.add(w.Bytes)
 		w.Expires = ToMillis(w.expires.Sub(now))
 		items = append(items, w.Item)
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -92,19 +92,19 @@
 type shard struct {
 	Shard
 	// since is when this process began to gather for it.
-	since   time.Time
-	queue   *queue
-	feeding feeding
-	ledger  *ledger
-	size    meanSize
-	working map[string]*waitingCall // by target ID
-	running map[Key]bool
-	rooms   map[string]*room // by address
-	paces   map[string]*pace // by target ID
-	pauses  map[string]time.Time
-	freeing map[string][]string // handles by address
-	looking bool
-	freer   bool
+	since        time.Time
+	queue        *queue
+	feeding      feeding
+	reservations *reservations
+	size         meanSize
+	working      map[string]*waitingCall // by target ID
+	running      map[Key]bool
+	rooms        map[string]*room // by address
+	paces        map[string]*pace // by target ID
+	pauses       map[string]time.Time
+	freeing      map[string][]string // handles by address
+	looking      bool
+	freer        bool
 }
 
 type waitingCall struct{ ends time.Time }
@@ -125,7 +125,7 @@
 	c := g.shards[id]
 	if c == nil {
 		c = &shard{
-			Shard: id, since: time.Now(), queue: newQueue(g.leaveOut), ledger: newLedger(g.leaveOut),
+			Shard: id, since: time.Now(), queue: newQueue(g.leaveOut), reservations: newReservations(g.leaveOut),
 			working: map[string]*waitingCall{}, running: map[Key]bool{},
 			rooms: map[string]*room{}, paces: map[string]*pace{}, pauses: map[string]time.Time{},
 			freeing: map[string][]string{},
@@ -170,7 +170,7 @@
 			item.Zone = "" // all targets of the shard are alike
 		}
 		c.feeding.add(item)
-		c.ledger.note(item.group(), now.Add(item.Due.Duration()), item.Serial)
+		c.reservations.note(item.group(), now.Add(item.Due.Duration()), item.Serial)
 		c.queue.add(&waiting{
 			Item: item, owner: owner, due: now.Add(item.Due.Duration()), expires: now.Add(item.Expires.Duration()), since: now,
 		})
@@ -179,7 +179,7 @@
 	return Ack{Wait: ToMillis(wait)}
 }
 
-// Ask decides whether a shard promises to make the items of one stage of a
+// Ask decides whether a shard reserves the making of the items of one stage of a
 // request in time.
 func (g *Gatherer) Ask(call askCall, now time.Time) Ack {
 	g.mu.Lock()
@@ -192,8 +192,8 @@
 	targets, room := g.strength(c, batch, now)
 	can := sustained(targets, batch, room, int(c.size.mean))
 	key := groupKey{Request: call.Request, Stage: call.Stage}
-	wanted := promise{items: call.Items, due: now.Add(call.Due.Duration()), serial: call.Serial}
-	granted, excess := c.ledger.ask(now, key, call.Rank, wanted, can)
+	wanted := reservation{items: call.Items, due: now.Add(call.Due.Duration()), serial: call.Serial}
+	granted, excess := c.reservations.ask(now, key, call.Rank, wanted, can)
 	return Ack{Refused: !granted, Wait: ToMillis(excess)}
 }
 
@@ -223,7 +223,7 @@
 	}
 	c.queue.remove(request, upTo)
 	c.feeding.drop(request, upTo)
-	c.ledger.drop(request, upTo)
+	c.reservations.drop(request, upTo)
 }
 
 // Unknown lists those of the items that neither wait nor run here.
--- a/internal/serve/gather/newcomer_test.go
+++ b/internal/serve/gather/newcomer_test.go
@@ -43,7 +43,7 @@
 
 // A process begins to gather for a pool because the one before has died. Calls that
 // the dead one had made still stand in the targets' queues, and the first calls of
-// the new one wait behind them. If it took the targets for slow, it would promise a
+// the new one wait behind them. If it took the targets for slow, it would reserve a
 // fraction of what they can make and refuse callers for two seconds.
 func TestWaitingBehindAnothersCallsIsNoSlowness(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -121,55 +121,55 @@
 	assert.Equal(t, q.len(), 1, "an item handed over twice waits once")
 }
 
-func TestLedgerPromisesOnlyWhatCanBeMade(t *testing.T) {
-	l := newLedger(leaveout.Set{})
+func TestReservationsTakeOnlyWhatCanBeMade(t *testing.T) {
+	l := newReservations(leaveout.Set{})
 	can := capacity{rate: 100, call: 400 * time.Millisecond, idle: usual.idle}
 	granted := 0
 	for i := range 100 {
 		key := groupKey{Request: string(rune('a'+i%26)) + string(rune('a'+i/26))}
-		if ok, _ := l.ask(start, key, 1, promise{items: 4, due: start.Add(1400 * time.Millisecond)}, can); ok {
+		if ok, _ := l.ask(start, key, 1, reservation{items: 4, due: start.Add(1400 * time.Millisecond)}, can); ok {
 			granted++
 		}
 	}
-	// A second of work at 70 items a second, the part that is promised.
+	// A second of work at 70 items a second, the part that is reserved.
 	assert.Equal(t, granted, 70/4)
 }
 
 // A request that is due later must not be accepted at the cost of one that was
-// promised before and is due later still.
-func TestLedgerKeepsEarlierPromises(t *testing.T) {
-	l := newLedger(leaveout.Set{})
+// reserved before and is due later still.
+func TestReservationsKeepEarlierOnes(t *testing.T) {
+	l := newReservations(leaveout.Set{})
 	can := capacity{rate: 100, call: 400 * time.Millisecond, idle: usual.idle}
-	ok, _ := l.ask(start, groupKey{Request: "big"}, 0, promise{items: 140, due: start.Add(2 * time.Second)}, can)
+	ok, _ := l.ask(start, groupKey{Request: "big"}, 0, reservation{items: 140, due: start.Add(2 * time.Second)}, can)
 	assert.Assert(t, ok)
-	ok, excess := l.ask(start, groupKey{Request: "small"}, 0, promise{items: 20, due: start.Add(1900 * time.Millisecond)}, can)
+	ok, excess := l.ask(start, groupKey{Request: "small"}, 0, reservation{items: 20, due: start.Add(1900 * time.Millisecond)}, can)
 	assert.Assert(t, !ok)
 	assert.Assert(t, excess > 0)
 }
 
 // With nothing else to do a shard makes what is late anyway: the answer is still
 // of use, and takes nobody's place.
-func TestLedgerTakesLateWorkWhenIdle(t *testing.T) {
-	l := newLedger(leaveout.Set{})
-	ok, _ := l.ask(start, groupKey{Request: "a"}, 0, promise{items: 5, due: start.Add(-time.Second)}, capacity{rate: 100, call: callTime, idle: usual.idle})
+func TestReservationsTakeLateWorkWhenIdle(t *testing.T) {
+	l := newReservations(leaveout.Set{})
+	ok, _ := l.ask(start, groupKey{Request: "a"}, 0, reservation{items: 5, due: start.Add(-time.Second)}, capacity{rate: 100, call: callTime, idle: usual.idle})
 	assert.Assert(t, ok)
 }
 
 // A burst of urgent requests could keep the least urgent kind out for as long as
 // it lasts. It gets a third of what it asks for.
-func TestLedgerStarvesNoRank(t *testing.T) {
-	l := newLedger(leaveout.Set{})
+func TestReservationsStarveNoRank(t *testing.T) {
+	l := newReservations(leaveout.Set{})
 	can := capacity{rate: 100, call: 400 * time.Millisecond, idle: usual.idle}
 	asked, got := 0, 0
 	now := start
 	for i := range 400 {
 		now = now.Add(25 * time.Millisecond)
 		key := groupKey{Request: "u", Stage: i}
-		l.ask(now, key, 0, promise{items: 4, due: now.Add(900 * time.Millisecond)}, can)
+		l.ask(now, key, 0, reservation{items: 4, due: now.Add(900 * time.Millisecond)}, can)
 		if i%4 == 0 {
 			asked++
 			key := groupKey{Request: "l", Stage: i}
-			if ok, _ := l.ask(now, key, 2, promise{items: 4, due: now.Add(1400 * time.Millisecond)}, can); ok {
+			if ok, _ := l.ask(now, key, 2, reservation{items: 4, due: now.Add(1400 * time.Millisecond)}, can); ok {
 				got++
 			}
 		}
@@ -179,11 +179,11 @@
 }
 
 // work makes n items of what is due first.
-func work(l *ledger, _ time.Time, n float64) {
+func work(l *reservations, _ time.Time, n float64) {
 	for range int(n) {
 		var first groupKey
 		var due time.Time
-		for key, p := range l.promises {
+		for key, p := range l.held {
 			if due.IsZero() || p.due.Before(due) {
 				first, due = key, p.due
 			}
@@ -259,8 +259,8 @@
 
 // Items come that nobody asked for: their request's gatherer has changed. Each
 // of them counts.
-func TestLedgerCountsItemsThatNobodyAskedFor(t *testing.T) {
-	l := newLedger(leaveout.Set{})
+func TestReservationsCountItemsThatNobodyAskedFor(t *testing.T) {
+	l := newReservations(leaveout.Set{})
 	key := groupKey{Request: "r", Stage: 1}
 	for range 3 {
 		l.note(key, start.Add(time.Second), 0)
@@ -268,7 +268,7 @@
 	assert.Equal(t, l.standing(), 3)
 	l.begun(Key{Request: "r", Stage: 1})
 	assert.Equal(t, l.standing(), 2)
-	ok, _ := l.ask(start, groupKey{Request: "s"}, 0, promise{items: 4, due: start.Add(time.Second)}, capacity{rate: 100, call: callTime, idle: usual.idle})
+	ok, _ := l.ask(start, groupKey{Request: "s"}, 0, reservation{items: 4, due: start.Add(time.Second)}, capacity{rate: 100, call: callTime, idle: usual.idle})
 	assert.Assert(t, ok)
 	l.note(groupKey{Request: "s"}, start.Add(time.Second), 0)
 	assert.Equal(t, l.standing(), 6, "what was asked for is counted once")
@@ -287,7 +287,7 @@
 	q.remove("r", 4)
 	assert.Equal(t, q.len(), 1)
 	assert.Assert(t, q.has(second.Key))
-	l := newLedger(leaveout.Set{})
+	l := newReservations(leaveout.Set{})
 	l.note(groupKey{Request: "r"}, start.Add(time.Second), 5)
 	l.drop("r", 4)
 	assert.Equal(t, l.standing(), 1)
@@ -299,16 +299,16 @@
 	assert.Equal(t, len(f.groups), 0)
 }
 
-// Asking a shard with 300 promises outstanding, three times a busy shard's at the
+// Asking a shard with 300 reservations outstanding, three times a busy shard's at the
 // largest site tried.
-func BenchmarkLedgerAsk(b *testing.B) {
-	l := newLedger(leaveout.Set{})
+func BenchmarkReservationsAsk(b *testing.B) {
+	l := newReservations(leaveout.Set{})
 	for i := range 300 {
 		l.note(groupKey{Request: "r", Stage: i}, start.Add(time.Duration(i)*10*time.Millisecond), 0)
 	}
 	can := capacity{rate: 10, call: callTime, idle: usual.idle}
 	for b.Loop() {
-		l.ask(start, groupKey{Request: "s"}, 1, promise{items: 4, due: start.Add(time.Second)}, can)
+		l.ask(start, groupKey{Request: "s"}, 1, reservation{items: 4, due: start.Add(time.Second)}, can)
 	}
 }
 
--- a/internal/serve/gather/ledger.go
+++ b/internal/serve/gather/reservations.go
@@ -9,22 +9,19 @@
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 )
 
-// ledger holds what a shard has promised to make, and decides what else it can
-// promise. Once more is asked of a shard than it can make, working on all of it
-// makes everything late: in a burst of 2.4 times a kind's rate with one target
-// of five away, three quarters of all answers were late or lost for ten seconds,
-// though capacity was there for three quarters. So a request is told at once,
-// before its first stage, when what stands before it would make it late.
+// reservations holds the work that a shard has reserved, and decides what else it can
+// reserve. Working on more than it can make would make everything late; a request
+// whose work can't be reserved is refused before its first stage.
 //
 // It does no I/O and reads no clock. It is not safe for concurrent use.
-type ledger struct {
+type reservations struct {
 	leaveOut leaveout.Set
-	promises map[groupKey]*promise
+	held     map[groupKey]*reservation
 	ranks    map[int]*demand
 }
 
-// promise is the outstanding work of one stage of one request.
-type promise struct {
+// reservation is the outstanding work of one stage of one request.
+type reservation struct {
 	items int
 	due   time.Time
 	// unasked means that the items came without having been asked for.
@@ -50,16 +47,12 @@
 	// so that no kind of request starves; the users' bound is a quarter of what
 	// all requests get.
 	leastShare = 0.35
-	// usable is the part of the rate that is promised. The rest covers items that
+	// usable is the part of the rate that is reserved. The rest covers items that
 	// fail, sizes that differ, and calls that aren't full because what waits is
-	// best made at another target. In a burst that fills what is promised for
-	// seconds, each hundredth too much makes answers late that were promised. Of
-	// all answers 0.69 were worth their full price on the heaviest day of a site
-	// of 59 VMs with 0.8, 0.74 with 0.7, 0.75 with 0.6, which refuses more; at one
-	// of 82 VMs 0.79 with 0.8 and 0.82 with 0.7.
+	// best made at another target.
 	usable = 0.7
-	// forget is how long after its due time a promise counts that nobody has
-	// redeemed.
+	// forget is how long after its due time a reservation counts that nobody has
+	// used.
 	forget = time.Second
 )
 
@@ -91,11 +84,11 @@
 
 func (d *demand) starved() bool { return d.admitted < leastShare*d.asked }
 
-func newLedger(leaveOut leaveout.Set) *ledger {
-	return &ledger{leaveOut: leaveOut, promises: map[groupKey]*promise{}, ranks: map[int]*demand{}}
+func newReservations(leaveOut leaveout.Set) *reservations {
+	return &reservations{leaveOut: leaveOut, held: map[groupKey]*reservation{}, ranks: map[int]*demand{}}
 }
 
-func (l *ledger) demandOf(rank int, now time.Time) *demand {
+func (l *reservations) demandOf(rank int, now time.Time) *demand {
 	d := l.ranks[rank]
 	if d == nil {
 		d = &demand{at: now}
@@ -105,9 +98,9 @@
 	return d
 }
 
-// ask decides whether the shard promises some work. Where it doesn't, excess is
+// ask decides whether the shard reserves some work. Where it doesn't, excess is
 // about how much sooner the work should have come, or how much later it could.
-func (l *ledger) ask(now time.Time, key groupKey, rank int, p promise, c capacity) (granted bool, excess time.Duration) {
+func (l *reservations) ask(now time.Time, key groupKey, rank int, p reservation, c capacity) (granted bool, excess time.Duration) {
 	d := l.demandOf(rank, now)
 	d.note(p.items, p.due.Sub(now))
 	reserved := 0.0
@@ -120,13 +113,13 @@
 		return false, excess
 	}
 	d.admitted += float64(p.items) / demandMemory.Seconds()
-	l.promises[key] = &p
+	l.held[key] = &p
 	return true, 0
 }
 
 // moreUrgent is how many items of the ranks before this one are still to come
 // that will be due by a time.
-func (l *ledger) moreUrgent(rank int, now, due time.Time) float64 {
+func (l *reservations) moreUrgent(rank int, now, due time.Time) float64 {
 	total := 0.0
 	for other := range l.ranks {
 		if other >= rank {
@@ -140,7 +133,7 @@
 
 // excess is how much later than due something would be made if the work were
 // added; 0 or less where all is in time.
-func (l *ledger) excess(now time.Time, p promise, reserved float64, c capacity) time.Duration {
+func (l *reservations) excess(now time.Time, p reservation, reserved float64, c capacity) time.Duration {
 	l.sweep(now)
 	rate := usable * c.rate
 	if rate <= 0 {
@@ -152,7 +145,7 @@
 	late := func(work float64, due time.Time) time.Duration {
 		return seconds(work/rate) - (due.Sub(now) - c.call)
 	}
-	// work is what is due by the promise at hand, in the order of due times.
+	// work is what is due by the reservation at hand, in the order of due times.
 	work, worst, seen := 0.0, time.Duration(math.MinInt64), false
 	for _, other := range l.byDue() {
 		if !seen && other.due.After(p.due) {
@@ -171,45 +164,45 @@
 	return worst
 }
 
-// byDue lists the promises, the one that is due first in front.
-func (l *ledger) byDue() []*promise {
-	list := make([]*promise, 0, len(l.promises))
-	for _, p := range l.promises {
+// byDue lists the reservations, the one that is due first in front.
+func (l *reservations) byDue() []*reservation {
+	list := make([]*reservation, 0, len(l.held))
+	for _, p := range l.held {
 		list = append(list, p)
 	}
-	slices.SortFunc(list, func(a, b *promise) int { return a.due.Compare(b.due) })
+	slices.SortFunc(list, func(a, b *reservation) int { return a.due.Compare(b.due) })
 	return list
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// standing counts all items promised and not yet begun.
-func (l *ledger) standing() int {
+// standing counts all items reserved and not yet begun.
+func (l *reservations) standing() int {
 	total := 0
-	for _, p := range l.promises {
+	for _, p := range l.held {
 		total += p.items
 	}
 	return total
 }
 
 // begun notes that an item is being made.
-func (l *ledger) begun(k Key) {
-	p := l.promises[k.group()]
+func (l *reservations) begun(k Key) {
+	p := l.held[k.group()]
 	if p == nil {
 		return
 	}
 	p.items--
 	if p.items <= 0 {
-		delete(l.promises, k.group())
+		delete(l.held, k.group())
 	}
 }
 
 // note adds an item that came without having been asked for.
-func (l *ledger) note(key groupKey, due time.Time, serial uint64) {
-	p := l.promises[key]
+func (l *reservations) note(key groupKey, due time.Time, serial uint64) {
+	p := l.held[key]
 	if p == nil {
-		p = &promise{due: due, unasked: true, serial: serial}
-		l.promises[key] = p
+		p = &reservation{due: due, unasked: true, serial: serial}
+		l.held[key] = p
 	}
 	if p.unasked {
 		p.items++
@@ -217,18 +210,18 @@
 }
 
 // drop forgets what a request wanted under a serial up to the given one.
-func (l *ledger) drop(request string, upTo uint64) {
-	for key, p := range l.promises {
+func (l *reservations) drop(request string, upTo uint64) {
+	for key, p := range l.held {
 		if key.Request == request && p.serial <= upTo {
-			delete(l.promises, key)
+			delete(l.held, key)
 		}
 	}
 }
 
-func (l *ledger) sweep(now time.Time) {
-	for key, p := range l.promises {
+func (l *reservations) sweep(now time.Time) {
+	for key, p := range l.held {
 		if now.After(p.due.Add(forget)) {
-			delete(l.promises, key)
+			delete(l.held, key)
 		}
 	}
 }
--- a/internal/serve/gather/strength.go
+++ b/internal/serve/gather/strength.go
@@ -30,7 +30,7 @@
 }
 
 // allSlow tells whether every target is slow. That is no straggler but a pool
-// under strain, or one whose settings promise too much.
+// under strain, or one whose settings claim too much.
 func (g *Gatherer) allSlow(c *shard, views []pool.View, now time.Time) bool {
 	for _, v := range views {
 		if p := c.paces[v.ID]; p == nil || !p.slow(now) {
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -16,9 +16,9 @@
 const (
 	// Sharing: one process gathers for a shard. Without it each gathers for itself.
 	Sharing Mechanism = "sharing"
-	// Promises: a request is refused before its first stage where its stages
+	// Reservations: a request is refused before its first stage where its stages
 	// can't be done in time. Without them all are taken.
-	Promises Mechanism = "promises"
+	Reservations Mechanism = "reservations"
 	// Reserve: capacity is kept for more urgent requests still to come.
 	Reserve Mechanism = "reserve"
 	// LeastShare: no kind of request gets less than a part of what it asks for.
@@ -59,7 +59,7 @@
 // All lists the mechanisms.
 func All() []Mechanism {
 	return []Mechanism{
-		Sharing, Promises, Reserve, LeastShare, DueOrder, OwnZone, OneZone, Homes, SlowTargets, EarlyRelease, LearntEngines,
+		Sharing, Reservations, Reserve, LeastShare, DueOrder, OwnZone, OneZone, Homes, SlowTargets, EarlyRelease, LearntEngines,
 		Passing, Keepers, StrongOnly, LeavingAlone, Watchers, Containment, FewKept,
 	}
 }
--- a/internal/serve/run/due_test.go
+++ b/internal/serve/run/due_test.go
@@ -10,7 +10,7 @@
 )
 
 // A caller that was refused comes back with less time left than its route's
-// objective. Were its stages due by the objective, they would be promised, done
+// objective. Were its stages due by the objective, they would be reserved, done
 // after the caller has given up, and the caller told nothing until then.
 func TestStagesAreDueBeforeTheirCallerGivesUp(t *testing.T) {
 	now := time.Now()
--- a/internal/serve/run/play_test.go
+++ b/internal/serve/run/play_test.go
@@ -24,7 +24,7 @@
 )
 
 // These tests play the load of a whole deployment's stage pools in virtual
-// time: processes, gatherers and promises are the product's, the pools a model
+// time: processes, gatherers and reservations are the product's, the pools a model
 // with the figures of today's sites.
 
 // kind is one kind of request of a played load.
@@ -347,7 +347,7 @@
 			assert.Equal(t, p.held, 0, "results were left behind")
 		})
 		synctest.Test(t, func(t *testing.T) {
-			p := play(seed, load, leaving(leaveout.Promises))
+			p := play(seed, load, leaving(leaveout.Reservations))
 			report(t, "asks nobody", p)
 			add(without, p)
 		})
@@ -543,8 +543,8 @@
 		p := play(14, load, policy{})
 		report(t, "slow engines", p)
 		// 0.78 to 0.79 with one figure for all engines and nearly all of a shard's
-		// rate promised, 0.90 to 0.93 with engines' times learnt by route and four
-		// fifths promised, 0.95 to 0.96 with times learnt by length.
+		// rate reserved, 0.90 to 0.93 with engines' times learnt by route and four
+		// fifths reserved, 0.95 to 0.96 with times learnt by length.
 		assert.Assert(t, p.kinds["notice"].share() > 0.92)
 	})
 }
--- a/internal/serve/run/shapes_test.go
+++ b/internal/serve/run/shapes_test.go
@@ -112,8 +112,8 @@
 		"six zones of one target each":  {site: sixZones, least: 0.95, without: leaveout.Sharing},
 		"two zones and three VMs":       {site: twoZones, least: 0.95, without: leaveout.Sharing},
 		"pools of two targets":          {site: twoTargets, least: 0.95, without: leaveout.Sharing},
-		"a burst of short calls":        {site: burst, least: 0.6, without: leaveout.Promises},
-		"a burst of calls of 600 ms":    {site: long, least: 0.5, without: leaveout.Promises},
+		"a burst of short calls":        {site: burst, least: 0.6, without: leaveout.Reservations},
+		"a burst of calls of 600 ms":    {site: long, least: 0.5, without: leaveout.Reservations},
 		"a kind that is 1% of all":      {site: rare, least: 0.9, without: leaveout.Sharing},
 	}
 }
@@ -134,7 +134,7 @@
 func TestOrdinaryLoadsOfAnyShapeAreServedInTime(t *testing.T) {
 	for name, s := range shapes() {
 		t.Run(name, func(t *testing.T) {
-			if s.site.length == 0 && s.without != leaveout.Promises {
+			if s.site.length == 0 && s.without != leaveout.Reservations {
 				s.site.length = ordinaryTime
 			}
 			present, without := map[string]tally{}, map[string]tally{}
