--- a/internal/serve/gather/dispatch.go
+++ b/internal/serve/gather/dispatch.go
@@ -12,7 +12,7 @@
 // dispatch starts a call at each free target while items wait. The caller
 // holds mu.
 func (g *Gatherer) dispatch(c *shard, batch *plan.Batch, now time.Time) {
-	c.queue.tempo = tempoOf(batch)
+	c.queue.pacing = pacingOf(batch)
 	g.expire(c, batch, now, overdue)
 	passed := map[string]bool{}
 	for c.queue.len() > 0 {
--- a/internal/serve/gather/tempo.go
+++ b/internal/serve/gather/pacing.go
@@ -6,11 +6,11 @@
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 )
 
-// tempo is what depends on how long a stage's calls take. Most are parts of a
+// pacing is what depends on how long a stage's calls take. Most are parts of a
 // call's time, so that it holds for calls of 50 ms and of 600 ms too: what a wait
 // costs and gains is the next call, whatever that takes. The parts were measured at
 // pools of five to eighteen targets with calls of 240 ms and 150 ms.
-type tempo struct {
+type pacing struct {
 	// rankStep is how much sooner an item counts as due for each rank that it is
 	// more urgent than another: enough to order what is due together, too little to
 	// let a late kind of request overtake one that would then be late.
@@ -43,9 +43,9 @@
 	leastCall = 240 * time.Millisecond
 )
 
-func tempoOf(b *plan.Batch) tempo {
+func pacingOf(b *plan.Batch) pacing {
 	call := max(b.CallTime, leastCall)
-	return tempo{
+	return pacing{
 		rankStep:     call / 3,
 		zonePatience: min(mostPatience, b.FullCall()),
 		zoneSlack:    call,
--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -22,7 +22,7 @@
 // clock. It is not safe for concurrent use.
 type queue struct {
 	leaveOut leaveout.Set
-	tempo    tempo
+	pacing   pacing
 	items    []*waiting
 	byKey    map[Key]*waiting
 }
@@ -57,15 +57,15 @@
 
 // condition is something that may apply to an item; call is what a call takes at
 // least.
-type condition func(w *waiting, now time.Time, call time.Duration, t tempo) bool
+type condition func(w *waiting, now time.Time, call time.Duration, t pacing) bool
 
 // overdue tells whether an item can't be made before its request's deadline.
-func overdue(w *waiting, now time.Time, call time.Duration, _ tempo) bool {
+func overdue(w *waiting, now time.Time, call time.Duration, _ pacing) bool {
 	return !now.Add(call).Before(w.expires)
 }
 
 // hopeless tells whether an item is late and there has been no place for it.
-func hopeless(w *waiting, now time.Time, call time.Duration, t tempo) bool {
+func hopeless(w *waiting, now time.Time, call time.Duration, t pacing) bool {
 	return now.Add(call).After(w.due) && now.Sub(w.since) > t.lateWait
 }
 
@@ -73,7 +73,7 @@
 func (q *queue) drop(now time.Time, call time.Duration, applies condition) []*waiting {
 	var dropped []*waiting
 	q.items = slices.DeleteFunc(q.items, func(w *waiting) bool {
-		if !applies(w, now, call, q.tempo) {
+		if !applies(w, now, call, q.pacing) {
 			return false
 		}
 		delete(q.byKey, w.Key)
@@ -85,7 +85,7 @@
 
 // order is when an item counts as due among others.
 func (q *queue) order(w *waiting) time.Time {
-	return w.due.Add(time.Duration(w.Rank) * q.tempo.rankStep)
+	return w.due.Add(time.Duration(w.Rank) * q.pacing.rankStep)
 }
 
 // crossFull is the bytes for which an item waits the whole of zonePatience.
@@ -93,10 +93,10 @@
 
 // welcome tells whether an item may go to a target in a zone now.
 func (q *queue) welcome(w *waiting, zone string, now time.Time, call time.Duration) bool {
-	if w.Zone == "" || w.Zone == zone || now.Add(call+q.tempo.zoneSlack).After(w.due) {
+	if w.Zone == "" || w.Zone == zone || now.Add(call+q.pacing.zoneSlack).After(w.due) {
 		return true
 	}
-	patience := time.Duration(float64(q.tempo.zonePatience) * min(1, float64(w.Cross)/crossFull))
+	patience := time.Duration(float64(q.pacing.zonePatience) * min(1, float64(w.Cross)/crossFull))
 	return now.Sub(w.since) >= patience
 }
 
--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -15,8 +15,8 @@
 
 const callTime = 240 * time.Millisecond
 
-// usual is the tempo of calls that take callTime.
-var usual = tempoOf(&plan.Batch{CallTime: callTime})
+// usual is the pacing of calls that take callTime.
+var usual = pacingOf(&plan.Batch{CallTime: callTime})
 
 func item(request string, due time.Duration) *waiting {
 	return &waiting{
@@ -26,7 +26,7 @@
 
 func queueOf(items ...*waiting) *queue {
 	q := newQueue(leaveout.Set{})
-	q.tempo = usual
+	q.pacing = usual
 	for _, w := range items {
 		q.add(w)
 	}
--- a/internal/serve/gather/reservations.go
+++ b/internal/serve/gather/reservations.go
@@ -35,7 +35,7 @@
 	rate float64
 	// call is what one call takes.
 	call time.Duration
-	// idle is tempo's.
+	// idle is pacing's.
 	idle time.Duration
 }
 
@@ -235,7 +235,7 @@
 		n = min(n, max(roomShare*float64(room)/float64(itemBytes)/2, 1))
 	}
 	took := b.CallTime + time.Duration(n*float64(b.ItemTime))
-	return capacity{rate: targets * n / took.Seconds(), call: took, idle: tempoOf(b).idle}
+	return capacity{rate: targets * n / took.Seconds(), call: took, idle: pacingOf(b).idle}
 }
 
 // meanSize keeps a moving mean of the size of results, in bytes.
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -30,8 +30,8 @@
 	OwnZone Mechanism = "own-zone"
 	// OneZone: all stages of a chain are made in one zone at a large site.
 	OneZone Mechanism = "one-zone"
-	// Homes: each shared prompt has one engine as its home.
-	Homes Mechanism = "homes"
+	// Affinity: each shared prompt is sent to one engine, which has read it.
+	Affinity Mechanism = "affinity"
 	// SlowTargets: stage targets that work slowly are passed over.
 	SlowTargets Mechanism = "slow-targets"
 	// EarlyRelease: inputs are given back once they have been fetched.
@@ -59,7 +59,7 @@
 // All lists the mechanisms.
 func All() []Mechanism {
 	return []Mechanism{
-		Sharing, Reservations, Reserve, LeastShare, DueOrder, OwnZone, OneZone, Homes, SlowTargets, EarlyRelease, LearntEngines,
+		Sharing, Reservations, Reserve, LeastShare, DueOrder, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines,
 		Passing, Keepers, StrongOnly, LeavingAlone, Watchers, Containment, FewKept,
 	}
 }
--- a/internal/serve/leaveout/leaveout_test.go
+++ b/internal/serve/leaveout/leaveout_test.go
@@ -8,15 +8,15 @@
 
 func TestParse(t *testing.T) {
 	for text, want := range map[string][]Mechanism{
-		"":                nil,
-		"homes":           {Homes},
-		"homes, own-zone": {Homes, OwnZone},
+		"":                   nil,
+		"affinity":           {Affinity},
+		"affinity, own-zone": {Affinity, OwnZone},
 	} {
 		s, err := Parse(text)
 		assert.NilError(t, err, text)
 		assert.DeepEqual(t, s.names, want)
 	}
-	_, err := Parse("homes,everything")
+	_, err := Parse("affinity,everything")
 	assert.ErrorContains(t, err, "everything")
 }
 
--- a/internal/serve/place/place.go
+++ b/internal/serve/place/place.go
@@ -32,7 +32,7 @@
 	return tokens, last
 }
 
-// Unshared is the number of tokens that the request's home has not read yet.
+// Unshared is the number of tokens that the engine of its affinity has not read yet.
 func (p Prompt) Unshared() int {
 	shared, _ := p.shared()
 	return max(p.Input-shared, 0)
@@ -47,8 +47,8 @@
 	Zone string
 	// Avoid lists targets that were tried already, by ID.
 	Avoid map[string]bool
-	// Homeless means that shared prompts have no homes.
-	Homeless bool
+	// NoAffinity means that shared prompts are sent anywhere.
+	NoAffinity bool
 }
 
 // Weights in prompt tokens, the unit in which an engine's work is reckoned. An
@@ -62,10 +62,10 @@
 	// bytesPerToken weighs results that cross zones against tokens that are read
 	// again: 2.5 KB between zones cost the operators what a token costs.
 	bytesPerToken = 2500
-	// homeWeight is how much more a token read again counts than one read at
-	// all: it takes the engine's time and costs besides. A home gives way when
+	// affinityWeight is how much more a token read again counts than one read at
+	// all: it takes the engine's time and costs besides. An affine engine gives way when
 	// it has some three times the shared parts to read before.
-	homeWeight = 3
+	affinityWeight = 3
 	// fullTokens keeps requests from an engine without a free slot while any
 	// other has one.
 	fullTokens = 100_000
@@ -75,13 +75,13 @@
 
 // Engine chooses a model engine: the one where the request costs least, in
 // tokens to read before its first, with those that the engine has read already
-// left out. Each shared prompt has one home, the same in the eyes of all
-// processes, so that they agree without exchange; a home that is busy gives
+// left out. Each shared prompt has one affine engine, the same in the eyes of all
+// processes, so that they agree without exchange; one that is busy gives
 // way. nil where no target is left.
 func Engine(views []pool.View, w Wish) *pool.Target {
-	home := ""
-	if !w.Homeless {
-		home = homeOf(views, w.Prompt)
+	affine := ""
+	if !w.NoAffinity {
+		affine = affineEngine(views, w.Prompt)
 	}
 	total := 0
 	for _, n := range w.Bytes {
@@ -93,7 +93,7 @@
 		if w.Avoid[v.ID] || v.Weight == 0 {
 			continue
 		}
-		cost := engineCost(v, w.Prompt, home == v.ID)
+		cost := engineCost(v, w.Prompt, affine == v.ID)
 		cost += float64(total-w.Bytes[v.Zone]) / bytesPerToken
 		if best == nil || cost < bestCost {
 			best, bestCost = v.Target, cost
@@ -105,12 +105,12 @@
 	return best
 }
 
-func engineCost(v pool.View, p Prompt, home bool) float64 {
+func engineCost(v pool.View, p Prompt, affine bool) float64 {
 	running := max(v.InFlight, v.Report.Running)
 	cost := float64(p.Input + v.Tokens + running*runningTokens + v.Report.Waiting*waitingTokens)
-	if home {
+	if affine {
 		shared, _ := p.shared()
-		cost -= homeWeight * float64(shared)
+		cost -= affinityWeight * float64(shared)
 	}
 	if v.Slots > 0 && running >= v.Slots {
 		cost += fullTokens
@@ -118,34 +118,34 @@
 	return cost + (1-v.Weight)*rampTokens
 }
 
-// HomeZone gives the zone of the engine where a prompt's shared parts have been
+// AffinityZone gives the zone of the engine where a prompt's shared parts have been
 // read; empty where it has none.
-func HomeZone(views []pool.View, p Prompt) string {
-	home := homeOf(views, p)
+func AffinityZone(views []pool.View, p Prompt) string {
+	affine := affineEngine(views, p)
 	for _, v := range views {
-		if v.ID == home {
+		if v.ID == affine {
 			return v.Zone
 		}
 	}
 	return ""
 }
 
-// homeOf gives the ID of the home of a prompt's shared parts, by rendezvous;
+// affineEngine gives the ID of the engine that has read a prompt's shared parts, by rendezvous;
 // empty where it has none.
-func homeOf(views []pool.View, p Prompt) string {
+func affineEngine(views []pool.View, p Prompt) string {
 	_, last := p.shared()
 	if last == "" {
 		return ""
 	}
-	home := ""
+	affine := ""
 	best := uint64(0)
 	for _, v := range views {
 		score := routing.Rendezvous(last, v.ID)
 		if v.Weight > 0 && score >= best {
-			best, home = score, v.ID
+			best, affine = score, v.ID
 		}
 	}
-	return home
+	return affine
 }
 
 // crossZone is what another zone counts among a plain service's targets, in
--- a/internal/serve/place/place_test.go
+++ b/internal/serve/place/place_test.go
@@ -33,43 +33,43 @@
 
 func TestRequestsThatShareAPromptMeetAtOneEngine(t *testing.T) {
 	views := engines(12)
-	homes := map[string]int{}
+	affine := map[string]int{}
 	for i := range 200 {
 		w := Wish{Prompt: prompt(fmt.Sprintf("p%d", i))}
 		first := Engine(views, w)
 		for range 3 {
 			assert.Equal(t, Engine(engines(12), w).ID, first.ID)
 		}
-		homes[first.ID]++
+		affine[first.ID]++
 	}
-	for id, n := range homes {
-		assert.Assert(t, n < 45, "%s is home to %d of 200", id, n)
+	for id, n := range affine {
+		assert.Assert(t, n < 45, "%s is affine engine of %d of 200", id, n)
 	}
-	assert.Equal(t, len(homes), 12)
+	assert.Equal(t, len(affine), 12)
 }
 
-// One prompt is much asked for. Its home gets more than it can read, while
+// One prompt is much asked for. Its affine engine gets more than it can read, while
 // others stand idle.
 func TestABusyHomeGivesWay(t *testing.T) {
 	views := engines(12)
 	w := Wish{Prompt: prompt("hot")}
-	home := Engine(views, w)
+	affine := Engine(views, w)
 	for i := range views {
-		if views[i].ID == home.ID {
+		if views[i].ID == affine.ID {
 			views[i].Tokens = 20000
 		}
 	}
-	assert.Assert(t, Engine(views, w).ID != home.ID)
+	assert.Assert(t, Engine(views, w).ID != affine.ID)
 }
 
 func TestTheHomeStaysWhereItsZoneIsPoor(t *testing.T) {
 	views := engines(12)
 	w := Wish{Prompt: prompt("p")}
-	home := Engine(views, w)
+	affine := Engine(views, w)
 	w.Bytes = map[string]int{"a": 1_600_000, "b": 1_600_000, "c": 1_600_000}
-	w.Bytes[home.Zone] = 0
-	assert.Equal(t, Engine(views, w).ID, home.ID)
-	assert.Equal(t, HomeZone(views, w.Prompt), home.Zone)
+	w.Bytes[affine.Zone] = 0
+	assert.Equal(t, Engine(views, w).ID, affine.ID)
+	assert.Equal(t, AffinityZone(views, w.Prompt), affine.Zone)
 }
 
 func TestWithoutASharedPromptTheResultsZoneDecides(t *testing.T) {
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -44,7 +44,7 @@
 
 func (j *job) choose() *pool.Target {
 	views := j.Table.Views(j.service, time.Now())
-	wish := place.Wish{Prompt: j.req.Prompt, Zone: j.Zone, Avoid: j.tried, Homeless: j.LeaveOut.Has(leaveout.Homes)}
+	wish := place.Wish{Prompt: j.req.Prompt, Zone: j.Zone, Avoid: j.tried, NoAffinity: j.LeaveOut.Has(leaveout.Affinity)}
 	if j.inputs != nil {
 		wish.Bytes = j.inputs.bytes
 	}
