--- a/internal/serve/gather/ask.go
+++ b/internal/serve/gather/ask.go
@@ -79,7 +79,7 @@
 	var ack Ack
 	if err := r.network.Call(ctx, gatherer, methodAsk, call, &ack); err != nil {
 		if ctx.Err() == nil || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-			r.passBy(gatherer, err)
+			r.failOver(gatherer, err)
 		}
 		return nil
 	}
--- a/internal/serve/gather/choose.go
+++ b/internal/serve/gather/choose.go
@@ -120,16 +120,16 @@
 	return zones
 }
 
-// answering leaves out the gatherers that are passed by. Where none is left
+// answering leaves out the gatherers that don't answer. Where none is left
 // the trouble is on this side or everywhere, and weaker ones or one after the
 // other would only multiply it: then all stay. The caller holds mu.
 func (r *Requester) answering(list []peer.Incarnation) []peer.Incarnation {
-	if len(r.passed) == 0 {
+	if len(r.unresponsive) == 0 {
 		return list
 	}
 	var kept []peer.Incarnation
 	for _, id := range list {
-		if !r.passed[id] {
+		if !r.unresponsive[id] {
 			kept = append(kept, id)
 		}
 	}
--- a/internal/serve/gather/choose_test.go
+++ b/internal/serve/gather/choose_test.go
@@ -36,12 +36,12 @@
 func aRequester(network peer.Network) *Requester {
 	table, plans := pool.New(zap.NewNop()), &plan.Holder{}
 	return &Requester{
-		log: zap.NewNop(), network: network, table: table, passed: map[peer.Incarnation]bool{},
+		log: zap.NewNop(), network: network, table: table, unresponsive: map[peer.Incarnation]bool{},
 		own: NewGatherer(context.Background(), zap.NewNop(), table, plans, nil),
 	}
 }
 
-// A process's own link is full, and no gatherer seems to answer. If it passed by
+// A process's own link is full, and no gatherer seems to answer. If it failed over
 // one after the other down to the weakest VM, and all processes did, every shard
 // would have dozens of gatherers, whose calls find the targets full.
 func TestGatherersThatDoNotAnswerAreNotReplacedByWeakOnes(t *testing.T) {
@@ -52,9 +52,9 @@
 	shard := Shard{Service: "s"}
 	all := r.gatherers(shard)
 	assert.Equal(t, len(all), 2)
-	r.passed[all[0]] = true
+	r.unresponsive[all[0]] = true
 	assert.DeepEqual(t, r.gatherers(shard), all[1:])
-	r.passed[all[1]] = true
+	r.unresponsive[all[1]] = true
 	got := r.gatherers(shard)
 	assert.DeepEqual(t, got, all)
 	assert.Assert(t, !slices.Contains(got, "weak"))
--- a/internal/serve/gather/passed.go
+++ b/internal/serve/gather/failover.go
@@ -22,22 +22,22 @@
 	lastProbe  = time.Second
 )
 
-// passBy has a gatherer get no items until it answers again. Two processes that
+// failOver has a gatherer get no items until it answers again. Two processes that
 // gather for one shard fill each other's targets and rooms unawares, so it is
 // probed instead of being left alone for a fixed time: after a start of all
 // processes, one connection that broke kept a shard divided for two seconds.
-func (r *Requester) passBy(member peer.Incarnation, err error) {
-	if r.leaveOut.Has(leaveout.Passing) {
+func (r *Requester) failOver(member peer.Incarnation, err error) {
+	if r.leaveOut.Has(leaveout.Failover) {
 		return
 	}
 	r.mu.Lock()
-	known := r.passed[member]
-	r.passed[member] = true
+	known := r.unresponsive[member]
+	r.unresponsive[member] = true
 	r.mu.Unlock()
 	if known {
 		return
 	}
-	r.log.Warn("Gatherer doesn't answer; passed by.", zap.String("member", string(member)), zap.Error(err))
+	r.log.Warn("Gatherer doesn't answer; failing over.", zap.String("member", string(member)), zap.Error(err))
 	go r.probe(member)
 }
 
@@ -51,9 +51,9 @@
 		}
 	}
 	r.mu.Lock()
-	delete(r.passed, member)
+	delete(r.unresponsive, member)
 	r.mu.Unlock()
-	r.log.Info("Gatherer is no longer passed by.", zap.String("member", string(member)), zap.Duration("after", time.Since(since)))
+	r.log.Info("Gatherer answers again.", zap.String("member", string(member)), zap.Duration("after", time.Since(since)))
 }
 
 func (r *Requester) isMember(id peer.Incarnation) bool {
--- a/internal/serve/gather/free_test.go
+++ b/internal/serve/gather/free_test.go
@@ -74,7 +74,7 @@
 			freed:        make(chan peer.Incarnation, 1),
 		}
 		r := &Requester{
-			log: zap.NewNop(), network: network, passed: map[peer.Incarnation]bool{}, freeing: map[freeKey][]string{},
+			log: zap.NewNop(), network: network, unresponsive: map[peer.Incarnation]bool{}, freeing: map[freeKey][]string{},
 			own: gathererOf(life, &plan.Batch{Size: 1, RoomBytes: 100}, stager, "10.0.0.1:1"),
 		}
 		r.Free(Shard{Service: "s"}, []Result{{Handle: "10.0.0.1:1/h", gatherer: "dead"}})
--- a/internal/serve/gather/lost.go
+++ b/internal/serve/gather/lost.go
@@ -47,7 +47,7 @@
 		ctx, cancel := context.WithTimeout(ctx, ackTimeout)
 		defer cancel()
 		if err := r.network.Call(ctx, gatherer, methodCheck, checkCall{Shard: shard, Keys: keys}, &unknown); err != nil {
-			r.passBy(gatherer, err)
+			r.failOver(gatherer, err)
 			return list
 		}
 	}
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -18,10 +18,10 @@
 )
 
 const (
-	// ackTimeout is how long a gatherer may take to answer before it is passed
-	// by. The VMs are a millisecond or two apart, but the smallest have a fifth of
+	// ackTimeout is how long a gatherer may take to answer before another one is
+	// asked. The VMs are a millisecond or two apart, but the smallest have a fifth of
 	// a core and may use it up for the rest of a tenth of a second, and the next
-	// one as well. Passed by too soon, its items are made twice.
+	// one as well. Failed over too soon, its items are made twice.
 	ackTimeout = 350 * time.Millisecond
 	// checkAfter is from when on a gatherer that owes results is asked whether
 	// it still has the items; a call takes 300 to 450 ms.
@@ -46,12 +46,12 @@
 	// serial counts what was handed over or asked for.
 	serial atomic.Uint64
 
-	mu      sync.Mutex // guards what follows; never held during a call
-	pending map[Key]*pending
-	passed  map[peer.Incarnation]bool
-	freeing map[freeKey][]string
-	freer   bool
-	leaving bool
+	mu           sync.Mutex // guards what follows; never held during a call
+	pending      map[Key]*pending
+	unresponsive map[peer.Incarnation]bool
+	freeing      map[freeKey][]string
+	freer        bool
+	leaving      bool
 	// owners is read and its rankings are added to with mu held.
 	owners derived.Value[layout, *owners]
 }
@@ -95,7 +95,7 @@
 func New(o Options) *Requester {
 	r := &Requester{
 		log: o.Log, network: o.Network, table: o.Table, leaveOut: o.LeaveOut, started: time.Now(),
-		pending: map[Key]*pending{}, passed: map[peer.Incarnation]bool{}, freeing: map[freeKey][]string{},
+		pending: map[Key]*pending{}, unresponsive: map[peer.Incarnation]bool{}, freeing: map[freeKey][]string{},
 	}
 	r.own = o.Gatherer
 	r.own.leaveOut = o.LeaveOut
@@ -202,7 +202,7 @@
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
-		r.passBy(candidate, err)
+		r.failOver(candidate, err)
 	}
 	ack := r.own.Submit(string(self), shard, r.items(wanted, self), time.Now())
 	return refusal(shard, ack)
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -38,9 +38,9 @@
 	EarlyRelease Mechanism = "early-release"
 	// LearntEngines: engines' times to the first event are learnt.
 	LearntEngines Mechanism = "learnt-engines"
-	// Passing: a gatherer that doesn't answer is passed by. Without it its items
+	// Failover: a gatherer that doesn't answer is replaced. Without it its items
 	// wait for it.
-	Passing Mechanism = "passing"
+	Failover Mechanism = "failover"
 	// Keepers: results are given back to the process that had them made. Without
 	// it they go to the one that gathers now in the reader's eyes.
 	Keepers Mechanism = "keepers"
@@ -60,7 +60,7 @@
 func All() []Mechanism {
 	return []Mechanism{
 		Sharing, Reservations, Reserve, LeastShare, DueOrder, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines,
-		Passing, Keepers, StrongOnly, LeavingAlone, Watchers, Containment, FewKept,
+		Failover, Keepers, StrongOnly, LeavingAlone, Watchers, Containment, FewKept,
 	}
 }
 
--- a/internal/serve/run/play_test.go
+++ b/internal/serve/run/play_test.go
@@ -380,7 +380,7 @@
 // The process that gathers for a pool stands still for three seconds while its
 // peers still take it for alive: its VM was paused. Items that were handed to it
 // would wait with it, and every request with them.
-func TestAFrozenGathererIsPassedBy(t *testing.T) {
+func TestAFrozenGathererIsFailedOver(t *testing.T) {
 	load := reservoir()
 	load.meanwhile = func(nodes []*servetest.Node) {
 		time.Sleep(8 * time.Second)
@@ -411,7 +411,7 @@
 // A new configuration has reached some processes and not yet others. The ones
 // that gather for a new service know nothing of it; its requests would be
 // refused until the last process has heard.
-func TestAGathererThatDoesNotKnowTheServiceIsPassedBy(t *testing.T) {
+func TestAGathererThatDoesNotKnowTheServiceIsFailedOver(t *testing.T) {
 	load := reservoir()
 	load.behind, load.length = 3, 6*time.Second
 	playAll(t, "three of eight behind", 9, load, 0.9)
