An outage that a process didn't notice itself takes no lapsed target out there

Where the store is back before that, entries that lapsed meanwhile were taken for gone there.

Change: the store may have been away since its last word to this process or to one that vouched for it, whatever was noticed; a peer that vouches again after such a time ends an outage, and so does news from a peer that doesn't vouch yet. The time without watching after a start is a quarter of the bound, half of it before: a change in the first second came too late for a test that allows 1 s.

--- a/internal/serve/follow/bound.go
+++ b/internal/serve/follow/bound.go
@@ -33,7 +33,7 @@
 
 // settling is how long a process that has just read the whole learns who its peers
 // are before it watches the store.
-func (b Bound) settling() time.Duration { return b.part(50) }
+func (b Bound) settling() time.Duration { return b.part(25) }
 
 // askPeriod is how often a process asks a watcher for news.
 func (b Bound) askPeriod() time.Duration { return b.part(15) }
--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -225,29 +225,29 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if d.failingSince.CompareAndSwap(0, f.lastWord(time.Now()).UnixNano()) {
+	if d.failingSince.CompareAndSwap(0, f.awaySince(d).UnixNano()) {
 		f.log.Warn("Store doesn't answer.", zap.String("what", d.name), zap.Error(err))
 	}
 }
 
-// lastWord is since when the store may have been away, as seen at a first
-// failure: since a watcher last vouched for it, if one did until just now.
-func (f *Follower) lastWord(now time.Time) time.Time {
-	if f.peers == nil {
-		return now
+// awaySince is since when the store may have been away, as seen at a first failure:
+// since its last word to this process or to one that vouched for it.
+func (f *Follower) awaySince(d *feed) time.Time {
+	last := d.told.Load()
+	if f.peers != nil {
+		last = max(last, f.peers.heard.Load())
 	}
-	heard := time.Unix(0, f.peers.heard.Load())
-	if now.Sub(heard) < 2*f.within().trust() {
-		return heard
+	if last == 0 {
+		return time.Now()
 	}
-	return now
+	return time.Unix(0, last)
 }
 
 // answered notes an answer of the store.
 func (f *Follower) answered(d *feed) {
 	now := time.Now()
 	before := time.Unix(0, d.told.Swap(now.UnixNano()))
-	if now.Sub(before) > f.within().trust() {
+	if now.Sub(before) > f.within().trust() || d.failing() > 0 {
 		f.served.Store(now.UnixNano())
 	}
 	f.ended(d, now)
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -222,8 +222,13 @@
 // vouched notes that the store serves a peer. Through it this process is in touch
 // with the store as well.
 func (f *Follower) vouched(n news, now time.Time) {
+	served := now.Add(-time.Duration(n.ServedMS) * time.Millisecond)
+	if served.Sub(f.awaySince(f.targetFeed)) >= outage {
+		// Nobody heard of the store until it served that peer again.
+		f.table.ListBack(now)
+	}
 	f.peers.heard.Store(now.Add(-time.Duration(n.AgeMS) * time.Millisecond).UnixNano())
-	f.peers.servedSince.Store(now.Add(-time.Duration(n.ServedMS) * time.Millisecond).UnixNano())
+	f.peers.servedSince.Store(served.UnixNano())
 	if f.watcher() {
 		return // it has to know by itself
 	}
@@ -264,8 +269,7 @@
 // process, what a peer's list lacks may have lapsed in the outage.
 func (f *Follower) mirror(n news) {
 	now := time.Now()
-	failing := f.targetFeed.failing()
-	if failing >= outage && !f.othersServed(now.Add(-failing)) {
+	if f.outageUntilNow(now) {
 		f.table.ListBack(now)
 	}
 	if len(n.Changes) > 0 {
@@ -275,6 +279,17 @@
 	f.table.Mirror(n.Entries, n.Revision, now)
 }
 
+// outageUntilNow tells whether the store may have been away for all so long that
+// entries have lapsed: it doesn't answer this process, or nobody has vouched for it
+// for longer than a sound watcher's word is old.
+func (f *Follower) outageUntilNow(now time.Time) bool {
+	failing := f.targetFeed.failing()
+	if failing >= outage {
+		return !f.othersServed(now.Add(-failing))
+	}
+	return now.Sub(f.awaySince(f.targetFeed)) >= max(outage, f.within().trust())
+}
+
 // expect ends a feed's call if it brings nothing soon.
 func (f *Follower) expect(d *feed) {
 	if f.relayedFor(d) > 0 {
