--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -73,8 +73,8 @@
 	AgeMS int64 `json:"age_ms,omitempty"`
 }
 
-// UsePeers has peers asked while the store doesn't answer, and theirs answered.
-// Call before the network starts.
+// UsePeers has this process ask its peers for news, and answer theirs. Call before
+// the network starts.
 func (f *Follower) UsePeers(network peer.Network) {
 	f.peers = &peers{network: network}
 	f.watcher = func() bool { return f.peers.chosen(network.View()).self }
--- a/internal/serve/gather/failover.go
+++ b/internal/serve/gather/failover.go
@@ -15,17 +15,14 @@
 const (
 	// firstProbe is how long after it failed to answer a gatherer is probed; the
 	// pause doubles with each probe that fails, up to lastProbe. A connection that
-	// was closed because both sides had opened one works again at once, a process
-	// that is just starting within 0.1 s. One that is frozen for seconds costs a
-	// message each time.
+	// was closed because both sides had opened one works again at once.
 	firstProbe = 50 * time.Millisecond
 	lastProbe  = time.Second
 )
 
 // failOver has a gatherer get no items until it answers again. Two processes that
-// gather for one shard fill each other's targets and rooms unawares, so it is
-// probed instead of being left alone for a fixed time: after a start of all
-// processes, one connection that broke kept a shard divided for two seconds.
+// gather for one shard fill each other's targets unawares, so it is probed instead of
+// being left alone for a fixed time.
 func (r *Requester) failOver(member peer.Incarnation, err error) {
 	if r.leaveOut.Has(leaveout.Failover) {
 		return
--- a/internal/serve/gather/pacing.go
+++ b/internal/serve/gather/pacing.go
@@ -7,17 +7,14 @@
 )
 
 // pacing is what depends on how long a stage's calls take. Most are parts of a
-// call's time, so that it holds for calls of 50 ms and of 600 ms too: what a wait
-// costs and gains is the next call, whatever that takes. The parts were measured at
-// pools of five to eighteen targets with calls of 240 ms and 150 ms.
+// call's time: what a wait costs and gains is the next call, whatever that takes.
 type pacing struct {
 	// rankStep is how much sooner an item counts as due for each rank that it is
 	// more urgent than another: enough to order what is due together, too little to
 	// let a late kind of request overtake one that would then be late.
 	rankStep time.Duration
 	// zonePatience is how long an item waits for a target in its zone while it has
-	// time. Two thirds of all results would cross zones otherwise, which costs a
-	// sixth of what a short request is worth.
+	// time, since results that cross zones cost.
 	zonePatience time.Duration
 	// zoneSlack is how much time an item must have beyond its call to wait.
 	zoneSlack time.Duration
@@ -32,14 +29,9 @@
 
 const (
 	// mostPatience bounds zonePatience. It isn't a part of a call: what it saves is
-	// bytes, and only items that have the time spend it. With calls of 150 ms, 125 ms
-	// let half as many bytes again cross zones (worth -0.02 on days with trouble, 12
-	// pairs); 280 to 560 ms let half as many cross, but 1 to 2 of 100 answers less
-	// were in time.
+	// bytes, and only items that have the time spend it.
 	mostPatience = 200 * time.Millisecond
-	// leastCall is the shortest call whose parts are reckoned with. With calls of
-	// 150 ms, parts of those instead were no better: of 100 answers 0.5 less were
-	// worth their full price (15 pairs, worth -0.006 +- 0.005).
+	// leastCall is the shortest call whose parts are reckoned with.
 	leastCall = 240 * time.Millisecond
 )
 
--- a/internal/serve/gather/reservations.go
+++ b/internal/serve/gather/reservations.go
@@ -88,11 +88,11 @@
 	return &reservations{leaveOut: leaveOut, held: map[groupKey]*reservation{}, ranks: map[int]*demand{}}
 }
 
-func (l *reservations) demandOf(rank int, now time.Time) *demand {
-	d := l.ranks[rank]
+func (r *reservations) demandOf(rank int, now time.Time) *demand {
+	d := r.ranks[rank]
 	if d == nil {
 		d = &demand{at: now}
-		l.ranks[rank] = d
+		r.ranks[rank] = d
 	}
 	d.decay(now)
 	return d
@@ -100,32 +100,32 @@
 
 // ask decides whether the shard reserves some work. Where it doesn't, excess is
 // about how much sooner the work should have come, or how much later it could.
-func (l *reservations) ask(now time.Time, key groupKey, rank int, p reservation, c capacity) (granted bool, excess time.Duration) {
-	d := l.demandOf(rank, now)
+func (r *reservations) ask(now time.Time, key groupKey, rank int, p reservation, c capacity) (granted bool, excess time.Duration) {
+	d := r.demandOf(rank, now)
 	d.note(p.items, p.due.Sub(now))
 	reserved := 0.0
-	starved := d.starved() && !l.leaveOut.Has(leaveout.LeastShare)
-	if !starved && !l.leaveOut.Has(leaveout.Reserve) {
-		reserved = l.moreUrgent(rank, now, p.due)
+	starved := d.starved() && !r.leaveOut.Has(leaveout.LeastShare)
+	if !starved && !r.leaveOut.Has(leaveout.Reserve) {
+		reserved = r.moreUrgent(rank, now, p.due)
 	}
-	excess = l.excess(now, p, reserved, c)
+	excess = r.excess(now, p, reserved, c)
 	if excess > 0 {
 		return false, excess
 	}
 	d.admitted += float64(p.items) / demandMemory.Seconds()
-	l.held[key] = &p
+	r.held[key] = &p
 	return true, 0
 }
 
 // moreUrgent is how many items of the ranks before this one are still to come
 // that will be due by a time.
-func (l *reservations) moreUrgent(rank int, now, due time.Time) float64 {
+func (r *reservations) moreUrgent(rank int, now, due time.Time) float64 {
 	total := 0.0
-	for other := range l.ranks {
+	for other := range r.ranks {
 		if other >= rank {
 			continue
 		}
-		d := l.demandOf(other, now)
+		d := r.demandOf(other, now)
 		total += d.asked * max(due.Sub(now)-d.lead, 0).Seconds()
 	}
 	return total
@@ -133,13 +133,13 @@
 
 // excess is how much later than due something would be made if the work were
 // added; 0 or less where all is in time.
-func (l *reservations) excess(now time.Time, p reservation, reserved float64, c capacity) time.Duration {
-	l.sweep(now)
+func (r *reservations) excess(now time.Time, p reservation, reserved float64, c capacity) time.Duration {
+	r.sweep(now)
 	rate := usable * c.rate
 	if rate <= 0 {
 		return c.call
 	}
-	if float64(l.standing())/rate <= c.idle.Seconds() {
+	if float64(r.standing())/rate <= c.idle.Seconds() {
 		return 0
 	}
 	late := func(work float64, due time.Time) time.Duration {
@@ -147,7 +147,7 @@
 	}
 	// work is what is due by the reservation at hand, in the order of due times.
 	work, worst, seen := 0.0, time.Duration(math.MinInt64), false
-	for _, other := range l.byDue() {
+	for _, other := range r.byDue() {
 		if !seen && other.due.After(p.due) {
 			seen = true
 			work += float64(p.items)
@@ -165,9 +165,9 @@
 }
 
 // byDue lists the reservations, the one that is due first in front.
-func (l *reservations) byDue() []*reservation {
-	list := make([]*reservation, 0, len(l.held))
-	for _, p := range l.held {
+func (r *reservations) byDue() []*reservation {
+	list := make([]*reservation, 0, len(r.held))
+	for _, p := range r.held {
 		list = append(list, p)
 	}
 	slices.SortFunc(list, func(a, b *reservation) int { return a.due.Compare(b.due) })
@@ -177,32 +177,32 @@
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // standing counts all items reserved and not yet begun.
-func (l *reservations) standing() int {
+func (r *reservations) standing() int {
 	total := 0
-	for _, p := range l.held {
+	for _, p := range r.held {
 		total += p.items
 	}
 	return total
 }
 
 // begun notes that an item is being made.
-func (l *reservations) begun(k Key) {
-	p := l.held[k.group()]
+func (r *reservations) begun(k Key) {
+	p := r.held[k.group()]
 	if p == nil {
 		return
 	}
 	p.items--
 	if p.items <= 0 {
-		delete(l.held, k.group())
+		delete(r.held, k.group())
 	}
 }
 
 // note adds an item that came without having been asked for.
-func (l *reservations) note(key groupKey, due time.Time, serial uint64) {
-	p := l.held[key]
+func (r *reservations) note(key groupKey, due time.Time, serial uint64) {
+	p := r.held[key]
 	if p == nil {
 		p = &reservation{due: due, unasked: true, serial: serial}
-		l.held[key] = p
+		r.held[key] = p
 	}
 	if p.unasked {
 		p.items++
@@ -210,18 +210,18 @@
 }
 
 // drop forgets what a request wanted under a serial up to the given one.
-func (l *reservations) drop(request string, upTo uint64) {
-	for key, p := range l.held {
+func (r *reservations) drop(request string, upTo uint64) {
+	for key, p := range r.held {
 		if key.Request == request && p.serial <= upTo {
-			delete(l.held, key)
+			delete(r.held, key)
 		}
 	}
 }
 
-func (l *reservations) sweep(now time.Time) {
-	for key, p := range l.held {
+func (r *reservations) sweep(now time.Time) {
+	for key, p := range r.held {
 		if now.After(p.due.Add(forget)) {
-			delete(l.held, key)
+			delete(r.held, key)
 		}
 	}
 }
