First by rank, and records that still count, stand once each

Found by reading the change: choosing store watchers and crash collectors ranked the living members by the same ten lines, now peer.View.First; suspect.Table had the same test of a record's age three times, now current; changesFor only turned around what Table.Since gives. A field's comment in pool.Table began in the middle of a sentence.

--- a/internal/peer/view.go
+++ b/internal/peer/view.go
@@ -1,6 +1,11 @@
 package peer
 
-import "github.com/vanillagate/vanillagate/internal/member"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/vanillagate/vanillagate/internal/member"
+)
 
 // View is what a process knows of its peers at one moment. Views are shared
 // and never changed.
@@ -44,3 +49,24 @@
 	}
 	return alive
 }
+
+// First lists the n processes that are alive and rank highest, best first; fewer where
+// there are fewer. All processes that know the same members and rank alike choose the
+// same.
+func (v *View) First(n int, rank func(Incarnation) uint64) []Incarnation {
+	type ranked struct {
+		id   Incarnation
+		rank uint64
+	}
+	alive := v.Alive()
+	ranks := make([]ranked, 0, len(alive))
+	for _, m := range alive {
+		ranks = append(ranks, ranked{m.Incarnation, rank(m.Incarnation)})
+	}
+	slices.SortFunc(ranks, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
+	first := make([]Incarnation, 0, n)
+	for _, r := range ranks[:min(n, len(ranks))] {
+		first = append(first, r.id)
+	}
+	return first
+}
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -101,7 +101,9 @@
 		n.Plan = p
 	}
 	if f.table.Known() && f.table.Newest() > call.Revision {
-		n.Revision, n.Changes = f.changesFor(call)
+		if call.Changes {
+			n.Changes, n.Revision = f.table.Since(call.Revision)
+		}
 		if len(n.Changes) == 0 {
 			n.Entries, n.Revision = f.table.Entries()
 		}
@@ -109,16 +111,6 @@
 	return n
 }
 
-// changesFor lists the changes of targets that a caller lacks, if it takes them and
-// they are known, and the revision as of which they are.
-func (f *Follower) changesFor(call newsCall) (uint64, []pool.Change) {
-	if !call.Changes {
-		return 0, nil
-	}
-	changes, revision := f.table.Since(call.Revision)
-	return revision, changes
-}
-
 // sound tells whether the store answers this process.
 func (f *Follower) sound() bool {
 	plan, targets := f.Failing()
--- a/internal/serve/follow/watchers.go
+++ b/internal/serve/follow/watchers.go
@@ -1,9 +1,6 @@
 package follow
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/vanillagate/vanillagate/internal/member"
 	"github.com/vanillagate/vanillagate/internal/peer"
 )
@@ -25,24 +22,15 @@
 // chooseWatchers takes the first members by rendezvous, which all processes that
 // know the same members choose alike.
 func chooseWatchers(v *peer.View) watchers {
-	alive := v.Alive()
-	type ranked struct {
-		id   peer.Incarnation
-		rank uint64
-	}
-	ranks := make([]ranked, 0, len(alive))
-	for _, m := range alive {
-		ranks = append(ranks, ranked{m.Incarnation, member.Hash(string(m.Incarnation))})
-	}
-	slices.SortFunc(ranks, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
-	wanted := max(leastWatchers, (len(alive)+perWatcher-1)/perWatcher)
+	wanted := max(leastWatchers, (len(v.Alive())+perWatcher-1)/perWatcher)
+	rank := func(id peer.Incarnation) uint64 { return member.Hash(string(id)) }
 	var chosen watchers
-	for _, r := range ranks[:min(wanted, len(ranks))] {
-		if r.id == v.Self.Incarnation {
+	for _, id := range v.First(wanted, rank) {
+		if id == v.Self.Incarnation {
 			chosen.self = true
 			continue
 		}
-		chosen.others = append(chosen.others, r.id)
+		chosen.others = append(chosen.others, id)
 	}
 	return chosen
 }
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -26,8 +26,9 @@
 	// used on for a while; byService has both.
 	byID   map[string]*Target
 	lapsed map[string]*Target
-	// in an order of this process's own, so that processes that choose among equals
-	// don't all choose the same; the lists are replaced, never changed in place.
+	// byService is in an order of this process's own, so that processes that choose
+	// among equals don't all choose the same. Its lists are replaced, never changed in
+	// place.
 	byService map[string][]*Target
 	rosters   map[string]*Roster
 	// generation grows with every change of a roster.
--- a/internal/serve/suspicion.go
+++ b/internal/serve/suspicion.go
@@ -1,12 +1,10 @@
 package serve
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -233,20 +231,7 @@
 // collectorsOf gives the processes that collect the reports on a request: the first
 // by rendezvous among the living.
 func collectorsOf(f suspect.Fingerprint, view *peer.View) []peer.Incarnation {
-	type ranked struct {
-		id   peer.Incarnation
-		rank uint64
-	}
-	var ranks []ranked
-	for _, m := range view.Alive() {
-		ranks = append(ranks, ranked{m.Incarnation, routing.Rendezvous(string(f), string(m.Incarnation))})
-	}
-	slices.SortFunc(ranks, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
-	var list []peer.Incarnation
-	for _, r := range ranks[:min(collectors, len(ranks))] {
-		list = append(list, r.id)
-	}
-	return list
+	return view.First(collectors, func(id peer.Incarnation) uint64 { return routing.Rendezvous(string(f), string(id)) })
 }
 
 // tell tells all processes of the crashes under convicted requests.
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -134,21 +134,15 @@
 
 // Crashes counts the targets that died under a request.
 func (t *Table) Crashes(f Fingerprint, now time.Time) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.records[f]
-	if r == nil || now.Sub(r.seenAt) > Memory {
-		return 0
-	}
-	return len(r.crashes)
+	return len(t.Addresses(f, now))
 }
 
 // Addresses lists the targets that died under a request.
 func (t *Table) Addresses(f Fingerprint, now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.records[f]
-	if r == nil || now.Sub(r.seenAt) > Memory {
+	r := t.current(f, now)
+	if r == nil {
 		return nil
 	}
 	list := make([]string, 0, len(r.crashes))
@@ -159,13 +153,23 @@
 }
 
 func (t *Table) verdict(f Fingerprint, now time.Time) Verdict {
-	r := t.records[f]
-	if r == nil || now.Sub(r.seenAt) > Memory {
+	r := t.current(f, now)
+	if r == nil {
 		return Clear
 	}
 	return r.verdict()
 }
 
+// current gives the record of a request, nil where there is none that still counts.
+// The caller holds mu.
+func (t *Table) current(f Fingerprint, now time.Time) *record {
+	r := t.records[f]
+	if r == nil || now.Sub(r.seenAt) > Memory {
+		return nil
+	}
+	return r
+}
+
 func (r *record) verdict() Verdict {
 	switch {
 	case len(r.crashes) >= crashesToConvict:
