Evacuated zones get nothing more; their items move to other shards

Orders of operators (the configuration and evacuations) are now one feed: watchers read both with the calls that they made before, peers tell each other evacuations by the revision of the last change. An evacuated zone's targets are in no view and no roster, so engines, plain targets, stage targets and affinity follow by themselves. A shard that has no targets left while others of its service have gives its items back, and their requests have them made there; before, they waited until they were late. That also covers a service that shrinks to one shard. Results in an evacuated zone are fetched and not freed: freeing is a call. A lapsed target that takes no connection is no longer dropped before its entry may have come back.

Ruled out: a feed of its own (twice the calls of the store).

--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -1,4 +1,4 @@
-// Package follow keeps the configuration and the list of targets up to date:
+// Package follow keeps operators' orders and the list of targets up to date:
 // from the store that has them, and from peers while the store can't be
 // reached. What is known is never given up for being old; newer versions
 // replace it.
@@ -25,17 +25,33 @@
 // Source is the store that operators and targets write to. Each call gives the
 // revision up to which its answer goes.
 type Source interface {
-	// ReadPlan gives the newest configuration; nil while there is none.
-	ReadPlan(ctx context.Context) (*plan.Plan, uint64, error)
-	// WatchPlan waits for a configuration newer than a revision; nil when the
-	// time is up.
-	WatchPlan(ctx context.Context, after uint64, wait time.Duration) (*plan.Plan, uint64, error)
+	// ReadOrders gives all that operators have ordered.
+	ReadOrders(ctx context.Context) (Orders, uint64, error)
+	// WatchOrders waits for changes after a revision.
+	WatchOrders(ctx context.Context, after uint64, wait time.Duration) (OrderChanges, uint64, error)
 	// ReadTargets gives all entries.
 	ReadTargets(ctx context.Context) ([]pool.Entry, uint64, error)
 	// WatchTargets waits for changes after a revision.
 	WatchTargets(ctx context.Context, after uint64, wait time.Duration) ([]pool.Change, uint64, error)
 }
 
+// Orders are all that operators have ordered.
+type Orders struct {
+	// Plan is the newest configuration; nil while there is none.
+	Plan *plan.Plan
+	// Evacuations are those in force.
+	Evacuations []pool.Evacuation
+}
+
+// OrderChanges are what has changed of Orders.
+type OrderChanges struct {
+	// Plan is nil where the configuration hasn't changed.
+	Plan        *plan.Plan
+	Evacuations []pool.EvacuationChange
+}
+
+func (c OrderChanges) empty() bool { return c.Plan == nil && len(c.Evacuations) == 0 }
+
 const (
 	// readTimeout bounds the reading of the whole.
 	readTimeout = 2 * time.Second
@@ -66,8 +82,8 @@
 	served atomic.Int64
 	// watcher tells whether this process is one of those that watch the store.
 	watcher func() bool
-	// planFeed and targetFeed are the two things followed.
-	planFeed   *feed
+	// orderFeed and targetFeed are the two things followed.
+	orderFeed  *feed
 	targetFeed *feed
 }
 
@@ -103,7 +119,7 @@
 	f := &Follower{log: log, source: source, plans: plans, table: table, started: time.Now(), watcher: func() bool { return true }}
 	f.served.Store(time.Now().UnixNano())
 	f.SetBound(DefaultBound)
-	f.planFeed = &feed{name: "configuration", read: f.readPlan, watch: f.watchPlan}
+	f.orderFeed = &feed{name: "orders", read: f.readOrders, watch: f.watchOrders}
 	f.targetFeed = &feed{
 		name: "targets", read: f.readTargets, watch: f.watchTargets, paused: true, back: table.ListBack,
 	}
@@ -114,7 +130,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	done := make(chan struct{}, 3)
 	for _, loop := range []func(){
-		func() { f.follow(ctx, f.planFeed) },
+		func() { f.follow(ctx, f.orderFeed) },
 		func() { f.follow(ctx, f.targetFeed) },
 		func() { f.sweep(ctx) },
 	} {
@@ -179,7 +195,7 @@
 		}
 	}
 	// While the store fails one feed asks after it for both.
-	if d == f.planFeed && d.failing() > 0 && f.targetFeed.failing() > 0 {
+	if d == f.orderFeed && d.failing() > 0 && f.targetFeed.failing() > 0 {
 		return firstRetry
 	}
 	return 0
@@ -279,10 +295,10 @@
 	return heard.Sub(since) > f.within().servedLater() && !served.After(since)
 }
 
-// Failing tells for how long the store hasn't answered about the configuration
+// Failing tells for how long the store hasn't answered about operators' orders
 // and about targets; 0 while it does.
-func (f *Follower) Failing() (plan, targets time.Duration) {
-	return f.planFeed.failing(), f.targetFeed.failing()
+func (f *Follower) Failing() (orders, targets time.Duration) {
+	return f.orderFeed.failing(), f.targetFeed.failing()
 }
 
 // failing tells for how long the store has been failing.
@@ -294,21 +310,24 @@
 	return time.Since(time.Unix(0, since))
 }
 
-func (f *Follower) readPlan(ctx context.Context) (uint64, error) {
-	p, revision, err := f.source.ReadPlan(ctx)
-	if err == nil {
-		f.apply(p, "store")
+func (f *Follower) readOrders(ctx context.Context) (uint64, error) {
+	orders, revision, err := f.source.ReadOrders(ctx)
+	if err != nil {
+		return 0, err
 	}
-	return revision, err
+	f.apply(orders.Plan, "store")
+	f.table.ResetEvacuations(orders.Evacuations, revision)
+	return revision, nil
 }
 
-func (f *Follower) watchPlan(ctx context.Context, after uint64, hold time.Duration) (bool, uint64, error) {
-	p, revision, err := f.source.WatchPlan(ctx, after, hold)
+func (f *Follower) watchOrders(ctx context.Context, after uint64, hold time.Duration) (bool, uint64, error) {
+	changes, revision, err := f.source.WatchOrders(ctx, after, hold)
 	if err != nil {
 		return false, after, err
 	}
-	f.apply(p, "store")
-	return p != nil, revision, nil
+	f.apply(changes.Plan, "store")
+	f.table.ChangeEvacuations(changes.Evacuations, revision)
+	return !changes.empty(), revision, nil
 }
 
 // apply puts a plan in force, if it is one, newer, and can be used.
--- a/internal/serve/follow/follow_test.go
+++ b/internal/serve/follow/follow_test.go
@@ -24,8 +24,12 @@
 	plan     stored
 	planAt   uint64
 	changes  []pool.Change
-	oldest   uint64
-	wake     chan struct{}
+	// evacuated are the zones that are, with their orders' revisions, evacuations all
+	// changes of them.
+	evacuated   map[string]uint64
+	evacuations []pool.EvacuationChange
+	oldest      uint64
+	wake        chan struct{}
 	// failing makes calls fail, silent makes them hang until they are given up.
 	failing bool
 	silent  bool
@@ -45,7 +49,9 @@
 
 var errDown = errors.New("down")
 
-func newFakeStore() *fakeStore { return &fakeStore{wake: make(chan struct{})} }
+func newFakeStore() *fakeStore {
+	return &fakeStore{wake: make(chan struct{}), evacuated: map[string]uint64{}}
+}
 
 // twoStores are one store as two groups of processes see it: what operators and
 // targets write reaches both by the function.
@@ -73,11 +79,29 @@
 func (s *fakeStore) putTarget(id string, state pool.State) {
 	s.change(func() {
 		s.changes = append(s.changes, pool.Change{Entry: pool.Entry{
-			ID: id, Service: "s", Address: "10.0.0.1:" + id, Slots: 1, State: state, Revision: s.revision,
+			ID: id, Service: "s", Address: "10.0.0.1:" + id, Zone: "zone-" + id, Slots: 1, State: state, Revision: s.revision,
 		}})
 	})
 }
 
+func (s *fakeStore) evacuate(zone string) {
+	s.change(func() {
+		s.evacuated[zone] = s.revision
+		s.evacuations = append(s.evacuations, pool.EvacuationChange{
+			Evacuation: pool.Evacuation{Zone: zone, Revision: s.revision},
+		})
+	})
+}
+
+func (s *fakeStore) takeBack(zone string) {
+	s.change(func() {
+		delete(s.evacuated, zone)
+		s.evacuations = append(s.evacuations, pool.EvacuationChange{
+			Evacuation: pool.Evacuation{Zone: zone, Revision: s.revision}, Withdrawn: true,
+		})
+	})
+}
+
 func (s *fakeStore) dropTarget(id string) {
 	s.change(func() {
 		s.changes = append(s.changes, pool.Change{Entry: pool.Entry{ID: id, Revision: s.revision}, Removed: true})
@@ -100,24 +124,33 @@
 	return nil
 }
 
-func (s *fakeStore) ReadPlan(ctx context.Context) (*plan.Plan, uint64, error) {
+func (s *fakeStore) ReadOrders(ctx context.Context) (Orders, uint64, error) {
 	if err := s.begin(ctx); err != nil {
-		return nil, 0, err
+		return Orders{}, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.plan.copy(), s.revision, nil
+	orders := Orders{Plan: s.plan.copy()}
+	for zone, revision := range s.evacuated {
+		orders.Evacuations = append(orders.Evacuations, pool.Evacuation{Zone: zone, Revision: revision})
+	}
+	return orders, s.revision, nil
 }
 
-func (s *fakeStore) WatchPlan(ctx context.Context, after uint64, hold time.Duration) (*plan.Plan, uint64, error) {
-	var p *plan.Plan
+func (s *fakeStore) WatchOrders(ctx context.Context, after uint64, hold time.Duration) (OrderChanges, uint64, error) {
+	var c OrderChanges
 	revision, err := s.hold(ctx, after, hold, func() bool {
 		if s.planAt > after {
-			p = s.plan.copy()
+			c.Plan = s.plan.copy()
+		}
+		for _, e := range s.evacuations {
+			if e.Revision > after {
+				c.Evacuations = append(c.Evacuations, e)
+			}
 		}
-		return p != nil
+		return !c.empty()
 	})
-	return p, revision, err
+	return c, revision, err
 }
 
 func (s *fakeStore) ReadTargets(ctx context.Context) ([]pool.Entry, uint64, error) {
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -46,6 +46,8 @@
 type newsCall struct {
 	Version  uint64 `json:"version"`
 	Revision uint64 `json:"revision"`
+	// Evacuations is the revision of the last change of any evacuation.
+	Evacuations uint64 `json:"evacuations,omitempty"`
 	// Changes tells that the caller takes changes since Revision in place of the
 	// whole list. A process of an earlier version doesn't.
 	Changes bool `json:"changes,omitempty"`
@@ -54,10 +56,16 @@
 // news is what is newer; nil and empty where nothing is.
 type news struct {
 	Plan *plan.Plan `json:"plan,omitempty"`
-	// PlanUpTo and TargetsUpTo are the store's revisions up to which the answering
-	// process knows all changes of each.
-	PlanUpTo    uint64 `json:"plan_up_to,omitempty"`
-	TargetsUpTo uint64 `json:"targets_up_to,omitempty"`
+	// Evacuated is the revision of the last change of any evacuation, if that is newer
+	// than the caller's; 0 otherwise. Evacuations are all those in force then.
+	Evacuated   uint64            `json:"evacuated,omitempty"`
+	Evacuations []pool.Evacuation `json:"evacuations,omitempty"`
+	// PlanUpTo, EvacuationsUpTo and TargetsUpTo are the store's revisions up to which
+	// the answering process knows all changes of each. EvacuationsUpTo is 0 from a
+	// process of an earlier version.
+	PlanUpTo        uint64 `json:"plan_up_to,omitempty"`
+	EvacuationsUpTo uint64 `json:"evacuations_up_to,omitempty"`
+	TargetsUpTo     uint64 `json:"targets_up_to,omitempty"`
 	// Revision is that of the list of targets; 0 where there is no news of it.
 	// Changes are those since the caller's, Entries the whole list where they
 	// can't be told.
@@ -94,12 +102,13 @@
 		Sound:       f.sound() && age < f.within().trust(),
 		ServedMS:    now.Sub(time.Unix(0, f.served.Load())).Milliseconds(),
 		AgeMS:       age.Milliseconds(),
-		PlanUpTo:    f.planFeed.revision.Load(),
+		PlanUpTo:    f.orderFeed.revision.Load(),
 		TargetsUpTo: f.table.UpTo(),
 	}
 	if p := f.plans.Current(); p != nil && p.Version > call.Version {
 		n.Plan = p
 	}
+	f.evacuationNews(&n, call)
 	if f.table.Known() && f.table.Newest() > call.Revision {
 		if call.Changes {
 			n.Changes, n.Revision = f.table.Since(call.Revision)
@@ -111,15 +120,24 @@
 	return n
 }
 
+// evacuationNews adds what the caller lacks of the evacuations.
+func (f *Follower) evacuationNews(n *news, call newsCall) {
+	list, newest, upTo := f.table.Evacuations()
+	n.EvacuationsUpTo = upTo
+	if newest > call.Evacuations {
+		n.Evacuated, n.Evacuations = newest, list
+	}
+}
+
 // sound tells whether the store answers this process.
 func (f *Follower) sound() bool {
-	plan, targets := f.Failing()
-	return plan == 0 && targets == 0 && f.table.Known() && f.plans.Current() != nil
+	orders, targets := f.Failing()
+	return orders == 0 && targets == 0 && f.table.Known() && f.plans.Current() != nil
 }
 
 // told is when the store last told this process of both things that it follows.
 func (f *Follower) told() time.Time {
-	return time.Unix(0, min(f.planFeed.told.Load(), f.targetFeed.told.Load()))
+	return time.Unix(0, min(f.orderFeed.told.Load(), f.targetFeed.told.Load()))
 }
 
 // relayedFor is for how long what a feed knows still stands for the store's word,
@@ -199,7 +217,8 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var n news
-	call := newsCall{Version: f.plans.Version(), Revision: f.table.Newest(), Changes: true}
+	_, evacuations, _ := f.table.Evacuations()
+	call := newsCall{Version: f.plans.Version(), Revision: f.table.Newest(), Evacuations: evacuations, Changes: true}
 	if err := f.peers.network.Call(ctx, whom, methodNews, call, &n); err != nil {
 		f.log.Debug("Peer gave no news.", zap.String("member", string(whom)), zap.Error(err))
 		return false
@@ -224,7 +243,7 @@
 	if f.watcher() {
 		return // it has to know by itself
 	}
-	f.ended(f.planFeed, now)
+	f.ended(f.orderFeed, now)
 	f.ended(f.targetFeed, now)
 }
 
@@ -233,14 +252,17 @@
 func (f *Follower) take(n news) {
 	if n.Plan != nil {
 		f.apply(n.Plan, "peer")
-		f.expect(f.planFeed)
+		f.expect(f.orderFeed)
+	}
+	if n.Evacuated > 0 && f.table.MirrorEvacuations(n.Evacuations, n.Evacuated, n.EvacuationsUpTo) {
+		f.expect(f.orderFeed)
 	}
 	if n.Revision > 0 {
 		f.mirror(n)
 		f.expect(f.targetFeed)
 	}
 	if f.plans.Current() != nil {
-		f.planFeed.learn(n.PlanUpTo)
+		f.orderFeed.learn(min(n.PlanUpTo, n.EvacuationsUpTo))
 	}
 	if f.table.Known() {
 		f.targetFeed.learn(n.TargetsUpTo)
--- a/internal/serve/gather/choose.go
+++ b/internal/serve/gather/choose.go
@@ -22,11 +22,16 @@
 // shardOf chooses the shard for some work: one of the wanted zone, else any, by
 // the request.
 func (r *Requester) shardOf(service, zone, request string) (Shard, error) {
-	s := r.shardingOf(service)
-	if len(s.shards) == 0 {
+	return r.shardBeside(nil, service, zone, request)
+}
+
+// shardBeside is shardOf without the shards that turned out to have no targets.
+func (r *Requester) shardBeside(moved map[Shard]bool, service, zone, request string) (Shard, error) {
+	shard, found := r.shardingOf(service).chooseBeside(moved, zone, request)
+	if !found {
 		return Shard{}, &Refused{Reason: Idle, Service: service}
 	}
-	return s.choose(zone, request), nil
+	return shard, nil
 }
 
 // Zones lists the zones in which a request's stages may be made, the one to try
--- a/internal/serve/gather/dispatch.go
+++ b/internal/serve/gather/dispatch.go
@@ -13,6 +13,10 @@
 // holds mu.
 func (g *Gatherer) dispatch(c *shard, batch *plan.Batch, now time.Time) {
 	c.queue.pacing = pacingOf(batch)
+	if g.shardingOf(c.Service).without(c.Shard) {
+		g.moveOn(c)
+		return
+	}
 	g.expire(c, batch, now, overdue)
 	passed := map[string]bool{}
 	for c.queue.len() > 0 {
@@ -36,6 +40,22 @@
 	}
 }
 
+// moveOn gives all that waits back to its owners, because the shard's targets have
+// left or were evacuated. Their requests have it made by another shard while there is
+// time. The caller holds mu.
+func (g *Gatherer) moveOn(c *shard) {
+	byOwner := map[string][]Result{}
+	for _, w := range c.queue.clear() {
+		c.reservations.begun(w.Key)
+		byOwner[w.owner] = append(byOwner[w.owner], Result{Key: w.Key, Reason: Moved})
+	}
+	for owner, results := range byOwner {
+		g.log.Info("Shard has no targets left; items are given back.", zap.String("service", c.Service),
+			zap.String("zone", c.Zone), zap.Int("part", c.Part), zap.String("owner", owner), zap.Int("items", len(results)))
+		g.hand(c, owner, results...)
+	}
+}
+
 // lookLater looks at the shard again soon. The caller holds mu.
 func (g *Gatherer) lookLater(c *shard) {
 	if c.looking {
--- /dev/null
+++ b/internal/serve/gather/evacuation_test.go
@@ -0,0 +1,73 @@
+package gather_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/serve/gather"
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+	"github.com/vanillagate/vanillagate/internal/serve/servetest"
+)
+
+// divided is a process with a service of three zones, five targets each, which are
+// three shards.
+func divided(life context.Context, pools *servetest.Pools) (*gather.Requester, *pool.Table) {
+	table := pool.New(zap.NewNop())
+	var entries []pool.Entry
+	for i := range 15 {
+		entries = append(entries, pool.Entry{
+			ID: fmt.Sprintf("t%d", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", i), Zone: string(rune('a' + i%3)),
+			Slots: 1, State: pool.Ready, Revision: 1,
+		})
+	}
+	table.Reset(entries, 1, time.Now())
+	plans := &plan.Holder{}
+	plans.Apply(&plan.Plan{Version: 1, Services: []plan.Service{{Name: "s", Batch: pools.Services["s"]}}})
+	return gather.New(gather.Options{
+		Log: zap.NewNop(), Network: (&servetest.Cluster{}).Add("a", "z"), Table: table,
+		Gatherer: gather.NewGatherer(life, zap.NewNop(), table, plans, pools),
+	}), table
+}
+
+// A zone is evacuated while items wait for its targets. They wait there until their
+// request is late.
+func TestItemsThatWaitInAnEvacuatedZoneAreMadeElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		life, stop := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer stop()
+		call := 300 * time.Millisecond
+		pools := &servetest.Pools{Services: map[string]*plan.Batch{
+			"s": {Size: 1, CallTime: call, RoomBytes: 1000, Keep: 4 * time.Second},
+		}}
+		requester, table := divided(life, pools)
+		started := time.Now()
+		answers := make(chan error, 10)
+		for i := range cap(answers) {
+			go func() {
+				_, err := requester.Make(life, gather.Work{
+					Service: "s", Items: []gather.Item{{Key: gather.Key{Request: fmt.Sprint(i)}, Source: "k", Bytes: 1}},
+					Due: started.Add(time.Second), Expires: started.Add(5 * time.Second), Zone: "a",
+				})
+				answers <- err
+			}()
+		}
+		time.Sleep(10 * time.Millisecond)
+		assert.Equal(t, pools.CallsOf("s"), 5, "five work, five wait")
+		table.ChangeEvacuations([]pool.EvacuationChange{{Evacuation: pool.Evacuation{Zone: "a", Revision: 2}}}, 2)
+		for range cap(answers) {
+			assert.NilError(t, <-answers)
+		}
+		took := time.Since(started)
+		assert.Assert(t, took < call+100*time.Millisecond, "%v", took)
+		assert.Assert(t, pools.LastCall("a").Before(started.Add(10*time.Millisecond)))
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -142,6 +142,8 @@
 	// Unknown means that this process doesn't know the service: its
 	// configuration is older or newer than the asker's.
 	Unknown bool `json:"unknown,omitempty"`
+	// Moved means that the shard has no targets, while others of its service have.
+	Moved bool `json:"moved,omitempty"`
 	// Wait is about how long a new item waits.
 	Wait Millis `json:"wait,omitempty"`
 }
@@ -155,6 +157,10 @@
 	if batch == nil {
 		return Ack{Unknown: true}
 	}
+	sharding := g.shardingOf(id.Service)
+	if sharding.without(id) {
+		return Ack{Moved: true}
+	}
 	c := g.of(id)
 	wait := g.wait(c, batch, now)
 	for _, item := range items {
@@ -166,8 +172,8 @@
 		if c.running[item.Key] {
 			continue
 		}
-		if id.Zone != "" {
-			item.Zone = "" // all targets of the shard are alike
+		if id.Zone != "" || len(sharding.byZone[item.Zone]) == 0 {
+			item.Zone = "" // no target is nearer than the others
 		}
 		c.feeding.add(item)
 		c.reservations.note(item.group(), now.Add(item.Due.Duration()), item.Serial)
@@ -281,6 +287,9 @@
 		if target == nil {
 			continue // its results went with it
 		}
+		if target.Evacuated() {
+			continue // nothing may be sent there; its results lapse
+		}
 		g.free(c, target, handles)
 	}
 }
--- a/internal/serve/gather/item.go
+++ b/internal/serve/gather/item.go
@@ -85,6 +85,8 @@
 	NoRoom Reason = "room"
 	// Broken: the target failed, as often as it was tried.
 	Broken Reason = "error"
+	// Moved: the shard has no targets any more, others of the service have.
+	Moved Reason = "moved"
 	// Idle: the service has no target that takes work.
 	Idle Reason = "no target"
 )
--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -55,6 +55,14 @@
 	})
 }
 
+// clear takes out all items.
+func (q *queue) clear() []*waiting {
+	items := q.items
+	q.items = nil
+	q.byKey = map[Key]*waiting{}
+	return items
+}
+
 // condition is something that may apply to an item; call is what a call takes at
 // least.
 type condition func(w *waiting, now time.Time, call time.Duration, t pacing) bool
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -152,10 +152,23 @@
 // Make has the items made and waits for all of them. The error is *Refused or
 // the context's.
 func (r *Requester) Make(ctx context.Context, w Work) (*Done, error) {
-	shard, err := r.shardOf(w.Service, w.Zone, w.Items[0].Request)
-	if err != nil {
-		return nil, err
+	moved := map[Shard]bool{}
+	for {
+		shard, err := r.shardBeside(moved, w.Service, w.Zone, w.Items[0].Request)
+		if err != nil {
+			return nil, err
+		}
+		done, err := r.makeAt(ctx, shard, w)
+		var refused *Refused
+		if !errors.As(err, &refused) || refused.Reason != Moved {
+			return done, err
+		}
+		moved[shard] = true
 	}
+}
+
+// makeAt has the items made by the targets of one shard.
+func (r *Requester) makeAt(ctx context.Context, shard Shard, w Work) (*Done, error) {
 	results := make(chan Result, 2*len(w.Items))
 	wanted := r.register(w, shard, results)
 	defer r.forget(wanted)
@@ -215,6 +228,9 @@
 	if ack.Unknown {
 		return &Refused{Reason: Idle, Service: shard.Service}
 	}
+	if ack.Moved {
+		return &Refused{Reason: Moved, Service: shard.Service}
+	}
 	if ack.Refused {
 		return &Refused{Reason: Late, Service: shard.Service, Wait: ack.Wait.Duration()}
 	}
--- a/internal/serve/gather/shards.go
+++ b/internal/serve/gather/shards.go
@@ -112,13 +112,40 @@
 }
 
 // choose gives the shard for some work of a request: one of a zone, if the zone
-// has any, each as often as it has targets.
+// has any, each as often as it has targets. There is at least one.
 func (s *sharding) choose(zone, request string) Shard {
-	among := s.byZone[zone]
-	if len(among) == 0 {
-		among = s.roster.Targets
+	shard, _ := s.chooseBeside(nil, zone, request)
+	return shard
+}
+
+// chooseBeside is choose without some shards; false where no other is left.
+func (s *sharding) chooseBeside(without map[Shard]bool, zone, request string) (Shard, bool) {
+	for _, among := range [][]*pool.Target{s.byZone[zone], s.roster.Targets} {
+		among = s.outside(without, among)
+		if len(among) > 0 {
+			return s.of[among[member.Hash(request)%uint64(len(among))].ID], true
+		}
+	}
+	return Shard{}, false
+}
+
+// outside leaves out the targets of some shards.
+func (s *sharding) outside(without map[Shard]bool, targets []*pool.Target) []*pool.Target {
+	if len(without) == 0 {
+		return targets
 	}
-	return s.of[among[member.Hash(request)%uint64(len(among))].ID]
+	var kept []*pool.Target
+	for _, t := range targets {
+		if !without[s.of[t.ID]] {
+			kept = append(kept, t)
+		}
+	}
+	return kept
+}
+
+// without tells whether a shard has no targets while others have.
+func (s *sharding) without(shard Shard) bool {
+	return len(s.roster.Targets) > 0 && len(s.targets[shard]) == 0
 }
 
 // divided tells whether there is more than one shard.
--- a/internal/serve/gauges.go
+++ b/internal/serve/gauges.go
@@ -22,8 +22,8 @@
 	g.set("members", int64(1+len(s.network.View().Members)))
 	g.set("requests.in_flight", s.inFlight.Load())
 	g.set("targets.connections_opened", s.client.Dialed())
-	plan, targets := s.follower.Failing()
-	g.set("store.configuration_silent_ms", plan.Milliseconds())
+	orders, targets := s.follower.Failing()
+	g.set("store.configuration_silent_ms", orders.Milliseconds())
 	g.set("store.targets_silent_ms", targets.Milliseconds())
 	stages := s.stages.Gatherer().Stats()
 	g.set("stages.calls", int64(stages.Calls))
@@ -32,6 +32,7 @@
 	g.set("stages.items_late", int64(stages.Late))
 	g.set("stages.items_repeated", int64(stages.Repeated))
 	g.set("stages.results_in_vain", int64(stages.InVain))
+	s.observeZones(g)
 	p := s.plans.Current()
 	if p == nil {
 		return
@@ -41,6 +42,22 @@
 	}
 }
 
+// observeZones shows which zones are evacuated, and what is still under way there.
+func (s *Server) observeZones(g gauges) {
+	list, newest, _ := s.table.Evacuations()
+	g.set("evacuations.revision", int64(newest))
+	g.set("evacuations.zones", int64(len(list)))
+	evacuated := map[string]uint64{}
+	for _, e := range list {
+		evacuated[e.Zone] = e.Revision
+	}
+	for _, zone := range s.table.Zones() {
+		label := `{zone="` + zone + `"}`
+		g.set("vanillagate_zone_evacuated_revision"+label, int64(evacuated[zone]))
+		g.set("vanillagate_zone_calls"+label, int64(s.table.CallsIn(zone)))
+	}
+}
+
 func (s *Server) observeService(g gauges, service string, now time.Time) {
 	label := `{service="` + service + `"}`
 	usable, out, busy := 0, 0, 0
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -40,6 +40,8 @@
 	newest   uint64
 	known    bool
 	recent   recent
+	// evacuations are the zones whose targets get nothing.
+	evacuations evacuations
 	// backAt is when the list came back after an outage, zero outside one's
 	// aftermath.
 	backAt  time.Time
@@ -57,7 +59,7 @@
 	return &Table{
 		log: log, ejection: defaultEjection(),
 		byID: map[string]*Target{}, lapsed: map[string]*Target{}, byService: map[string][]*Target{},
-		rosters: map[string]*Roster{},
+		rosters: map[string]*Roster{}, evacuations: evacuations{byZone: map[string]Evacuation{}},
 	}
 }
 
@@ -227,6 +229,7 @@
 	}
 	t.byID[c.ID] = &Target{
 		ID: c.ID, Born: c.Born, Service: c.Service, Address: c.Address, Zone: c.Zone, entry: c.Entry,
+		evacuated: t.evacuated(c.Zone),
 	}
 	if t.known { // the first list is logged as a whole
 		t.log.Info("Target is new.", zap.String("target", c.ID), zap.String("service", c.Service),
@@ -288,7 +291,7 @@
 	t.mu.Lock()
 	var left []*Target
 	for id, target := range t.lapsed {
-		if target.usable(now) {
+		if target.mayReturn(now) {
 			continue
 		}
 		delete(t.lapsed, id)
@@ -316,8 +319,8 @@
 	t.generation++
 }
 
-// Roster is the targets of a service that are ready by what the store says, in
-// the order of their IDs. Unlike Views it leaves out what this process alone has
+// Roster is the targets of a service that are ready by what the store says and not
+// evacuated, in the order of their IDs. Unlike Views it leaves out what this process alone has
 // seen of them, so that processes that know the same list have the same roster.
 // Rosters are shared and never changed.
 type Roster struct{ Targets []*Target }
@@ -325,7 +328,7 @@
 func rosterOf(list []*Target) *Roster {
 	r := &Roster{}
 	for _, target := range list {
-		if !target.Gone() {
+		if !target.Gone() && !target.Evacuated() {
 			r.Targets = append(r.Targets, target)
 		}
 	}
--- a/internal/serve/pool/target.go
+++ b/internal/serve/pool/target.go
@@ -16,14 +16,16 @@
 	Zone    string
 
 	// mu guards what follows; a leaf, taken after Table.mu.
-	mu       sync.Mutex
-	entry    Entry
-	gone     bool
-	lapsesAt time.Time // zero unless the entry is gone and may come back
-	inFlight int
-	tokens   int // prompt tokens of the requests that haven't started
-	report   Report
-	health   routing.Health
+	mu    sync.Mutex
+	entry Entry
+	gone  bool
+	// evacuated tells that the target's zone is.
+	evacuated bool
+	lapsesAt  time.Time // zero unless the entry is gone and may come back
+	inFlight  int
+	tokens    int // prompt tokens of the requests that haven't started
+	report    Report
+	health    routing.Health
 	// downUntil is when a target that took no connection is tried again, downFor
 	// how long it was left alone last.
 	downUntil time.Time
@@ -147,8 +149,15 @@
 func (t *Target) usable(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.gone || t.entry.State != Ready || now.Before(t.downUntil) {
+	if t.gone || t.evacuated || t.entry.State != Ready || now.Before(t.downUntil) {
 		return false
 	}
 	return t.lapsesAt.IsZero() || now.Before(t.lapsesAt)
 }
+
+// mayReturn tells whether the entry of a lapsed target may still come back.
+func (t *Target) mayReturn(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.gone && now.Before(t.lapsesAt)
+}
--- a/internal/serve/run/play_test.go
+++ b/internal/serve/run/play_test.go
@@ -72,6 +72,8 @@
 	length time.Duration
 	// meanwhile is called beside the load with the processes' networks.
 	meanwhile func([]*servetest.Node)
+	// orders is called beside the load with the processes and the pools.
+	orders func([]*Executor, *servetest.Pools)
 }
 
 // policy is how the stages are run: what is left out of it.
@@ -161,6 +163,9 @@
 	if s.meanwhile != nil {
 		go s.meanwhile(nodes)
 	}
+	if s.orders != nil {
+		go s.orders(executors, pools)
+	}
 	out := played{kinds: map[string]tally{}, pools: pools, refused: map[string]bool{}}
 	var mu sync.Mutex
 	var all sync.WaitGroup
--- a/internal/serve/servetest/stages.go
+++ b/internal/serve/servetest/stages.go
@@ -27,6 +27,7 @@
 	mu      sync.Mutex // guards what follows
 	targets map[string]*target
 	next    int
+	called  map[string]time.Time // when a zone's targets were called last
 	made    map[gather.Key]bool
 	// Calls and Items count by service.
 	Calls map[string]int
@@ -55,7 +56,7 @@
 
 func (p *Pools) of(id string) *target {
 	if p.targets == nil {
-		p.made = map[gather.Key]bool{}
+		p.made, p.called = map[gather.Key]bool{}, map[string]time.Time{}
 		p.targets, p.Calls, p.Items, p.Gone = map[string]*target{}, map[string]int{}, map[string]int{}, map[string]int{}
 	}
 	t := p.targets[id]
@@ -66,6 +67,13 @@
 	return t
 }
 
+// LastCall is when a target in a zone was called last.
+func (p *Pools) LastCall(zone string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.called[zone]
+}
+
 // Run makes one call.
 func (p *Pools) Run(ctx context.Context, at *pool.Target, items []gather.Item, sent func()) ([]gather.Result, error) {
 	batch := p.Services[at.Service]
@@ -95,6 +103,7 @@
 		return nil, 0, gather.ErrFull
 	}
 	t.busy = true
+	p.called[at.Zone] = time.Now()
 	p.Calls[at.Service]++
 	took := batch.CallTime + time.Duration(len(items))*batch.ItemTime
 	if slow := p.Slow[at.ID]; slow > 0 {
