A cold target gets no more than it bears, over all processes

A process takes a target for cold by its entry, and also where it was out of sight: took no connection, or its zone was evacuated. As many processes as the target bears requests a second hold a turn there, the first by rendezvous over the members, and use it once in 1.2 s; whoever knows a part of the members only holds turns as rarely as if the others went on. Placing prefers warm targets and gives short prompts to cold ones.

--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -316,7 +316,7 @@
 		return 0, err
 	}
 	f.apply(orders.Plan, "store")
-	f.table.ResetEvacuations(orders.Evacuations, revision)
+	f.table.ResetEvacuations(orders.Evacuations, revision, time.Now())
 	return revision, nil
 }
 
@@ -326,7 +326,7 @@
 		return false, after, err
 	}
 	f.apply(changes.Plan, "store")
-	f.table.ChangeEvacuations(changes.Evacuations, revision)
+	f.table.ChangeEvacuations(changes.Evacuations, revision, time.Now())
 	return !changes.empty(), revision, nil
 }
 
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -111,10 +111,10 @@
 	f.evacuationNews(&n, call)
 	if f.table.Known() && f.table.Newest() > call.Revision {
 		if call.Changes {
-			n.Changes, n.Revision = f.table.Since(call.Revision)
+			n.Changes, n.Revision = f.table.Since(call.Revision, now)
 		}
 		if len(n.Changes) == 0 {
-			n.Entries, n.Revision = f.table.Entries()
+			n.Entries, n.Revision = f.table.Entries(now)
 		}
 	}
 	return n
@@ -254,7 +254,7 @@
 		f.apply(n.Plan, "peer")
 		f.expect(f.orderFeed)
 	}
-	if n.Evacuated > 0 && f.table.MirrorEvacuations(n.Evacuations, n.Evacuated, n.EvacuationsUpTo) {
+	if n.Evacuated > 0 && f.table.MirrorEvacuations(n.Evacuations, n.Evacuated, n.EvacuationsUpTo, time.Now()) {
 		f.expect(f.orderFeed)
 	}
 	if n.Revision > 0 {
--- a/internal/serve/gauges.go
+++ b/internal/serve/gauges.go
@@ -60,9 +60,12 @@
 
 func (s *Server) observeService(g gauges, service string, now time.Time) {
 	label := `{service="` + service + `"}`
-	usable, out, busy := 0, 0, 0
+	usable, out, busy, cold := 0, 0, 0, 0
 	for _, v := range s.table.Views(service, now) {
 		usable++
+		if now.Before(v.ColdUntil) {
+			cold++
+		}
 		busy += v.InFlight
 		if v.Weight == 0 {
 			out++
@@ -70,6 +73,7 @@
 	}
 	g.set("vanillagate_service_targets"+label, int64(usable))
 	g.set("vanillagate_service_targets_out"+label, int64(out))
+	g.set("vanillagate_service_targets_cold"+label, int64(cold))
 	g.set("vanillagate_service_calls"+label, int64(busy))
 	g.set("vanillagate_service_repeats_left"+label, int64(s.budget.Left(service, now)))
 }
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -52,6 +52,8 @@
 	Watchers Mechanism = "watchers"
 	// Containment: a request that crashes its targets gets no more of them.
 	Containment Mechanism = "containment"
+	// Warmup: the requests at a cold target are bounded over all processes.
+	Warmup Mechanism = "warmup"
 	// FewKept: unused connections to targets are bounded by what they accept.
 	FewKept Mechanism = "few-kept"
 )
@@ -60,7 +62,7 @@
 func All() []Mechanism {
 	return []Mechanism{
 		Sharing, Reservations, Reserve, LeastShare, DueOrder, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines,
-		Failover, Keepers, StrongOnly, LeavingAlone, Watchers, Containment, FewKept,
+		Failover, Keepers, StrongOnly, LeavingAlone, Watchers, Containment, Warmup, FewKept,
 	}
 }
 
--- a/internal/serve/place/place.go
+++ b/internal/serve/place/place.go
@@ -69,6 +69,9 @@
 	// fullTokens keeps requests from an engine without a free slot while any
 	// other has one.
 	fullTokens = 100_000
+	// coldWeight is how much more a prompt costs at a cold target, in parts of its
+	// length: short ones go there first.
+	coldWeight = 1
 	// rampTokens is the handicap of a target that has just come back into use.
 	rampTokens = 20_000
 )
@@ -112,6 +115,9 @@
 		shared, _ := p.shared()
 		cost -= affinityWeight * float64(shared)
 	}
+	if v.Cold {
+		cost += coldWeight * float64(p.Input)
+	}
 	if v.Slots > 0 && running >= v.Slots {
 		cost += fullTokens
 	}
@@ -152,6 +158,9 @@
 // requests: a target in this process's zone is taken unless it has more to do.
 const crossZone = 0.5
 
+// coldRequest is what it counts that a plain service's target is cold, in requests.
+const coldRequest = 1
+
 // Plain chooses a target of a service whose requests are alike: the one with
 // the least in hand for its slots. draw in [0, 1) decides between equals, so
 // that processes don't all take the same one.
@@ -166,6 +175,9 @@
 		}
 		busy := float64(max(v.InFlight, v.Report.Running) + 2*v.Report.Waiting)
 		cost := busy/float64(max(v.Slots, 1)) + 1 - v.Weight
+		if v.Cold {
+			cost += coldRequest / float64(max(v.Slots, 1))
+		}
 		if v.Zone != w.Zone {
 			cost += crossZone / float64(max(v.Slots, 1))
 		}
--- a/internal/serve/plan/plan.go
+++ b/internal/serve/plan/plan.go
@@ -88,6 +88,10 @@
 	Name string
 	// MaxConnections is what one target accepts from all callers together.
 	MaxConnections int
+	// ColdPerSecond is how many requests a second a cold target bears; 0 where none
+	// is cold. ColdTime is how long a target stays cold after its start.
+	ColdPerSecond float64       `json:",omitempty"`
+	ColdTime      time.Duration `json:",omitempty"`
 	// Batch is set for services that work on stages.
 	Batch *Batch
 	// Engine is set for model engines.
--- a/internal/serve/pool/entry.go
+++ b/internal/serve/pool/entry.go
@@ -2,6 +2,8 @@
 // they may get work, and what this process has seen of each.
 package pool
 
+import "time"
+
 // State is what a target says of itself.
 type State string
 
@@ -30,6 +32,9 @@
 	// Slots is how many requests it works on at once.
 	Slots int
 	State State
+	// ColdLeft is for how long the target stays cold after the entry was read: it
+	// bears fewer requests until then.
+	ColdLeft time.Duration `json:",omitempty"`
 	// Revision of the list's row, growing with each change of any row.
 	Revision uint64
 }
--- a/internal/serve/pool/evacuation.go
+++ b/internal/serve/pool/evacuation.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 )
@@ -33,7 +34,7 @@
 
 // ChangeEvacuations takes in changes in their order and the revision up to which
 // they go. Changes that are known already are passed over.
-func (t *Table) ChangeEvacuations(changes []EvacuationChange, upTo uint64) {
+func (t *Table) ChangeEvacuations(changes []EvacuationChange, upTo uint64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	next := maps.Clone(t.evacuations.byZone)
@@ -49,12 +50,12 @@
 		}
 		next[c.Zone] = c.Evacuation
 	}
-	t.setEvacuations(next, newest)
+	t.setEvacuations(next, newest, now)
 	t.evacuations.revision = max(t.evacuations.revision, upTo)
 }
 
 // ResetEvacuations takes in all orders as of a revision.
-func (t *Table) ResetEvacuations(list []Evacuation, asOf uint64) {
+func (t *Table) ResetEvacuations(list []Evacuation, asOf uint64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if asOf < t.evacuations.revision {
@@ -65,19 +66,19 @@
 	if !maps.Equal(next, t.evacuations.byZone) {
 		newest = asOf
 	}
-	t.setEvacuations(next, newest)
+	t.setEvacuations(next, newest, now)
 	t.evacuations.revision = asOf
 }
 
 // MirrorEvacuations takes in a peer's orders, their newest change and the revision up
 // to which the peer knows all. It tells whether they are newer than what is known here.
-func (t *Table) MirrorEvacuations(list []Evacuation, newest, upTo uint64) bool {
+func (t *Table) MirrorEvacuations(list []Evacuation, newest, upTo uint64, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if newest <= t.evacuations.newest {
 		return false
 	}
-	t.setEvacuations(byZone(list), newest)
+	t.setEvacuations(byZone(list), newest, now)
 	t.evacuations.revision = max(t.evacuations.revision, upTo)
 	return true
 }
@@ -101,7 +102,7 @@
 }
 
 // setEvacuations puts orders in force. The caller holds mu.
-func (t *Table) setEvacuations(next map[string]Evacuation, newest uint64) {
+func (t *Table) setEvacuations(next map[string]Evacuation, newest uint64, now time.Time) {
 	before := t.evacuations.byZone
 	t.evacuations.byZone = next
 	t.evacuations.newest = newest
@@ -120,18 +121,18 @@
 		}
 	}
 	if len(changed) > 0 {
-		t.applyEvacuations(changed)
+		t.applyEvacuations(changed, now)
 	}
 }
 
 // applyEvacuations has the targets of zones follow the orders in force. The caller
 // holds mu.
-func (t *Table) applyEvacuations(zones map[string]bool) {
+func (t *Table) applyEvacuations(zones map[string]bool, now time.Time) {
 	services := map[string]bool{}
 	for _, targets := range []map[string]*Target{t.byID, t.lapsed} {
 		for _, target := range targets {
 			if zones[target.Zone] {
-				target.setEvacuated(t.evacuated(target.Zone))
+				target.setEvacuated(t.evacuated(target.Zone), now)
 				services[target.Service] = true
 			}
 		}
@@ -181,9 +182,12 @@
 	return calls
 }
 
-func (t *Target) setEvacuated(evacuated bool) {
+func (t *Target) setEvacuated(evacuated bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.evacuated && !evacuated {
+		t.away = now
+	}
 	t.evacuated = evacuated
 }
 
--- a/internal/serve/pool/evacuation_test.go
+++ b/internal/serve/pool/evacuation_test.go
@@ -35,18 +35,18 @@
 func TestTargetsOfAnEvacuatedZoneAreInNoView(t *testing.T) {
 	table := inZones("a", "b")
 	before := table.Generation()
-	table.ChangeEvacuations([]EvacuationChange{evacuate("a", 11)}, 11)
+	table.ChangeEvacuations([]EvacuationChange{evacuate("a", 11)}, 11, start)
 	assert.DeepEqual(t, usable(table, start), map[string]bool{"b": true})
 	assert.Equal(t, len(table.Roster("s").Targets), 1)
 	assert.Assert(t, table.Generation() > before)
-	table.ChangeEvacuations([]EvacuationChange{takeBack("a", 12)}, 12)
+	table.ChangeEvacuations([]EvacuationChange{takeBack("a", 12)}, 12, start)
 	assert.DeepEqual(t, usable(table, start), map[string]bool{"a": true, "b": true})
 }
 
 // A target that starts in an evacuated zone gets requests.
 func TestANewTargetInAnEvacuatedZoneGetsNothing(t *testing.T) {
 	table := inZones("a", "b")
-	table.ChangeEvacuations([]EvacuationChange{evacuate("c", 11)}, 11)
+	table.ChangeEvacuations([]EvacuationChange{evacuate("c", 11)}, 11, start)
 	e := entry("c", 12)
 	e.Zone = "c"
 	table.Apply([]Change{{Entry: e}}, 12, start)
@@ -56,11 +56,11 @@
 // A peer that is behind undoes a withdrawal, or an evacuation.
 func TestAPeerThatIsBehindChangesNoEvacuation(t *testing.T) {
 	table := inZones("a", "b")
-	table.ChangeEvacuations([]EvacuationChange{evacuate("a", 11), takeBack("a", 15)}, 20)
-	assert.Assert(t, !table.MirrorEvacuations([]Evacuation{{Zone: "a", Revision: 11}}, 11, 14))
+	table.ChangeEvacuations([]EvacuationChange{evacuate("a", 11), takeBack("a", 15)}, 20, start)
+	assert.Assert(t, !table.MirrorEvacuations([]Evacuation{{Zone: "a", Revision: 11}}, 11, 14, start))
 	assert.Assert(t, usable(table, start)["a"])
-	assert.Assert(t, table.MirrorEvacuations([]Evacuation{{Zone: "a", Revision: 22}}, 22, 22))
-	table.ResetEvacuations(nil, 19)
+	assert.Assert(t, table.MirrorEvacuations([]Evacuation{{Zone: "a", Revision: 22}}, 22, 22, start))
+	table.ResetEvacuations(nil, 19, start)
 	assert.Assert(t, !usable(table, start)["a"])
 }
 
@@ -119,16 +119,17 @@
 						changes = append(changes, c)
 					}
 				}
-				table.ChangeEvacuations(changes, revision)
+				table.ChangeEvacuations(changes, revision, start)
 			case 3:
 				asOf := revision - min(revision, uint64(draw.IntN(4)))
 				var list []Evacuation
 				for _, e := range model(asOf) {
 					list = append(list, e)
 				}
-				table.ResetEvacuations(list, asOf)
+				table.ResetEvacuations(list, asOf, start)
 			case 4:
-				table.MirrorEvacuations(tables[draw.IntN(2)].Evacuations())
+				list, newest, upTo := tables[draw.IntN(2)].Evacuations()
+				table.MirrorEvacuations(list, newest, upTo, start)
 			}
 			for i, one := range tables {
 				list, _, known := one.Evacuations()
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -187,7 +187,7 @@
 		if old != nil && (old.entry.Revision >= c.Revision || earlierRun(c, old)) {
 			continue
 		}
-		t.recent.add(c)
+		t.recent.add(c, now)
 		if old != nil {
 			touched[old.Service] = true
 		}
@@ -220,16 +220,16 @@
 	case c.Removed:
 		return t.remove(old, now)
 	case old != nil && sameRun(old.entry, c.Entry):
-		return old.update(c.Entry)
+		return old.update(c.Entry, now)
 	}
 	if back := t.lapsed[c.ID]; back != nil && sameRun(back.entry, c.Entry) {
 		delete(t.lapsed, c.ID)
 		t.byID[c.ID] = back
-		return back.update(c.Entry)
+		return back.update(c.Entry, now)
 	}
 	t.byID[c.ID] = &Target{
 		ID: c.ID, Born: c.Born, Service: c.Service, Address: c.Address, Zone: c.Zone, entry: c.Entry,
-		evacuated: t.evacuated(c.Zone),
+		evacuated: t.evacuated(c.Zone), coldUntil: now.Add(c.ColdLeft),
 	}
 	if t.known { // the first list is logged as a whole
 		t.log.Info("Target is new.", zap.String("target", c.ID), zap.String("service", c.Service),
@@ -264,7 +264,7 @@
 
 // update takes in a new entry of the same run and returns the target if it
 // begins to drain.
-func (target *Target) update(e Entry) *Target {
+func (target *Target) update(e Entry, now time.Time) *Target {
 	target.mu.Lock()
 	defer target.mu.Unlock()
 	began := target.entry.State == Ready && e.State != Ready
@@ -273,6 +273,7 @@
 		e.State = Draining
 	}
 	target.entry = e
+	target.coldUntil = now.Add(e.ColdLeft)
 	target.lapsesAt = time.Time{}
 	if began {
 		return target
@@ -280,6 +281,15 @@
 	return nil
 }
 
+// told is the target's entry as peers are told of it.
+func (target *Target) told(now time.Time) Entry {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	e := target.entry
+	e.ColdLeft = max(target.coldUntil.Sub(now), 0)
+	return e
+}
+
 func (target *Target) leave() {
 	target.mu.Lock()
 	defer target.mu.Unlock()
@@ -388,24 +398,22 @@
 
 // Entries lists what the store's list holds, and the revision as of which it
 // does, for a peer that can't read it.
-func (t *Table) Entries() ([]Entry, uint64) {
+func (t *Table) Entries(now time.Time) ([]Entry, uint64) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	entries := make([]Entry, 0, len(t.byID))
 	for _, target := range t.byID {
-		target.mu.Lock()
-		entries = append(entries, target.entry)
-		target.mu.Unlock()
+		entries = append(entries, target.told(now))
 	}
 	return entries, t.newest
 }
 
 // Since lists the changes of the list after a revision, and the revision as of which
 // it is then; none where they are no longer known.
-func (t *Table) Since(revision uint64) ([]Change, uint64) {
+func (t *Table) Since(revision uint64, now time.Time) ([]Change, uint64) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.recent.since(revision), t.newest
+	return t.recent.since(revision, now), t.newest
 }
 
 // UpTo is the revision up to which all changes are known.
--- a/internal/serve/pool/table_test.go
+++ b/internal/serve/pool/table_test.go
@@ -220,7 +220,7 @@
 	table.ListBack(start)
 	table.Apply([]Change{{Entry: Entry{ID: "a", Revision: 20}, Removed: true}}, 20, start)
 	assert.DeepEqual(t, usable(table, start), map[string]bool{"a": true, "b": true})
-	entries, asOf := table.Entries()
+	entries, asOf := table.Entries(start)
 	assert.Equal(t, len(entries), 1)
 	assert.Equal(t, entries[0].ID, "b")
 	assert.Equal(t, asOf, uint64(20))
--- a/internal/serve/pool/target.go
+++ b/internal/serve/pool/target.go
@@ -21,6 +21,10 @@
 	gone  bool
 	// evacuated tells that the target's zone is.
 	evacuated bool
+	// coldUntil is until when the target is cold by its own word, away until when it
+	// got nothing from here, so that it may have started again or become cold unseen.
+	coldUntil time.Time
+	away      time.Time
 	lapsesAt  time.Time // zero unless the entry is gone and may come back
 	inFlight  int
 	tokens    int // prompt tokens of the requests that haven't started
@@ -52,6 +56,11 @@
 	Report   Report
 	// Weight is 0 for a target out of use, 1 for a sound one.
 	Weight float64
+	// ColdUntil is until when the target is cold by its own word. Away is until when
+	// it was last out of sight: what it has become meanwhile isn't known.
+	ColdUntil, Away time.Time
+	// Cold is set by who decides on it.
+	Cold bool
 }
 
 // Call is one call in progress at a target. End it once.
@@ -125,7 +134,7 @@
 	}
 	return View{
 		Target: t, Slots: t.entry.Slots, InFlight: t.inFlight, Tokens: t.tokens,
-		Report: report, Weight: e.Weight(t.health, now),
+		Report: report, Weight: e.Weight(t.health, now), ColdUntil: t.coldUntil, Away: t.away,
 	}
 }
 
@@ -144,6 +153,7 @@
 	}
 	t.downFor = min(max(2*t.downFor, firstDown), lastDown)
 	t.downUntil = now.Add(t.downFor)
+	t.away = t.downUntil
 }
 
 func (t *Target) usable(now time.Time) bool {
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -12,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
-	"github.com/vanillagate/vanillagate/internal/serve/place"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
@@ -42,18 +40,6 @@
 	maxWhole = 256 << 10
 )
 
-func (j *job) choose() *pool.Target {
-	views := j.Table.Views(j.service, time.Now())
-	wish := place.Wish{Prompt: j.req.Prompt, Zone: j.Zone, Avoid: j.tried, NoAffinity: j.LeaveOut.Has(leaveout.Affinity)}
-	if j.inputs != nil {
-		wish.Bytes = j.inputs.bytes
-	}
-	if s := j.Plans.Service(j.service); s != nil && s.Engine != nil {
-		return place.Engine(views, wish)
-	}
-	return place.Plain(views, wish, rand.Float64())
-}
-
 func (j *job) attempt() attempt {
 	target := j.choose()
 	if target == nil {
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -15,6 +15,7 @@
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/quota"
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
+	"github.com/vanillagate/vanillagate/internal/serve/warmup"
 	"github.com/vanillagate/vanillagate/internal/suspect"
 )
 
@@ -45,6 +46,8 @@
 	Budget  *quota.Budget
 	Zone    string
 	Metrics *Metrics
+	// Warmup gives this process's turns at cold targets; nil bounds nothing.
+	Warmup *warmup.Gate
 	// LeaveOut switches mechanisms off, for measurements.
 	LeaveOut leaveout.Set
 	// Suspicion knows the requests that crash their targets; nil for none.
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -25,6 +25,7 @@
 	"github.com/vanillagate/vanillagate/internal/serve/quota"
 	"github.com/vanillagate/vanillagate/internal/serve/run"
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
+	"github.com/vanillagate/vanillagate/internal/serve/warmup"
 	"github.com/vanillagate/vanillagate/internal/wait"
 )
 
@@ -70,6 +71,7 @@
 	follower *follow.Follower
 	stages   *gather.Requester
 	budget   *quota.Budget
+	warmup   *warmup.Gate // nil where it is left out
 	executor *run.Executor
 
 	inFlight atomic.Int64
@@ -112,6 +114,10 @@
 		Stages: s.stages, Budget: s.budget, Zone: o.Zone, Metrics: &run.Metrics{Registry: o.Metrics},
 		LeaveOut: o.LeaveOut,
 	}
+	if !o.LeaveOut.Has(leaveout.Warmup) {
+		s.warmup = warmup.New(network, s.budget.Sharers, time.Now())
+		s.executor.Warmup = s.warmup
+	}
 	if !o.LeaveOut.Has(leaveout.Containment) {
 		s.executor.Suspicion = newSuspicion(s.life, logging.Part(o.Log, "suspicion"), network)
 	}
@@ -137,6 +143,9 @@
 		now := time.Now()
 		s.client.Prune(now)
 		s.budget.Members(1+len(s.network.View().Members), now)
+		if s.warmup != nil {
+			s.warmup.Forget(now)
+		}
 		s.observe(now)
 	}
 }
