A long list of targets is read page by page; late answers say why

Cause: a start gave the whole list of targets 2 s. And a peer's list of more than some 6,000 entries didn't fit into one message.

"Answer came late." now has the prompt's tokens, the slowest stage, and why stages were started over; a call whose items weren't made leaves one line with the reasons.

--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -29,12 +29,21 @@
 	ReadOrders(ctx context.Context) (Orders, uint64, error)
 	// WatchOrders waits for changes after a revision.
 	WatchOrders(ctx context.Context, after uint64, wait time.Duration) (OrderChanges, uint64, error)
-	// ReadTargets gives all entries.
-	ReadTargets(ctx context.Context) ([]pool.Entry, uint64, error)
+	// ReadTargets gives a page of all entries, the first one for an empty cursor.
+	ReadTargets(ctx context.Context, cursor string) (TargetPage, error)
 	// WatchTargets waits for changes after a revision.
 	WatchTargets(ctx context.Context, after uint64, wait time.Duration) ([]pool.Change, uint64, error)
 }
 
+// TargetPage is a part of the list of targets.
+type TargetPage struct {
+	Entries []pool.Entry
+	// AsOf is the revision as of which it was read, or later.
+	AsOf uint64
+	// Next is the cursor of the next page; empty for the last one.
+	Next string
+}
+
 // Orders are all that operators have ordered.
 type Orders struct {
 	// Plan is the newest configuration; nil while there is none.
@@ -53,7 +62,7 @@
 func (c OrderChanges) empty() bool { return c.Plan == nil && len(c.Evacuations) == 0 }
 
 const (
-	// readTimeout bounds the reading of the whole.
+	// readTimeout bounds the reading of one page.
 	readTimeout = 2 * time.Second
 	// firstRetry and lastRetry pace the calls to a store that fails by those that
 	// watch it for others; see leastRetry for the rest.
@@ -82,6 +91,9 @@
 	served atomic.Int64
 	// watcher tells whether this process is one of those that watch the store.
 	watcher func() bool
+	// reading is the list of targets as far as it was read; used by the loop that
+	// follows them alone.
+	reading reading
 	// orderFeed and targetFeed are the two things followed.
 	orderFeed  *feed
 	targetFeed *feed
@@ -210,8 +222,6 @@
 // call makes one call of the store.
 func (f *Follower) call(ctx context.Context, d *feed, sound bool) (news bool, revision uint64, err error) {
 	if !d.known.Load() {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
 		revision, err = d.read(ctx)
 		return false, revision, err
 	}
@@ -311,6 +321,8 @@
 }
 
 func (f *Follower) readOrders(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
 	orders, revision, err := f.source.ReadOrders(ctx)
 	if err != nil {
 		return 0, err
@@ -347,14 +359,28 @@
 }
 
 func (f *Follower) readTargets(ctx context.Context) (uint64, error) {
-	entries, revision, err := f.source.ReadTargets(ctx)
-	if err != nil {
-		return 0, err
+	f.reading.restartIfOld(time.Now())
+	for {
+		page, err := f.readPage(ctx, f.reading.next)
+		if err != nil {
+			return 0, err
+		}
+		// An outage ends before its consequences are read.
+		f.answered(f.targetFeed)
+		if f.reading.add(page) {
+			break
+		}
 	}
-	// An outage ends before its consequences are read.
-	f.answered(f.targetFeed)
-	f.table.Reset(entries, revision, time.Now())
-	return revision, nil
+	whole := f.reading
+	f.reading = reading{}
+	f.table.Reset(whole.entries, whole.asOf, time.Now())
+	return whole.asOf, nil
+}
+
+func (f *Follower) readPage(ctx context.Context, cursor string) (TargetPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return f.source.ReadTargets(ctx, cursor)
 }
 
 func (f *Follower) watchTargets(ctx context.Context, after uint64, hold time.Duration) (bool, uint64, error) {
--- a/internal/serve/follow/follow_test.go
+++ b/internal/serve/follow/follow_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -34,6 +36,12 @@
 	failing bool
 	silent  bool
 	calls   int
+	// pageSize bounds the entries of a page, 0 doesn't; one takes pageTime and fails
+	// where failPage says so. entriesRead counts those that were read.
+	pageSize    int
+	pageTime    time.Duration
+	failPage    func() bool
+	entriesRead int
 }
 
 // stored is the version of a plan in the store; 0 for none. Each reader gets a
@@ -153,12 +161,22 @@
 	return c, revision, err
 }
 
-func (s *fakeStore) ReadTargets(ctx context.Context) ([]pool.Entry, uint64, error) {
+func (s *fakeStore) ReadTargets(ctx context.Context, cursor string) (TargetPage, error) {
 	if err := s.begin(ctx); err != nil {
-		return nil, 0, err
+		return TargetPage{}, err
+	}
+	if s.pageTime > 0 {
+		select {
+		case <-time.After(s.pageTime):
+		case <-ctx.Done():
+			return TargetPage{}, ctx.Err()
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.failPage != nil && s.failPage() {
+		return TargetPage{}, errDown
+	}
 	byID := map[string]pool.Entry{}
 	for _, c := range s.changes {
 		byID[c.ID] = c.Entry
@@ -166,11 +184,19 @@
 			delete(byID, c.ID)
 		}
 	}
-	var list []pool.Entry
-	for _, e := range byID {
-		list = append(list, e)
+	page := TargetPage{AsOf: s.revision}
+	for _, id := range slices.Sorted(maps.Keys(byID)) {
+		if id <= cursor {
+			continue
+		}
+		if s.pageSize > 0 && len(page.Entries) == s.pageSize {
+			page.Next = page.Entries[s.pageSize-1].ID
+			break
+		}
+		page.Entries = append(page.Entries, byID[id])
 	}
-	return list, s.revision, nil
+	s.entriesRead += len(page.Entries)
+	return page, nil
 }
 
 func (s *fakeStore) WatchTargets(ctx context.Context, after uint64, hold time.Duration) ([]pool.Change, uint64, error) {
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -21,6 +21,9 @@
 const (
 	// askTimeout bounds one question.
 	askTimeout = 250 * time.Millisecond
+	// maxEntries is how many entries of targets one message holds: some 300 KB of the
+	// 1 MB that it may have.
+	maxEntries = 2000
 	// catchUp is how much later than a peer the store may tell of a change
 	// before its silence is taken for an outage.
 	catchUp = 300 * time.Millisecond
@@ -51,6 +54,8 @@
 	// Changes tells that the caller takes changes since Revision in place of the
 	// whole list. A process of an earlier version doesn't.
 	Changes bool `json:"changes,omitempty"`
+	// From asks for nothing but the entries of targets after an ID.
+	From string `json:"from,omitempty"`
 }
 
 // news is what is newer; nil and empty where nothing is.
@@ -72,6 +77,8 @@
 	Revision uint64        `json:"revision,omitempty"`
 	Changes  []pool.Change `json:"changes,omitempty"`
 	Entries  []pool.Entry  `json:"entries,omitempty"`
+	// More tells that Entries are a part of the list: others follow the last one's ID.
+	More bool `json:"more,omitempty"`
 	// Sound tells that the store answers this process and has told it of changes
 	// just now.
 	Sound bool `json:"sound,omitempty"`
@@ -97,6 +104,9 @@
 
 func (f *Follower) newsSince(call newsCall) news {
 	now := time.Now()
+	if call.From != "" {
+		return f.entriesAfter(call.From, now)
+	}
 	age := now.Sub(f.told())
 	n := news{
 		Sound:       f.sound() && age < f.within().trust(),
@@ -114,12 +124,19 @@
 			n.Changes, n.Revision = f.table.Since(call.Revision, now)
 		}
 		if len(n.Changes) == 0 {
-			n.Entries, n.Revision = f.table.Entries(now)
+			n.Entries, n.Revision, n.More = f.table.Entries("", maxEntries, now)
 		}
 	}
 	return n
 }
 
+// entriesAfter is the part of the list of targets after an ID.
+func (f *Follower) entriesAfter(id string, now time.Time) news {
+	var n news
+	n.Entries, n.Revision, n.More = f.table.Entries(id, maxEntries, now)
+	return n
+}
+
 // evacuationNews adds what the caller lacks of the evacuations.
 func (f *Follower) evacuationNews(n *news, call newsCall) {
 	list, newest, upTo := f.table.Evacuations()
@@ -223,6 +240,10 @@
 		f.log.Debug("Peer gave no news.", zap.String("member", string(whom)), zap.Error(err))
 		return false
 	}
+	if err := f.complete(ctx, whom, &n); err != nil {
+		f.log.Debug("Peer's list of targets broke off.", zap.String("member", string(whom)), zap.Error(err))
+		return false
+	}
 	if n.Sound {
 		f.vouched(n, time.Now())
 	}
@@ -230,6 +251,24 @@
 	return n.Sound
 }
 
+// complete asks for the rest of a list of targets that has come in part. Changes
+// meanwhile are asked for later, since the list is taken for as old as its beginning.
+func (f *Follower) complete(ctx context.Context, whom peer.Incarnation, n *news) error {
+	for n.More {
+		var rest news
+		call := newsCall{From: n.Entries[len(n.Entries)-1].ID}
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
+		err := f.peers.network.Call(ctx, whom, methodNews, call, &rest)
+		cancel()
+		if err != nil {
+			return err
+		}
+		n.Entries = append(n.Entries, rest.Entries...)
+		n.More = rest.More && len(rest.Entries) > 0
+	}
+	return nil
+}
+
 // vouched notes that the store serves a peer. Through it this process is in touch
 // with the store as well.
 func (f *Follower) vouched(n news, now time.Time) {
--- a/internal/serve/gather/call.go
+++ b/internal/serve/gather/call.go
@@ -126,12 +126,26 @@
 	c.queue.add(w)
 }
 
+// firstUnmade names the request of the first item that wasn't made.
+func firstUnmade(taken []*waiting, results []Result) string {
+	for i, r := range results {
+		if r.Reason != Made {
+			return taken[i].Request
+		}
+	}
+	return ""
+}
+
 // finished hands out the results of a call. The caller holds mu.
 func (g *Gatherer) finished(c *shard, batch *plan.Batch, target *pool.Target, taken []*waiting, results []Result, now time.Time) {
 	byOwner := map[string][]Result{}
 	lacking := false
+	unmade := map[Reason]int{}
 	for i, w := range taken {
 		r := results[i]
+		if r.Reason != Made {
+			unmade[r.Reason]++
+		}
 		r.Key = w.Key
 		r.Zone = target.Zone
 		switch r.Reason {
@@ -151,6 +165,10 @@
 		}
 		byOwner[w.owner] = append(byOwner[w.owner], r)
 	}
+	if len(unmade) > 0 {
+		g.log.Info("Items of a call weren't made.", zap.String("target", target.ID), zap.String("service", c.Service),
+			zap.Int("items", len(taken)), zap.Any("reasons", unmade), zap.String("request", firstUnmade(taken, results)))
+	}
 	if lacking {
 		g.roomOf(c, target.Address, now).full(batch.RoomBytes, now.Add(foreignTime))
 	}
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -396,16 +396,25 @@
 	return nil
 }
 
-// Entries lists what the store's list holds, and the revision as of which it
-// does, for a peer that can't read it.
-func (t *Table) Entries(now time.Time) ([]Entry, uint64) {
+// Entries lists what the store's list holds, and the revision as of which it does, for a
+// peer that can't read it: those after an ID in the order of IDs, some at most. more
+// tells that others follow.
+func (t *Table) Entries(after string, most int, now time.Time) (list []Entry, asOf uint64, more bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	entries := make([]Entry, 0, len(t.byID))
-	for _, target := range t.byID {
-		entries = append(entries, target.told(now))
+	ids := make([]string, 0, len(t.byID))
+	for id := range t.byID {
+		if id > after {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	more = len(ids) > most
+	ids = ids[:min(most, len(ids))]
+	for _, id := range ids {
+		list = append(list, t.byID[id].told(now))
 	}
-	return entries, t.newest
+	return list, t.newest, more
 }
 
 // Since lists the changes of the list after a revision, and the revision as of which
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -85,8 +85,11 @@
 	arrivals int
 	// zone is where the stages are made that are divided by zone.
 	zone string
-	// held is what kept the stages from being done.
-	held error
+	// held is what kept the stages from being done, restarted why they were started over.
+	held      error
+	restarted error
+	// slowest is the stage that took longest.
+	slowest stageTime
 	// preparedAt is when the stages were done, askedAt when the last target was
 	// asked; zero before.
 	preparedAt time.Time
--- a/internal/serve/run/metrics.go
+++ b/internal/serve/run/metrics.go
@@ -56,9 +56,14 @@
 		requestID(j.req.ID), zap.String("route", j.route.Name), zap.String("service", j.service),
 		zap.Duration("after", took), zap.Duration("objective", j.route.Objective),
 		zap.Duration("target_took", time.Since(j.askedAt)), zap.Int("arrivals", j.arrivals),
+		zap.Int("prompt_tokens", j.req.Prompt.Input), zap.Int("own_tokens", j.req.Prompt.Unshared()),
 	}
 	if !j.preparedAt.IsZero() {
-		fields = append(fields, zap.Duration("stages_took", j.preparedAt.Sub(j.req.Arrived)))
+		fields = append(fields, zap.Duration("stages_took", j.preparedAt.Sub(j.req.Arrived)),
+			zap.String("slowest_stage", j.slowest.service), zap.Duration("slowest_took", j.slowest.took))
+	}
+	if j.restarted != nil {
+		fields = append(fields, zap.NamedError("stages_restarted", j.restarted))
 	}
 	e.Log.Info("Answer came late.", fields...)
 }
--- a/internal/serve/run/stages.go
+++ b/internal/serve/run/stages.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/vanillagate/vanillagate/internal/serve/gather"
 )
@@ -16,6 +17,12 @@
 	free  func()
 }
 
+// stageTime is how long one stage of a request took, its wait included.
+type stageTime struct {
+	service string
+	took    time.Duration
+}
+
 // release gives back their space; calling it again does nothing.
 func (in *inputs) release() {
 	if in.free != nil {
@@ -33,6 +40,7 @@
 	made, err := j.tryStages()
 	var refused *gather.Refused
 	if errors.As(err, &refused) && refused.Reason == gather.Gone {
+		j.restarted = err
 		made, err = j.tryStages()
 	}
 	if err != nil {
@@ -72,6 +80,7 @@
 		stage int
 		done  *gather.Done
 		err   error
+		took  time.Duration
 	}
 	outcomes := make(chan outcome, len(g.stages))
 	running := 0
@@ -83,8 +92,9 @@
 				running++
 				work := g.work(i)
 				go func() {
+					begun := time.Now()
 					done, err := j.Stages.Make(ctx, work)
-					outcomes <- outcome{stage: i, done: done, err: err}
+					outcomes <- outcome{stage: i, done: done, err: err, took: time.Since(begun)}
 				}()
 			}
 		}
@@ -100,6 +110,9 @@
 			cancel()
 			continue
 		}
+		if o.took > j.slowest.took {
+			j.slowest = stageTime{service: g.stages[o.stage].Service, took: o.took}
+		}
 		g.done[o.stage] = o.done
 		g.freeUsed()
 	}
