An item whose inputs were given back isn't tried again

Cause: inputs are given back once they were fetched, where the room is needed.

Who frees results now says which it gave back, and the item is handed back at once.

--- a/internal/serve/gather/call.go
+++ b/internal/serve/gather/call.go
@@ -113,8 +113,15 @@
 	}
 }
 
-// again puts an item back into the queue, or gives it up. The caller holds mu.
+// again puts an item back into the queue, or gives it up. One whose inputs were given
+// back already is given up at once: a second call would only find out that they are
+// gone, and its request needs that time to start its stages over. The caller holds mu.
 func (g *Gatherer) again(c *shard, w *waiting, target *pool.Target, reason Reason) {
+	if c.feeding.released(w.Key) {
+		g.stats.Failed++
+		g.hand(c, w.owner, Result{Key: w.Key, Reason: Gone})
+		return
+	}
 	if w.tries >= maxTries {
 		g.stats.Failed++
 		g.hand(c, w.owner, Result{Key: w.Key, Reason: reason})
--- a/internal/serve/gather/free.go
+++ b/internal/serve/gather/free.go
@@ -58,17 +58,25 @@
 }
 
 func (r *Requester) freeAt(key freeKey, handles []string) {
-	gatherer := r.accountant(key.Keeper)
+	released := r.releasedBy(r.accountant(key.Keeper), key, handles)
+	if !key.Final {
+		r.own.noteReleased(released)
+	}
+}
+
+// releasedBy has a process give back results and lists those that it did.
+func (r *Requester) releasedBy(gatherer peer.Incarnation, key freeKey, handles []string) []string {
 	if gatherer == r.network.Self().Incarnation {
-		r.own.Free(key.Shard, handles, key.Final)
-		return
+		return r.own.Free(key.Shard, handles, key.Final)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), doneTimeout)
 	defer cancel()
-	if err := r.network.Call(ctx, gatherer, methodFree, freeCall{freeKey: key, Handles: handles}, nil); err != nil {
+	var ack freeAck
+	if err := r.network.Call(ctx, gatherer, methodFree, freeCall{freeKey: key, Handles: handles}, &ack); err != nil {
 		r.log.Debug("Results not freed by their gatherer; freed from here.", zap.Error(err))
-		r.own.Free(key.Shard, handles, key.Final)
+		return r.own.Free(key.Shard, handles, key.Final)
 	}
+	return ack.of(handles)
 }
 
 // accountant is the process to which results are given back: their keeper, or this
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -246,15 +246,15 @@
 	return unknown
 }
 
-// Free gives back the space of results. Several calls' results go to their
-// maker together. Where it isn't final their reader may still fail, and only
+// Free gives back the space of results, and tells which. Several calls' results go to
+// their maker together. Where it isn't final their reader may still fail, and only
 // those are given back whose space is needed.
-func (g *Gatherer) Free(id Shard, handles []string, final bool) {
+func (g *Gatherer) Free(id Shard, handles []string, final bool) (released []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	batch := g.batch(id)
 	if batch == nil {
-		return
+		return nil
 	}
 	c := g.of(id)
 	byMaker := map[string][]string{}
@@ -265,12 +265,25 @@
 	for address, list := range byMaker {
 		list = g.roomOf(c, address, time.Now()).release(list, final, batch.RoomBytes)
 		c.freeing[address] = append(c.freeing[address], list...)
+		released = append(released, list...)
 	}
-	if c.freer {
+	if !c.freer {
+		c.freer = true
+		time.AfterFunc(freePeriod, func() { g.flush(c) })
+	}
+	return released
+}
+
+// noteReleased notes that inputs of items were given back before the items were made.
+func (g *Gatherer) noteReleased(handles []string) {
+	if len(handles) == 0 {
 		return
 	}
-	c.freer = true
-	time.AfterFunc(freePeriod, func() { g.flush(c) })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range g.shards {
+		c.feeding.noteReleased(handles)
+	}
 }
 
 func (g *Gatherer) flush(c *shard) {
--- a/internal/serve/gather/inputs.go
+++ b/internal/serve/gather/inputs.go
@@ -1,6 +1,9 @@
 package gather
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // fetchTime is how long after the start of its call a target has surely fetched
 // the inputs of all items: it does so first, over links of 10 Gbit/s, and a
@@ -26,6 +29,8 @@
 	unfetched map[Key]bool
 	unmade    map[Key]bool
 	serial    uint64
+	// released tells that the inputs were given back, though their readers may fail.
+	released bool
 }
 
 // add notes an item that is to be fed.
@@ -63,6 +68,21 @@
 	return done
 }
 
+// noteReleased notes that inputs were given back before their readers were done.
+func (f *feeding) noteReleased(handles []string) {
+	for _, group := range f.groups {
+		if slices.ContainsFunc(group.inputs, func(h string) bool { return slices.Contains(handles, h) }) {
+			group.released = true
+		}
+	}
+}
+
+// released tells whether an item's inputs were given back before it was made.
+func (f *feeding) released(k Key) bool {
+	group := f.groups[k.group()]
+	return group != nil && group.released
+}
+
 // made notes that an item was made, and returns its group if that was the last.
 func (f *feeding) made(k Key) *feed {
 	group := f.groups[k.group()]
--- a/internal/serve/gather/messages.go
+++ b/internal/serve/gather/messages.go
@@ -50,6 +50,32 @@
 	Handles []string `json:"handles"`
 }
 
+// freeAck tells which results were given back though a reader may still fail. The zero
+// value, which a process of an earlier version sends, tells of none.
+type freeAck struct {
+	All      bool     `json:"all,omitempty"`
+	Released []string `json:"released,omitempty"`
+}
+
+func ackOf(call freeCall, released []string) freeAck {
+	switch {
+	case call.Final:
+		return freeAck{} // nobody needs them any more
+	case len(released) == len(call.Handles):
+		return freeAck{All: true}
+	default:
+		return freeAck{Released: released}
+	}
+}
+
+// of lists the results of a call that were given back.
+func (a freeAck) of(handles []string) []string {
+	if a.All {
+		return handles
+	}
+	return a.Released
+}
+
 // freeKey is what results to be freed are collected by.
 type freeKey struct {
 	Keeper
--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -228,6 +228,19 @@
 	assert.Assert(t, f.made(items[1].Key) == nil)
 }
 
+// An item fails whose inputs were given back early. A second call costs its request the
+// time in which its stages could have started over.
+func TestInputsThatWereGivenBackAreKnown(t *testing.T) {
+	f := feeding{}
+	for _, request := range []string{"r", "q"} {
+		f.add(Item{Key: Key{Request: request, Stage: 1}, Inputs: []string{request + "-input"}, Last: true})
+	}
+	f.noteReleased([]string{"r-input", "another"})
+	assert.Assert(t, f.released(Key{Request: "r", Stage: 1}))
+	assert.Assert(t, !f.released(Key{Request: "q", Stage: 1}))
+	assert.Assert(t, !f.released(Key{Request: "gone", Stage: 1}))
+}
+
 func TestASlowTargetIsPassedOverForAWhile(t *testing.T) {
 	p := &pace{}
 	p.took(300*time.Millisecond, 300*time.Millisecond, start)
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -113,8 +113,7 @@
 		return struct{}{}
 	})
 	handle(o.Network, methodFree, func(c freeCall) any {
-		r.own.Free(c.Shard, c.Handles, c.Final)
-		return struct{}{}
+		return ackOf(c, r.own.Free(c.Shard, c.Handles, c.Final))
 	})
 	handle(o.Network, methodAsk, func(c askCall) any {
 		return r.own.Ask(c, time.Now())
