Engines' prompts are accounted for over all processes

Cause: 85 VMs send three requests a second each to 90 engines and know the load of about three of them.

Each engine has a tracker, one of the strong VMs by rendezvous. Before a prompt is sent it is claimed there: the tracker says how long the engine reads others' prompts, and the requester takes another engine where that is more than it is worth, three at most. Claims carry answers' times, from which trackers learn a curve with a square term for all. At 640 nodes and 26,000 requests a second: 41 claims a node and second, two messages of some 150 bytes each; nothing grows with the fleet.

Ways weighed: a report before each long prompt (stale by 200 ms, doesn't help short ones behind long ones); long prompts on a part of the engines (they would queue at each other: 8 a second of 0.6 s each); announcing long prompts to all (quadratic in the fleet).

--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -333,7 +333,7 @@
 		}
 		return list
 	}
-	assert.DeepEqual(t, strongest(of(80, 19, 40, 39)), []peer.Incarnation{"a", "c"})
-	assert.Equal(t, len(strongest(of(0, 0, 0))), 3, "where none tells, all do")
-	assert.Equal(t, len(strongest(of(19))), 1)
+	assert.DeepEqual(t, peer.Strongest(of(80, 19, 40, 39)), []peer.Incarnation{"a", "c"})
+	assert.Equal(t, len(peer.Strongest(of(0, 0, 0))), 3, "where none tells, all do")
+	assert.Equal(t, len(peer.Strongest(of(19))), 1)
 }
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -52,6 +52,9 @@
 	Watchers Mechanism = "watchers"
 	// Containment: a request that crashes its targets gets no more of them.
 	Containment Mechanism = "containment"
+	// EngineAccounts: processes ask what an engine reads for others before they send it
+	// a prompt.
+	EngineAccounts Mechanism = "engine-accounts"
 	// Warmup: the requests at a cold target are bounded over all processes.
 	Warmup Mechanism = "warmup"
 	// FewKept: unused connections to targets are bounded by what they accept.
@@ -62,7 +65,7 @@
 func All() []Mechanism {
 	return []Mechanism{
 		Sharing, Reservations, Reserve, LeastShare, DueOrder, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines,
-		Failover, Keepers, StrongOnly, LeavingAlone, Watchers, Containment, Warmup, FewKept,
+		Failover, Keepers, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept,
 	}
 }
 
--- a/internal/serve/place/place.go
+++ b/internal/serve/place/place.go
@@ -62,10 +62,10 @@
 	// bytesPerToken weighs results that cross zones against tokens that are read
 	// again: 2.5 KB between zones cost the operators what a token costs.
 	bytesPerToken = 2500
-	// affinityWeight is how much more a token read again counts than one read at
+	// AffinityWeight is how much more a token read again counts than one read at
 	// all: it takes the engine's time and costs besides. An affine engine gives way when
 	// it has some three times the shared parts to read before.
-	affinityWeight = 3
+	AffinityWeight = 3
 	// fullTokens keeps requests from an engine without a free slot while any
 	// other has one.
 	fullTokens = 100_000
@@ -108,12 +108,27 @@
 	return best
 }
 
+// ToRead is how many tokens of a prompt an engine has to read: the affine one has read
+// the shared parts.
+func ToRead(views []pool.View, p Prompt, engine string) int {
+	if affineEngine(views, p) == engine {
+		return p.Unshared()
+	}
+	return p.Input
+}
+
+// SharedTokens is how many tokens of a prompt other requests may have had read.
+func (p Prompt) SharedTokens() int {
+	tokens, _ := p.shared()
+	return tokens
+}
+
 func engineCost(v pool.View, p Prompt, affine bool) float64 {
 	running := max(v.InFlight, v.Report.Running)
 	cost := float64(p.Input + v.Tokens + running*runningTokens + v.Report.Waiting*waitingTokens)
 	if affine {
 		shared, _ := p.shared()
-		cost -= affinityWeight * float64(shared)
+		cost -= AffinityWeight * float64(shared)
 	}
 	if v.Cold {
 		cost += coldWeight * float64(p.Input)
--- a/internal/serve/run/choose.go
+++ b/internal/serve/run/choose.go
@@ -19,9 +19,17 @@
 	service := j.Plans.Service(j.service)
 	rule := warmupRule(service)
 	views := j.views(rule, now)
+	claims := j.Engines != nil && service != nil && service.Engine != nil
+	j.claims.made = 0
 	for {
 		target := j.pick(service, views)
-		if target == nil || j.admitted(views, target, rule, now) {
+		if target == nil {
+			return nil
+		}
+		if claims && !j.claim(views, target) {
+			continue
+		}
+		if j.admitted(views, target, rule, now) {
 			return target
 		}
 		views = slices.DeleteFunc(views, func(v pool.View) bool { return v.ID == target.ID })
--- /dev/null
+++ b/internal/serve/run/claim.go
@@ -0,0 +1,91 @@
+package run
+
+import (
+	"time"
+
+	"github.com/vanillagate/vanillagate/internal/serve/engines"
+	"github.com/vanillagate/vanillagate/internal/serve/place"
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+)
+
+const (
+	// maxClaims is at how many engines a prompt is claimed before it is sent to the
+	// last one whatever the wait.
+	maxClaims = 3
+	// idleWait is up to which wait an engine counts as idle.
+	idleWait = 20 * time.Millisecond
+	// leastPerToken bounds what a token takes to read, in seconds.
+	leastPerToken = 1e-6
+	// anyWait is longer than every prompt takes.
+	anyWait = time.Hour
+)
+
+// claims is how a job's prompt was claimed at engines.
+type claims struct {
+	made int
+	// toRead is what the chosen engine has to read, wait how long it reads others'
+	// prompts before; known tells whether its tracker said so.
+	toRead int
+	wait   time.Duration
+	known  bool
+}
+
+// claim enters the prompt in an engine's account. Where the engine reads others for
+// longer than it is worth, its view counts those, for another choice, and false is
+// returned.
+func (j *job) claim(views []pool.View, target *pool.Target) bool {
+	toRead := place.ToRead(views, j.req.Prompt, target.ID)
+	j.claims = claims{made: j.claims.made + 1, toRead: toRead}
+	answer, answered := j.Engines.Claim(j.ctx, engines.Claim{
+		Service: j.service, Engine: target.ID, Tokens: toRead, Limit: j.waitLimit(toRead),
+	})
+	if !answered || answer.Taken {
+		j.claims.wait, j.claims.known = answer.Wait, answered
+		return true
+	}
+	curve, _ := j.Engines.Curve(j.service, time.Now())
+	for i := range views {
+		if views[i].Target == target {
+			views[i].Tokens += int(answer.Wait.Seconds() / perToken(curve))
+		}
+	}
+	return false
+}
+
+// waitLimit is how long the prompt may wait at an engine before another one is better:
+// about as long as it would take there to read the shared parts again, weighted as
+// in placing.
+func (j *job) waitLimit(toRead int) time.Duration {
+	if j.claims.made >= maxClaims {
+		return anyWait
+	}
+	if toRead == j.req.Prompt.Input {
+		return idleWait
+	}
+	curve, _ := j.Engines.Curve(j.service, time.Now())
+	again := place.AffinityWeight * float64(j.req.Prompt.SharedTokens()) * perToken(curve)
+	return idleWait + time.Duration(again*float64(time.Second))
+}
+
+// perToken is what a token of a prompt of usual length takes to read, in seconds.
+func perToken(c engines.Curve) float64 {
+	const usualTokens = 5000
+	return max(c.Reading(usualTokens)/usualTokens, leastPerToken)
+}
+
+// learn keeps how long the engine took, for all processes to learn from.
+func (j *job) learn(took time.Duration) {
+	if j.Engines != nil && j.claims.known && j.claims.wait < idleWait && j.arrivals == 1 {
+		j.Engines.Note(j.service, engines.Sample{Tokens: j.claims.toRead, Seconds: took.Seconds()})
+	}
+}
+
+// firstEvent is how long an engine is reckoned to take to the first event.
+func (j *job) firstEvent() time.Duration {
+	if j.Engines != nil {
+		if curve, known := j.Engines.Curve(j.service, time.Now()); known {
+			return boundedFirstEvent(curve.FirstEvent(j.req.Prompt.Unshared()))
+		}
+	}
+	return j.firstEvents.expect(j.service, j.req.Prompt)
+}
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/serve/engines"
 	"github.com/vanillagate/vanillagate/internal/serve/gather"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
@@ -46,6 +47,8 @@
 	Budget  *quota.Budget
 	Zone    string
 	Metrics *Metrics
+	// Engines keeps account of what engines read over all processes; nil for none.
+	Engines *engines.Tracker
 	// Warmup gives this process's turns at cold targets; nil bounds nothing.
 	Warmup *warmup.Gate
 	// LeaveOut switches mechanisms off, for measurements.
@@ -84,7 +87,8 @@
 	ran      int
 	arrivals int
 	// zone is where the stages are made that are divided by zone.
-	zone string
+	zone   string
+	claims claims
 	// held is what kept the stages from being done, restarted why they were started over.
 	held      error
 	restarted error
--- a/internal/serve/run/first_events.go
+++ b/internal/serve/run/first_events.go
@@ -47,8 +47,11 @@
 func (f *firstEvents) expect(service string, prompt place.Prompt) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	expected := f.of(service).at(float64(prompt.Unshared()))
-	return min(max(time.Duration(expected*float64(time.Second)), leastFirstEvent), mostFirstEvent)
+	return boundedFirstEvent(f.of(service).at(float64(prompt.Unshared())))
+}
+
+func boundedFirstEvent(seconds float64) time.Duration {
+	return min(max(time.Duration(seconds*float64(time.Second)), leastFirstEvent), mostFirstEvent)
 }
 
 // of gives a service's line. The caller holds mu.
--- a/internal/serve/run/graph.go
+++ b/internal/serve/run/graph.go
@@ -233,7 +233,7 @@
 // due is when a stage must be done for the answer to be in time. A caller that comes
 // back may have less time left than the objective.
 func (g *graph) due(i int) time.Time {
-	first := g.job.firstEvents.expect(g.job.service, g.job.req.Prompt)
+	first := g.job.firstEvent()
 	due := g.job.req.Arrived.Add(g.job.route.Objective)
 	if g.job.deadline.Before(due) {
 		due = g.job.deadline
--- a/internal/serve/run/metrics.go
+++ b/internal/serve/run/metrics.go
@@ -56,6 +56,7 @@
 		requestID(j.req.ID), zap.String("route", j.route.Name), zap.String("service", j.service),
 		zap.Duration("after", took), zap.Duration("objective", j.route.Objective),
 		zap.Duration("target_took", time.Since(j.askedAt)), zap.Int("arrivals", j.arrivals),
+		zap.Duration("claimed_wait", j.claims.wait), zap.Int("claims", j.claims.made),
 		zap.Int("prompt_tokens", j.req.Prompt.Input), zap.Int("own_tokens", j.req.Prompt.Unshared()),
 	}
 	if !j.preparedAt.IsZero() {
@@ -81,6 +82,7 @@
 		}
 		if !j.preparedAt.IsZero() && !e.LeaveOut.Has(leaveout.LearntEngines) {
 			e.firstEvents.note(j.service, j.req.Prompt, time.Since(j.askedAt))
+			j.learn(time.Since(j.askedAt))
 		}
 		if j.route.Objective > 0 && took > j.route.Objective {
 			e.late(j, took)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -17,6 +17,7 @@
 
 	"github.com/vanillagate/vanillagate/internal/logging"
 	"github.com/vanillagate/vanillagate/internal/peer"
+	"github.com/vanillagate/vanillagate/internal/serve/engines"
 	"github.com/vanillagate/vanillagate/internal/serve/follow"
 	"github.com/vanillagate/vanillagate/internal/serve/gather"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
@@ -71,7 +72,8 @@
 	follower *follow.Follower
 	stages   *gather.Requester
 	budget   *quota.Budget
-	warmup   *warmup.Gate // nil where it is left out
+	warmup   *warmup.Gate     // nil where it is left out
+	engines  *engines.Tracker // nil where it is left out
 	executor *run.Executor
 
 	inFlight atomic.Int64
@@ -114,6 +116,10 @@
 		Stages: s.stages, Budget: s.budget, Zone: o.Zone, Metrics: &run.Metrics{Registry: o.Metrics},
 		LeaveOut: o.LeaveOut,
 	}
+	if !o.LeaveOut.Has(leaveout.EngineAccounts) {
+		s.engines = engines.New(logging.Part(o.Log, "engines"), network, peer.Strongest)
+		s.executor.Engines = s.engines
+	}
 	if !o.LeaveOut.Has(leaveout.Warmup) {
 		s.warmup = warmup.New(network, s.budget.Sharers, time.Now())
 		s.executor.Warmup = s.warmup
@@ -146,6 +152,9 @@
 		if s.warmup != nil {
 			s.warmup.Forget(now)
 		}
+		if s.engines != nil {
+			s.engines.Sweep(now)
+		}
 		s.observe(now)
 	}
 }
