While few items wait a call carries what its most urgent item has time for

Cause: a tender-draft with 40,000 tokens has 0.4 s for its one stage; its call carried up to 18 pieces, 11 ms each, of others that had a second to spare.

--- a/internal/serve/gather/dispatch.go
+++ b/internal/serve/gather/dispatch.go
@@ -26,7 +26,7 @@
 		}
 		passed[target.ID] = true
 		taken := c.queue.take(now, offer{
-			target: target.ID, zone: target.Zone, items: batch.Size, call: batch.CallTime,
+			target: target.ID, zone: target.Zone, items: batch.Size, call: batch.CallTime, item: batch.ItemTime,
 			room: int(roomShare*float64(batch.RoomBytes)) - g.roomOf(c, target.Address, now).bytes,
 		})
 		if len(taken) > 0 {
--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -115,10 +115,24 @@
 	// items and room (bytes) are how much it takes.
 	items int
 	room  int
-	// call is what a call takes at least.
+	// call is what a call takes at least, item what each item adds.
 	call time.Duration
+	item time.Duration
 }
 
+// fitting is how many items a call may carry at most to be done in time for one of
+// them, which would be in time alone.
+func (o offer) fitting(w *waiting, now time.Time) int {
+	left := w.due.Sub(now) - o.call - handSlack
+	if o.item <= 0 || left < o.item {
+		return o.items
+	}
+	return int(left / o.item)
+}
+
+// handSlack is what the messages of a result take.
+const handSlack = 16 * time.Millisecond
+
 // take gives the items for one call: those that can still be in time first,
 // each group in the order in which they are due. Of those that are late anyway
 // nothing is gained by haste, while each of them ahead of the others would make
@@ -128,6 +142,7 @@
 		q.sort(now, o.call)
 	}
 	anyZone := q.leaveOut.Has(leaveout.OwnZone)
+	light := len(q.items) <= o.items && !q.leaveOut.Has(leaveout.ShortCalls)
 	var taken []*waiting
 	rest := q.items[:0]
 	for _, w := range q.items {
@@ -135,6 +150,14 @@
 			rest = append(rest, w)
 			continue
 		}
+		if light {
+			fitting := o.fitting(w, now)
+			if len(taken) >= fitting {
+				rest = append(rest, w)
+				continue
+			}
+			o.items = min(o.items, fitting)
+		}
 		o.room -= w.Bytes
 		taken = append(taken, w)
 		delete(q.byKey, w.Key)
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -26,6 +26,9 @@
 	// DueOrder: items are made in the order in which they are due. Without it
 	// they are made as they come.
 	DueOrder Mechanism = "due-order"
+	// ShortCalls: while few items wait, a call carries no more than the most urgent of
+	// them has time for.
+	ShortCalls Mechanism = "short-calls"
 	// OwnZone: an item waits for a target where its inputs are.
 	OwnZone Mechanism = "own-zone"
 	// OneZone: all stages of a chain are made in one zone at a large site.
@@ -64,7 +67,7 @@
 // All lists the mechanisms.
 func All() []Mechanism {
 	return []Mechanism{
-		Sharing, Reservations, Reserve, LeastShare, DueOrder, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines,
+		Sharing, Reservations, Reserve, LeastShare, DueOrder, ShortCalls, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines,
 		Failover, Keepers, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept,
 	}
 }
