--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -32,6 +32,18 @@
 	Refusals map[string]int64 `json:"refusals"`
 	// Services as the VM sees them that has most targets out of use.
 	Services map[string]serviceView `json:"services"`
+	// Zones are those of targets.
+	Zones map[string]zoneView `json:"zones"`
+}
+
+// zoneView is an availability zone over all VMs.
+type zoneView struct {
+	// Revision of the order that evacuates it, 0 where none is in force at any VM.
+	Revision int64 `json:"evacuated_revision"`
+	// Evacuated is at how many VMs that order is in force.
+	Evacuated int `json:"evacuated_at"`
+	// Calls under way at its targets.
+	Calls int64 `json:"calls"`
 }
 
 // vmView is one VM. Where Problem isn't empty the rest is not known.
@@ -55,6 +67,8 @@
 type serviceView struct {
 	Targets int64 `json:"targets"`
 	Out     int64 `json:"out"`
+	// Cold targets bear fewer requests for some seconds.
+	Cold int64 `json:"cold"`
 	// RepeatsLeft is the least that any VM may still repeat.
 	RepeatsLeft int64 `json:"repeats_left"`
 }
@@ -75,7 +89,7 @@
 }
 
 func readFleet(ctx context.Context, addresses []string) *fleet {
-	f := &fleet{VMs: make([]vmView, len(addresses)), Refusals: map[string]int64{}, Services: map[string]serviceView{}}
+	f := &fleet{VMs: make([]vmView, len(addresses)), Refusals: map[string]int64{}, Services: map[string]serviceView{}, Zones: map[string]zoneView{}}
 	var mu sync.Mutex // guards f while VMs are read side by side
 	var all sync.WaitGroup
 	for i, address := range addresses {
@@ -142,6 +156,7 @@
 		if reason, found := labelOf(name, "vanillagate_own_answers", "reason"); found {
 			f.Refusals[reason] += value
 		}
+		f.takeZone(name, value)
 		service, found := labelOf(name, "vanillagate_service_targets", "service")
 		if !found {
 			continue
@@ -149,6 +164,7 @@
 		label := `{service="` + service + `"}`
 		seen := serviceView{
 			Targets: value, Out: series["vanillagate_service_targets_out"+label],
+			Cold:        series["vanillagate_service_targets_cold"+label],
 			RepeatsLeft: series["vanillagate_service_repeats_left"+label],
 		}
 		if before, known := f.Services[service]; known {
@@ -158,6 +174,21 @@
 	}
 }
 
+// takeZone adds a series about a zone.
+func (f *fleet) takeZone(name string, value int64) {
+	if zone, found := labelOf(name, "vanillagate_zone_calls", "zone"); found {
+		seen := f.Zones[zone]
+		seen.Calls += value
+		f.Zones[zone] = seen
+	}
+	if zone, found := labelOf(name, "vanillagate_zone_evacuated_revision", "zone"); found && value > 0 {
+		seen := f.Zones[zone]
+		seen.Evacuated++
+		seen.Revision = max(seen.Revision, value)
+		f.Zones[zone] = seen
+	}
+}
+
 // worse is the view with more targets out of use, and the least repeats of both.
 func worse(a, b serviceView) serviceView {
 	chosen := a
@@ -193,10 +224,19 @@
 		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", vm.Address, vm.Members, vm.Configuration, vm.Targets,
 			vm.InFlight, vm.Answers, vm.Own, store)
 	}
-	fmt.Fprintln(w, "\nSERVICE\tTARGETS\tOUT OF USE\tREPEATS LEFT")
+	fmt.Fprintln(w, "\nSERVICE\tTARGETS\tOUT OF USE\tCOLD\tREPEATS LEFT")
 	for _, name := range slices.Sorted(maps.Keys(f.Services)) {
 		s := f.Services[name]
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\n", name, s.Targets, s.Out, s.RepeatsLeft)
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\n", name, s.Targets, s.Out, s.Cold, s.RepeatsLeft)
+	}
+	fmt.Fprintln(w, "\nZONE OF TARGETS\tCALLS UNDER WAY\tEVACUATED")
+	for _, name := range slices.Sorted(maps.Keys(f.Zones)) {
+		z := f.Zones[name]
+		evacuated := "no"
+		if z.Revision > 0 {
+			evacuated = fmt.Sprintf("since revision %d, at %d VMs", z.Revision, z.Evacuated)
+		}
+		fmt.Fprintf(w, "%s\t%d\t%s\n", name, z.Calls, evacuated)
 	}
 	fmt.Fprintln(w, "\nANSWERS OF OUR OWN\tCOUNT")
 	for _, reason := range slices.Sorted(maps.Keys(f.Refusals)) {
--- a/internal/ctl/fleet_test.go
+++ b/internal/ctl/fleet_test.go
@@ -25,6 +25,11 @@
 vanillagate_answer_us{kind="stream",quantile="0.5"} 1.5e+06
 vanillagate_store_configuration_silent_ms 0
 vanillagate_store_targets_silent_ms 2500
+vanillagate_service_targets_cold{service="desk"} 1
+vanillagate_zone_calls{zone="a"} 4
+vanillagate_zone_evacuated_revision{zone="a"} 117
+vanillagate_zone_calls{zone="b"} 6
+vanillagate_zone_evacuated_revision{zone="b"} 0
 `
 
 func showing(t *testing.T, text string) string {
@@ -44,7 +49,7 @@
 	code := Main(context.Background(), []string{"vgctl", "status", "--metrics", a + "," + b + "," + dead}, nil, &out, &errOut)
 	assert.Equal(t, int(code), 0, "%s", errOut.String())
 	text := out.String()
-	for _, part := range []string{"14", "11", "silent for 2.5s", dead, "stages can't be done in time  24", "desk"} {
+	for _, part := range []string{"14", "11", "silent for 2.5s", dead, "stages can't be done in time  24", "desk", "since revision 117, at 2 VMs"} {
 		assert.Assert(t, strings.Contains(text, part), "%q is missing:\n%s", part, text)
 	}
 
@@ -54,7 +59,9 @@
 	var f fleet
 	assert.NilError(t, json.Unmarshal(out.Bytes(), &f))
 	assert.Equal(t, f.VMs[1].Configuration, int64(11))
-	assert.Equal(t, f.Services["desk"], serviceView{Targets: 3, Out: 2, RepeatsLeft: 7})
+	assert.Equal(t, f.Services["desk"], serviceView{Targets: 3, Out: 2, Cold: 1, RepeatsLeft: 7})
+	assert.Equal(t, f.Zones["a"], zoneView{Revision: 117, Evacuated: 2, Calls: 8})
+	assert.Equal(t, f.Zones["b"], zoneView{Calls: 12})
 
 	code = Main(context.Background(), []string{"vgctl", "status", "--metrics", dead}, nil, &out, &errOut)
 	assert.Assert(t, int(code) != 0)
