Engines' trackers hand out turns at cold engines

An engine's tracker sees all claims and can count exactly: it hands out 0.6 of what the engine bears, with two at once after a pause; where it doesn't answer, turns by rendezvous get the other 0.4. Two trackers, while members are seen differently, and the turns stay below the rule's bound together. Plain services, which have no trackers, keep the turns.

TestAColdEngineGetsWhatItBears.

--- a/internal/serve/engines/tracker.go
+++ b/internal/serve/engines/tracker.go
@@ -51,6 +51,8 @@
 	Tokens int
 	// Limit is the longest wait with which the engine is still taken.
 	Limit time.Duration
+	// ColdPerSecond is how many requests a second a cold engine bears; 0 for a warm one.
+	ColdPerSecond float64
 }
 
 // Answer is what became of a claim.
@@ -59,14 +61,22 @@
 	Taken bool
 	// Wait is how long the engine reads others' prompts before.
 	Wait time.Duration
+	// Cold tells that the engine got as many requests as it bears while cold.
+	Cold bool
 }
 
+// TrackedShare is the part of what a cold engine bears that its tracker hands out. The
+// rest is for those whom the tracker doesn't answer, and for a second tracker while
+// members are seen differently.
+const TrackedShare = 0.6
+
 // claimCall is a Claim on the wire. Times are in ms.
 type claimCall struct {
 	Service string   `json:"service"`
 	Engine  string   `json:"engine"`
 	Tokens  int      `json:"tokens"`
 	Limit   int64    `json:"limit"`
+	Cold    float64  `json:"cold,omitempty"`
 	Samples []Sample `json:"samples,omitempty"`
 }
 
@@ -74,6 +84,7 @@
 type claimAnswer struct {
 	Taken bool  `json:"taken,omitempty"`
 	Wait  int64 `json:"wait,omitempty"`
+	Cold  bool  `json:"cold,omitempty"`
 	Curve Curve `json:"curve"`
 }
 
@@ -141,7 +152,8 @@
 		return Answer{}, false
 	}
 	call := claimCall{
-		Service: c.Service, Engine: c.Engine, Tokens: c.Tokens, Limit: c.Limit.Milliseconds(), Samples: t.takeSamples(c.Service),
+		Service: c.Service, Engine: c.Engine, Tokens: c.Tokens, Limit: c.Limit.Milliseconds(),
+		Cold: c.ColdPerSecond, Samples: t.takeSamples(c.Service),
 	}
 	answer, err := t.ask(ctx, tracker, call)
 	if err != nil {
@@ -154,7 +166,7 @@
 	t.mu.Lock()
 	t.curves[c.Service] = told{curve: answer.Curve, at: now}
 	t.mu.Unlock()
-	return Answer{Taken: answer.Taken, Wait: time.Duration(answer.Wait) * time.Millisecond}, true
+	return Answer{Taken: answer.Taken, Wait: time.Duration(answer.Wait) * time.Millisecond, Cold: answer.Cold}, true
 }
 
 func (t *Tracker) ask(ctx context.Context, tracker peer.Incarnation, call claimCall) (claimAnswer, error) {
@@ -206,8 +218,14 @@
 		f.add(s.Tokens, s.Seconds)
 	}
 	curve := f.curve()
+	if call.Cold > 0 && !t.account.spare(call.Engine, TrackedShare*call.Cold, now) {
+		return claimAnswer{Cold: true, Curve: curve}
+	}
 	reading := time.Duration(curve.Reading(call.Tokens) * float64(time.Second))
 	wait, taken := t.account.take(call.Engine, reading, time.Duration(call.Limit)*time.Millisecond, now)
+	if taken && call.Cold > 0 {
+		t.account.spend(call.Engine)
+	}
 	return claimAnswer{Taken: taken, Wait: wait.Milliseconds(), Curve: curve}
 }
 
--- /dev/null
+++ b/internal/serve/engines/tracker_test.go
@@ -0,0 +1,108 @@
+package engines
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/peer"
+	"github.com/vanillagate/vanillagate/internal/serve/servetest"
+)
+
+// fleet is processes that ask each other about engines.
+func fleet(n int) (list []*Tracker, nodes []*servetest.Node) {
+	cluster := &servetest.Cluster{Delay: time.Millisecond}
+	for i := range n {
+		node := cluster.Add(fmt.Sprintf("vm-%d", i), "z")
+		nodes = append(nodes, node)
+		list = append(list, New(zap.NewNop(), node, peer.Strongest))
+	}
+	return list, nodes
+}
+
+// Two processes send long prompts to the same engine unawares, and the second waits for
+// the first one's.
+func TestProcessesSeeWhatAnEngineReadsForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all, _ := fleet(12)
+		ctx := context.Background()
+		claim := Claim{Service: "s", Engine: "e", Tokens: 40_000, Limit: 20 * time.Millisecond}
+		first, answered := all[0].Claim(ctx, claim)
+		assert.Assert(t, answered && first.Taken && first.Wait == 0)
+		for _, other := range all[1:] {
+			second, answered := other.Claim(ctx, claim)
+			assert.Assert(t, answered && !second.Taken && second.Wait > 200*time.Millisecond, "%+v", second)
+		}
+		time.Sleep(time.Second)
+		again, _ := all[3].Claim(ctx, claim)
+		assert.Assert(t, again.Taken)
+	})
+}
+
+// A tracker stands still: each request would wait for it.
+func TestATrackerThatDoesNotAnswerIsLeftAloneForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all, nodes := fleet(3)
+		for _, n := range nodes {
+			n.Freeze()
+		}
+		waited := 0
+		for range 50 {
+			started := time.Now()
+			for i := range 9 {
+				all[0].Claim(context.Background(), Claim{Service: "s", Engine: fmt.Sprint("e", i)})
+			}
+			if time.Since(started) > 0 {
+				waited++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Assert(t, waited <= 2, "%d times", waited)
+		time.Sleep(time.Second)
+	})
+}
+
+// All processes learn from all answers, whoever saw them.
+func TestTrackersLearnFromAllProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all, _ := fleet(12)
+		truth := Curve{Base: 0.06, Linear: 0.008, Square: 0.00026}
+		for i := range 3000 {
+			tokens := 300 + i%50*1000
+			all[i%12].Note("s", Sample{Tokens: tokens, Seconds: truth.FirstEvent(tokens)})
+			all[i%12].Claim(context.Background(), Claim{Service: "s", Engine: fmt.Sprint("e", i%40), Limit: time.Hour})
+		}
+		for _, tracker := range all {
+			curve, known := tracker.Curve("s", time.Now())
+			assert.Assert(t, known)
+			got, want := curve.FirstEvent(45_000), truth.FirstEvent(45_000)
+			assert.Assert(t, got > 0.9*want && got < 1.1*want, "%v for %v", got, want)
+		}
+	})
+}
+
+// The requests of all processes go to a cold engine at once.
+func TestAColdEngineGetsWhatItBears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all, _ := fleet(20)
+		taken, asked := 0, 0
+		start := time.Now()
+		for time.Since(start) < 2*time.Second {
+			answer, answered := all[asked%20].Claim(context.Background(), Claim{Service: "s", Engine: "e", Limit: time.Hour, ColdPerSecond: 14})
+			assert.Assert(t, answered)
+			asked++
+			if answer.Taken {
+				taken++
+			}
+			assert.Assert(t, answer.Taken != answer.Cold)
+			time.Sleep(time.Millisecond)
+		}
+		assert.Assert(t, taken <= 2*14, "%d of %d in two seconds", taken, asked)
+		assert.Assert(t, taken >= 14, "%d of %d in two seconds", taken, asked)
+	})
+}
--- a/internal/serve/run/choose.go
+++ b/internal/serve/run/choose.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/vanillagate/vanillagate/internal/serve/engines"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/place"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
@@ -12,58 +13,73 @@
 	"github.com/vanillagate/vanillagate/internal/serve/warmup"
 )
 
-// choose picks the target of the next attempt; nil where there is none. One that is
-// cold is picked only in this process's turn, which is used up by it.
+// choose picks the target of the next attempt; nil where there is none. Engines are
+// asked for by way of their trackers. A cold target gets the request only within what
+// it bears.
 func (j *job) choose() *pool.Target {
 	now := time.Now()
 	service := j.Plans.Service(j.service)
-	rule := warmupRule(service)
-	views := j.views(rule, now)
-	claims := j.Engines != nil && service != nil && service.Engine != nil
-	j.claims.made = 0
+	tracked := j.Engines != nil && service != nil && service.Engine != nil
+	rule := j.warmupRule(service)
+	views := j.views(rule, tracked, now)
+	j.claims = claims{}
 	for {
 		target := j.pick(service, views)
 		if target == nil {
 			return nil
 		}
-		if claims && !j.claim(views, target) {
-			continue
-		}
-		if j.admitted(views, target, rule, now) {
+		cold := slices.ContainsFunc(views, func(v pool.View) bool { return v.Target == target && v.Cold })
+		switch j.allow(views, target, tracked, cold, rule, now) {
+		case accepted:
 			return target
+		case overCold:
+			views = slices.DeleteFunc(views, func(v pool.View) bool { return v.Target == target })
 		}
-		views = slices.DeleteFunc(views, func(v pool.View) bool { return v.ID == target.ID })
 	}
 }
 
-// views lists the targets that may get the request now.
-func (j *job) views(rule warmup.Rule, now time.Time) []pool.View {
+// views lists the targets that may get the request now. Cold ones are left out where
+// this process has no turn, unless their tracker decides.
+func (j *job) views(rule warmup.Rule, tracked bool, now time.Time) []pool.View {
 	views := j.Table.Views(j.service, now)
-	if j.Warmup == nil || rule.PerSecond <= 0 {
+	if rule.PerSecond <= 0 {
 		return views
 	}
 	kept := views[:0]
 	for _, v := range views {
 		v.Cold = rule.IsCold(v, now)
-		if !v.Cold || j.Warmup.Open(v.ID, rule, now) {
+		if !v.Cold || tracked || j.Warmup.Open(v.ID, rule, now) {
 			kept = append(kept, v)
 		}
 	}
 	return kept
 }
 
-func warmupRule(service *plan.Service) warmup.Rule {
-	if service == nil {
+// warmupRule is what a service's cold targets bear; the zero value where nothing bounds
+// it.
+func (j *job) warmupRule(service *plan.Service) warmup.Rule {
+	if service == nil || j.Warmup == nil {
 		return warmup.Rule{}
 	}
 	return warmup.Rule{PerSecond: service.ColdPerSecond, Time: service.ColdTime}
 }
 
-// admitted tells whether a target takes the request: it is warm, or its turn could be
-// used.
-func (j *job) admitted(views []pool.View, target *pool.Target, rule warmup.Rule, now time.Time) bool {
-	cold := slices.ContainsFunc(views, func(v pool.View) bool { return v.Target == target && v.Cold })
-	return !cold || j.Warmup.Take(target.ID, rule, now)
+// allow asks whether a chosen target gets the request.
+func (j *job) allow(views []pool.View, target *pool.Target, tracked, cold bool, rule warmup.Rule, now time.Time) verdict {
+	if !cold {
+		rule.PerSecond = 0
+	}
+	if tracked {
+		answer := j.claim(views, target, rule.PerSecond)
+		if answer != unasked {
+			return answer
+		}
+		rule.PerSecond *= 1 - engines.TrackedShare
+	}
+	if !cold || j.Warmup.Take(target.ID, rule, now) {
+		return accepted
+	}
+	return overCold
 }
 
 func (j *job) pick(service *plan.Service, views []pool.View) *pool.Target {
--- a/internal/serve/run/claim.go
+++ b/internal/serve/run/claim.go
@@ -30,18 +30,37 @@
 	known  bool
 }
 
-// claim enters the prompt in an engine's account. Where the engine reads others for
-// longer than it is worth, its view counts those, for another choice, and false is
-// returned.
-func (j *job) claim(views []pool.View, target *pool.Target) bool {
+// verdict is what an engine's tracker makes of a prompt.
+type verdict int
+
+const (
+	// accepted: the prompt is in the engine's account.
+	accepted verdict = iota
+	// busy: the engine reads others for longer than it is worth.
+	busy
+	// overCold: the engine is cold and gets no more for now.
+	overCold
+	// unasked: the tracker didn't answer.
+	unasked
+)
+
+// claim enters the prompt in an engine's account. A busy engine's view counts what it
+// reads, for another choice.
+func (j *job) claim(views []pool.View, target *pool.Target, coldPerSecond float64) verdict {
 	toRead := place.ToRead(views, j.req.Prompt, target.ID)
 	j.claims = claims{made: j.claims.made + 1, toRead: toRead}
 	answer, answered := j.Engines.Claim(j.ctx, engines.Claim{
 		Service: j.service, Engine: target.ID, Tokens: toRead, Limit: j.waitLimit(toRead),
+		ColdPerSecond: coldPerSecond,
 	})
-	if !answered || answer.Taken {
-		j.claims.wait, j.claims.known = answer.Wait, answered
-		return true
+	switch {
+	case !answered:
+		return unasked
+	case answer.Cold:
+		return overCold
+	case answer.Taken:
+		j.claims.wait, j.claims.known = answer.Wait, true
+		return accepted
 	}
 	curve, _ := j.Engines.Curve(j.service, time.Now())
 	for i := range views {
@@ -49,7 +68,7 @@
 			views[i].Tokens += int(answer.Wait.Seconds() / perToken(curve))
 		}
 	}
-	return false
+	return busy
 }
 
 // waitLimit is how long the prompt may wait at an engine before another one is better:
