The last free target of a shard is kept for urgent items; prompts with time wait for theirs

Targets that take whatever waits are all at work on small calls (crm-legacy: six pieces a call, always busy), so that an urgent item waits for one of them first. A shard of four targets or more keeps its last free one while fewer items wait than a call holds and none of them is urgent. 2. A prompt with time to spare now waits up to half of that time, eight times the reading at most; one without moves at once.

--- a/internal/serve/gather/dispatch.go
+++ b/internal/serve/gather/dispatch.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 )
@@ -20,8 +21,8 @@
 	g.expire(c, batch, now, overdue)
 	passed := map[string]bool{}
 	for c.queue.len() > 0 {
-		target := g.pick(c, batch, passed, now)
-		if target == nil {
+		target, free := g.pick(c, batch, passed, now)
+		if target == nil || g.keepsFree(c, batch, free, now) {
 			break
 		}
 		passed[target.ID] = true
@@ -86,11 +87,23 @@
 	go g.deliver(owner, c.Shard, results)
 }
 
+// leastForSpare is from how many targets on a shard keeps one free.
+const leastForSpare = 4
+
+// keepsFree tells whether the last free target of a shard waits for something urgent.
+// Targets that take whatever is there are all at work on small calls, so that an item
+// with little time waits for one of them first. The caller holds mu.
+func (g *Gatherer) keepsFree(c *shard, batch *plan.Batch, free int, now time.Time) bool {
+	if free > 1 || len(c.working)+free < leastForSpare || g.leaveOut.Has(leaveout.SpareTarget) {
+		return false
+	}
+	return c.queue.len() < batch.Size && !c.queue.urgent(now, batch.CallTime)
+}
+
 // pick chooses a free target that wasn't passed: sound ones before slow ones,
-// then one in the zone of what is most urgent, then the one with most room. The
-// caller holds mu.
-func (g *Gatherer) pick(c *shard, batch *plan.Batch, passed map[string]bool, now time.Time) *pool.Target {
-	var best *pool.Target
+// then one in the zone of what is most urgent, then the one with most room. free is
+// how many there were to choose from. The caller holds mu.
+func (g *Gatherer) pick(c *shard, batch *plan.Batch, passed map[string]bool, now time.Time) (best *pool.Target, free int) {
 	bestScore := -1.0
 	zone := c.queue.firstZone()
 	views := g.sound(c, now)
@@ -103,6 +116,7 @@
 		if left <= 0 {
 			continue
 		}
+		free++
 		score := float64(left) / float64(batch.RoomBytes)
 		if v.Zone == zone {
 			score++
@@ -117,7 +131,7 @@
 			best, bestScore = v.Target, score
 		}
 	}
-	return best
+	return best, free
 }
 
 func (g *Gatherer) roomOf(c *shard, address string, now time.Time) *room {
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -29,6 +29,8 @@
 	// ShortCalls: while few items wait, a call carries no more than the most urgent of
 	// them has time for.
 	ShortCalls Mechanism = "short-calls"
+	// SpareTarget: the last free target of a shard waits for something urgent.
+	SpareTarget Mechanism = "spare-target"
 	// OwnZone: an item waits for a target where its inputs are.
 	OwnZone Mechanism = "own-zone"
 	// OneZone: all stages of a chain are made in one zone at a large site.
@@ -67,7 +69,7 @@
 // All lists the mechanisms.
 func All() []Mechanism {
 	return []Mechanism{
-		Sharing, Reservations, Reserve, LeastShare, DueOrder, ShortCalls, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines,
+		Sharing, Reservations, Reserve, LeastShare, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines,
 		Failover, Keepers, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept,
 	}
 }
--- a/internal/serve/run/claim.go
+++ b/internal/serve/run/claim.go
@@ -16,6 +16,9 @@
 	idleWait = 20 * time.Millisecond
 	// leastPerToken bounds what a token takes to read, in seconds.
 	leastPerToken = 1e-6
+	// againPatience is for how many times as long as it takes to read its shared parts
+	// again a prompt with time to spare waits for the engine that has read them.
+	againPatience = 8
 	// anyWait is longer than every prompt takes.
 	anyWait = time.Hour
 )
@@ -62,18 +65,18 @@
 		j.claims.wait, j.claims.known = answer.Wait, true
 		return accepted
 	}
-	curve, _ := j.Engines.Curve(j.service, time.Now())
+	// More than any affinity outweighs, so that the next choice is another one.
 	for i := range views {
 		if views[i].Target == target {
-			views[i].Tokens += int(answer.Wait.Seconds() / perToken(curve))
+			views[i].Tokens += place.AffinityWeight*j.req.Prompt.SharedTokens() + j.tokensIn(answer.Wait)
 		}
 	}
 	return busy
 }
 
-// waitLimit is how long the prompt may wait at an engine before another one is better:
-// about as long as it would take there to read the shared parts again, weighted as
-// in placing.
+// waitLimit is how long the prompt may wait at an engine before another one is better.
+// Where it would have to read the shared parts again there, a prompt with time to spare
+// waits for some times as long as that takes.
 func (j *job) waitLimit(toRead int) time.Duration {
 	if j.claims.made >= maxClaims {
 		return anyWait
@@ -81,9 +84,17 @@
 	if toRead == j.req.Prompt.Input {
 		return idleWait
 	}
+	now := time.Now()
+	curve, _ := j.Engines.Curve(j.service, now)
+	again := againPatience * float64(j.req.Prompt.SharedTokens()) * perToken(curve)
+	slack := j.req.Arrived.Add(j.route.Objective).Sub(now) - j.firstEvent()
+	return idleWait + max(min(slack/2, time.Duration(again*float64(time.Second))), 0)
+}
+
+// tokensIn is about how many tokens an engine reads in some time.
+func (j *job) tokensIn(d time.Duration) int {
 	curve, _ := j.Engines.Curve(j.service, time.Now())
-	again := place.AffinityWeight * float64(j.req.Prompt.SharedTokens()) * perToken(curve)
-	return idleWait + time.Duration(again*float64(time.Second))
+	return int(d.Seconds() / perToken(curve))
 }
 
 // perToken is what a token of a prompt of usual length takes to read, in seconds.
