--- a/internal/serve/gather/queue.go
+++ b/internal/serve/gather/queue.go
@@ -182,13 +182,9 @@
 	})
 }
 
-// urgent tells whether an item that can still be in time can't wait for the call after
-// the next.
+// urgent tells whether an item can't wait for the call after the next.
 func (q *queue) urgent(now time.Time, call time.Duration) bool {
-	return slices.ContainsFunc(q.items, func(w *waiting) bool {
-		left := w.due.Sub(now) - call
-		return left > 0 && left < call
-	})
+	return slices.ContainsFunc(q.items, func(w *waiting) bool { return w.due.Sub(now) < 2*call })
 }
 
 // firstZone is the zone in which the most urgent item is best made; empty for
