--- a/internal/serve/gather/dispatch.go
+++ b/internal/serve/gather/dispatch.go
@@ -90,6 +90,9 @@
 // leastForSpare is from how many targets on a shard keeps one free.
 const leastForSpare = 4
 
+// sparePace is the part of its usual pace from which on a shard has something to spare.
+const sparePace = 0.9
+
 // keepsFree tells whether the last free target of a shard waits for something urgent.
 // Targets that take whatever is there are all at work on small calls, so that an item
 // with little time waits for one of them first. The caller holds mu.
@@ -97,12 +100,17 @@
 	if free > 1 || len(c.working)+free < leastForSpare || g.leaveOut.Has(leaveout.SpareTarget) {
 		return false
 	}
-	return c.queue.len() < batch.Size && !c.queue.urgent(now, batch.CallTime)
+	if c.queue.len() >= batch.Size || c.queue.urgent(now, batch.CallTime) {
+		return false
+	}
+	// A shard that works more slowly than its settings say has nothing to spare.
+	worth, _ := g.strength(c, batch, now)
+	return worth >= sparePace*float64(len(c.working)+free)
 }
 
 // pick chooses a free target that wasn't passed: sound ones before slow ones,
 // then one in the zone of what is most urgent, then the one with most room. free is
-// how many there were to choose from. The caller holds mu.
+// how many take calls now, slow ones and those without room included. The caller holds mu.
 func (g *Gatherer) pick(c *shard, batch *plan.Batch, passed map[string]bool, now time.Time) (best *pool.Target, free int) {
 	bestScore := -1.0
 	zone := c.queue.firstZone()
@@ -112,11 +120,11 @@
 		if passed[v.ID] || c.working[v.ID] != nil || now.Before(c.pauses[v.ID]) {
 			continue
 		}
+		free++
 		left := batch.RoomBytes - g.roomOf(c, v.Address, now).bytes
 		if left <= 0 {
 			continue
 		}
-		free++
 		score := float64(left) / float64(batch.RoomBytes)
 		if v.Zone == zone {
 			score++
