--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -1,6 +1,7 @@
 package gather
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -73,6 +74,26 @@
 	assert.DeepEqual(t, names(q.take(start, o)), []string{"a"})
 }
 
+// An urgent item shares its call with many others and comes late, though they have time.
+func TestACallCarriesNoMoreThanItsMostUrgentItemHasTimeFor(t *testing.T) {
+	o := anyTarget(20)
+	o.item = 10 * time.Millisecond
+	urgent := callTime + handSlack + 35*time.Millisecond
+	var items []*waiting
+	for i := range 10 {
+		items = append(items, item(fmt.Sprint("patient-", i), 4*callTime))
+	}
+	items = append(items, item("urgent", urgent))
+	taken := queueOf(items...).take(start, o)
+	assert.Equal(t, taken[0].Request, "urgent")
+	assert.Equal(t, len(taken), 3)
+
+	for i := range 15 {
+		items = append(items, item(fmt.Sprint("more-", i), 4*callTime))
+	}
+	assert.Equal(t, len(queueOf(items...).take(start, o)), 20, "under load calls are full")
+}
+
 func TestNotAgainToTheTargetThatFailedIt(t *testing.T) {
 	w := item("a", time.Second)
 	w.avoid = "t"
