A caller that leaves silences no tracker; evacuations are known as far as peers tell

Found in reading the diff: a claim that ended because its caller hung up marked the tracker as silent for a second (TestACallerThatLeavesDoesNotSilenceATracker fails without the change). And a process that hears from a peer that no evacuation has changed now knows them up to the peer's revision; before, the revision that it told others stayed behind, and with it the one from which they would ask the store for changes.

--- a/internal/serve/engines/tracker.go
+++ b/internal/serve/engines/tracker.go
@@ -157,10 +157,9 @@
 	}
 	answer, err := t.ask(ctx, tracker, call)
 	if err != nil {
-		t.log.Debug("Engine's tracker didn't answer.", zap.String("member", string(tracker)), zap.Error(err))
-		t.mu.Lock()
-		t.silent[tracker] = now.Add(silence)
-		t.mu.Unlock()
+		if ctx.Err() == nil {
+			t.leaveAlone(tracker, err, now)
+		}
 		return Answer{}, false
 	}
 	t.mu.Lock()
@@ -169,6 +168,14 @@
 	return Answer{Taken: answer.Taken, Wait: time.Duration(answer.Wait) * time.Millisecond, Cold: answer.Cold}, true
 }
 
+// leaveAlone has a tracker that didn't answer not asked for a while.
+func (t *Tracker) leaveAlone(tracker peer.Incarnation, err error, now time.Time) {
+	t.log.Debug("Engine's tracker didn't answer.", zap.String("member", string(tracker)), zap.Error(err))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.silent[tracker] = now.Add(silence)
+}
+
 func (t *Tracker) ask(ctx context.Context, tracker peer.Incarnation, call claimCall) (claimAnswer, error) {
 	if tracker == t.network.Self().Incarnation {
 		return t.serve(call, time.Now()), nil
--- a/internal/serve/engines/tracker_test.go
+++ b/internal/serve/engines/tracker_test.go
@@ -67,6 +67,21 @@
 	})
 }
 
+// A caller hangs up during the question. Its tracker would count as silent, and others'
+// prompts be sent without having asked.
+func TestACallerThatLeavesDoesNotSilenceATracker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all, _ := fleet(3)
+		left, leave := context.WithCancel(context.Background())
+		leave()
+		for i := range 9 {
+			all[0].Claim(left, Claim{Service: "s", Engine: fmt.Sprint("e", i)})
+			_, answered := all[0].Claim(context.Background(), Claim{Service: "s", Engine: fmt.Sprint("e", i)})
+			assert.Assert(t, answered)
+		}
+	})
+}
+
 // All processes learn from all answers, whoever saw them.
 func TestTrackersLearnFromAllProcesses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -296,6 +296,8 @@
 	if n.Evacuated > 0 && f.table.MirrorEvacuations(n.Evacuations, n.Evacuated, n.EvacuationsUpTo, time.Now()) {
 		f.expect(f.orderFeed)
 	}
+	// A peer without news of them has seen no change up to here either.
+	f.table.ChangeEvacuations(nil, n.EvacuationsUpTo, time.Now())
 	if n.Revision > 0 {
 		f.mirror(n)
 		f.expect(f.targetFeed)
