--- a/internal/serve/engines/tracker.go
+++ b/internal/serve/engines/tracker.go
@@ -25,8 +25,7 @@
 const methodClaim = "engines.claim"
 
 const (
-	// claimTimeout bounds one question. A strong VM answers within a few ms; later the
-	// answer is worth less than the time.
+	// claimTimeout bounds one question, which the request waits for.
 	claimTimeout = 40 * time.Millisecond
 	// silence is for how long a tracker that didn't answer isn't asked.
 	silence = time.Second
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -21,8 +21,8 @@
 const (
 	// askTimeout bounds one question.
 	askTimeout = 250 * time.Millisecond
-	// maxEntries is how many entries of targets one message holds: some 300 KB of the
-	// 1 MB that it may have.
+	// maxEntries bounds the entries of targets in one message, which must stay below
+	// peer.MaxMessageBytes.
 	maxEntries = 2000
 	// catchUp is how much later than a peer the store may tell of a change
 	// before its silence is taken for an outage.
