--- a/internal/serve/follow/outage_cost_test.go
+++ b/internal/serve/follow/outage_cost_test.go
@@ -54,6 +54,39 @@
 	})
 }
 
+// The store turns a watcher away and serves the other ones. It hears from those, and must
+// not go on calling the store as often as one that is served.
+func TestAWatcherThatTheStoreTurnsAwayRarelyCallsIt(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		sound, refusing, both := twoStores()
+		both(func(s *fakeStore) { s.putPlan(1); s.putTarget("x", pool.Ready) })
+		stores := make([]*fakeStore, 24)
+		watchers := 0
+		for i := range stores {
+			stores[i] = sound
+			if isWatcherOf(24, i) && watchers == 0 {
+				stores[i] = refusing
+				watchers++
+			}
+		}
+		all := cluster(ctx, 24, stores...)
+		time.Sleep(5 * time.Second)
+		refusing.change(func() { refusing.failing = true })
+		sound.change(func() {})
+		const away = 12 * time.Second
+		calls := refusing.callsOf(func() { time.Sleep(away) })
+		// One call in the time for which another watcher's word is trusted, and one of each
+		// feed to find out.
+		most := int(away/DefaultBound.trust()) + 2
+		assert.Assert(t, calls <= most, "%d calls", calls)
+		both(func(s *fakeStore) { s.putPlan(2) })
+		time.Sleep(time.Duration(DefaultBound))
+		for i, p := range all {
+			assert.Equal(t, p.plans.Version(), uint64(2), "process %d", i)
+		}
+	})
+}
+
 // The store is away for everybody. However many processes there are, they must not
 // call it more often than its watchers do, and all are back soon after it is.
 func TestAnOutageForAllCostsFewCalls(t *testing.T) {
