--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -71,3 +71,6 @@
 	x *= 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
+
+// Rank ranks a holder for an item by rendezvous, both given by their hashes.
+func Rank(item, holder uint64) uint64 { return Mix(item ^ holder) }
--- a/internal/serve/engines/tracker.go
+++ b/internal/serve/engines/tracker.go
@@ -94,7 +94,7 @@
 	network peer.Network
 	// strong chooses the processes that may be trackers.
 	strong func([]peer.Member) []peer.Incarnation
-	able   derived.Value[*peer.View, []peer.Incarnation]
+	able   derived.Value[*peer.View, []candidate]
 
 	mu      sync.Mutex // guards what follows; a leaf
 	account *account
@@ -104,6 +104,12 @@
 	silent  map[peer.Incarnation]time.Time // until when
 }
 
+// candidate is a process that may be a tracker, and its hash.
+type candidate struct {
+	id   peer.Incarnation
+	hash uint64
+}
+
 type told struct {
 	curve Curve
 	at    time.Time
@@ -197,13 +203,13 @@
 // trackerOf is the process that an engine ranks first; false while that one doesn't
 // answer.
 func (t *Tracker) trackerOf(engine string, now time.Time) (peer.Incarnation, bool) {
-	able := t.able.Get(t.network.View(), func(v *peer.View) []peer.Incarnation { return t.strong(v.Alive()) })
+	able := t.able.Get(t.network.View(), t.candidates)
 	var first peer.Incarnation
 	best := uint64(0)
 	at := member.Hash(engine)
-	for _, id := range able {
-		if rank := member.Mix(at ^ member.Hash(string(id))); first == "" || rank > best {
-			first, best = id, rank
+	for _, c := range able {
+		if rank := member.Rank(at, c.hash); first == "" || rank > best {
+			first, best = c.id, rank
 		}
 	}
 	t.mu.Lock()
@@ -211,6 +217,14 @@
 	return first, first != "" && !now.Before(t.silent[first])
 }
 
+func (t *Tracker) candidates(v *peer.View) []candidate {
+	var list []candidate
+	for _, id := range t.strong(v.Alive()) {
+		list = append(list, candidate{id: id, hash: member.Hash(string(id))})
+	}
+	return list
+}
+
 // serve answers a claim of this or another process.
 func (t *Tracker) serve(call claimCall, now time.Time) claimAnswer {
 	t.mu.Lock()
--- a/internal/serve/follow/evacuation_test.go
+++ b/internal/serve/follow/evacuation_test.go
@@ -55,14 +55,7 @@
 	inBubble(t, func(t *testing.T, ctx context.Context) {
 		sound, cut, both := twoStores()
 		both(withTargets)
-		stores := make([]*fakeStore, 10)
-		for i := range stores {
-			stores[i] = sound
-			if isWatcherOf(10, i) {
-				stores[i] = cut
-			}
-		}
-		all := cluster(ctx, 10, stores...)
+		all := cluster(ctx, 10, watchersAt(cut, sound, 10)...)
 		time.Sleep(7350 * time.Millisecond)
 		cut.mu.Lock()
 		cut.silent = true
--- a/internal/serve/follow/follow_test.go
+++ b/internal/serve/follow/follow_test.go
@@ -440,14 +440,7 @@
 	inBubble(t, func(t *testing.T, ctx context.Context) {
 		sound, cut, both := twoStores()
 		both(func(s *fakeStore) { s.putPlan(1); s.putTarget("x", pool.Ready) })
-		stores := make([]*fakeStore, 10)
-		for i := range stores {
-			stores[i] = sound
-			if isWatcherOf(10, i) {
-				stores[i] = cut
-			}
-		}
-		all := cluster(ctx, 10, stores...)
+		all := cluster(ctx, 10, watchersAt(cut, sound, 10)...)
 		time.Sleep(7350 * time.Millisecond)
 		cut.mu.Lock()
 		cut.silent = true
@@ -469,6 +462,18 @@
 	})
 }
 
+// watchersAt gives each of n processes its store: one to the watchers, another to the rest.
+func watchersAt(watchers, others *fakeStore, n int) []*fakeStore {
+	stores := make([]*fakeStore, n)
+	for i := range stores {
+		stores[i] = others
+		if isWatcherOf(n, i) {
+			stores[i] = watchers
+		}
+	}
+	return stores
+}
+
 // isWatcherOf tells whether process i of n is a watcher.
 func isWatcherOf(n, i int) bool {
 	network := &servetest.Cluster{}
--- a/internal/serve/gather/choose.go
+++ b/internal/serve/gather/choose.go
@@ -27,7 +27,7 @@
 
 // shardBeside is shardOf without the shards that turned out to have no targets.
 func (r *Requester) shardBeside(moved map[Shard]bool, service, zone, request string) (Shard, error) {
-	shard, found := r.shardingOf(service).chooseBeside(moved, zone, request)
+	shard, found := r.shardingOf(service).choose(moved, zone, request)
 	if !found {
 		return Shard{}, &Refused{Reason: Idle, Service: service}
 	}
--- a/internal/serve/gather/shards.go
+++ b/internal/serve/gather/shards.go
@@ -112,14 +112,9 @@
 }
 
 // choose gives the shard for some work of a request: one of a zone, if the zone
-// has any, each as often as it has targets. There is at least one.
-func (s *sharding) choose(zone, request string) Shard {
-	shard, _ := s.chooseBeside(nil, zone, request)
-	return shard
-}
-
-// chooseBeside is choose without some shards; false where no other is left.
-func (s *sharding) chooseBeside(without map[Shard]bool, zone, request string) (Shard, bool) {
+// has any, each as often as it has targets. Some shards are left out; false where no
+// other is left.
+func (s *sharding) choose(without map[Shard]bool, zone, request string) (Shard, bool) {
 	for _, among := range [][]*pool.Target{s.byZone[zone], s.roster.Targets} {
 		among = s.outside(without, among)
 		if len(among) > 0 {
@@ -176,13 +171,10 @@
 func (l *loads) take(item uint64, hashes []uint64) int {
 	best, bestRank := -1, uint64(0)
 	for i, hash := range hashes {
-		if rank := pairRank(item, hash); l.held[i] < l.most && (best < 0 || rank > bestRank) {
+		if rank := member.Rank(item, hash); l.held[i] < l.most && (best < 0 || rank > bestRank) {
 			best, bestRank = i, rank
 		}
 	}
 	l.held[best]++
 	return best
 }
-
-// pairRank ranks a holder for an item, both given by their hashes.
-func pairRank(item, holder uint64) uint64 { return member.Mix(item ^ holder) }
--- a/internal/serve/gather/shards_test.go
+++ b/internal/serve/gather/shards_test.go
@@ -57,7 +57,7 @@
 	s := divide("s", rosterOf(t, 3, 20, ""))
 	counts := map[Shard]int{}
 	for i := range 4000 {
-		shard := s.choose("z1", fmt.Sprint(i))
+		shard, _ := s.choose(nil, "z1", fmt.Sprint(i))
 		assert.Equal(t, shard.Zone, "z1")
 		counts[shard]++
 	}
@@ -66,7 +66,8 @@
 		assert.Assert(t, n > wanted*9/10 && n < wanted*11/10, "%v: %d of %d", shard, n, wanted)
 	}
 	assert.Equal(t, s.of[s.roster.Targets[0].ID].Service, "s")
-	assert.Assert(t, s.choose("elsewhere", "r").Zone != "")
+	elsewhere, _ := s.choose(nil, "elsewhere", "r")
+	assert.Assert(t, elsewhere.Zone != "")
 }
 
 func BenchmarkDivide(b *testing.B) {
