--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -175,7 +175,8 @@
 		}
 	}
 	j.Log.Warn("Stream broke.", requestID(j.req.ID), zap.String("target", from),
-		zap.String("after_event", s.last), zap.Error(err))
+		zap.String("after_event", s.last), zap.Duration("after", time.Since(j.req.Arrived)), zap.Error(err),
+		zap.NamedError("cause", context.Cause(j.ctx)))
 	s.part = nil
 	s.finish(cutError(j.ctx, err), outcome)
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -78,10 +78,11 @@
 
 	started  time.Time
 	inFlight atomic.Int64
-	leaving  atomic.Bool
-	tasks    sync.WaitGroup
-	life     context.Context
-	stop     context.CancelFunc
+	// leavingSince is when the shutdown began; nil before.
+	leavingSince atomic.Pointer[time.Time]
+	tasks        sync.WaitGroup
+	life         context.Context
+	stop         context.CancelFunc
 }
 
 // New wires a server. Nothing runs before Start.
@@ -209,12 +210,18 @@
 	return func() { once.Do(func() { s.inFlight.Add(-1) }) }
 }
 
-// Leaving tells whether this process is on its way out.
-func (s *Server) Leaving() bool { return s.leaving.Load() }
+// Leaving tells whether this process is shutting down, and for how long.
+func (s *Server) Leaving() (time.Duration, bool) {
+	since := s.leavingSince.Load()
+	if since == nil {
+		return 0, false
+	}
+	return time.Since(*since), true
+}
 
 // Ready tells whether callers should come here.
 func (s *Server) Ready() bool {
-	return !s.leaving.Load() && s.plans.Current() != nil && s.table.Known()
+	return s.leavingSince.Load() == nil && s.plans.Current() != nil && s.table.Known()
 }
 
 // Entries lists the addresses that a caller in a zone should use, its zone's
@@ -237,7 +244,7 @@
 			zones[m.Zone] = true
 		}
 	}
-	if !s.leaving.Load() {
+	if s.leavingSince.Load() == nil {
 		add(view.Self)
 		zones[view.Self.Zone] = true
 	}
@@ -260,7 +267,8 @@
 // StartLeaving takes this process out of what callers and peers are told. It
 // goes on serving those that come all the same.
 func (s *Server) StartLeaving() {
-	s.leaving.Store(true)
+	now := time.Now()
+	s.leavingSince.Store(&now)
 	s.stages.Leave()
 	s.network.AnnounceLeave()
 }
