--- a/internal/idle/idle_test.go
+++ b/internal/idle/idle_test.go
@@ -1,6 +1,7 @@
 package idle
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
@@ -8,6 +9,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // pair gives a connection as the server has it, with an idle time, and the
@@ -64,3 +66,72 @@
 	_, err = server.Read(make([]byte, 16))
 	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
 }
+
+// A connection that has never carried a request outlasts the drain, and its first request
+// is cut when the process ends.
+func TestADrainEndsAConnectionThatNeverCarriedARequest(t *testing.T) {
+	server, _ := pair(t, time.Hour)
+	assert.NilError(t, server.SetReadDeadline(time.Now().Add(time.Hour))) // for a first request
+	read := make(chan error, 1)
+	go func() {
+		_, err := server.Read(make([]byte, 16))
+		read <- err
+	}()
+	go server.(*callerConn).listener.Drain(t.Context())
+	select {
+	case err := <-read:
+		assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the connection still waits for its first request")
+	}
+}
+
+// A first request that is in the socket when the drain begins is dropped without an answer.
+func TestADrainReadsAFirstRequestThatHasCome(t *testing.T) {
+	server, caller := pair(t, time.Hour)
+	assert.NilError(t, server.SetReadDeadline(time.Now().Add(time.Hour)))
+	_, err := caller.Write([]byte("GET"))
+	assert.NilError(t, err)
+	drained := make(chan struct{})
+	go func() {
+		server.(*callerConn).listener.Drain(t.Context())
+		close(drained)
+	}()
+	time.Sleep(20 * time.Millisecond) // the drain looks at it before anybody reads
+	buffer := make([]byte, 16)
+	n, err := server.Read(buffer)
+	assert.NilError(t, err)
+	assert.Equal(t, string(buffer[:n]), "GET")
+	<-drained
+	// The rest has the time that reading a request has.
+	time.AfterFunc(1500*time.Millisecond, func() { _, _ = caller.Write([]byte(" /")) })
+	n, err = server.Read(buffer)
+	assert.NilError(t, err)
+	assert.Equal(t, string(buffer[:n]), " /")
+}
+
+// The port of a starved process stays open until all unused connections have ended, and it
+// accepts requests that it can't finish.
+func TestADrainClosesThePortAtOnce(t *testing.T) {
+	opened, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	listener := &Listener{Listener: opened, Time: func() time.Duration { return time.Hour }}
+	kept, err := net.Dial("tcp", opened.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = kept.Close() }()
+	server, err := listener.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = server.Close() }()
+	assert.NilError(t, server.SetReadDeadline(time.Now().Add(Mark))) // unused, and nobody reads
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go listener.Drain(ctx)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		late, err := net.Dial("tcp", opened.Addr().String())
+		if err != nil {
+			return poll.Success()
+		}
+		_ = late.Close()
+		return poll.Continue("the port is open")
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(2*time.Second))
+}
