A drain closes the port at once, and ends connections that never carried a request

Callers saw streams begin that had been sent seconds after SIGTERM and were cut at the end of the grace period. A process stops listening 2.5 s after the signal, but it closed its port only after all unused connections had ended, and a connection that had never carried a request didn't count as unused: fasthttp leaves it for 5 s after it was accepted, so that its first request was read, and served, up to 7.5 s after the signal. Now: Drain closes the port first; an unused connection is one that waits for any request, its first one too, which may still come within 0.25 s of the accept, the round trip of a caller that has just connected. A first request that has come is read, with the time that reading a request has. vanillagate drains by the same code. TestADrainEndsAConnectionThatNeverCarriedARequest wanted a timeout; fasthttp answers one (408) where nothing has been asked, so the wait ends with io.EOF and the test wants exactly that. The same cause elsewhere: vanillagate's port (same code). Peers' ports and the store's client carry no callers' requests.

--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -22,6 +23,10 @@
 	// takeTime is how long a request that is there may take to be taken in: it needs
 	// no waiting, but the process may stand still once more.
 	takeTime = time.Second
+	// firstRequestTime is how long after it was accepted a connection may wait for its
+	// first request while the listener drains: callers send it a round trip after they
+	// have connected.
+	firstRequestTime = 250 * time.Millisecond
 	// drainPoll is how often Drain looks whether connections are still unused.
 	drainPoll = time.Millisecond
 )
@@ -34,6 +39,8 @@
 	// Time gives the idle time of now.
 	Time func() time.Duration
 
+	closing  sync.Once
+	closeErr error // set by closing
 	// draining means that no connection stays open unused.
 	draining atomic.Bool
 	mu       sync.Mutex // guards open; taken before a connection's mu
@@ -50,7 +57,7 @@
 	if !isTCP {
 		return conn, nil
 	}
-	c := &callerConn{TCPConn: tcp, listener: l}
+	c := &callerConn{TCPConn: tcp, listener: l, accepted: time.Now(), fresh: true}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.open == nil {
@@ -60,13 +67,22 @@
 	return c, nil
 }
 
-// Drain ends the unused connections, now and as they fall idle, and waits until
-// none is left or the context ends. Call it before fasthttp's shutdown, which
+// Close closes the port. It may be called again: fasthttp's shutdown closes the port that
+// Drain has closed.
+func (l *Listener) Close() error {
+	l.closing.Do(func() { l.closeErr = l.Listener.Close() })
+	return l.closeErr
+}
+
+// Drain closes the port, ends the unused connections, now and as they fall idle, and waits
+// until none is left or the context ends. Call it before fasthttp's shutdown, which
 // closes them by what it has noted: a request that is in the socket already, or
-// has just been read, would be dropped without a word. Here each is looked at by
+// has just been read, would be dropped without a word, and the first request of a
+// connection would be served seconds later. Here each is looked at by
 // who reads it, and served if there is a request.
 func (l *Listener) Drain(ctx context.Context) {
 	l.draining.Store(true)
+	_ = l.Close() // fails where it is closed already
 	for _, c := range l.unused() {
 		c.endUnused()
 	}
@@ -97,61 +113,111 @@
 type callerConn struct {
 	*net.TCPConn
 	listener *Listener
-
-	mu sync.Mutex // guards unused and the read deadline; a leaf
-	// unused tells that the idle time runs.
-	unused bool
+	accepted time.Time
+
+	mu sync.Mutex // guards what follows and the read deadline; a leaf
+	// fresh tells that nothing has been read yet, idle that the idle time runs: in both
+	// cases the connection waits for a request.
+	fresh, idle bool
+	// deadline is the one that the reader asked for.
+	deadline time.Time
 }
 
 // SetReadDeadline puts the idle time of now in the place of Mark.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unused = time.Until(t) > Mark/2
-	switch {
-	case c.unused && c.listener.draining.Load():
-		t = time.Now()
-	case c.unused:
+	c.idle = time.Until(t) > Mark/2
+	if c.idle {
 		t = time.Now().Add(c.listener.Time())
 	}
+	c.deadline = t
+	if c.unused() && c.listener.draining.Load() {
+		t = c.lastWait()
+	}
 	return c.TCPConn.SetReadDeadline(t)
 }
 
+// lastWait is until when an unused connection waits for a request once the listener
+// drains. The caller holds mu.
+func (c *callerConn) lastWait() time.Time {
+	now := time.Now()
+	if first := c.accepted.Add(firstRequestTime); c.fresh && first.After(now) {
+		return first
+	}
+	return now
+}
+
 // Read reads a request that has come although the idle time is over. A process
 // that stood still meanwhile would otherwise close the connection with a whole
 // request in it, and its caller would have to guess.
 func (c *callerConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.TCPConn.Read(p)
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.takeIn() {
+		if n > 0 {
+			return n, errors.Join(err, c.begin())
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
+		if !c.takeIn() {
+			return n, c.waitEnded(err)
+		}
+	}
+}
+
+// waitEnded is the error of a wait that is over. Where the drain ended the wait for a first
+// request it is io.EOF: fasthttp answers a timeout, also where there is no request.
+func (c *callerConn) waitEnded(err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fresh && c.listener.draining.Load() {
+		return io.EOF
 	}
+	return err
+}
+
+// begin notes that bytes have come. fasthttp sets no deadline anew within a connection's
+// first request, so that the one it asked for has to hold again.
+func (c *callerConn) begin() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.fresh {
+		return nil
+	}
+	c.fresh = false
+	return c.TCPConn.SetReadDeadline(c.deadline)
 }
 
 // takeIn gives time to read what has come on an unused connection; false where
-// nothing has, or the connection isn't unused.
+// nothing has, the connection isn't unused, or the time for its first request is over.
 func (c *callerConn) takeIn() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.unused || socket.Peek(c.TCPConn) != socket.Readable {
+	if !c.unused() || !c.idle && !time.Now().Before(c.deadline) {
+		return false
+	}
+	if socket.Peek(c.TCPConn) != socket.Readable {
 		return false
 	}
 	return c.TCPConn.SetReadDeadline(time.Now().Add(takeTime)) == nil
 }
 
+// unused tells that the connection waits for a request. The caller holds mu.
+func (c *callerConn) unused() bool { return c.fresh || c.idle }
+
 func (c *callerConn) isUnused() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.unused
+	return c.unused()
 }
 
 // endUnused ends the wait for a request that hasn't come.
 func (c *callerConn) endUnused() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unused {
-		_ = c.TCPConn.SetReadDeadline(time.Now()) // fails on a closed one only
+	if c.unused() {
+		_ = c.TCPConn.SetReadDeadline(c.lastWait()) // fails on a closed one only
 	}
 }
 
