A shutdown accepts and starts only what it probably finishes

Cause: for 2.5 s after SIGTERM everything was accepted, with 7.6 s for all of it, and nothing weighed how long answers take. In a burst stages took 1.5 to 2.5 s of that, and a twentieth of the long streams took more than 6 s. When the stages were done, nothing looked at the time that was left either. So also for requests that were begun in time and read late. Now: a process learns how long answers take, route by route. Its port for requests closes at SIGTERM, or as long after it, 2.5 s at most, as three medians of its slowest route fit into the rest. Callers that find nobody listening have sent nothing and take another address. A request that comes all the same, on a connection in use, or whose stages are done, is refused (503, not run, come back at once) where a quarter of its route's answers took longer than is left. The port for addresses answers for 2.5 s as before. What remains: streams sent before SIGTERM that take longer than the whole grace period.

--- /dev/null
+++ b/internal/serve/run/departure_test.go
@@ -0,0 +1,102 @@
+package run
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
+)
+
+func TestTheShareOfLongerAnswersIsOfTheLatest(t *testing.T) {
+	var times recentTimes
+	for range leastAnswers - 1 {
+		times.add(10 * time.Second)
+	}
+	assert.Equal(t, times.longer(time.Second), 0.0) // too few
+	times.add(time.Second)
+	assert.Equal(t, times.longer(time.Second), 1-1.0/leastAnswers)
+	for i := range answerMemory {
+		times.add(time.Duration(i+1) * time.Second)
+	}
+	assert.Equal(t, times.longer(answerMemory/2*time.Second), 0.5)
+	assert.Equal(t, times.longer(answerMemory*time.Second), 0.0)
+	assert.Equal(t, times.longer(-time.Second), 1.0)
+}
+
+// A request is accepted during a shutdown although those like it mostly take longer than is
+// left, or refused although they don't.
+func TestAShutdownRefusesWhatWouldBeCut(t *testing.T) {
+	const usual, rare = time.Second, 4 * time.Second
+	for name, c := range map[string]struct {
+		left    time.Duration // 0 where there is no shutdown
+		rareOf  int           // one answer in so many took long; 0 for none
+		known   int
+		ran     int
+		refused int
+	}{
+		"no shutdown":                  {rareOf: 1, known: 64},
+		"time enough":                  {left: 2 * time.Second, known: 64},
+		"one in 8 takes longer":        {left: 2 * time.Second, known: 64, rareOf: 8},
+		"one in 2 takes longer":        {left: 2 * time.Second, known: 64, rareOf: 2, refused: fasthttp.StatusServiceUnavailable},
+		"too little for any":           {left: time.Second / 2, known: 64, refused: fasthttp.StatusServiceUnavailable},
+		"too little, and it may run":   {left: time.Second / 2, known: 64, ran: 1, refused: fasthttp.StatusGatewayTimeout},
+		"too little, but nothing seen": {left: time.Second / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := &Executor{}
+			for i := range c.known {
+				took := usual
+				if c.rareOf > 0 && i%c.rareOf == 0 {
+					took = rare
+				}
+				e.answers.note("route", took, took)
+			}
+			if c.left > 0 {
+				e.Leave(time.Now().Add(c.left))
+			}
+			j := &job{Executor: e, route: &plan.Route{Name: "route"}, ran: c.ran}
+			for _, took := range []func(*answerTimes) *recentTimes{sinceArrival, sinceSent} {
+				reply := j.refuseCut(took)
+				if c.refused == 0 {
+					assert.Assert(t, reply == nil)
+					continue
+				}
+				assert.Equal(t, reply.Status, c.refused)
+				assert.Equal(t, reply.Reason, Leaving)
+				assert.Equal(t, reply.RetryAfter > 0, c.ran == 0, "%v", reply.RetryAfter)
+			}
+		})
+	}
+}
+
+// A process goes on accepting requests in its shutdown until they can't be finished any more.
+func TestAShutdownAcceptsForAsLongAsUsualAnswersFit(t *testing.T) {
+	const left = 8 * time.Second
+	for name, c := range map[string]struct {
+		routes map[string][]time.Duration
+		want   time.Duration
+	}{
+		"nothing known":       {want: left},
+		"short answers":       {routes: map[string][]time.Duration{"a": repeat(40*time.Millisecond, 64)}, want: left - 120*time.Millisecond},
+		"the slowest route":   {routes: map[string][]time.Duration{"a": repeat(time.Second, 64), "b": {2 * time.Second}}, want: 2 * time.Second},
+		"longer than is left": {routes: map[string][]time.Duration{"a": repeat(6*time.Second, 64)}, want: 0},
+		"stragglers":          {routes: map[string][]time.Duration{"a": append(repeat(time.Second, 63), time.Hour)}, want: left - 3*time.Second},
+		"the latest":          {routes: map[string][]time.Duration{"a": append(repeat(time.Second, 64), repeat(2*time.Second, 64)...)}, want: 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := &Executor{}
+			for route, list := range c.routes {
+				for _, took := range list {
+					e.answers.note(route, took, took)
+				}
+			}
+			assert.Equal(t, e.AcceptFor(left), c.want)
+		})
+	}
+}
+
+func repeat(d time.Duration, n int) []time.Duration { return slices.Repeat([]time.Duration{d}, n) }
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -60,6 +61,9 @@
 	Starting func(now time.Time) time.Duration
 
 	firstEvents firstEvents
+	answers     answers
+	// endsAt is when this process ends; nil while it isn't shutting down.
+	endsAt atomic.Pointer[time.Time]
 }
 
 // Suspicion knows the requests that crash their targets, whichever process they
@@ -148,6 +152,9 @@
 		return refuse(fasthttp.StatusServiceUnavailable, NoTargetsYet, j.startingRetry())
 	}
 	j.service = j.route.Pick(rand.Float64())
+	if reply := j.refuseCut(sinceArrival); reply != nil {
+		return reply
+	}
 	j.deadline = j.req.Arrived.Add(j.patience())
 	j.ctx, j.cancel = context.WithDeadlineCause(ctx, j.deadline, ErrTimeout)
 	j.Budget.Request(j.service, j.req.Arrived)
@@ -214,6 +221,9 @@
 		return reply
 	}
 	for {
+		if reply := j.refuseCut(sinceSent); reply != nil {
+			return reply
+		}
 		result := j.attempt()
 		if result.reply != nil {
 			return result.reply
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -233,7 +233,11 @@
 		s.job.Log.Info("Stream had a long pause.", requestID(s.job.req.ID), zap.String("target", s.target.ID),
 			zap.Duration("pause", s.longest), zap.Duration("objective", s.job.route.Gap), zap.Bool("resumed", s.resumed))
 	}
-	s.job.Metrics.streamEnded(s.job, errors.Is(failure, io.EOF))
+	whole := errors.Is(failure, io.EOF)
+	if whole {
+		s.job.noteWhole()
+	}
+	s.job.Metrics.streamEnded(s.job, whole)
 }
 
 // Close ends the stream; the target's work ends with its connection.
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -265,14 +265,18 @@
 }
 
 // StartLeaving takes this process out of what callers and peers are told. It
-// goes on serving those that come all the same.
-func (s *Server) StartLeaving() {
+// goes on serving those that come all the same, if that is probably done by the end.
+func (s *Server) StartLeaving(end time.Time) {
 	now := time.Now()
 	s.leavingSince.Store(&now)
+	s.executor.Leave(end)
 	s.stages.Leave()
 	s.network.AnnounceLeave()
 }
 
+// AcceptFor is how long this process may go on accepting requests if it ends after a time.
+func (s *Server) AcceptFor(left time.Duration) time.Duration { return s.executor.AcceptFor(left) }
+
 // InFlight is how many requests are being answered.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
