--- a/internal/peer/joins.go
+++ b/internal/peer/joins.go
@@ -32,7 +32,7 @@
 // withoutCrowd leaves out the changes that are too many to be told: members that join in a
 // crowd, and the death of those that were replaced, which follows from what is told of who
 // replaced them. The caller holds mu.
-func (n *Node) withoutCrowd(changed []member.Record, joins func(member.Record) bool, now time.Time) []member.Record {
+func (n *Node) withoutCrowd(changed []member.Record, joined func(member.Record) bool, now time.Time) []member.Record {
 	if now.Sub(n.joins.since) >= n.opts.Period {
 		n.joins.told, n.joins.since = 0, now
 	}
@@ -42,7 +42,7 @@
 			n.logDeath(r)
 			return true
 		}
-		if r.ID == self || !joins(r) {
+		if r.ID == self || !joined(r) {
 			return false
 		}
 		n.joins.told++
@@ -83,12 +83,13 @@
 
 // logJoins logs the members that have joined since the last beat. The caller holds mu.
 func (n *Node) logJoins() {
-	if len(n.joins.unlogged) > maxJoinsLogged {
-		n.log.Info("Members joined.", zap.Int("members", len(n.joins.unlogged)), zap.Int("known", n.table.Count()))
-		n.joins.unlogged = nil
+	joined := n.joins.unlogged
+	n.joins.unlogged = nil
+	if len(joined) > maxJoinsLogged {
+		n.log.Info("Members joined.", zap.Int("members", len(joined)), zap.Int("known", n.table.Count()))
+		return
 	}
-	for _, r := range n.joins.unlogged {
+	for _, r := range joined {
 		n.logChange(r)
 	}
-	n.joins.unlogged = nil
 }
--- a/internal/serve/engines/tracker.go
+++ b/internal/serve/engines/tracker.go
@@ -91,9 +91,7 @@
 type Tracker struct {
 	log     *zap.Logger
 	network peer.Network
-	// strong chooses the processes that may be trackers.
-	strong func([]peer.Member) []peer.Incarnation
-	able   derived.Value[*peer.View, []candidate]
+	able    derived.Value[*peer.View, []candidate]
 
 	mu      sync.Mutex // guards what follows; a leaf
 	account *account
@@ -115,9 +113,9 @@
 }
 
 // New makes a tracker. Call before the network starts.
-func New(log *zap.Logger, network peer.Network, strong func([]peer.Member) []peer.Incarnation) *Tracker {
+func New(log *zap.Logger, network peer.Network) *Tracker {
 	t := &Tracker{
-		log: log, network: network, strong: strong, account: newAccount(), fits: map[string]*fit{},
+		log: log, network: network, account: newAccount(), fits: map[string]*fit{},
 		samples: map[string][]Sample{}, curves: map[string]told{}, silent: map[peer.Incarnation]time.Time{},
 	}
 	peer.HandleCall(network, methodClaim, func(c claimCall) (any, error) { return t.serve(c, time.Now()), nil })
@@ -196,7 +194,7 @@
 // trackerOf is the process that an engine ranks first; false while that one doesn't
 // answer.
 func (t *Tracker) trackerOf(engine string, now time.Time) (peer.Incarnation, bool) {
-	able := t.able.Get(t.network.View(), t.candidates)
+	able := t.able.Get(t.network.View(), candidates)
 	var first peer.Incarnation
 	best := uint64(0)
 	at := member.Hash(engine)
@@ -210,9 +208,10 @@
 	return first, first != "" && !now.Before(t.silent[first])
 }
 
-func (t *Tracker) candidates(v *peer.View) []candidate {
+// candidates are the processes that may be trackers.
+func candidates(v *peer.View) []candidate {
 	var list []candidate
-	for _, id := range t.strong(v.Alive()) {
+	for _, id := range peer.Strongest(v.Alive()) {
 		list = append(list, candidate{id: id, hash: member.Hash(string(id))})
 	}
 	return list
--- a/internal/serve/engines/tracker_test.go
+++ b/internal/serve/engines/tracker_test.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
-	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/serve/servetest"
 )
 
@@ -20,7 +19,7 @@
 	for i := range n {
 		node := cluster.Add(fmt.Sprintf("vm-%d", i), "z")
 		nodes = append(nodes, node)
-		list = append(list, New(zap.NewNop(), node, peer.Strongest))
+		list = append(list, New(zap.NewNop(), node))
 	}
 	return list, nodes
 }
--- a/internal/serve/follow/fetch.go
+++ b/internal/serve/follow/fetch.go
@@ -50,7 +50,7 @@
 	if number >= a.Of || g.parts[number] != nil {
 		return nil
 	}
-	entries := []pool.Entry{}
+	var entries []pool.Entry
 	if err := unpack(a.Entries, &entries); err != nil {
 		return err
 	}
@@ -59,7 +59,7 @@
 	}
 	age := time.Duration(a.AgeMS) * time.Millisecond
 	for i := range entries {
-		entries[i].ColdLeft = max(entries[i].ColdLeft-age, 0)
+		entries[i] = entries[i].Aged(age)
 	}
 	if g.left == a.Of || a.AsOf < g.asOf {
 		g.asOf = a.AsOf
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -79,7 +79,7 @@
 // sound tells whether the store answers this process.
 func (f *Follower) sound() bool {
 	orders, targets := f.Failing()
-	return orders == 0 && targets == 0 && f.table.Known() && f.plans.Current() != nil
+	return orders == 0 && targets == 0 && f.informed()
 }
 
 // told is when the store last told this process of both things that it follows.
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -278,10 +278,14 @@
 	if len(handles) == 0 {
 		return
 	}
+	released := make(map[string]bool, len(handles))
+	for _, handle := range handles {
+		released[handle] = true
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, c := range g.shards {
-		c.feeding.noteReleased(handles)
+		c.feeding.noteReleased(released)
 	}
 }
 
--- a/internal/serve/gather/inputs.go
+++ b/internal/serve/gather/inputs.go
@@ -69,9 +69,9 @@
 }
 
 // noteReleased notes that inputs were given back before their readers were done.
-func (f *feeding) noteReleased(handles []string) {
+func (f *feeding) noteReleased(handles map[string]bool) {
 	for _, group := range f.groups {
-		if slices.ContainsFunc(group.inputs, func(h string) bool { return slices.Contains(handles, h) }) {
+		if slices.ContainsFunc(group.inputs, func(h string) bool { return handles[h] }) {
 			group.released = true
 		}
 	}
--- a/internal/serve/gather/queue_test.go
+++ b/internal/serve/gather/queue_test.go
@@ -256,7 +256,7 @@
 	for _, request := range []string{"r", "q"} {
 		f.add(Item{Key: Key{Request: request, Stage: 1}, Inputs: []string{request + "-input"}, Last: true})
 	}
-	f.noteReleased([]string{"r-input", "another"})
+	f.noteReleased(map[string]bool{"r-input": true, "another": true})
 	assert.Assert(t, f.released(Key{Request: "r", Stage: 1}))
 	assert.Assert(t, !f.released(Key{Request: "q", Stage: 1}))
 	assert.Assert(t, !f.released(Key{Request: "gone", Stage: 1}))
--- a/internal/serve/gather/shards_test.go
+++ b/internal/serve/gather/shards_test.go
@@ -11,8 +11,8 @@
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 )
 
-// rosterOf makes a service's targets, the same number in each zone.
-func rosterOf(t *testing.T, zones, each int, without string) *pool.ReadySet {
+// readySetOf makes a service's targets, the same number in each zone.
+func readySetOf(t *testing.T, zones, each int, without string) *pool.ReadySet {
 	t.Helper()
 	var entries []pool.Entry
 	for z := range zones {
@@ -32,12 +32,12 @@
 	for _, c := range []struct{ zones, each, shards int }{
 		{1, 5, 1}, {4, 2, 1}, {4, 5, 4}, {5, 9, 5}, {5, 14, 5}, {5, 15, 10}, {10, 400, 400},
 	} {
-		all := divide("s", rosterOf(t, c.zones, c.each, ""))
+		all := divide("s", readySetOf(t, c.zones, c.each, ""))
 		assert.Equal(t, len(all.shards), c.shards, "%+v", c)
 		for shard, targets := range all.targets {
 			assert.Assert(t, len(targets) <= 15, "%+v: %v has %d targets", c, shard, len(targets))
 		}
-		fewer := divide("s", rosterOf(t, c.zones, c.each, "t-0-1"))
+		fewer := divide("s", readySetOf(t, c.zones, c.each, "t-0-1"))
 		if len(fewer.shards) != len(all.shards) {
 			continue
 		}
@@ -54,7 +54,7 @@
 // Work goes to the shards of the zone in which it is wanted, to each as often as it
 // has targets, and to any where the zone has none.
 func TestWorkIsSharedOutByTargets(t *testing.T) {
-	s := divide("s", rosterOf(t, 3, 20, ""))
+	s := divide("s", readySetOf(t, 3, 20, ""))
 	counts := map[Shard]int{}
 	for i := range 4000 {
 		shard, _ := s.choose(nil, "z1", fmt.Sprint(i))
--- a/internal/serve/gauges.go
+++ b/internal/serve/gauges.go
@@ -51,10 +51,11 @@
 	for _, e := range list {
 		evacuated[e.Zone] = e.Revision
 	}
+	calls := s.table.CallsByZone()
 	for _, zone := range s.table.Zones() {
 		label := `{zone="` + zone + `"}`
 		g.set("vanillagate_zone_evacuated_revision"+label, int64(evacuated[zone]))
-		g.set("vanillagate_zone_calls"+label, int64(s.table.CallsIn(zone)))
+		g.set("vanillagate_zone_calls"+label, int64(calls[zone]))
 	}
 }
 
--- a/internal/serve/place/place.go
+++ b/internal/serve/place/place.go
@@ -39,10 +39,15 @@
 	return last
 }
 
+// SharedTokens is how many tokens of a prompt other requests may have had read.
+func (p Prompt) SharedTokens() int {
+	tokens, _ := p.shared()
+	return tokens
+}
+
 // Unshared is the number of tokens that the engine of its affinity has not read yet.
 func (p Prompt) Unshared() int {
-	shared, _ := p.shared()
-	return max(p.Input-shared, 0)
+	return max(p.Input-p.SharedTokens(), 0)
 }
 
 // Wish is what decides where a request goes.
@@ -122,18 +127,11 @@
 	return p.Input
 }
 
-// SharedTokens is how many tokens of a prompt other requests may have had read.
-func (p Prompt) SharedTokens() int {
-	tokens, _ := p.shared()
-	return tokens
-}
-
 func engineCost(v pool.View, p Prompt, affine bool) float64 {
 	running := max(v.InFlight, v.Report.Running)
 	cost := float64(p.Input + v.Tokens + running*runningTokens + v.Report.Waiting*waitingTokens)
 	if affine {
-		shared, _ := p.shared()
-		cost -= AffinityWeight * float64(shared)
+		cost -= AffinityWeight * float64(p.SharedTokens())
 	}
 	if v.Cold {
 		cost += coldWeight * float64(p.Input)
@@ -159,7 +157,7 @@
 // affineEngine gives the ID of the engine that has read a prompt's shared parts, by rendezvous;
 // empty where it has none.
 func affineEngine(views []pool.View, p Prompt) string {
-	_, last := p.shared()
+	last := p.Affinity()
 	if last == "" {
 		return ""
 	}
--- a/internal/serve/pool/entry.go
+++ b/internal/serve/pool/entry.go
@@ -39,6 +39,12 @@
 	Revision uint64
 }
 
+// Aged is the entry some time after it was read.
+func (e Entry) Aged(by time.Duration) Entry {
+	e.ColdLeft = max(e.ColdLeft-by, 0)
+	return e
+}
+
 // Change is one change of the list.
 type Change struct {
 	Entry
--- a/internal/serve/pool/evacuation.go
+++ b/internal/serve/pool/evacuation.go
@@ -111,7 +111,7 @@
 		if _, known := before[zone]; !known {
 			changed[zone] = true
 			t.log.Warn("Zone is evacuated.", zap.String("zone", zone), zap.Uint64("revision", e.Revision),
-				zap.Int("calls_under_way", t.callsIn(zone)))
+				zap.Int("calls_under_way", t.callsByZone()[zone]))
 		}
 	}
 	for zone := range before {
@@ -160,21 +160,19 @@
 	return slices.Sorted(maps.Keys(zones))
 }
 
-// CallsIn counts this process's calls under way at the targets of a zone.
-func (t *Table) CallsIn(zone string) int {
+// CallsByZone counts this process's calls under way at the targets of each zone.
+func (t *Table) CallsByZone() map[string]int {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.callsIn(zone)
+	return t.callsByZone()
 }
 
-// callsIn is CallsIn. The caller holds mu.
-func (t *Table) callsIn(zone string) int {
-	calls := 0
+// callsByZone is CallsByZone. The caller holds mu.
+func (t *Table) callsByZone() map[string]int {
+	calls := map[string]int{}
 	for _, targets := range []map[string]*Target{t.byID, t.lapsed} {
 		for _, target := range targets {
-			if target.Zone == zone {
-				calls += target.calls()
-			}
+			calls[target.Zone] += target.calls()
 		}
 	}
 	return calls
--- a/internal/serve/pool/recent.go
+++ b/internal/serve/pool/recent.go
@@ -26,7 +26,7 @@
 // told is the change as peers are told of it.
 func (n noted) told(now time.Time) Change {
 	c := n.Change
-	c.ColdLeft = max(c.ColdLeft-now.Sub(n.at), 0)
+	c.Entry = c.Aged(now.Sub(n.at))
 	return c
 }
 
--- a/internal/serve/pool/service.go
+++ b/internal/serve/pool/service.go
@@ -50,7 +50,7 @@
 	return &service{
 		targets: targets,
 		ready:   &ReadySet{Targets: splice(s.ready.Targets, ids, ready)},
-		groups:  s.regroup(targets, ids, fresh),
+		groups:  s.regroup(targets, touched, fresh),
 	}
 }
 
@@ -84,19 +84,17 @@
 	return count
 }
 
-// regroup gives the groups of targets, some of which with some IDs have changed, come or
-// gone; fresh are those of them that are still there.
-func (s *service) regroup(targets []*Target, ids []string, fresh []*Target) [][]*Target {
+// regroup gives the groups of targets, of which those with the IDs touched have changed,
+// come or gone; fresh are those of them that are still there.
+func (s *service) regroup(targets []*Target, touched map[string]bool, fresh []*Target) [][]*Target {
 	groups := slices.Clone(s.groups)
 	if count := Divisions(len(targets), mostCandidates); len(groups) != count {
 		groups = make([][]*Target, count)
-		ids, fresh = nil, targets
+		touched, fresh = nil, targets
 	}
 	changed := map[uint64]bool{}
 	mask := uint64(len(groups) - 1)
-	touched := map[string]bool{}
-	for _, id := range ids {
-		touched[id] = true
+	for id := range touched {
 		changed[routing.Rendezvous(id)&mask] = true
 	}
 	for _, target := range fresh {
--- a/internal/serve/run/choose.go
+++ b/internal/serve/run/choose.go
@@ -8,7 +8,6 @@
 	"github.com/vanillagate/vanillagate/internal/serve/engines"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/place"
-	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/warmup"
 )
@@ -17,16 +16,13 @@
 // asked for by way of their trackers. A cold target gets the request only within what
 // it bears.
 func (j *job) choose() *pool.Target {
-	now := time.Now()
-	service := j.Plans.Service(j.service)
-	tracked := j.Engines != nil && service != nil && service.Engine != nil
-	rule := j.warmupRule(service)
+	c := j.newChoice(time.Now())
 	j.claims = claims{}
-	views, all := j.candidates(now)
-	if target := j.chooseAmong(views, service, tracked, rule, now); target != nil || all {
+	views, all := j.candidates(c.now)
+	if target := c.among(views); target != nil || all {
 		return target
 	}
-	return j.chooseAmong(j.Table.Views(j.service, now), service, tracked, rule, now)
+	return c.among(j.Table.Views(j.service, c.now))
 }
 
 // candidates lists the targets of the service that are looked at first. Requests that share
@@ -40,16 +36,40 @@
 	return j.Table.Candidates(j.service, name, now)
 }
 
-// chooseAmong picks a target among some; nil where none of them takes the request.
-func (j *job) chooseAmong(views []pool.View, service *plan.Service, tracked bool, rule warmup.Rule, now time.Time) *pool.Target {
-	views = j.open(views, rule, tracked, now)
+// choice is the choice of one attempt's target.
+type choice struct {
+	job *job
+	now time.Time
+	// engine tells that the service's targets are model engines, tracked that trackers keep
+	// account of them.
+	engine, tracked bool
+	// rule is what the service's cold targets bear; the zero value where nothing bounds it.
+	rule warmup.Rule
+}
+
+func (j *job) newChoice(now time.Time) *choice {
+	c := &choice{job: j, now: now}
+	service := j.Plans.Service(j.service)
+	if service == nil {
+		return c
+	}
+	c.engine = service.Engine != nil
+	c.tracked = c.engine && j.Engines != nil
+	if j.Warmup != nil {
+		c.rule = warmup.Rule{PerSecond: service.ColdPerSecond, Time: service.ColdTime}
+	}
+	return c
+}
+
+// among picks a target among some; nil where none of them takes the request.
+func (c *choice) among(views []pool.View) *pool.Target {
+	views = c.open(views)
 	for {
-		target := j.pick(service, views)
+		target := c.pick(views)
 		if target == nil {
 			return nil
 		}
-		cold := slices.ContainsFunc(views, func(v pool.View) bool { return v.Target == target && v.Cold })
-		switch j.allow(views, target, tracked, cold, rule, now) {
+		switch c.allow(views, target) {
 		case accepted:
 			return target
 		case overCold:
@@ -60,53 +80,47 @@
 
 // open leaves out the cold targets at which this process has no turn, unless their tracker
 // decides.
-func (j *job) open(views []pool.View, rule warmup.Rule, tracked bool, now time.Time) []pool.View {
-	if rule.PerSecond <= 0 {
+func (c *choice) open(views []pool.View) []pool.View {
+	if c.rule.PerSecond <= 0 {
 		return views
 	}
 	kept := views[:0]
 	for _, v := range views {
-		v.Cold = rule.IsCold(v, now)
-		if !v.Cold || tracked || j.Warmup.Open(v.ID, rule, now) {
+		v.Cold = c.rule.IsCold(v, c.now)
+		if !v.Cold || c.tracked || c.job.Warmup.Open(v.ID, c.rule, c.now) {
 			kept = append(kept, v)
 		}
 	}
 	return kept
 }
 
-// warmupRule is what a service's cold targets bear; the zero value where nothing bounds
-// it.
-func (j *job) warmupRule(service *plan.Service) warmup.Rule {
-	if service == nil || j.Warmup == nil {
-		return warmup.Rule{}
-	}
-	return warmup.Rule{PerSecond: service.ColdPerSecond, Time: service.ColdTime}
-}
-
 // allow asks whether a chosen target gets the request.
-func (j *job) allow(views []pool.View, target *pool.Target, tracked, cold bool, rule warmup.Rule, now time.Time) verdict {
+func (c *choice) allow(views []pool.View, target *pool.Target) verdict {
+	cold := slices.ContainsFunc(views, func(v pool.View) bool { return v.Target == target && v.Cold })
+	rule := c.rule
 	if !cold {
 		rule.PerSecond = 0
 	}
-	if tracked {
-		answer := j.claim(views, target, rule.PerSecond)
+	if c.tracked {
+		answer := c.job.claim(views, target, rule.PerSecond)
 		if answer != unasked {
 			return answer
 		}
 		rule.PerSecond *= 1 - engines.TrackedShare
 	}
-	if !cold || j.Warmup.Take(target.ID, rule, now) {
+	if !cold || c.job.Warmup.Take(target.ID, rule, c.now) {
 		return accepted
 	}
 	return overCold
 }
 
-func (j *job) pick(service *plan.Service, views []pool.View) *pool.Target {
+func (c *choice) pick(views []pool.View) *pool.Target {
+	j := c.job
 	wish := place.Wish{Prompt: j.req.Prompt, Zone: j.Zone, Avoid: j.tried, NoAffinity: j.LeaveOut.Has(leaveout.Affinity)}
 	if j.inputs != nil {
 		wish.Bytes = j.inputs.bytes
 	}
-	if service != nil && service.Engine != nil {
+	if c.engine {
 		return place.Engine(views, wish)
 	}
 	return place.Plain(views, wish, rand.Float64())
--- a/internal/serve/run/urgent_test.go
+++ b/internal/serve/run/urgent_test.go
@@ -6,9 +6,10 @@
 	"testing/synctest"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
-	"gotest.tools/v3/assert"
 )
 
 // urgentAmongPatient is a load on one pool of which one kind in eight has little time
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -119,11 +119,10 @@
 	s.executor = &run.Executor{
 		Log: logging.Part(o.Log, "request"), Plans: s.plans, Table: s.table, Client: s.client, Codec: o.Codec,
 		Stages: s.stages, Budget: s.budget, Zone: o.Zone, Metrics: &run.Metrics{Registry: o.Metrics},
-		LeaveOut: o.LeaveOut,
+		LeaveOut: o.LeaveOut, Starting: s.starting,
 	}
-	s.executor.Starting = s.starting
 	if !o.LeaveOut.Has(leaveout.EngineAccounts) {
-		s.engines = engines.New(logging.Part(o.Log, "engines"), network, peer.Strongest)
+		s.engines = engines.New(logging.Part(o.Log, "engines"), network)
 		s.executor.Engines = s.engines
 	}
 	if !o.LeaveOut.Has(leaveout.Warmup) {
