A shutdown refuses what is read after it stopped accepting; failed answers teach it nothing

A connection in use carries a next request as late as its answer ends. The bound was the closing of the port, an event that may come late; now it is a time: whatever is read after it is refused (503, not run, come back at once). And a route that a configuration has dropped decided for good when the port closes: only routes in force count. TestAShutdownRefusesWhatComesAfterItStoppedAccepting; the table of AcceptFor has the route that has gone.

--- a/internal/serve/run/answer_times.go
+++ b/internal/serve/run/answer_times.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
 )
 
 const (
@@ -24,10 +26,6 @@
 // their arrival, and from being sent to the target.
 type answerTimes struct{ arrived, sent recentTimes }
 
-func sinceArrival(t *answerTimes) *recentTimes { return &t.arrived }
-
-func sinceSent(t *answerTimes) *recentTimes { return &t.sent }
-
 // recentTimes are the latest of a series of times. The zero value is empty.
 type recentTimes struct {
 	times [answerMemory]time.Duration
@@ -98,25 +96,28 @@
 	}
 }
 
-// longer is the share of a route's recent answers that took longer than a limit.
-func (a *answers) longer(route string, took func(*answerTimes) *recentTimes, limit time.Duration) float64 {
+// longer is the share of a route's recent answers that took longer than a limit from being
+// sent to the target on.
+func (a *answers) longer(route string, limit time.Duration) float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	times := a.byRoute[route]
 	if times == nil {
 		return 0
 	}
-	return took(times).longer(limit)
+	return times.sent.longer(limit)
 }
 
-// slowestMedian is the median of the recent answers, from the arrival on, of the route where
-// it is longest.
-func (a *answers) slowestMedian() time.Duration {
+// slowestMedian is the median of the recent answers, from the arrival on, of the route among
+// some where it is longest.
+func (a *answers) slowestMedian(routes []plan.Route) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var slowest time.Duration
-	for _, times := range a.byRoute {
-		slowest = max(slowest, times.arrived.median())
+	for _, route := range routes {
+		if times := a.byRoute[route.Name]; times != nil {
+			slowest = max(slowest, times.arrived.median())
+		}
 	}
 	return slowest
 }
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -210,7 +210,9 @@
 		outcome = pool.Failed
 	}
 	call.End(outcome, time.Now())
-	j.noteWhole()
+	if isSuccess(answer.Status) {
+		j.noteWhole()
+	}
 	j.end()
 	return attempt{target: target, arrived: true, reply: &Reply{
 		Status: answer.Status,
--- a/internal/serve/run/departure_test.go
+++ b/internal/serve/run/departure_test.go
@@ -56,23 +56,34 @@
 				e.answers.note("route", took, took)
 			}
 			if c.left > 0 {
-				e.Leave(time.Now().Add(c.left))
+				e.Leave(Departure{AcceptUntil: time.Now(), End: time.Now().Add(c.left)})
 			}
 			j := &job{Executor: e, route: &plan.Route{Name: "route"}, ran: c.ran}
-			for _, took := range []func(*answerTimes) *recentTimes{sinceArrival, sinceSent} {
-				reply := j.refuseCut(took)
-				if c.refused == 0 {
-					assert.Assert(t, reply == nil)
-					continue
-				}
-				assert.Equal(t, reply.Status, c.refused)
-				assert.Equal(t, reply.Reason, Leaving)
-				assert.Equal(t, reply.RetryAfter > 0, c.ran == 0, "%v", reply.RetryAfter)
+			reply := j.refuseCut()
+			if c.refused == 0 {
+				assert.Assert(t, reply == nil)
+				return
 			}
+			assert.Equal(t, reply.Status, c.refused)
+			assert.Equal(t, reply.Reason, Leaving)
+			assert.Equal(t, reply.RetryAfter > 0, c.ran == 0, "%v", reply.RetryAfter)
 		})
 	}
 }
 
+// A request that is read long after the port has closed is started.
+func TestAShutdownRefusesWhatComesAfterItStoppedAccepting(t *testing.T) {
+	j := &job{Executor: &Executor{}}
+	assert.Assert(t, j.refuseLate() == nil)
+	j.Leave(Departure{AcceptUntil: time.Now().Add(time.Hour), End: time.Now().Add(2 * time.Hour)})
+	assert.Assert(t, j.refuseLate() == nil)
+	j.Leave(Departure{AcceptUntil: time.Now(), End: time.Now().Add(time.Hour)})
+	reply := j.refuseLate()
+	assert.Equal(t, reply.Status, fasthttp.StatusServiceUnavailable)
+	assert.Equal(t, reply.Reason, Leaving)
+	assert.Equal(t, reply.RetryAfter, leavingRetry)
+}
+
 // A process goes on accepting requests in its shutdown until they can't be finished any more.
 func TestAShutdownAcceptsForAsLongAsUsualAnswersFit(t *testing.T) {
 	const left = 8 * time.Second
@@ -80,15 +91,17 @@
 		routes map[string][]time.Duration
 		want   time.Duration
 	}{
-		"nothing known":       {want: left},
-		"short answers":       {routes: map[string][]time.Duration{"a": repeat(40*time.Millisecond, 64)}, want: left - 120*time.Millisecond},
-		"the slowest route":   {routes: map[string][]time.Duration{"a": repeat(time.Second, 64), "b": {2 * time.Second}}, want: 2 * time.Second},
-		"longer than is left": {routes: map[string][]time.Duration{"a": repeat(6*time.Second, 64)}, want: 0},
-		"stragglers":          {routes: map[string][]time.Duration{"a": append(repeat(time.Second, 63), time.Hour)}, want: left - 3*time.Second},
-		"the latest":          {routes: map[string][]time.Duration{"a": append(repeat(time.Second, 64), repeat(2*time.Second, 64)...)}, want: 2 * time.Second},
+		"nothing known":         {want: left},
+		"short answers":         {routes: map[string][]time.Duration{"a": repeat(40*time.Millisecond, 64)}, want: left - 120*time.Millisecond},
+		"the slowest route":     {routes: map[string][]time.Duration{"a": repeat(time.Second, 64), "b": {2 * time.Second}}, want: 2 * time.Second},
+		"longer than is left":   {routes: map[string][]time.Duration{"a": repeat(6*time.Second, 64)}, want: 0},
+		"stragglers":            {routes: map[string][]time.Duration{"a": append(repeat(time.Second, 63), time.Hour)}, want: left - 3*time.Second},
+		"a route that has gone": {routes: map[string][]time.Duration{"gone": repeat(6*time.Second, 64)}, want: left},
+		"the latest":            {routes: map[string][]time.Duration{"a": append(repeat(time.Second, 64), repeat(2*time.Second, 64)...)}, want: 2 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			e := &Executor{}
+			e := &Executor{Plans: &plan.Holder{}}
+			e.Plans.Apply(&plan.Plan{Version: 1, Routes: []plan.Route{{Name: "a"}, {Name: "b"}}})
 			for route, list := range c.routes {
 				for _, took := range list {
 					e.answers.note(route, took, took)
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -62,8 +62,8 @@
 
 	firstEvents firstEvents
 	answers     answers
-	// endsAt is when this process ends; nil while it isn't shutting down.
-	endsAt atomic.Pointer[time.Time]
+	// departure is nil while this process isn't shutting down.
+	departure atomic.Pointer[Departure]
 }
 
 // Suspicion knows the requests that crash their targets, whichever process they
@@ -152,7 +152,7 @@
 		return refuse(fasthttp.StatusServiceUnavailable, NoTargetsYet, j.startingRetry())
 	}
 	j.service = j.route.Pick(rand.Float64())
-	if reply := j.refuseCut(sinceArrival); reply != nil {
+	if reply := j.refuseLate(); reply != nil {
 		return reply
 	}
 	j.deadline = j.req.Arrived.Add(j.patience())
@@ -221,7 +221,7 @@
 		return reply
 	}
 	for {
-		if reply := j.refuseCut(sinceSent); reply != nil {
+		if reply := j.refuseCut(); reply != nil {
 			return reply
 		}
 		result := j.attempt()
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -264,11 +264,11 @@
 }
 
 // StartLeaving takes this process out of what callers and peers are told. It
-// goes on serving those that come all the same, if that is probably done by the end.
-func (s *Server) StartLeaving(end time.Time) {
+// goes on serving those that come all the same, for as long as the departure says.
+func (s *Server) StartLeaving(d run.Departure) {
 	now := time.Now()
 	s.leavingSince.Store(&now)
-	s.executor.Leave(end)
+	s.executor.Leave(d)
 	s.stages.Leave()
 	s.network.AnnounceLeave()
 }
