Tests that fail: what was said before a freeze brings a dead member back after it

The tests bring each about without a load: a connection that calls back between the last message of a handshake and its end (dialer and accepter, freeze noticed by then or not), and a message that is read from a replaced link.

--- a/internal/peer/failure_test.go
+++ b/internal/peer/failure_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"net"
 	"os"
 	"os/exec"
 	"strings"
@@ -13,6 +14,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"github.com/vanillagate/vanillagate/internal/member"
 )
 
 // A VM is taken out of use for maintenance. If it just went, the others would
@@ -323,6 +326,113 @@
 	}
 }
 
+// A process is frozen in the middle of a handshake with one that dies meanwhile.
+func TestAHandshakeFromBeforeAFreezeBringsNoDeadMemberBack(t *testing.T) {
+	dead := member.Record{ID: "dead", Start: 1, Peer: "127.0.0.1:1", Zone: "a", Region: "r1"}
+	keys := keyBytes([]string{testKey})
+	dials := func(n *Node, ours, theirs net.Conn) {
+		n.opts.Dial = func(context.Context, string) (net.Conn, error) { return ours, nil }
+		n.tasks.Go(func() { _, _ = welcome(theirs, keys, dead) })
+		_, _ = n.dial(n.ctx, dead.Peer)
+	}
+	isDialed := func(n *Node, ours, theirs net.Conn) {
+		n.tasks.Go(func() { _, _ = greet(theirs, keys, dead) })
+		n.welcome(ours)
+	}
+	noticed := func(n *Node) { freeze(n, true) }
+	notYetNoticed := func(n *Node) { freeze(n, false) }
+	cases := []struct {
+		name      string
+		handshake func(n *Node, ours, theirs net.Conn)
+		happens   func(n *Node) // between the last message and the end
+		known     bool
+	}{
+		{"dialer, no freeze", dials, func(*Node) {}, true},
+		{"dialer, freeze that was noticed", dials, noticed, false},
+		{"dialer, freeze not yet noticed", dials, notYetNoticed, false},
+		{"accepter, no freeze", isDialed, func(*Node) {}, true},
+		{"accepter, freeze that was noticed", isDialed, noticed, false},
+		{"accepter, freeze not yet noticed", isDialed, notYetNoticed, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := unbeaten(t)
+			ours, theirs := net.Pipe()
+			t.Cleanup(func() { _ = theirs.Close() })
+			c.handshake(n, &shakenConn{Conn: ours, shaken: func() { c.happens(n) }}, theirs)
+			assert.Equal(t, n.knows("dead"), c.known)
+			assert.Equal(t, n.Links() == 1, c.known)
+		})
+	}
+}
+
+// What came before a freeze is read after it, also from a link that another has replaced.
+func TestAMessageFromBeforeAFreezeBringsNoDeadMemberBack(t *testing.T) {
+	peer := member.Record{ID: "peer", Start: 1, Peer: "127.0.0.1:1", Zone: "a", Region: "r1"}
+	dead := member.Record{ID: "dead", Start: 1, Peer: "127.0.0.1:2", Zone: "a", Region: "r1"}
+	n := unbeaten(t)
+	open := func() *link {
+		ours, theirs := net.Pipe()
+		t.Cleanup(func() { _ = theirs.Close() })
+		n.tasks.Go(func() { _, _ = greet(theirs, keyBytes([]string{testKey}), peer) })
+		n.welcome(ours)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.links[peer.ID]
+	}
+	replaced, standing := open(), open()
+	assert.Assert(t, replaced != standing)
+	freeze(n, true)
+	for _, l := range []*link{replaced, standing} {
+		n.receive(l, message{Events: recordList(dead)})
+		n.takeAll(l, recordList(dead), nil)
+		assert.Assert(t, !n.knows("dead"), "the dead came back")
+	}
+	n.receive(open(), message{Events: recordList(dead)})
+	assert.Assert(t, n.knows("dead"), "a new link is heard")
+}
+
+// shakenConn calls shaken when the time limit of the handshake is lifted.
+type shakenConn struct {
+	net.Conn
+	shaken func()
+}
+
+func (c *shakenConn) SetDeadline(limit time.Time) error {
+	if limit.IsZero() {
+		c.shaken()
+	}
+	return c.Conn.SetDeadline(limit)
+}
+
+// freeze has a node find that it stood still, at once or the next time that it asks.
+func freeze(n *Node, noticed bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.clock.last.mono = n.clock.last.mono.Add(-2 * n.clock.limit)
+	if noticed {
+		n.awake(time.Now())
+	}
+}
+
+// unbeaten starts a node whose next beat comes after the test.
+func unbeaten(t *testing.T) *Node {
+	t.Helper()
+	n, err := New(Options{Self: Member{Zone: "a", Region: "r1"}, Listen: "127.0.0.1:0", Keys: []string{testKey}, Period: time.Hour})
+	assert.NilError(t, err)
+	assert.NilError(t, n.Start(t.Context()))
+	t.Cleanup(n.Close)
+	wait(t, func() poll.Result {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.beats == 0 {
+			return poll.Continue("no beat yet")
+		}
+		return poll.Success()
+	})
+	return n
+}
+
 func waitState(t *testing.T, nodes []*Node, id Incarnation, state MemberState) {
 	t.Helper()
 	wait(t, func() poll.Result {
