A process that stood still hears nothing by links of before, those still being made too

Cause: refresh marked the links that it knew as old. A handshake under way wasn't one of them, nor a link that another had replaced and whose reader still held messages; what they told after the freeze went into the new view, and from there to all (traces with the tests before this). Now: a process counts its freezes. A link carries the count as of the start of its handshake, and nothing is taken by one whose count isn't the present one; its handshake doesn't become a link. A handshake that starts after a freeze is fresh by its nonces, so a look at the clock comes first.

--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -30,7 +30,7 @@
 	l.heard(m.Events)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.awake(now) || l.old {
+	if !n.hears(l, now) {
 		return
 	}
 	n.learn(m.Events, l, now)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -35,14 +35,14 @@
 	calls  chan struct{}
 	nextID atomic.Uint64
 
+	// freezes is how often this process had stood still when the handshake
+	// started. If it has since, what still waits in the link was said long ago.
+	freezes uint64
 	// used is when something other than upkeep needed this link, guarded by
-	// node.mu as are the four after it.
+	// node.mu as are the three after it.
 	used time.Time
 	// lazy means that items are announced here rather than pushed.
 	lazy bool
-	// old means that this process was frozen since the link was opened: what
-	// still waits in it was said long ago.
-	old bool
 	// bye means that either side has said that it closes the link.
 	bye bool
 	// duplicates counts the items that came over this link as duplicates since the
@@ -62,19 +62,20 @@
 	pings   map[uint64]chan struct{}
 }
 
-func newLink(node *Node, agreed *session, s *stream, dialed bool) *link {
+func newLink(node *Node, agreed *session, s *stream, dialed bool, freezes uint64) *link {
 	return &link{
-		node:   node,
-		id:     agreed.other.ID,
-		peer:   agreed.other,
-		dialed: dialed,
-		key:    string(agreed.key),
-		stream: s,
-		calls:  make(chan struct{}, maxCalls),
-		used:   time.Now(),
-		wake:   make(chan struct{}, 1),
-		pings:  map[uint64]chan struct{}{},
-		events: map[string]member.Record{},
+		node:    node,
+		id:      agreed.other.ID,
+		peer:    agreed.other,
+		dialed:  dialed,
+		key:     string(agreed.key),
+		freezes: freezes,
+		stream:  s,
+		calls:   make(chan struct{}, maxCalls),
+		used:    time.Now(),
+		wake:    make(chan struct{}, 1),
+		pings:   map[uint64]chan struct{}{},
+		events:  map[string]member.Record{},
 	}
 }
 
--- a/internal/peer/live.go
+++ b/internal/peer/live.go
@@ -119,19 +119,26 @@
 	return false
 }
 
+// hears tells whether this process was running until now and since the
+// handshake of a link. If not, what comes by the link is older than what this
+// process believes. The caller holds mu.
+func (n *Node) hears(l *link, now time.Time) bool {
+	return n.awake(now) && l.freezes == n.freezes
+}
+
 // refresh forgets what a process believed before it was frozen. Its beliefs
 // may be older than the others' memory of the dead, so that spreading them
 // would bring the dead back; its suspicions are of its own making. The caller
 // holds mu.
 func (n *Node) refresh() {
 	n.log.Warn("This process stood still; it learns anew who its peers are.")
+	n.freezes++
 	n.traffic.freezes.Inc(1)
 	n.hints = append(n.hints, n.table.Forget()...)
 	n.stale = true
 	clear(n.missing)
 	n.order = nil
 	for _, l := range n.links {
-		l.old = true
 		n.tasks.Go(l.close)
 	}
 	clear(n.links)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -54,6 +54,7 @@
 	dialing map[string]bool  // addresses that are being dialed
 	keys    [][]byte
 	clock   beatClock
+	freezes uint64 // how often this process was found to have stood still
 	health  health
 	// hints are addresses to try: the VM list, and after a freeze the members
 	// known before.
@@ -377,13 +378,13 @@
 	if n.opts.TLS != nil {
 		conn = tls.Server(conn, n.opts.TLS)
 	}
-	keys, self := n.credentials()
-	agreed, err := within(conn, n.opts.handshakeTime(), func() (*session, error) { return welcome(conn, keys, self) })
+	own := n.credentials()
+	agreed, err := within(conn, n.opts.handshakeTime(), func() (*session, error) { return welcome(conn, own.keys, own.self) })
 	if err != nil {
 		n.refused(conn, err)
 		return
 	}
-	n.attach(conn, agreed, false)
+	n.attach(conn, agreed, false, own.freezes)
 }
 
 func (n *Node) refused(conn net.Conn, err error) {
@@ -394,10 +395,20 @@
 	}
 }
 
-func (n *Node) credentials() ([][]byte, member.Record) {
+// credentials is what a handshake starts with.
+type credentials struct {
+	keys    [][]byte
+	self    member.Record
+	freezes uint64 // of this process when the handshake started
+}
+
+func (n *Node) credentials() credentials {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.keys, n.table.Self()
+	if !n.closed {
+		n.awake(time.Now()) // counts a freeze before the handshake that no beat has noticed
+	}
+	return credentials{n.keys, n.table.Self(), n.freezes}
 }
 
 // dial opens a link to an address. The link may turn out to be one that
@@ -427,13 +438,13 @@
 	if n.opts.TLS != nil {
 		conn = tls.Client(conn, clientTLS(n.opts.TLS, address))
 	}
-	keys, self := n.credentials()
-	agreed, err := within(conn, n.opts.handshakeTime(), func() (*session, error) { return greet(conn, keys, self) })
+	own := n.credentials()
+	agreed, err := within(conn, n.opts.handshakeTime(), func() (*session, error) { return greet(conn, own.keys, own.self) })
 	if err != nil {
 		_ = conn.Close() // the error of the handshake tells more
 		return nil, eris.Wrapf(err, "greet %s", address)
 	}
-	return n.attach(conn, agreed, true)
+	return n.attach(conn, agreed, true, own.freezes)
 }
 
 func (n *Node) connect(ctx context.Context, address string) (net.Conn, error) {
@@ -455,9 +466,10 @@
 }
 
 // attach makes an authenticated connection a link, or drops it in favour of
-// one that stands.
-func (n *Node) attach(conn net.Conn, agreed *session, dialed bool) (*link, error) {
-	l := newLink(n, agreed, newStream(conn, agreed.secret, dialed, writePeriods*n.opts.Period, n.traffic), dialed)
+// one that stands. It also drops one whose handshake started before a freeze,
+// when freezes was the count of them: the other side may be long dead.
+func (n *Node) attach(conn net.Conn, agreed *session, dialed bool, freezes uint64) (*link, error) {
+	l := newLink(n, agreed, newStream(conn, agreed.secret, dialed, writePeriods*n.opts.Period, n.traffic), dialed, freezes)
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -465,6 +477,10 @@
 		_ = conn.Close() // nothing was sent on it
 		return nil, ErrClosed
 	}
+	if !n.hears(l, now) {
+		_ = conn.Close() // nothing was sent on it
+		return nil, errStale
+	}
 	standing := n.links[l.id]
 	if standing != nil && !n.prefers(l, standing) {
 		_ = conn.Close() // nothing was sent on it
--- a/internal/peer/sync.go
+++ b/internal/peer/sync.go
@@ -132,7 +132,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.awake(now) || l.old {
+	if !n.hears(l, now) {
 		return
 	}
 	n.learnCompared(records, l, now)
