Tests that fail: a longer idle time doesn't hold for connections already unused

A configuration brings a longer idle time. A connection that fell idle before is still closed by the old one, while callers go by the new (they use connections again after up to four fifths of it). A request that crosses the close gets neither an answer nor a refusal. TestADrainEndsAConnectionThatWaitsOn... passes: it guards what a fix must keep.

--- a/internal/idle/idle_test.go
+++ b/internal/idle/idle_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,12 @@
 // pair gives a connection as the server has it, with an idle time, and the
 // caller's end of it.
 func pair(t *testing.T, idleTime time.Duration) (server, caller net.Conn) {
+	t.Helper()
+	return pairWith(t, func() time.Duration { return idleTime })
+}
+
+// pairWith is pair with an idle time that may change.
+func pairWith(t *testing.T, idleTime func() time.Duration) (server, caller net.Conn) {
 	t.Helper()
 	opened, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -23,7 +30,7 @@
 	caller, err = net.Dial("tcp", opened.Addr().String())
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = caller.Close() })
-	listener := &Listener{Listener: opened, Time: func() time.Duration { return idleTime }}
+	listener := &Listener{Listener: opened, Time: idleTime}
 	server, err = listener.Accept()
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = server.Close() })
@@ -55,6 +62,61 @@
 	assert.Assert(t, time.Since(begun) < time.Second)
 }
 
+// A connection closed by a shorter idle time of before crosses the request of a caller that goes by the new one.
+func TestALongerIdleTimeHoldsForConnectionsAlreadyUnused(t *testing.T) {
+	var idleTime atomic.Int64
+	idleTime.Store(int64(50 * time.Millisecond))
+	server, caller := pairWith(t, func() time.Duration { return time.Duration(idleTime.Load()) })
+	assert.NilError(t, server.SetReadDeadline(time.Now().Add(Mark)))
+	idleTime.Store(int64(time.Hour))
+	time.AfterFunc(200*time.Millisecond, func() { _, _ = caller.Write([]byte("GET")) })
+	buffer := make([]byte, 16)
+	n, err := server.Read(buffer)
+	assert.NilError(t, err)
+	assert.Equal(t, string(buffer[:n]), "GET")
+}
+
+// A connection that was armed anew at its old end would be kept for the sum of both idle times.
+func TestALongerIdleTimeCountsFromTheLastAnswer(t *testing.T) {
+	var idleTime atomic.Int64
+	idleTime.Store(int64(100 * time.Millisecond))
+	server, _ := pairWith(t, func() time.Duration { return time.Duration(idleTime.Load()) })
+	begun := time.Now()
+	assert.NilError(t, server.SetReadDeadline(begun.Add(Mark)))
+	idleTime.Store(int64(600 * time.Millisecond))
+	_, err := server.Read(make([]byte, 16))
+	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+	kept := time.Since(begun)
+	assert.Assert(t, kept >= 590*time.Millisecond && kept < 690*time.Millisecond, "%v", kept)
+}
+
+// A connection that waits on by a longer idle time outlasts the drain, and its next request is cut when the process ends.
+func TestADrainEndsAConnectionThatWaitsOnByALongerIdleTime(t *testing.T) {
+	var idleTime atomic.Int64
+	idleTime.Store(int64(20 * time.Millisecond))
+	server, caller := pairWith(t, func() time.Duration { return time.Duration(idleTime.Load()) })
+	_, err := caller.Write([]byte("GET"))
+	assert.NilError(t, err)
+	buffer := make([]byte, 16)
+	_, err = server.Read(buffer)
+	assert.NilError(t, err)
+	assert.NilError(t, server.SetReadDeadline(time.Now().Add(Mark)))
+	idleTime.Store(int64(time.Hour))
+	read := make(chan error, 1)
+	go func() {
+		_, err := server.Read(buffer)
+		read <- err
+	}()
+	time.Sleep(60 * time.Millisecond) // past the old idle time
+	go server.(*callerConn).listener.Drain(t.Context())
+	select {
+	case err := <-read:
+		assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the connection waits on")
+	}
+}
+
 // A caller sends half a request and waits. The time for reading it bounds that,
 // however much of it is there.
 func TestTheTimeForReadingARequestHolds(t *testing.T) {
