A longer idle time holds for connections that are unused already

What callers may see: beside a configuration with a longer idle time, a request on a kept connection gets neither an answer nor a refusal. Callers use connections again after up to four fifths of the newest idle time, and ours were closed by the one that was in force when they fell idle; a request that crosses the close is lost. Cause: a connection is armed with the idle time once, when it falls idle. Now: when the idle time that a connection was armed with is over, the one in force decides, from the moment at which the connection fell idle. A shorter one holds from the next answer on, as before. A drain ends the wait as it ends any other. The same cause elsewhere: none; vanillagate's idle time is fixed.

--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -119,6 +119,8 @@
 	// fresh tells that nothing has been read yet, idle that the idle time runs: in both
 	// cases the connection waits for a request.
 	fresh, idle bool
+	// idleSince is when the idle time began.
+	idleSince time.Time
 	// deadline is the one that the reader asked for.
 	deadline time.Time
 }
@@ -129,7 +131,8 @@
 	defer c.mu.Unlock()
 	c.idle = time.Until(t) > Mark/2
 	if c.idle {
-		t = time.Now().Add(c.listener.Time())
+		c.idleSince = time.Now()
+		t = c.idleEnd()
 	}
 	c.deadline = t
 	if c.unused() && c.listener.draining.Load() {
@@ -138,6 +141,9 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
+// idleEnd is when the idle time of now ends. The caller holds mu.
+func (c *callerConn) idleEnd() time.Time { return c.idleSince.Add(c.listener.Time()) }
+
 // lastWait is until when an unused connection waits for a request once the listener
 // drains. The caller holds mu.
 func (c *callerConn) lastWait() time.Time {
@@ -150,7 +156,8 @@
 
 // Read reads a request that has come although the idle time is over. A process
 // that stood still meanwhile would otherwise close the connection with a whole
-// request in it, and its caller would have to guess.
+// request in it, and its caller would have to guess. Where the idle time has become
+// longer since the connection fell idle, it waits on.
 func (c *callerConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.TCPConn.Read(p)
@@ -160,7 +167,7 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		if !c.takeIn() {
+		if !c.takeIn() && !c.waitOn() {
 			return n, c.waitEnded(err)
 		}
 	}
@@ -203,6 +210,22 @@
 	return c.TCPConn.SetReadDeadline(time.Now().Add(takeTime)) == nil
 }
 
+// waitOn waits for the rest of an idle time that has become longer; false where it is
+// over, or the connection isn't idle.
+func (c *callerConn) waitOn() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle || c.listener.draining.Load() {
+		return false
+	}
+	end := c.idleEnd()
+	if !time.Now().Before(end) {
+		return false
+	}
+	c.deadline = end
+	return c.TCPConn.SetReadDeadline(end) == nil
+}
+
 // unused tells that the connection waits for a request. The caller holds mu.
 func (c *callerConn) unused() bool { return c.fresh || c.idle }
 
