--- a/internal/idle/idle_test.go
+++ b/internal/idle/idle_test.go
@@ -90,6 +90,25 @@
 	assert.Assert(t, kept >= 590*time.Millisecond && kept < 690*time.Millisecond, "%v", kept)
 }
 
+// An answer that has told its caller the idle time of before would be followed by a close that the caller doesn't expect.
+func TestAShorterIdleTimeWaitsForTheNextRequest(t *testing.T) {
+	var idleTime atomic.Int64
+	idleTime.Store(int64(400 * time.Millisecond))
+	server, caller := pairWith(t, func() time.Duration { return time.Duration(idleTime.Load()) })
+	assert.NilError(t, server.SetReadDeadline(time.Now().Add(time.Hour))) // for a first request
+	_, err := caller.Write([]byte("GET"))
+	assert.NilError(t, err)
+	buffer := make([]byte, 16)
+	_, err = server.Read(buffer)
+	assert.NilError(t, err)
+	idleTime.Store(int64(20 * time.Millisecond)) // while it is answered
+	begun := time.Now()
+	assert.NilError(t, server.SetReadDeadline(begun.Add(Mark)))
+	_, err = server.Read(buffer)
+	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+	assert.Assert(t, time.Since(begun) >= 390*time.Millisecond, "%v", time.Since(begun))
+}
+
 // A connection that waits on by a longer idle time outlasts the drain, and its next request is cut when the process ends.
 func TestADrainEndsAConnectionThatWaitsOnByALongerIdleTime(t *testing.T) {
 	var idleTime atomic.Int64
