--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -119,8 +119,10 @@
 	// fresh tells that nothing has been read yet, idle that the idle time runs: in both
 	// cases the connection waits for a request.
 	fresh, idle bool
-	// idleSince is when the idle time began.
+	// idleSince is when the idle time began, least the idle time as the request before
+	// came: its answer may have told the caller.
 	idleSince time.Time
+	least     time.Duration
 	// deadline is the one that the reader asked for.
 	deadline time.Time
 }
@@ -133,6 +135,8 @@
 	if c.idle {
 		c.idleSince = time.Now()
 		t = c.idleEnd()
+	} else {
+		c.least = c.listener.Time()
 	}
 	c.deadline = t
 	if c.unused() && c.listener.draining.Load() {
@@ -141,8 +145,10 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
-// idleEnd is when the idle time of now ends. The caller holds mu.
-func (c *callerConn) idleEnd() time.Time { return c.idleSince.Add(c.listener.Time()) }
+// idleEnd is when the idle time ends. The caller holds mu.
+func (c *callerConn) idleEnd() time.Time {
+	return c.idleSince.Add(max(c.least, c.listener.Time()))
+}
 
 // lastWait is until when an unused connection waits for a request once the listener
 // drains. The caller holds mu.
