--- a/internal/idle/idle_test.go
+++ b/internal/idle/idle_test.go
@@ -149,8 +149,7 @@
 	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
 }
 
-// A connection that has never carried a request outlasts the drain, and its first request
-// is cut when the process ends.
+// A connection that never carried a request outlasts the drain, and its first one is cut at the end.
 func TestADrainEndsAConnectionThatNeverCarriedARequest(t *testing.T) {
 	server, _ := pair(t, time.Hour)
 	assert.NilError(t, server.SetReadDeadline(time.Now().Add(time.Hour))) // for a first request
@@ -192,8 +191,7 @@
 	assert.Equal(t, string(buffer[:n]), " /")
 }
 
-// The port of a starved process stays open until all unused connections have ended, and it
-// accepts requests that it can't finish.
+// A port that stays open until unused connections have ended accepts what can't be finished.
 func TestADrainClosesThePortAtOnce(t *testing.T) {
 	opened, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -217,3 +215,15 @@
 		return poll.Continue("the port is open")
 	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(2*time.Second))
 }
+
+// The first request of a caller that connected just before the port closed is dropped.
+func TestADrainWaitsForTheFirstRequestOfANewConnection(t *testing.T) {
+	server, caller := pair(t, time.Hour)
+	assert.NilError(t, server.SetReadDeadline(time.Now().Add(time.Hour)))
+	go server.(*callerConn).listener.Drain(t.Context())
+	time.AfterFunc(firstRequestTime/2, func() { _, _ = caller.Write([]byte("GET")) })
+	buffer := make([]byte, 16)
+	n, err := server.Read(buffer)
+	assert.NilError(t, err)
+	assert.Equal(t, string(buffer[:n]), "GET")
+}
--- a/internal/serve/run/answer_times.go
+++ b/internal/serve/run/answer_times.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/vanillagate/vanillagate/internal/routing"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 )
 
@@ -54,11 +55,7 @@
 
 // median of the times; 0 where there are none.
 func (r *recentTimes) median() time.Duration {
-	known := min(r.count, answerMemory)
-	if known == 0 {
-		return 0
-	}
-	return slices.Sorted(slices.Values(r.times[:known]))[known/2]
+	return routing.Median(slices.Clone(r.times[:min(r.count, answerMemory)]))
 }
 
 // answers learns how long requests take, route by route. The zero value knows nothing yet.
--- a/internal/serve/run/departure_test.go
+++ b/internal/serve/run/departure_test.go
@@ -27,8 +27,7 @@
 	assert.Equal(t, times.longer(-time.Second), 1.0)
 }
 
-// A request is accepted during a shutdown although those like it mostly take longer than is
-// left, or refused although they don't.
+// A request is started in a shutdown that will cut it, or refused though there is time.
 func TestAShutdownRefusesWhatWouldBeCut(t *testing.T) {
 	const usual, rare = time.Second, 4 * time.Second
 	for name, c := range map[string]struct {
