follow, run: what tells a late configuration's causes apart is logged and counted

From the record it can't be told whether a VM that refused an added route had lost the store, relied on peers that had, passed the version over, or stood still. Added: - a refusal by the configuration (401, 404) has a line of its own, with the version that decided and the age of the store's last word; before, it shared 'Answered by ourselves.' and its limit of 40 lines a second with refusals for load, and the record has no such line of either VM that it shows - 'Configuration in force.' has the revision and the age of the last contact - a line when no peer confirms the store any more, and when one does again - vanillagate_plan_rejected, vanillagate_store_contact_age_ms - undecodable configurations are passed on as an error, counted with invalid ones; before, they were a warning of the adapter only No decision changed. Unit tests of follow, run, serve, platform pass.

--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -60,16 +60,20 @@
 
 // OperatorState is everything that operators have set.
 type OperatorState struct {
-	// Plan is the newest configuration; nil if there is none yet.
-	Plan *plan.Plan
+	// Plan is the newest configuration; nil if there is none yet. PlanErr is set if one is
+	// stored that can't be decoded.
+	Plan    *plan.Plan
+	PlanErr error
 	// Evacuations are the evacuations in effect.
 	Evacuations []pool.Evacuation
 }
 
 // OperatorStateChanges holds changes of the operator state.
 type OperatorStateChanges struct {
-	// Plan is nil if the configuration hasn't changed.
+	// Plan is nil if the configuration hasn't changed. PlanErr is set if it has changed to
+	// one that can't be decoded.
 	Plan        *plan.Plan
+	PlanErr     error
 	Evacuations []pool.EvacuationChange
 }
 
@@ -110,6 +114,8 @@
 	readJitter float64
 	// bound is the current PropagationBound in nanoseconds.
 	bound atomic.Int64
+	// rejectedPlans counts the configurations that couldn't be used.
+	rejectedPlans atomic.Int64
 	// servedSince is the Unix time in nanoseconds since which the store has answered this
 	// process without interruption.
 	servedSince atomic.Int64
@@ -406,7 +412,8 @@
 	if err != nil {
 		return 0, err
 	}
-	f.applyPlan(state.Plan, "store")
+	f.notePlanErr(state.PlanErr, revision)
+	f.applyPlan(state.Plan, "store", revision)
 	f.table.ResetEvacuations(state.Evacuations, revision, time.Now())
 	return revision, nil
 }
@@ -416,18 +423,30 @@
 	if err != nil {
 		return false, after, err
 	}
-	f.applyPlan(changes.Plan, "store")
+	f.notePlanErr(changes.PlanErr, revision)
+	f.applyPlan(changes.Plan, "store", revision)
 	f.table.ApplyEvacuations(changes.Evacuations, revision, time.Now())
 	return !changes.empty(), revision, nil
 }
 
+// notePlanErr records that a configuration as of a revision can't be decoded. err may be
+// nil.
+func (f *Follower) notePlanErr(err error, revision uint64) {
+	if err == nil {
+		return
+	}
+	f.rejectedPlans.Add(1)
+	f.log.Warn("Configuration can't be decoded; passed over.", zap.Uint64("revision", revision), zap.Error(err))
+}
+
 // applyPlan puts a configuration into effect if it is present, valid and newer than the
-// current one.
-func (f *Follower) applyPlan(p *plan.Plan, from string) {
+// current one. revision is the one as of which it was sent.
+func (f *Follower) applyPlan(p *plan.Plan, from string, revision uint64) {
 	if p == nil {
 		return
 	}
 	if err := p.Check(); err != nil {
+		f.rejectedPlans.Add(1)
 		f.log.Warn("Configuration can't be used; passed over.", zap.Uint64("version", p.Version), zap.String("from", from), zap.Error(err))
 		return
 	}
@@ -435,7 +454,21 @@
 		return
 	}
 	f.log.Info("Configuration in force.", zap.Uint64("version", p.Version), zap.Int("routes", len(p.Routes)),
-		zap.Int("teams", len(p.Teams)), zap.String("from", from))
+		zap.Int("teams", len(p.Teams)), zap.String("from", from), zap.Uint64("revision", revision),
+		zap.Duration("last_contact", f.ContactAge(time.Now())))
+}
+
+// RejectedPlans returns how many configurations couldn't be used.
+func (f *Follower) RejectedPlans() int64 { return f.rejectedPlans.Load() }
+
+// ContactAge returns the time since the store last answered this process, or a watcher that
+// relayed it, about the operator state; 0 if it never has.
+func (f *Follower) ContactAge(now time.Time) time.Duration {
+	last := f.lastContact(f.operatorFeed)
+	if last == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, last))
 }
 
 func (f *Follower) readTargets(ctx context.Context) (uint64, error) {
--- a/internal/serve/follow/invalid_plan_test.go
+++ b/internal/serve/follow/invalid_plan_test.go
@@ -26,17 +26,18 @@
 		t.Run(name, func(t *testing.T) {
 			plans := &plan.Holder{}
 			f := New(zap.NewNop(), newFakeStore(), plans, pool.New(zap.NewNop()))
-			f.applyPlan(&plan.Plan{Version: 1}, "store")
+			f.applyPlan(&plan.Plan{Version: 1}, "store", 0)
 			var u updates
 			assert.NilError(t, json.Unmarshal([]byte(`{"plan":`+bad+`}`), &u))
 			f.applyUpdates(u)
 			assert.Equal(t, plans.Version(), uint64(1))
+			assert.Equal(t, f.RejectedPlans(), int64(1))
 		})
 	}
 	plans := &plan.Holder{}
 	f := New(zap.NewNop(), newFakeStore(), plans, pool.New(zap.NewNop()))
 	f.applyPlan(&plan.Plan{Version: 1, Routes: []plan.Route{{Stages: []plan.Stage{
 		{After: []int{1, 2}}, {After: []int{2}}, {},
-	}}}}, "store")
+	}}}}, "store", 0)
 	assert.Equal(t, plans.Version(), uint64(1), "a valid order of stages")
 }
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -50,6 +50,9 @@
 	holders     chan peer.Incarnation
 	lastOffer   atomic.Int64
 	partialList partialList
+	// unconfirmed means that no peer confirms that the store is healthy. It is used only by
+	// the goroutine that polls peers.
+	unconfirmed bool
 }
 
 func (p *peers) currentWatchers(view *peer.View) watchers {
@@ -132,6 +135,7 @@
 	pause := initialPollPause
 	for wait.For(ctx, pause) {
 		f.pollPeers(ctx)
+		f.noteConfirmation(time.Now())
 		pause = min(pause*5/4, maxInitialPollPause)
 		if f.initialized() {
 			pause = f.propagationBound().peerPollInterval()
@@ -139,6 +143,22 @@
 	}
 }
 
+// noteConfirmation logs when peers no longer confirm that the store is healthy, and when
+// they do again.
+func (f *Follower) noteConfirmation(now time.Time) {
+	age := now.Sub(time.Unix(0, f.peers.lastRelay.Load()))
+	unconfirmed := f.peers.lastRelay.Load() != 0 && age > f.propagationBound().contactTTL()
+	if unconfirmed == f.peers.unconfirmed {
+		return
+	}
+	f.peers.unconfirmed = unconfirmed
+	if unconfirmed {
+		f.log.Warn("No peer confirms that the store answers.", zap.Duration("last_confirmed", age))
+		return
+	}
+	f.log.Info("A peer confirms that the store answers.")
+}
+
 // initialized reports whether this process has the configuration and targets it needs to
 // serve.
 func (f *Follower) initialized() bool { return f.table.Loaded() && f.plans.Current() != nil }
@@ -289,7 +309,7 @@
 // cancelled.
 func (f *Follower) applyUpdates(u updates) {
 	if u.Plan != nil {
-		f.applyPlan(u.Plan, "peer")
+		f.applyPlan(u.Plan, "peer", u.PlanUpTo)
 		f.expectFromStore(f.operatorFeed)
 	}
 	if u.EvacuationsRevision > 0 && f.table.ResetEvacuationsFromPeer(u.Evacuations, u.EvacuationsRevision, u.EvacuationsUpTo, time.Now()) {
--- a/internal/serve/gauges.go
+++ b/internal/serve/gauges.go
@@ -23,6 +23,8 @@
 	g.set("members", int64(1+len(s.network.View().Members)))
 	g.set("requests.in_flight", s.inFlight.Load())
 	g.set("targets.connections_opened", s.client.Dialed())
+	g.set("plan.rejected", s.follower.RejectedPlans())
+	g.set("store.contact_age_ms", s.follower.ContactAge(now).Milliseconds())
 	configuration, targets := s.follower.FailingFor()
 	g.set("store.configuration_silent_ms", configuration.Milliseconds())
 	g.set("store.targets_silent_ms", targets.Milliseconds())
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -60,6 +60,9 @@
 	// TimeToReady estimates how long a process that has just started takes to learn the
 	// configuration and the targets; if nil, minStartingRetry is used.
 	TimeToReady func(now time.Time) time.Duration
+	// ContactAge returns the time since the store of the configuration last answered this
+	// process or one that it relies on; nil if unknown.
+	ContactAge func(now time.Time) time.Duration
 
 	firstEventModel firstEventModel
 	answerStats     answerStats
--- a/internal/serve/run/metrics.go
+++ b/internal/serve/run/metrics.go
@@ -102,5 +102,20 @@
 		fields = append(fields, zap.String("route", j.route.Name), zap.String("service", j.service),
 			zap.Duration("patience", j.timeout()))
 	}
+	if reply.Reason == NoRoute || reply.Reason == NoKey {
+		// A message of its own, so that the limit on repeated messages doesn't omit it
+		// when many requests are refused for other reasons.
+		e.Log.Info("Configuration doesn't allow the request.", append(fields, e.contactAge()...)...)
+		return
+	}
 	e.Log.Info("Answered by ourselves.", fields...)
 }
+
+// contactAge returns the log field for the age of the last contact with the store of the
+// configuration, if it is known.
+func (e *Executor) contactAge() []zap.Field {
+	if e.ContactAge == nil {
+		return nil
+	}
+	return []zap.Field{zap.Duration("last_contact", e.ContactAge(time.Now()))}
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -123,7 +123,7 @@
 	s.executor = &run.Executor{
 		Log: logging.WithComponent(o.Log, "request"), Plans: s.plans, Table: s.table, Client: s.client, Codec: o.Codec,
 		Stages: s.stages, Budget: s.budget, Zone: o.Zone, Metrics: &run.Metrics{Registry: o.Metrics},
-		LeaveOut: o.LeaveOut, TimeToReady: s.timeToReady,
+		LeaveOut: o.LeaveOut, TimeToReady: s.timeToReady, ContactAge: s.follower.ContactAge,
 	}
 	if !o.LeaveOut.Has(leaveout.EngineAccounts) {
 		s.engines = engines.New(logging.WithComponent(o.Log, "engines"), network)
