--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -95,6 +96,14 @@
 	}
 }
 
+// SilenceConnections makes every open connection drop all data for good, without an error
+// on either side. New connections work.
+func (r *Relay) SilenceConnections() {
+	for _, l := range r.links() {
+		l.silent.Store(true)
+	}
+}
+
 // OpenConnections counts the open connections.
 func (r *Relay) OpenConnections() int { return len(r.links()) }
 
@@ -212,6 +221,8 @@
 	callerSide, targetSide net.Conn
 	done                   chan struct{}
 	once                   sync.Once
+	// silent connections stay open and drop all data.
+	silent atomic.Bool
 }
 
 func (l *link) reset() {
@@ -286,11 +297,14 @@
 		if !l.waitUntil(c.due) || !l.relay.waitUnfrozen(l.done, frozen) {
 			continue
 		}
+		if l.silent.Load() {
+			continue
+		}
 		if _, err := to.Write(c.data); err != nil {
 			l.reset()
 		}
 	}
-	if l.relay.waitUnfrozen(l.done, frozen) {
+	if l.relay.waitUnfrozen(l.done, frozen) && !l.silent.Load() {
 		closeWrite(to)
 	}
 }
