follow: a watcher whose call of the store is cut calls again at once

Cause: when the store cuts the watchers' calls, both take the error for an outage and pause for 0.75 to 2.25 s, each because the other has lately said that the store serves it. All other VMs rely on them for up to three quarters of the bound after their last answer, then find the history gone and wait for their turn to read. Versions written while the feeds stood still before the cut arrive 1.6 to 2.2 s after their acknowledgement; bound 2 s. Class: a pause meant to save calls that is longer than what the bound leaves. Change: the first failure after a successful call of a watcher is followed by a call without a pause, then the pauses as before. Watchers are few, so it is two calls more per watcher and outage.

--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -243,8 +243,14 @@
 			continue
 		}
 		if err != nil {
+			wasHealthy := healthy
 			healthy = false
 			f.noteFailure(ctx, d, err)
+			if wasHealthy && f.isWatcher() {
+				// The store may have ended only this call. Other processes rely on this one, so
+				// it doesn't pause before it knows.
+				continue
+			}
 			wait.Jittered(ctx, max(retry, f.retryFloor()))
 			retry = min(2*retry, maxRetryPause)
 			continue
--- a/internal/serve/follow/follow_test.go
+++ b/internal/serve/follow/follow_test.go
@@ -36,6 +36,9 @@
 	failing bool
 	silent  bool
 	calls   int
+	// suspended makes watch calls wait until cut ends them; cuts counts the calls of cut.
+	suspended bool
+	cuts      int
 	// pageSize limits the entries per page; 0 means no limit. Reading a page takes
 	// pageDelay and fails when failPage returns true. entriesRead counts the entries read.
 	pageSize    int
@@ -116,6 +119,22 @@
 	})
 }
 
+// suspend holds back the answers of all watch calls until cut.
+func (s *fakeStore) suspend() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspended = true
+}
+
+// cut ends the watch calls that suspend holds back, and drops the history.
+func (s *fakeStore) cut() {
+	s.change(func() {
+		s.suspended = false
+		s.cuts++
+		s.oldestRevision = s.revision
+	})
+}
+
 // startCall counts a call and fails or blocks it if the store is set to.
 func (s *fakeStore) startCall(ctx context.Context) error {
 	s.mu.Lock()
@@ -230,7 +249,11 @@
 	if err := s.startCall(ctx); err != nil {
 		return 0, err
 	}
+	cuts := s.cutCount()
 	for {
+		if s.waitResumed(ctx); s.cutCount() > cuts {
+			return 0, errDown
+		}
 		s.mu.Lock()
 		if after < s.oldestRevision {
 			s.mu.Unlock()
@@ -257,6 +280,28 @@
 	}
 }
 
+func (s *fakeStore) cutCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cuts
+}
+
+// waitResumed waits while watch calls are suspended.
+func (s *fakeStore) waitResumed(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		suspended, wake := s.suspended, s.wake
+		s.mu.Unlock()
+		if !suspended {
+			return
+		}
+		select {
+		case <-wake:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // process is a Follower with the state that it updates and the store that it follows.
 type process struct {
 	*Follower
@@ -557,6 +602,31 @@
 	})
 }
 
+// Guards against watchers that pause after the store has cut their calls, while all others wait for them.
+func TestChangeBeforeWatchCallsAreCut(t *testing.T) {
+	const rounds = 10
+	for range rounds {
+		inSynctest(t, func(t *testing.T, ctx context.Context) {
+			store := newFakeStore()
+			store.putPlan(1)
+			store.putTarget("x", pool.Ready)
+			all := startProcesses(ctx, 9, store)
+			time.Sleep(10 * time.Second)
+			store.putPlan(2)
+			store.putTarget("x", pool.Ready)
+			time.Sleep(100 * time.Millisecond)
+			store.suspend()
+			store.putPlan(3)
+			time.Sleep(time.Second)
+			store.cut()
+			time.Sleep(time.Duration(DefaultPropagationBound) - time.Second)
+			for i, p := range all {
+				assert.Check(t, p.plans.Version() == 3, "process %d has version %d", i, p.plans.Version())
+			}
+		})
+	}
+}
+
 func TestHistoryGoneTriggersFullRead(t *testing.T) {
 	inSynctest(t, func(t *testing.T, ctx context.Context) {
 		store := newFakeStore()
