peer: a link over which nothing arrives is replaced by a new one

Cause: when connections go silent without an error (a relay or a firewall between that accepts and drops everything), a process keeps its links. A member that doesn't answer a ping is judged by others, but the links to those are silent as well; 'the fault is more likely here', nothing is done, and that for good: 60 s after all links had gone silent once, no version had come from a peer any more. Each VM then lives on its own store calls, blind for up to three quarters of the bound after each, without a warning. A fault in the network where the kernel of a relay answers keep-alive probes shows to a timeout of our own only; a simulated network that drops packets ends such connections by TCP's own means. Class: a connection that is open but dead is trusted because no error ends it. Change: a ping or a call that gets no answer over a link from which nothing at all has arrived since opens a new connection; the side that is dialed accepts it in place of one that has been silent for a ping's timeout, whoever had dialed that. If the new one fails, the old link stays, and suspicion, death and freezes are as before. A process short of CPU replaces nothing.

--- a/internal/peer/cluster_test.go
+++ b/internal/peer/cluster_test.go
@@ -26,6 +26,22 @@
 type testNetwork struct {
 	mu   sync.Mutex
 	cuts map[[2]string]bool
+	// silences counts the calls of silenceOpen. Connections opened before the last one are
+	// silent.
+	silences int
+}
+
+// silenceOpen makes all open connections drop all data for good, without an error.
+func (w *testNetwork) silenceOpen() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silences++
+}
+
+func (w *testNetwork) silenceCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.silences
 }
 
 func (w *testNetwork) cut(from, to string) bool {
@@ -58,8 +74,9 @@
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
+		silences := w.silenceCount()
 		conn, err := dialTCP(ctx, to)
-		return &testConn{Conn: conn, testNetwork: w, from: from(), to: to}, err
+		return &testConn{Conn: conn, testNetwork: w, from: from(), to: to, silences: silences}, err
 	}
 }
 
@@ -68,10 +85,13 @@
 	net.Conn
 	testNetwork *testNetwork
 	from, to    string
+	silences    int // testNetwork.silences when the connection was opened
 }
 
+func (w *testConn) silent() bool { return w.testNetwork.silenceCount() > w.silences }
+
 func (w *testConn) Write(data []byte) (int, error) {
-	if w.testNetwork.cut(w.from, w.to) {
+	if w.silent() || w.testNetwork.cut(w.from, w.to) {
 		return len(data), nil
 	}
 	return w.Conn.Write(data)
@@ -80,7 +100,7 @@
 func (w *testConn) Read(data []byte) (int, error) {
 	for {
 		n, err := w.Conn.Read(data)
-		if err != nil || !w.testNetwork.cut(w.to, w.from) {
+		if err != nil || !w.silent() && !w.testNetwork.cut(w.to, w.from) {
 			return n, err
 		}
 	}
@@ -93,6 +113,8 @@
 	mu          sync.Mutex
 	seeds       []string // the VM list
 	nodes       []*Node
+	// prepare, if set, is called with each new node before it starts.
+	prepare func(*Node)
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -122,6 +144,9 @@
 	opts.Dial = c.testNetwork.dialer(func() string { return n.Self().PeerAddress })
 	n, err := New(opts)
 	assert.NilError(c.t, err)
+	if c.prepare != nil {
+		c.prepare(n)
+	}
 	assert.NilError(c.t, n.Start(context.Background()))
 	c.t.Cleanup(n.Close)
 	c.addSeed(n)
--- a/internal/peer/failure_test.go
+++ b/internal/peer/failure_test.go
@@ -130,6 +130,36 @@
 	assert.Equal(t, nodes[4].suspicions(), before)
 }
 
+// Guards against links that carry nothing any more, on both ends, and are kept because no error ends them.
+func TestSilentLinksAreReplaced(t *testing.T) {
+	c := newCluster(t)
+	c.prepare = func(n *Node) {
+		n.Handle("echo", func(context.Context, json.RawMessage) (any, error) { return "", nil })
+	}
+	nodes := c.startMany(6, "r1", "a")
+	waitAgreed(t, nodes)
+	for range 3 {
+		c.testNetwork.silenceOpen()
+		wait(t, func() poll.Result {
+			for _, from := range nodes {
+				for _, to := range without(nodes, from) {
+					if err := callSoon(t, from, to); err != nil {
+						return poll.Continue("%s doesn't reach %s: %v", from.Self().PeerAddress, to.Self().PeerAddress, err)
+					}
+				}
+			}
+			return poll.Success()
+		})
+	}
+	waitAgreed(t, nodes)
+}
+
+func callSoon(t *testing.T, from, to *Node) error {
+	ctx, cancel := context.WithTimeout(t.Context(), testPeriod)
+	defer cancel()
+	return from.Call(ctx, to.Self().Incarnation, "echo", nil, nil)
+}
+
 // The network of one zone is cut off and restored. Meanwhile each side works with the
 // members that it reaches. Afterwards all must know each other again and hold what was
 // published on either side, without intervention.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -35,6 +35,13 @@
 	calls  chan struct{}
 	nextID atomic.Uint64
 
+	// opened is when the link was authenticated. lastReceived is the time of the last message
+	// from the other side, in nanoseconds since opened.
+	opened       time.Time
+	lastReceived atomic.Int64
+	// checking is set while checkLink pings over this link.
+	checking atomic.Bool
+
 	// freezes is the node's count of freezes when the handshake started. If it has grown
 	// since, whatever arrives over this link may be outdated.
 	freezes uint64
@@ -63,6 +70,7 @@
 }
 
 func newLink(node *Node, agreed *session, s *stream, dialed bool, freezes uint64) *link {
+	now := time.Now()
 	return &link{
 		node:    node,
 		id:      agreed.other.ID,
@@ -72,7 +80,8 @@
 		freezes: freezes,
 		stream:  s,
 		calls:   make(chan struct{}, maxCalls),
-		used:    time.Now(),
+		opened:  now,
+		used:    now,
 		wake:    make(chan struct{}, 1),
 		pings:   map[uint64]chan struct{}{},
 		events:  map[string]member.Record{},
@@ -99,7 +108,16 @@
 	l.stream.sending = answerKind(answer.ID.Str)
 }
 
+// silentFor returns the time since the other side last sent anything.
+func (l *link) silentFor() time.Duration {
+	return time.Since(l.opened) - time.Duration(l.lastReceived.Load())
+}
+
+// silentSince reports whether the other side has sent nothing since the given time.
+func (l *link) silentSince(t time.Time) bool { return l.silentFor() > time.Since(t) }
+
 func (l *link) onReceive(request *jsonrpc2.Request, answer *jsonrpc2.Response) {
+	l.lastReceived.Store(int64(time.Since(l.opened)))
 	if answer != nil {
 		l.node.traffic.received(answerKind(answer.ID.Str), l.stream.read)
 		return
--- a/internal/peer/loop.go
+++ b/internal/peer/loop.go
@@ -466,7 +466,7 @@
 		if err != nil {
 			return pingTimedOut
 		}
-		if l.ping(ctx, n.claimToRefute(r.ID)) {
+		if n.pingOver(ctx, l, n.claimToRefute(r.ID)) {
 			return pingAnswered
 		}
 	}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -301,7 +302,12 @@
 	if err != nil {
 		return err
 	}
-	return eris.Wrapf(l.call(ctx, method, params, result), "call %s", method)
+	started := time.Now()
+	err = l.call(ctx, method, params, result)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && l.silentSince(started) {
+		n.checkLink(l)
+	}
+	return eris.Wrapf(err, "call %s", method)
 }
 
 func (n *Node) callSelf(ctx context.Context, method string, params, result any) error {
@@ -499,14 +505,53 @@
 // replaces reports whether a new link replaces the existing one. When two processes dial
 // each other at the same time, both must keep the same connection: the one dialed by
 // the lower incarnation. A link that the same side dials again replaces its previous
-// one, which that side has given up.
+// one, which that side has given up. So does one that comes while the existing one is
+// silent: the other side wouldn't dial if it received anything over that.
 func (n *Node) replaces(fresh, existing *link) bool {
-	if fresh.dialed == existing.dialed || existing.closing {
+	if fresh.dialed == existing.dialed || existing.closing || existing.silentFor() >= pingPeriods*n.opts.Period {
 		return true
 	}
 	return fresh.dialed == (n.table.Self().ID < fresh.id)
 }
 
+// checkLink pings over a link that didn't answer a call, and replaces it if it is silent.
+func (n *Node) checkLink(l *link) {
+	if !l.checking.CompareAndSwap(false, true) {
+		return
+	}
+	n.spawn(func() {
+		defer l.checking.Store(false)
+		ctx, cancel := context.WithTimeout(n.ctx, n.scaledTimeout(pingPeriods))
+		defer cancel()
+		n.pingOver(ctx, l, nil)
+	})
+}
+
+// pingOver reports whether the member answers a ping over a link. If nothing at all arrives
+// over the link, it is replaced: its connection may be dead without an error at either
+// side.
+func (n *Node) pingOver(ctx context.Context, l *link, events []member.Record) bool {
+	started := time.Now()
+	if l.ping(ctx, events) {
+		return true
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && l.silentSince(started) && !n.isOverloaded() {
+		n.spawn(func() { n.replaceLink(l) })
+	}
+	return false
+}
+
+// replaceLink opens a new link in place of a silent one. If that fails, the member is
+// probably gone, and the old link stays until the member is considered dead.
+func (n *Node) replaceLink(l *link) {
+	_, err := n.dial(n.ctx, l.peer.PeerAddress)
+	if err != nil {
+		n.log.Debug("Silent link can't be replaced.", memberField(l.peer), zap.Error(err))
+		return
+	}
+	n.log.Info("Silent link replaced.", memberField(l.peer), zap.Duration("silent", l.silentFor()))
+}
+
 // sendClaimToRefute tells a member that this process considers it other than alive, so
 // that it can refute that. The caller holds mu.
 func (n *Node) sendClaimToRefute(l *link) {
