--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -39,8 +39,10 @@
 	// from the other side, in nanoseconds since opened.
 	opened       time.Time
 	lastReceived atomic.Int64
-	// checking is set while checkLink pings over this link.
-	checking atomic.Bool
+	// checking is set while checkLink pings over this link, and replacing while replaceLink
+	// dials.
+	checking  atomic.Bool
+	replacing atomic.Bool
 
 	// freezes is the node's count of freezes when the handshake started. If it has grown
 	// since, whatever arrives over this link may be outdated.
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -544,12 +544,17 @@
 // replaceLink opens a new link in place of a silent one. If that fails, the member is
 // probably gone, and the old link stays until the member is considered dead.
 func (n *Node) replaceLink(l *link) {
+	if !l.replacing.CompareAndSwap(false, true) {
+		return
+	}
+	defer l.replacing.Store(false)
+	silent := l.silentFor()
 	_, err := n.dial(n.ctx, l.peer.PeerAddress)
 	if err != nil {
 		n.log.Debug("Silent link can't be replaced.", memberField(l.peer), zap.Error(err))
 		return
 	}
-	n.log.Info("Silent link replaced.", memberField(l.peer), zap.Duration("silent", l.silentFor()))
+	n.log.Info("Silent link replaced.", memberField(l.peer), zap.Duration("silent", silent))
 }
 
 // sendClaimToRefute tells a member that this process considers it other than alive, so
