follow: the operator state is read at once when its history is gone

The operator state is one row, and a process that asks the store itself has already waited for others for three quarters of the bound.

--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -155,6 +155,8 @@
 	// revision is the one up to which all changes have been received.
 	synced   atomic.Bool
 	revision atomic.Uint64
+	// lostUpTo is the last revision from which the store could no longer send the changes.
+	lostUpTo atomic.Uint64
 	// unsyncedSince is when synced was last unset, or when the follower was created; used
 	// only by the goroutine of this feed.
 	unsyncedSince time.Time
@@ -238,8 +240,7 @@
 		caughtUp, upTo, err := f.callStore(ctx, d, healthy)
 		if errors.Is(err, ErrHistoryGone) {
 			f.log.Info("Changes can't be had; reading the whole.", zap.String("what", d.name), zap.Uint64("after", after))
-			d.synced.Store(false)
-			d.unsyncedSince = time.Now()
+			d.loseSync(after)
 			continue
 		}
 		if err != nil {
@@ -285,8 +286,13 @@
 
 // timeUntilRead returns how long this feed waits for others to provide the full state; 0 or
 // less if this process must read it from the store. While a peer offers the target list
-// there is no need to read it, unless receiving it takes too long.
+// there is no need to read it, unless receiving it takes too long. The operator state is
+// small, and a process that asks the store for changes of it has waited for others already,
+// so after a loss of the history it is read at once.
 func (f *Follower) timeUntilRead(d *feed, now time.Time) time.Duration {
+	if d == f.operatorFeed && d.lostUpTo.Load() > 0 {
+		return 0
+	}
 	if f.peers != nil && d == f.targetFeed && now.Sub(d.unsyncedSince) < time.Duration(f.propagationBound()) {
 		lastOffer := time.Unix(0, f.peers.lastOffer.Load())
 		if left := lastOffer.Add(offerTTL).Sub(now); left > 0 {
@@ -303,6 +309,13 @@
 	d.synced.Store(true)
 }
 
+// loseSync records that the store no longer has the changes since a revision.
+func (d *feed) loseSync(revision uint64) {
+	d.lostUpTo.Store(revision)
+	d.synced.Store(false)
+	d.unsyncedSince = time.Now()
+}
+
 // callStore makes one store call. caughtUp is the first result of feed.watch.
 func (f *Follower) callStore(ctx context.Context, d *feed, healthy bool) (caughtUp bool, revision uint64, err error) {
 	if !d.synced.Load() {
--- a/internal/serve/follow/follow_test.go
+++ b/internal/serve/follow/follow_test.go
@@ -627,6 +627,27 @@
 	}
 }
 
+// Guards against a process whose history is gone and that never reads the whole state, because peers that know no more take it for current.
+func TestHistoryGoneWhileWatchersAreSilent(t *testing.T) {
+	const processes = 9
+	inSynctest(t, func(t *testing.T, ctx context.Context) {
+		healthy, silent, both := splitStore()
+		both(func(s *fakeStore) { s.putPlan(1); s.putTarget("x", pool.Ready) })
+		all := startProcesses(ctx, processes, storesByRole(silent, healthy, processes)...)
+		time.Sleep(10 * time.Second)
+		silent.mu.Lock()
+		silent.silent = true
+		silent.mu.Unlock()
+		both(func(s *fakeStore) { s.putPlan(2); s.putTarget("x", pool.Draining); s.cut() })
+		time.Sleep(time.Duration(DefaultPropagationBound))
+		for i, p := range all {
+			if p.store == healthy {
+				assert.Check(t, p.plans.Version() == 2, "process %d has version %d", i, p.plans.Version())
+			}
+		}
+	})
+}
+
 func TestHistoryGoneTriggersFullRead(t *testing.T) {
 	inSynctest(t, func(t *testing.T, ctx context.Context) {
 		store := newFakeStore()
