follow: a peer that knows no more than the lost history doesn't end the search for it

Cause: when the store can't continue from a revision, the process waits for its turn to read the whole list. Any peer's answer as of that same revision ended that wait: the process took itself for current, asked the store for changes again and was sent away again, for as long as the watchers couldn't help. Targets that left stayed in use, and configurations came late. Change: such an answer counts only if it goes beyond the lost revision.

--- a/internal/serve/follow/follow_test.go
+++ b/internal/serve/follow/follow_test.go
@@ -629,7 +629,11 @@
 
 // Guards against a process whose history is gone and that never reads the whole state, because peers that know no more take it for current.
 func TestHistoryGoneWhileWatchersAreSilent(t *testing.T) {
-	const processes = 9
+	const (
+		processes = 9
+		// longestReadTurn is how long a process of nine waits at most before it reads the list.
+		longestReadTurn = 4 * time.Second
+	)
 	inSynctest(t, func(t *testing.T, ctx context.Context) {
 		healthy, silent, both := splitStore()
 		both(func(s *fakeStore) { s.putPlan(1); s.putTarget("x", pool.Ready) })
@@ -645,6 +649,12 @@
 				assert.Check(t, p.plans.Version() == 2, "process %d has version %d", i, p.plans.Version())
 			}
 		}
+		time.Sleep(longestReadTurn)
+		for i, p := range all {
+			if p.store == healthy {
+				assert.Check(t, !p.uses("x"), "process %d", i)
+			}
+		}
 	})
 }
 
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -333,9 +333,10 @@
 }
 
 // syncedFromPeer records that a peer has sent all changes up to a revision. Watching the
-// store continues from there, since the store keeps its history for only a few seconds.
+// store continues from there, since the store keeps its history for only a few seconds. A
+// peer that knows no more than what the store can't continue from doesn't help.
 func (d *feed) syncedFromPeer(revision uint64) {
-	if revision < d.revision.Load() {
+	if revision < d.revision.Load() || !d.synced.Load() && revision <= d.lostUpTo.Load() {
 		return
 	}
 	d.revision.Store(revision)
