follow: one failed call no longer delays a VM by more than the bound

A VM that relies on the watchers calls the store itself when they fall silent, 1.5 s into the bound of 2 s. If that one call fails, the pause before the next was 1.2 to 3.7 s on nine VMs (so that in a full outage all others together call no more than the watchers do), and nothing ended it early. Change: after the first failure that follows an answered call the pause is 50 to 150 ms; further failures pause as before. TestFullOutageMakesFewCalls and the other bounds on calls pass unchanged. What remains: two failures in a row.

--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -247,12 +247,7 @@
 			wasHealthy := healthy
 			healthy = false
 			f.noteFailure(ctx, d, err)
-			if wasHealthy && f.isWatcher() {
-				// The store may have ended only this call. Other processes rely on this one, so
-				// it doesn't pause before it knows.
-				continue
-			}
-			wait.Jittered(ctx, max(retry, f.retryFloor()))
+			f.pauseAfterFailure(ctx, wasHealthy, retry)
 			retry = min(2*retry, maxRetryPause)
 			continue
 		}
@@ -265,6 +260,18 @@
 	}
 }
 
+// pauseAfterFailure waits after a failed store call. The store may have ended only this call,
+// so the pause is short if the call before was answered. There is none for watchers, which
+// other processes rely on.
+func (f *Follower) pauseAfterFailure(ctx context.Context, wasHealthy bool, retry time.Duration) {
+	switch {
+	case !wasHealthy:
+		wait.Jittered(ctx, max(retry, f.retryFloor()))
+	case !f.isWatcher():
+		wait.Jittered(ctx, minRetryPause)
+	}
+}
+
 // idleTime returns how long a feed needs no store call; 0 if it needs one now.
 func (f *Follower) idleTime(d *feed) time.Duration {
 	if d.synced.Load() {
--- a/internal/serve/follow/follow_test.go
+++ b/internal/serve/follow/follow_test.go
@@ -36,6 +36,8 @@
 	failing bool
 	silent  bool
 	calls   int
+	// failNext is the number of calls that fail next.
+	failNext int
 	// suspended makes watch calls wait until cut ends them; cuts counts the calls of cut.
 	suspended bool
 	cuts      int
@@ -139,7 +141,8 @@
 func (s *fakeStore) startCall(ctx context.Context) error {
 	s.mu.Lock()
 	s.calls++
-	failing, silent := s.failing, s.silent
+	failing, silent := s.failing || s.failNext > 0, s.silent
+	s.failNext = max(s.failNext-1, 0)
 	s.mu.Unlock()
 	if silent {
 		<-ctx.Done()
@@ -627,6 +630,37 @@
 	}
 }
 
+// Guards against a process that pauses for longer than the bound after one failed call, while the watchers are silent.
+func TestFirstCallFailsWhileWatchersAreSilent(t *testing.T) {
+	const (
+		processes = 9
+		feeds     = 2
+	)
+	inSynctest(t, func(t *testing.T, ctx context.Context) {
+		var stores []*fakeStore
+		for range processes {
+			store := newFakeStore()
+			store.putPlan(1)
+			stores = append(stores, store)
+		}
+		all := startProcesses(ctx, processes, stores...)
+		time.Sleep(10 * time.Second)
+		for i, store := range stores {
+			store.mu.Lock()
+			store.silent = isWatcherOf(processes, i)
+			store.failNext = feeds
+			store.mu.Unlock()
+			store.putPlan(2)
+		}
+		time.Sleep(time.Duration(DefaultPropagationBound))
+		for i, p := range all {
+			if !isWatcherOf(processes, i) {
+				assert.Check(t, p.plans.Version() == 2, "process %d has version %d", i, p.plans.Version())
+			}
+		}
+	})
+}
+
 // Guards against a process whose history is gone and that never reads the whole state, because peers that know no more take it for current.
 func TestHistoryGoneWhileWatchersAreSilent(t *testing.T) {
 	const (
