follow: the operator state doesn't wait for the target list's turn to be read

While the store fails for both feeds, only that of the targets calls it, to save calls. When its answer then is that the history is gone, it waits 1.2 to 3.7 s for its turn to read the list, still counted as failing, and the configuration waited with it. Change: the operator feed holds back only while the other one really calls.

--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -284,13 +284,19 @@
 			return min(left, readTurnCheckInterval)
 		}
 	}
-	// While the store fails for both feeds, only the target feed probes it.
-	if d == f.operatorFeed && d.failingFor() > 0 && f.targetFeed.failingFor() > 0 {
+	if d == f.operatorFeed && d.failingFor() > 0 && f.targetFeed.probesStore() {
 		return minRetryPause
 	}
 	return 0
 }
 
+// probesStore reports whether the store fails for this feed and the feed calls it until it
+// answers, so that others needn't. A feed that waits for its turn to read the full state again
+// doesn't call.
+func (d *feed) probesStore() bool {
+	return d.failingFor() > 0 && (d.synced.Load() || d.lostUpTo.Load() == 0)
+}
+
 // timeUntilRead returns how long this feed waits for others to provide the full state; 0 or
 // less if this process must read it from the store. While a peer offers the target list
 // there is no need to read it, unless receiving it takes too long. The operator state is
--- a/internal/serve/follow/follow_test.go
+++ b/internal/serve/follow/follow_test.go
@@ -632,6 +632,20 @@
 
 // Guards against a process that pauses for longer than the bound after one failed call, while the watchers are silent.
 func TestFirstCallFailsWhileWatchersAreSilent(t *testing.T) {
+	firstCallFails(t, (*fakeStore).putPlan)
+}
+
+// Guards against a process that doesn't ask for the operator state because it waits to read the target list.
+func TestFirstCallFailsBeforeHistoryIsGone(t *testing.T) {
+	firstCallFails(t, func(s *fakeStore, version uint64) {
+		s.putPlan(version)
+		s.cut()
+	})
+}
+
+// firstCallFails checks that processes whose watchers are silent, and whose own first calls fail,
+// learn a new plan in time. change puts it into the store of each process.
+func firstCallFails(t *testing.T, change func(s *fakeStore, version uint64)) {
 	const (
 		processes = 9
 		feeds     = 2
@@ -650,7 +664,7 @@
 			store.silent = isWatcherOf(processes, i)
 			store.failNext = feeds
 			store.mu.Unlock()
-			store.putPlan(2)
+			change(store, 2)
 		}
 		time.Sleep(time.Duration(DefaultPropagationBound))
 		for i, p := range all {
