follow: the first failure counts from the last contact of any kind

Cause of the failures of the two tests TestFirstCallFails: 'the call before was answered' was true of a process's own calls only. A process that has had all from its peers since its start and calls for the first time counted as failing already, and paused for 1.2 to 3.7 s. Whether a failure is the first one since the store was reachable, directly or through a peer, is known already (failingSince), so that decides. The package passes, five runs.

--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -244,10 +244,9 @@
 			continue
 		}
 		if err != nil {
-			wasHealthy := healthy
 			healthy = false
-			f.noteFailure(ctx, d, err)
-			f.pauseAfterFailure(ctx, wasHealthy, retry)
+			first := f.noteFailure(ctx, d, err)
+			f.pauseAfterFailure(ctx, first, retry)
 			retry = min(2*retry, maxRetryPause)
 			continue
 		}
@@ -261,11 +260,11 @@
 }
 
 // pauseAfterFailure waits after a failed store call. The store may have ended only this call,
-// so the pause is short if the call before was answered. There is none for watchers, which
-// other processes rely on.
-func (f *Follower) pauseAfterFailure(ctx context.Context, wasHealthy bool, retry time.Duration) {
+// so the pause is short after the first failure. There is none for watchers, which other
+// processes rely on.
+func (f *Follower) pauseAfterFailure(ctx context.Context, first bool, retry time.Duration) {
 	switch {
-	case !wasHealthy:
+	case !first:
 		wait.Jittered(ctx, max(retry, f.retryFloor()))
 	case !f.isWatcher():
 		wait.Jittered(ctx, minRetryPause)
@@ -357,13 +356,17 @@
 	}
 }
 
-func (f *Follower) noteFailure(ctx context.Context, d *feed, err error) {
+// noteFailure records a failed store call. It reports whether it is the first one since the
+// store was last reachable.
+func (f *Follower) noteFailure(ctx context.Context, d *feed, err error) (first bool) {
 	if ctx.Err() != nil {
-		return
+		return false
 	}
-	if d.failingSince.CompareAndSwap(0, f.unreachableSince(d).UnixNano()) {
+	first = d.failingSince.CompareAndSwap(0, f.unreachableSince(d).UnixNano())
+	if first {
 		f.log.Warn("Store doesn't answer.", zap.String("what", d.name), zap.Error(err))
 	}
+	return first
 }
 
 // unreachableSince returns the time since which the store may have been unreachable: its
