test: configurations in series beside faults, each VM judged by its answers

Nine vgedge processes; a version every 0.7 to 2 s adds a route and a key and drops the oldest; meanwhile up to five VMs are paused, killed and started, or cut off from the store or from the others. A VM that has been undisturbed for 3 s is asked 2 s after each acknowledgement.

--- a/test/platform_configuration_test.go
+++ b/test/platform_configuration_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -219,6 +220,110 @@
 	s.checks.Wait()
 }
 
+// disturbances records which VMs of a site faults affect, and until when.
+type disturbances struct {
+	mu     sync.Mutex
+	active []int
+	ended  []time.Time
+}
+
+// mostDisturbed is the maximum number of VMs that faults affect at once.
+const mostDisturbed = 5
+
+// begin records a fault of a VM. It returns false if the VM has one already or too many VMs have.
+func (d *disturbances) begin(vm int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	total := 0
+	for _, n := range d.active {
+		total += n
+	}
+	if d.active[vm] > 0 || total >= mostDisturbed {
+		return false
+	}
+	d.active[vm]++
+	return true
+}
+
+func (d *disturbances) end(vm int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.active[vm]--
+	d.ended[vm] = time.Now()
+}
+
+// recent reports whether a VM isn't to be judged by the bound now.
+func (d *disturbances) recent(vm int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.active[vm] > 0 || time.Since(d.ended[vm]) < undisturbedTime
+}
+
+// vmFault is a fault of a VM that lasts from begin to end.
+type vmFault struct{ begin, end func(s *relayedSite, vm int) }
+
+var frozenLink = relay.Faults{FreezeToTarget: true, FreezeToCaller: true}
+
+var vmFaults = []vmFault{
+	{ // the process stands still
+		begin: func(s *relayedSite, vm int) { s.processes[vm].signal(s.t, syscall.SIGSTOP) },
+		end:   func(s *relayedSite, vm int) { s.processes[vm].signal(s.t, syscall.SIGCONT) },
+	},
+	{ // the process is killed and started again
+		begin: func(s *relayedSite, vm int) { s.processes[vm].kill(s.t) },
+		end:   func(s *relayedSite, vm int) { s.startBehindRelay(vm) },
+	},
+	{ // the VM can't connect to the store
+		begin: func(s *relayedSite, vm int) {
+			s.store[vm].SetFaults(relay.Faults{RefuseConnections: true})
+			s.store[vm].ResetConnections()
+		},
+		end: func(s *relayedSite, vm int) { s.store[vm].SetFaults(relay.Faults{}) },
+	},
+	{ // the store doesn't answer the VM
+		begin: func(s *relayedSite, vm int) { s.store[vm].SetFaults(frozenLink) },
+		end:   func(s *relayedSite, vm int) { s.store[vm].SetFaults(relay.Faults{}) },
+	},
+	{ // other VMs don't reach the VM over the connections that they have opened
+		begin: func(s *relayedSite, vm int) { s.peers[vm].SetFaults(frozenLink) },
+		end:   func(s *relayedSite, vm int) { s.peers[vm].SetFaults(relay.Faults{}) },
+	},
+}
+
+// Guards against undisturbed VMs that learn configurations late while others are stopped, killed, or cut off.
+func TestPlatformConfigurationsInSeriesBesideFaults(t *testing.T) {
+	t.Parallel()
+	seed, duration := testSeed(t), longRunDuration(t)
+	t.Logf("VANILLAGATE_SEED=%d", seed)
+	s := startRelayedSite(t)
+	r := rand.New(rand.NewPCG(seed, 0))
+	d := &disturbances{active: make([]int, relayedVMs), ended: make([]time.Time, relayedVMs)}
+	var faults sync.WaitGroup
+	s.runCallers(callerRate, duration, func() {
+		for end := time.Now().Add(duration - undisturbedTime); time.Now().Before(end); {
+			for range 1 + r.IntN(3) {
+				fault, vm, lasts := vmFaults[r.IntN(len(vmFaults))], r.IntN(relayedVMs), randomDuration(r, 200*time.Millisecond, 4*time.Second)
+				if d.begin(vm) {
+					faults.Go(func() { s.disturb(d, fault, vm, lasts) })
+				}
+			}
+			time.Sleep(randomDuration(r, 0, time.Second))
+			version, at := s.publishNext()
+			s.checkInForce(version, at.Add(applyBound), d.recent)
+			time.Sleep(randomDuration(r, 700*time.Millisecond, time.Second))
+		}
+	})
+	faults.Wait()
+	s.checks.Wait()
+}
+
+func (s *relayedSite) disturb(d *disturbances, fault vmFault, vm int, lasts time.Duration) {
+	fault.begin(s, vm)
+	time.Sleep(lasts)
+	fault.end(s, vm)
+	d.end(vm)
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
