peer: a ping without time left says nothing of its link

Measured: TestPingWithoutTimeLeftKeepsTheLink fails in 3 of 3 runs before, passes in 5 of 5 after, with TestSilentLinksAreReplaced; internal/peer passes.

--- a/internal/peer/failure_test.go
+++ b/internal/peer/failure_test.go
@@ -154,6 +154,25 @@
 	waitAgreed(t, nodes)
 }
 
+// Guards against replacing a link because of a ping that was sent when its time was already over.
+func TestPingWithoutTimeLeftKeepsTheLink(t *testing.T) {
+	c := newCluster(t)
+	nodes := c.startMany(2, "r1", "a")
+	waitAgreed(t, nodes)
+	over, cancel := context.WithTimeout(t.Context(), 0)
+	defer cancel()
+	for i, n := range nodes {
+		other := string(nodes[1-i].Self().Incarnation)
+		before, err := n.linkTo(t.Context(), other)
+		assert.NilError(t, err)
+		assert.Assert(t, !n.pingOver(over, before, nil))
+		time.Sleep(5 * testPeriod) // longer than a replacement takes
+		after, err := n.linkTo(t.Context(), other)
+		assert.NilError(t, err)
+		assert.Assert(t, after == before)
+	}
+}
+
 func callSoon(t *testing.T, from, to *Node) error {
 	ctx, cancel := context.WithTimeout(t.Context(), testPeriod)
 	defer cancel()
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -531,6 +531,9 @@
 // over the link, it is replaced: its connection may be dead without an error at either
 // side.
 func (n *Node) pingOver(ctx context.Context, l *link, events []member.Record) bool {
+	if ctx.Err() != nil {
+		return false
+	}
 	started := time.Now()
 	if l.ping(ctx, events) {
 		return true
