follow: peers of earlier versions count as before

They send no revision of evacuations, so theirs counts as 0; the check against the lost revision, 0 where none was lost, left a starting process unsynced that was synced by them before. No test: an answer as of revision 0 isn't told apart otherwise.

--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -336,7 +336,9 @@
 // store continues from there, since the store keeps its history for only a few seconds. A
 // peer that knows no more than what the store can't continue from doesn't help.
 func (d *feed) syncedFromPeer(revision uint64) {
-	if revision < d.revision.Load() || !d.synced.Load() && revision <= d.lostUpTo.Load() {
+	lost := d.lostUpTo.Load()
+	stillLost := lost > 0 && revision <= lost && !d.synced.Load()
+	if stillLost || revision < d.revision.Load() {
 		return
 	}
 	d.revision.Store(revision)
