platform: a request that is still being sent is refused before the process ends

Callers that were still sending headers or body when a VM shut down got EOF or a reset. Nothing had run, and they couldn't know. Cause: at the end of the grace period requests in flight get a final answer, but a read in progress has none to give.

--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -103,12 +104,15 @@
 // writeUnreadable responds to input that fasthttp could not parse as a request.
 func writeUnreadable(ctx *fasthttp.RequestCtx, err error) {
 	var small *fasthttp.ErrSmallBuffer
+	var netErr net.Error
 	p := problem.New(400, "unreadable", "Not a readable HTTP request", "The request could not be parsed.", problem.NotRun)
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		p = problem.New(413, "too-large", "Body too large", "The body is larger than this process takes.", problem.NotRun)
 	case errors.As(err, &small):
 		p = problem.New(431, "headers-too-large", "Headers too large", "The headers are larger than 16 KiB.", problem.NotRun)
+	case errors.As(err, &netErr) && netErr.Timeout():
+		p = problem.New(408, "sent-too-slowly", "Request took too long to arrive", "The request did not arrive completely in time.", problem.NotRun)
 	}
 	writeProblem(ctx, p)
 }
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -54,3 +56,27 @@
 	}
 	assert.NilError(t, <-ended)
 }
+
+// Guards against a caller that gets no answer, or one that tells it not to retry, because it
+// is still sending its headers when the process shuts down.
+func TestRequestStillBeingSentIsAnsweredAfterTheReadTimeout(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &Server{log: zap.NewNop(), listener: listener}
+	s.buildHTTPServer(func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("served") })
+	s.http.ReadTimeout = 500 * time.Millisecond
+	ended := make(chan error, 1)
+	go func() { ended <- s.serve() }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\n")
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond) // until it is read
+	assert.NilError(t, s.closePort(context.Background()))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	_ = resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusRequestTimeout)
+	assert.NilError(t, <-ended)
+}
--- a/internal/idle/listener.go
+++ b/internal/idle/listener.go
@@ -6,8 +6,10 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -97,15 +99,22 @@
 	}
 }
 
-// EndWaits ends the waiting for requests that callers may still send, because the process is
-// about to exit.
+// EndWaits ends the waiting for what callers may still send, because the process is about to
+// exit. A request of which only a part has arrived can't be read any more; its read ends with
+// a timeout, so that the request can be refused.
 func (l *Listener) EndWaits() {
 	l.ending.Store(true)
-	for _, c := range l.unusedConns() {
-		c.expireIfUnused()
+	for _, c := range l.openConns() {
+		c.endWait()
 	}
 }
 
+func (l *Listener) openConns() []*callerConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.open))
+}
+
 // Draining reports whether StartDrain has been called.
 func (l *Listener) Draining() bool { return l.draining.Load() }
 
@@ -179,8 +188,11 @@
 		c.minIdleTimeout = c.listener.IdleTimeout()
 	}
 	c.deadline = t
-	if c.unusedLocked() && c.listener.draining.Load() {
+	switch {
+	case c.unusedLocked() && c.listener.draining.Load():
 		t = c.drainDeadline()
+	case c.listener.ending.Load():
+		t = time.Now()
 	}
 	return c.TCPConn.SetReadDeadline(t)
 }
@@ -247,6 +259,9 @@
 		return nil
 	}
 	c.nothingRead = false
+	if c.listener.ending.Load() {
+		return c.TCPConn.SetReadDeadline(time.Now())
+	}
 	return c.TCPConn.SetReadDeadline(c.deadline)
 }
 
@@ -299,6 +314,13 @@
 	}
 }
 
+// endWait ends a read that waits for the caller.
+func (c *callerConn) endWait() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_ = c.TCPConn.SetReadDeadline(time.Now()) // fails only on a closed connection
+}
+
 // Close closes the connection.
 func (c *callerConn) Close() error {
 	c.listener.remove(c)
--- a/internal/idle/listener_test.go
+++ b/internal/idle/listener_test.go
@@ -268,3 +268,38 @@
 	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
 	assert.Assert(t, time.Since(began) < nextRequestTime/2, "%v", time.Since(began))
 }
+
+// Guards against a caller that gets no answer because it is still sending its request when
+// the process exits: the read must end, so that the request can be refused.
+func TestEndOfWaitsEndsAPartialRead(t *testing.T) {
+	server, caller := connPair(t, time.Hour)
+	assert.NilError(t, server.SetReadDeadline(time.Now().Add(time.Hour)))
+	_, err := caller.Write([]byte("GET"))
+	assert.NilError(t, err)
+	buffer := make([]byte, 16)
+	_, err = server.Read(buffer)
+	assert.NilError(t, err)
+	listener := server.(*callerConn).listener
+	listener.StartDrain()
+	time.AfterFunc(20*time.Millisecond, listener.EndWaits)
+	_, err = server.Read(buffer)
+	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+}
+
+// Guards against a first request that arrives in part just before the process exits, and is
+// waited for until the read timeout.
+func TestPartialRequestAtTheEndOfWaitsIsNotWaitedFor(t *testing.T) {
+	server, caller := connPair(t, time.Hour)
+	listener := server.(*callerConn).listener
+	listener.StartDrain()
+	listener.EndWaits()
+	_, err := caller.Write([]byte("GET"))
+	assert.NilError(t, err)
+	assert.NilError(t, server.SetReadDeadline(time.Now().Add(time.Hour)))
+	buffer := make([]byte, 16)
+	n, err := server.Read(buffer)
+	assert.NilError(t, err)
+	assert.Equal(t, string(buffer[:n]), "GET")
+	_, err = server.Read(buffer)
+	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+}
--- a/internal/serve/run/shutdown.go
+++ b/internal/serve/run/shutdown.go
@@ -52,6 +52,12 @@
 	if j.Accepting() {
 		return nil
 	}
+	return RefuseForShutdown()
+}
+
+// RefuseForShutdown returns the answer to a request that hasn't run and won't, because this
+// process is shutting down.
+func RefuseForShutdown() *Reply {
 	return refuse(fasthttp.StatusServiceUnavailable, ShuttingDown, shutdownRetryAfter)
 }
 
