pipeline: calls that are withdrawn on evidence are logged

An attempt that is cancelled because its request crashed a target elsewhere left no line, so the logs couldn't tell what became of its engine. It has a kind of its own now, "withdrawn", and a line, "stage: Call withdrawn.".

--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -98,8 +98,13 @@
 
 // CallFailed implements pipeline.Observer.
 func (o *observer) CallFailed(requestID, stage, address string, err error) {
-	o.count(series("target_failures_total", `stage="`+stage+`"`), 1)
-	o.log.Info("Call failed.", logging.RequestID(requestID), zap.String("stage", stage),
+	message := "Call failed."
+	if failureKind(err) == string(target.FailedWithdrawn) {
+		message = "Call withdrawn."
+	} else {
+		o.count(series("target_failures_total", `stage="`+stage+`"`), 1)
+	}
+	o.log.Info(message, logging.RequestID(requestID), zap.String("stage", stage),
 		zap.String("target", address), zap.String("kind", failureKind(err)), zap.Error(err))
 }
 
--- a/internal/pipeline/acquire.go
+++ b/internal/pipeline/acquire.go
@@ -101,10 +101,10 @@
 // after the watch is set up catches evidence that came in between.
 func (r *stageRun) cancelOnEvidence(ctx context.Context, a *attempt, permission suspect.Permission) {
 	fingerprint := r.state.req.Fingerprint()
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	check := func() {
 		if !r.executor.Suspicion.MayContinue(fingerprint, permission) {
-			cancel()
+			cancel(target.ErrWithdrawn)
 		}
 	}
 	stop := r.executor.Suspicion.Watch(fingerprint, check)
@@ -112,7 +112,7 @@
 	a.ctx = ctx
 	a.release = func() {
 		stop()
-		cancel()
+		cancel(nil)
 		r.executor.Suspicion.ReleasePermission(fingerprint, permission)
 	}
 }
@@ -128,8 +128,8 @@
 // died while running it. It returns false if the request is convicted.
 func (r *stageRun) recordFailure(ctx context.Context, f *target.Failure, address string) bool {
 	r.mayHaveRun = r.mayHaveRun || f.Execution != problem.NotRun
-	if f.Kind == target.FailedCancelled {
-		return true // cancelled by cancelOnEvidence; not the target's fault
+	if f.Kind == target.FailedCancelled || f.Kind == target.FailedWithdrawn {
+		return true // not the target's fault
 	}
 	r.failedTargets = append(r.failedTargets, address)
 	died := f.Kind == target.FailedBroken && f.Execution != problem.NotRun && ctx.Err() == nil && !acceptsConnections(address)
--- a/internal/pipeline/attempts.go
+++ b/internal/pipeline/attempts.go
@@ -302,7 +302,7 @@
 }
 
 func wasteOf(a *attempt, f *target.Failure) Waste {
-	if f.Kind == target.FailedCancelled {
+	if f.Kind == target.FailedCancelled || f.Kind == target.FailedWithdrawn {
 		return wasteOfCancelled(a)
 	}
 	return WasteFailed
@@ -322,7 +322,7 @@
 	switch f.Kind {
 	case target.FailedConnect:
 		return directory.Refused
-	case target.FailedCancelled, target.FailedTimeout:
+	case target.FailedCancelled, target.FailedWithdrawn, target.FailedTimeout:
 		if slow {
 			return directory.Failed
 		}
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -88,7 +88,7 @@
 	Charged(Charge)
 	// StageDone is called for each stage that succeeded.
 	StageDone(customer, pipeline, stage string, took time.Duration)
-	// CallFailed is called for each failed call at a target.
+	// CallFailed is called for each failed call at a target, and for each that was withdrawn.
 	CallFailed(requestID, stage, address string, err error)
 }
 
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -111,6 +111,8 @@
 	// FailedCancelled: the caller disconnected, or another attempt succeeded
 	// first.
 	FailedCancelled FailureKind = "cancelled"
+	// FailedWithdrawn: the context ended with ErrWithdrawn.
+	FailedWithdrawn FailureKind = "withdrawn"
 	// FailedIdentity: the answer carries another request's identity.
 	FailedIdentity FailureKind = "identity"
 	// FailedVersion: another version of the model answered.
@@ -121,6 +123,10 @@
 	FailedFormat FailureKind = "format"
 )
 
+// ErrWithdrawn is the cause with which a context ends to withdraw a call, because its request
+// may crash the target.
+var ErrWithdrawn = errors.New("target: the call was withdrawn")
+
 // Failure is the outcome of a call without a usable answer.
 type Failure struct {
 	Kind      FailureKind
@@ -238,8 +244,8 @@
 
 func (ex *exchange) failure(err error) *Failure {
 	kind := FailedBroken
-	if cause := ex.ctx.Err(); cause != nil {
-		kind = contextFailureKind(cause)
+	if ex.ctx.Err() != nil {
+		kind = contextFailureKind(ex.ctx)
 	}
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		kind = FailedFormat
@@ -249,8 +255,8 @@
 
 func connectFailure(ctx context.Context, err error) *Failure {
 	kind := FailedConnect
-	if cause := ctx.Err(); cause != nil {
-		kind = contextFailureKind(cause)
+	if ctx.Err() != nil {
+		kind = contextFailureKind(ctx)
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		kind = FailedTimeout
@@ -258,11 +264,15 @@
 	return &Failure{Kind: kind, Execution: problem.NotRun, Err: err}
 }
 
-func contextFailureKind(err error) FailureKind {
-	if errors.Is(err, context.DeadlineExceeded) {
+func contextFailureKind(ctx context.Context) FailureKind {
+	switch {
+	case errors.Is(context.Cause(ctx), ErrWithdrawn):
+		return FailedWithdrawn
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return FailedTimeout
+	default:
+		return FailedCancelled
 	}
-	return FailedCancelled
 }
 
 func fillRequest(req *fasthttp.Request, call Call) {
