pipeline: an engine that dies after its call was withdrawn is recorded

A request that crashes its engines, sent to two entry VMs at once, cost three engines where two are allowed; one of its callers waited 1.1 s. Cause: on evidence from a peer a VM cancels its own attempt, which closed the connection at once and wasn't the engine's fault. If that engine died all the same, no crash was recorded, and the owner ran the request at a third one. Change: a withdrawn call closes only its sending side, and is read until the engine ends the connection, for a second at most; then the engine is probed as after any broken connection. What a withdrawn call answers is classified in one place.

--- a/internal/pipeline/acquire.go
+++ b/internal/pipeline/acquire.go
@@ -128,11 +128,14 @@
 // died while running it. It returns false if the request is convicted.
 func (r *stageRun) recordFailure(ctx context.Context, f *target.Failure, address string) bool {
 	r.mayHaveRun = r.mayHaveRun || f.Execution != problem.NotRun
-	if f.Kind == target.FailedCancelled || f.Kind == target.FailedWithdrawn {
+	if f.Kind == target.FailedCancelled {
 		return true // not the target's fault
 	}
-	r.failedTargets = append(r.failedTargets, address)
-	died := f.Kind == target.FailedBroken && f.Execution != problem.NotRun && ctx.Err() == nil && !acceptsConnections(address)
+	if f.Kind != target.FailedWithdrawn {
+		r.failedTargets = append(r.failedTargets, address)
+	}
+	mayHaveDied := f.Kind == target.FailedBroken || f.Kind == target.FailedWithdrawn
+	died := mayHaveDied && f.Execution != problem.NotRun && ctx.Err() == nil && !acceptsConnections(address)
 	fingerprint := r.state.req.Fingerprint()
 	if died {
 		r.executor.Suspicion.RecordCrash(fingerprint, address)
--- a/internal/pipeline/attempts.go
+++ b/internal/pipeline/attempts.go
@@ -232,10 +232,20 @@
 	if err == nil {
 		o.parsed, o.err = r.read(answer, id)
 	}
+	o.err = withdrawnFailure(ctx, o.err)
 	r.finishAttempt(o, slowAfter)
 	results <- o
 }
 
+// withdrawnFailure replaces the failure of a call that was withdrawn.
+func withdrawnFailure(ctx context.Context, err error) error {
+	if err == nil || errors.Is(err, errCallerLeft) || !errors.Is(context.Cause(ctx), target.ErrWithdrawn) {
+		return err
+	}
+	f := asFailure(err)
+	return &target.Failure{Kind: target.FailedWithdrawn, Execution: f.Execution, Err: f.Err}
+}
+
 // read checks and parses an answer, or returns a failure.
 func (r *stageRun) read(answer *target.Answer, id target.Identity) (parsedAnswer, error) {
 	if answer.Status != statusOK {
--- a/internal/pipeline/generate.go
+++ b/internal/pipeline/generate.go
@@ -122,6 +122,7 @@
 	if err != nil && watch.stalled() {
 		err = &target.Failure{Kind: target.FailedTimeout, Execution: problem.Unknown, Err: errStalled}
 	}
+	err = withdrawnFailure(ctx, err)
 	o.parsed.usage = g.usage
 	o.parsed.usage.CompletionTokens = g.tokens - before
 	o.err = err
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -111,7 +111,7 @@
 	// FailedCancelled: the caller disconnected, or another attempt succeeded
 	// first.
 	FailedCancelled FailureKind = "cancelled"
-	// FailedWithdrawn: the context ended with ErrWithdrawn.
+	// FailedWithdrawn: the call was withdrawn. What its target answers to that doesn't matter.
 	FailedWithdrawn FailureKind = "withdrawn"
 	// FailedIdentity: the answer carries another request's identity.
 	FailedIdentity FailureKind = "identity"
@@ -124,7 +124,8 @@
 )
 
 // ErrWithdrawn is the cause with which a context ends to withdraw a call, because its request
-// may crash the target.
+// may crash the target. The target is told that the caller has left, and the rest of the
+// connection is read: only its end shows that the target is done with the call, or dead.
 var ErrWithdrawn = errors.New("target: the call was withdrawn")
 
 // Failure is the outcome of a call without a usable answer.
@@ -198,7 +199,7 @@
 		return nil, connectFailure(ctx, err)
 	}
 	ex := &exchange{client: c, ctx: ctx, address: call.Address, conn: conn, newConnection: call.NewConnection}
-	ex.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	ex.stop = context.AfterFunc(ctx, ex.cancel)
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	fillRequest(req, call)
@@ -229,6 +230,21 @@
 	return conns.Dial(ctx, call.Address)
 }
 
+// withdrawTimeout is how long a target may take to end a call that was withdrawn.
+const withdrawTimeout = time.Second
+
+// cancel ends the call when its context has ended. Errors don't matter: the connection is
+// closed after the call.
+func (ex *exchange) cancel() {
+	halfCloser, ok := ex.conn.Conn.(interface{ CloseWrite() error })
+	if !ok || !errors.Is(context.Cause(ex.ctx), ErrWithdrawn) {
+		_ = ex.conn.SetDeadline(time.Unix(1, 0))
+		return
+	}
+	_ = ex.conn.SetDeadline(time.Now().Add(withdrawTimeout))
+	_ = halfCloser.CloseWrite()
+}
+
 // finish keeps the connection for reuse if the answer was read to the end, the
 // context had not ended and the call did not ask for a connection of its own.
 // Otherwise it closes the connection, which also cancels the call at the
@@ -244,8 +260,8 @@
 
 func (ex *exchange) failure(err error) *Failure {
 	kind := FailedBroken
-	if ex.ctx.Err() != nil {
-		kind = contextFailureKind(ex.ctx)
+	if cause := ex.ctx.Err(); cause != nil {
+		kind = contextFailureKind(cause)
 	}
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		kind = FailedFormat
@@ -255,8 +271,8 @@
 
 func connectFailure(ctx context.Context, err error) *Failure {
 	kind := FailedConnect
-	if ctx.Err() != nil {
-		kind = contextFailureKind(ctx)
+	if cause := ctx.Err(); cause != nil {
+		kind = contextFailureKind(cause)
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		kind = FailedTimeout
@@ -264,15 +280,11 @@
 	return &Failure{Kind: kind, Execution: problem.NotRun, Err: err}
 }
 
-func contextFailureKind(ctx context.Context) FailureKind {
-	switch {
-	case errors.Is(context.Cause(ctx), ErrWithdrawn):
-		return FailedWithdrawn
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+func contextFailureKind(err error) FailureKind {
+	if errors.Is(err, context.DeadlineExceeded) {
 		return FailedTimeout
-	default:
-		return FailedCancelled
 	}
+	return FailedCancelled
 }
 
 func fillRequest(req *fasthttp.Request, call Call) {
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -159,3 +160,29 @@
 		t.Run(tc.name, func(t *testing.T) { assert.Equal(t, tc.answer.ConfirmsNotRun(), tc.want) })
 	}
 }
+
+// Guards against a call that is withdrawn and given up at once: whether its target survives
+// shows only when the target ends the connection.
+func TestWithdrawnCallIsReadUntilItsTargetEndsIt(t *testing.T) {
+	const shutdownTime = 100 * time.Millisecond
+	left := make(chan time.Time, 1)
+	started := make(chan struct{})
+	s := startServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(started)
+		<-r.Context().Done()
+		left <- time.Now()
+		time.Sleep(shutdownTime)
+		panic(http.ErrAbortHandler)
+	})
+	ctx, cancel := context.WithCancelCause(t.Context())
+	go func() {
+		<-started
+		cancel(ErrWithdrawn)
+	}()
+	_, err := NewClient(1<<20).Do(ctx, s.call(1))
+	ended := time.Now()
+	assert.Assert(t, err != nil)
+	took := ended.Sub(<-left)
+	assert.Assert(t, took >= shutdownTime, "ended %s after the target was told", took)
+}
