member: a rejected claim of a death updates the digest of its zone, too

Measured: TestDigestFollowsARejectedDeathClaim fails without the change (two digests of one zone), passes with it; all tests of internal/member with -race.

--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -183,7 +183,7 @@
 	if claim.State == Dead && !t.acceptsDeath(known, now) {
 		claim.State = Suspect
 		if known.State == Suspect {
-			known.Seq = claim.Seq
+			t.change(known, now, func(r *Record) { r.Seq = claim.Seq })
 			return nil
 		}
 	}
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -188,3 +188,15 @@
 	assert.Equal(t, len(table.LiveMembers()), 0)
 	assert.DeepEqual(t, table.Digest(), NewTable(self, testTimeouts).Digest())
 }
+
+// Guards against a digest that doesn't follow a rejected claim of a death: processes with the
+// same records would compare them again and again.
+func TestDigestFollowsARejectedDeathClaim(t *testing.T) {
+	x := record("x", 1)
+	rejected, direct := NewTable(self, testTimeouts), NewTable(self, testTimeouts)
+	rejected.Apply(withState(x, Suspect, 0), start)
+	rejected.Apply(withState(x, Dead, 1), start.Add(time.Second))
+	rejected.Apply(withState(x, Alive, 2), start.Add(2*time.Second))
+	direct.Apply(withState(x, Alive, 2), start)
+	assert.DeepEqual(t, rejected.Digest(), direct.Digest())
+}
