gather: a target that doesn't answer doesn't hold up what is freed at others

Each call may take a second; meanwhile the buffers of the others seem full. Change: they are called concurrently.

--- a/internal/serve/gather/free_test.go
+++ b/internal/serve/gather/free_test.go
@@ -83,6 +83,36 @@
 	})
 }
 
+// hangingStager frees results at all targets but one, which doesn't answer.
+type hangingStager struct {
+	freedStager
+	hangs string
+}
+
+func (s *hangingStager) Free(ctx context.Context, target *pool.Target, handles []string) error {
+	if target.Address == s.hangs {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return s.freedStager.Free(ctx, target, handles)
+}
+
+// Guards against one target that doesn't answer and holds up what is freed at the others.
+func TestHangingTargetDoesNotDelayFreeingAtOthers(t *testing.T) {
+	for range 10 { // the order of the targets is random
+		synctest.Test(t, func(t *testing.T) {
+			life, stop := context.WithCancel(context.Background())
+			defer stop()
+			client := &hangingStager{freedStager{freed: make(chan string, 1)}, "10.0.0.1:1"}
+			g := newTestGatherer(life, &plan.Batch{Size: 1, BufferBytes: 100}, client, "10.0.0.1:1", "10.0.0.2:1")
+			start := time.Now()
+			g.Free(Shard{Service: "s"}, []string{"10.0.0.1:1/h", "10.0.0.2:1/h"}, true)
+			assert.Equal(t, <-client.freed, "10.0.0.2:1/h")
+			assert.Assert(t, time.Since(start) < freeTimeout/2, "freed after %s", time.Since(start))
+		})
+	}
+}
+
 // freedStager records what is freed at targets.
 type freedStager struct {
 	StageClient
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -294,7 +294,8 @@
 	}
 }
 
-// flush sends the collected results to be freed to their targets.
+// flush sends the collected results to be freed to their targets. The targets are called
+// concurrently, since one that doesn't answer would delay the others.
 func (g *Gatherer) flush(s *shard) {
 	g.mu.Lock()
 	pendingFrees := s.pendingFrees
@@ -312,7 +313,7 @@
 		if target.Evacuated() {
 			continue // an evacuated target gets no calls; its results expire
 		}
-		g.free(s, target, handles)
+		go g.free(s, target, handles)
 	}
 }
 
