gather: a reservation is cancelled at the gatherer that made it

If another one has come to rank first since the reservation, it stayed, and kept other requests out until its due time. Change: a Reservation knows its gatherer.

--- a/internal/serve/gather/reserve.go
+++ b/internal/serve/gather/reserve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/wait"
 )
@@ -21,27 +22,34 @@
 	Zone string
 }
 
+// Reservation is capacity that a shard has reserved for a request.
+type Reservation struct {
+	Shard Shard
+	// gatherer granted it. The shard may have another one by now.
+	gatherer peer.Incarnation
+}
+
 // ReserveStages asks the gatherers of all stages to reserve capacity for a request's items. The
 // error is a *RefusedError if one of them can't process its items in time; the other
 // reservations are cancelled then. A gatherer that doesn't answer doesn't cause a refusal. The
 // caller cancels reservations that it no longer needs with CancelReservations.
-func (r *Requester) ReserveStages(ctx context.Context, request string, wants []ReservationRequest) ([]Shard, error) {
+func (r *Requester) ReserveStages(ctx context.Context, request string, wants []ReservationRequest) ([]Reservation, error) {
 	r.awaitPeers(ctx)
 	if r.leaveOut.Has(leaveout.Reservations) {
 		return nil, nil
 	}
 	answers := make(chan error, len(wants))
-	shards := make([]Shard, len(wants))
+	reserved := make([]Reservation, len(wants))
 	for i, want := range wants {
 		shard, err := r.chooseShard(want.Service, want.Zone, request)
 		if err != nil {
 			return nil, err
 		}
-		shards[i] = shard
+		reserved[i] = Reservation{Shard: shard, gatherer: r.gatherers(shard)[0]}
 	}
 	serial := r.serial.Add(1)
 	for i, want := range wants {
-		go func() { answers <- r.reserveStage(ctx, request, shards[i], want, serial) }()
+		go func() { answers <- r.reserveStage(ctx, request, reserved[i], want, serial) }()
 	}
 	var refused error
 	for range wants {
@@ -50,23 +58,23 @@
 		}
 	}
 	if refused != nil {
-		r.CancelReservations(request, shards)
+		r.CancelReservations(request, reserved)
 		return nil, refused
 	}
-	return shards, nil
+	return reserved, nil
 }
 
-// CancelReservations releases the capacity that the shards have reserved for a request. Without
-// it a request that was given up would keep others out until its due time.
-func (r *Requester) CancelReservations(request string, shards []Shard) {
-	for _, shard := range shards {
-		r.cancel(r.gatherers(shard)[0], shard, request)
+// CancelReservations releases the capacity that is reserved for a request. Without it a request
+// that was given up would keep others out until its due time.
+func (r *Requester) CancelReservations(request string, reserved []Reservation) {
+	for _, reservation := range reserved {
+		r.cancel(reservation.gatherer, reservation.Shard, request)
 	}
 }
 
-func (r *Requester) reserveStage(ctx context.Context, request string, shard Shard, want ReservationRequest, serial uint64) error {
+func (r *Requester) reserveStage(ctx context.Context, request string, reservation Reservation, want ReservationRequest, serial uint64) error {
 	now := time.Now()
-	gatherer := r.gatherers(shard)[0]
+	shard, gatherer := reservation.Shard, reservation.gatherer
 	call := reserveCall{
 		Shard: shard, Request: request, Stage: want.Stage, Rank: want.Rank, Items: want.Items, Due: ToMillis(want.Due.Sub(now)), Serial: serial,
 	}
--- a/internal/serve/run/stages.go
+++ b/internal/serve/run/stages.go
@@ -56,7 +56,7 @@
 const maxZonesAsked = 2
 
 // reserveStages asks whether the stages can be finished in time, and determines their zone.
-func (j *job) reserveStages() ([]gather.Shard, error) {
+func (j *job) reserveStages() ([]gather.Reservation, error) {
 	g := newStageGraph(j)
 	zones := j.Stages.Zones(g.services(), j.req.ID)
 	if len(zones) == 0 {
