entry: a booking isn't sent if its caller left while it was claimed

A VM checked whether the caller of a booking was still there when it had read it, and not again. If the claim took long, because the table service or the VM itself stood still, the booking ran although its caller had left, and may have been told by another VM that nothing ran. Change: it checks again after the claim, and releases the claim.

--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -104,6 +104,10 @@
 		return problem.New(503, "starting", "Starting", "This VM is not known to the others yet.", problem.NotRun).
 			WithRetryAfter(startingRetryAfter)
 	}
+	return checkCallerPresent(ctx)
+}
+
+func checkCallerPresent(ctx *fasthttp.RequestCtx) *problem.Problem {
 	if socket.Peek(ctx.Conn()) == socket.Closed {
 		return problem.New(499, "caller-left", "The caller left", "The connection was closed.", problem.NotRun)
 	}
@@ -191,7 +195,7 @@
 	}
 	var answer *target.Answer
 	if sc.route.NonIdempotent {
-		answer, prob = s.runNonIdempotent(runCtx, sc)
+		answer, prob = s.runNonIdempotent(runCtx, sc, func() *problem.Problem { return checkCallerPresent(ctx) })
 	} else {
 		answer, prob = s.dispatch(runCtx, sc, sendConditions{})
 	}
@@ -218,8 +222,10 @@
 }
 
 // runNonIdempotent claims a non-idempotent call, sends it and records its
-// outcome.
-func (s *Server) runNonIdempotent(ctx context.Context, sc *serviceCall) (*target.Answer, *problem.Problem) {
+// outcome. It isn't sent if its caller has left by the time it is claimed: the
+// claim may take long, and the caller may have been told by another VM in the
+// meantime that nothing ran.
+func (s *Server) runNonIdempotent(ctx context.Context, sc *serviceCall, checkCaller func() *problem.Problem) (*target.Answer, *problem.Problem) {
 	visibleAt, visible := s.lastVisibleToPeers(sc)
 	if !visible {
 		return nil, lateClaimProblem()
@@ -237,6 +243,10 @@
 		s.claims.ReleaseAsync(out.Grant)
 		return nil, lateClaimProblem()
 	}
+	if prob := checkCaller(); prob != nil {
+		s.claims.ReleaseAsync(out.Grant)
+		return nil, prob
+	}
 	// The client checks the time limit again right before it sends, because the
 	// process may be frozen in between.
 	answer, prob := s.dispatch(ctx, sc, sendConditions{token: uint64(out.Grant.Token), notAfter: sendBefore})
--- a/internal/pipeline/withdrawn_test.go
+++ b/internal/pipeline/withdrawn_test.go
@@ -91,4 +91,3 @@
 	assert.Assert(t, prob != nil)
 	assert.Equal(t, evidence.table.CrashCount(request.Fingerprint(), time.Now()), 1)
 }
-
--- a/test/not_run_test.go
+++ b/test/not_run_test.go
@@ -239,6 +239,25 @@
 	c.assertExecution("nobody has the key", r.key, sendNow(c.entries[1].address, r), problem.NotRun)
 }
 
+// Guards against a booking that runs long after its caller has left: the VM read
+// it in time, but its claim had to wait for the table service.
+func TestBookingAbandonedWhileItIsClaimedDoesNotRun(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, clusterOptions{entries: 2})
+	first, tableRelay := c.addTableRelay(c.entries[0])
+	c.waitEntriesKnown()
+	tableRelay.SetFaults(relay.Faults{FreezeToTarget: true})
+	r := bookingRequestWithTimeout(newKey(), 20*time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, send(ctx, first.address, r).err != nil)
+	tableRelay.SetFaults(relay.Faults{})
+	waitFor(t, "the booking to be claimed", func() bool {
+		return strings.Contains(first.logs(), "The caller left") || c.executionsWithKey(r.key) > 0
+	})
+	assert.Equal(t, c.executionsWithKey(r.key), 0)
+}
+
 // An entry VM has a booking in flight when another VM is replaced and asked for
 // the same key at once. The new process doesn't know its peers yet, and must
 // not take that for their answer that nobody has the key.
