--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -79,10 +79,12 @@
 	// tableUp is set while the last read of the table succeeded.
 	tableUp atomic.Bool
 
-	mu            sync.Mutex // held while a newer state is installed and the onChange functions run
-	onChange      []func(*config.State)
-	wake          chan struct{}
-	savedRevision config.Revision // last known revision of the snapshot; set by Run at its start, then by RunSnapshots
+	mu       sync.Mutex // held while a newer state is installed and the onChange functions run
+	onChange []func(*config.State)
+	wake     chan struct{}
+	// savedRevision is the last known config.Revision of the snapshot. Run and RunSnapshots
+	// set it.
+	savedRevision atomic.Uint64
 }
 
 // New returns a Keeper at revision 0. Call it before the network starts.
@@ -294,7 +296,7 @@
 		k.opts.Log.Warn("Failed to read the configuration snapshot.", zap.Error(err))
 		return
 	}
-	k.savedRevision = state.Revision
+	k.savedRevision.Store(uint64(state.Revision))
 	k.adopt(state)
 }
 
@@ -377,7 +379,7 @@
 			return
 		case <-timer.C:
 		}
-		if k.isSnapshotWriter() && k.State().Revision > k.savedRevision {
+		if k.isSnapshotWriter() && uint64(k.State().Revision) > k.savedRevision.Load() {
 			k.writeSnapshot(ctx)
 		}
 	}
@@ -401,5 +403,5 @@
 		k.opts.Log.Warn("Failed to write the configuration snapshot.", zap.Error(err))
 		return
 	}
-	k.savedRevision = state.Revision
+	k.savedRevision.Store(uint64(state.Revision))
 }
