lease: all leases are read, and a failed pool doesn't cost others their leases

AcquireOrRenew read at most 1,000 leases, and ended at the first pool whose request failed, so that the pools after it weren't renewed in that cycle; with four cycles a term, a pool that fails for long costs them their leases, and engines get no orders. Change: the leases are read in pages, in one place for stewards and vgctl; all pools are requested, and the error joins those of all. Measured: TestFailedRenewalDoesNotKeepOthersFromBeingRenewed and TestLeasesBeyondTheFirstPageAreRead fail without the change, pass with it; all tests of internal/command/lease, its model test too, with -race.

--- a/internal/command/lease/lease_test.go
+++ b/internal/command/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -153,3 +154,38 @@
 	_, holds := b.Check("llm")
 	assert.Assert(t, holds)
 }
+
+// Guards against a pool whose renewal fails and costs all pools after it their leases.
+func TestFailedRenewalDoesNotKeepOthersFromBeingRenewed(t *testing.T) {
+	store := memory.New()
+	a := newProcess(store, "a")
+	pools := []string{"encoder", "llm"}
+	assert.NilError(t, a.AcquireOrRenew(t.Context(), pools))
+	a.advance(termLength / 2)
+	store.SetFaults(func(c memory.Call) memory.Fault {
+		if c.Write && c.Writes[0].Row.Sort == "encoder" {
+			return memory.NotRun
+		}
+		return memory.None
+	})
+	assert.Assert(t, a.AcquireOrRenew(t.Context(), pools) != nil)
+	a.advance(termLength * 3 / 4)
+	_, holds := a.Check("llm")
+	assert.Assert(t, holds, "the other pool's lease wasn't renewed")
+}
+
+// Guards against leases beyond the first page that are never read: a pool whose lease is held
+// by another process would look free, and its own could not be renewed.
+func TestLeasesBeyondTheFirstPageAreRead(t *testing.T) {
+	store := memory.New()
+	a, b := newProcess(store, "a"), newProcess(store, "b")
+	var pools []string
+	for i := range pageSize + 1 {
+		pools = append(pools, fmt.Sprintf("pool-%04d", i))
+	}
+	assert.NilError(t, a.AcquireOrRenew(t.Context(), pools))
+	assert.NilError(t, a.Release(t.Context()))
+	assert.NilError(t, b.AcquireOrRenew(t.Context(), pools))
+	_, holds := b.Check(pools[pageSize])
+	assert.Assert(t, holds)
+}
--- a/internal/command/lease/manager.go
+++ b/internal/command/lease/manager.go
@@ -16,9 +16,8 @@
 // name.
 const Partition = "lease"
 
-// MaxLeases is the maximum number of leases that one read of the partition
-// returns.
-const MaxLeases = 1000
+// pageSize is the number of leases that one read returns.
+const pageSize = 1000
 
 // cyclesPerLeaseTerm is how often per term a holder renews its leases and other
 // processes check them.
@@ -69,26 +68,47 @@
 }
 
 // AcquireOrRenew reads the leases and requests those of the given pools that
-// are free or already our own. It stops at the first error; leases granted
-// before remain valid until their terms end.
+// are free or already our own. A pool whose request fails doesn't keep the
+// others from being renewed; the error joins those of all pools.
 func (m *Manager) AcquireOrRenew(ctx context.Context, pools []string) error {
 	if err := m.read(ctx); err != nil {
 		return err
 	}
+	var errs []error
 	for _, pool := range pools {
 		decision := Decide(m.self, m.observed[pool], m.clock())
 		if !decision.Acquire {
 			continue
 		}
 		if err := m.acquire(ctx, pool, decision); err != nil {
-			return err
+			errs = append(errs, fmt.Errorf("lease: pool %s: %w", pool, err))
+		}
+		if ctx.Err() != nil {
+			break
 		}
 	}
-	return nil
+	return errors.Join(errs...)
+}
+
+// ReadAll reads the rows of all leases.
+func ReadAll(ctx context.Context, table backing.Table) ([]backing.Row, error) {
+	var all []backing.Row
+	after := ""
+	for {
+		rows, err := table.Scan(ctx, Partition, after, pageSize)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, rows...)
+		if len(rows) < pageSize {
+			return all, nil
+		}
+		after = rows[len(rows)-1].Sort
+	}
 }
 
 func (m *Manager) read(ctx context.Context) error {
-	rows, err := m.table.Scan(ctx, Partition, "", MaxLeases)
+	rows, err := ReadAll(ctx, m.table)
 	if err != nil {
 		return err
 	}
--- a/internal/query/leases/leases.go
+++ b/internal/query/leases/leases.go
@@ -20,7 +20,7 @@
 
 // List reads the leases. It can't tell whether a holder is still running.
 func List(ctx context.Context, table backing.Table) ([]Holder, error) {
-	rows, err := table.Scan(ctx, lease.Partition, "", lease.MaxLeases)
+	rows, err := lease.ReadAll(ctx, table)
 	if err != nil {
 		return nil, err
 	}
