load: a caller's first backoff is initialBackoff at most

Measured: TestFirstBackoffIsTheInitialOne fails without the change (20 ms where 10 ms is the ceiling), passes with it.

--- a/internal/load/caller/caller_test.go
+++ b/internal/load/caller/caller_test.go
@@ -220,3 +220,10 @@
 	assert.Equal(t, pickEntry(entries, rank("1", "2"), 1), "3")
 	assert.Equal(t, pickEntry(entries, rank("1", "1", "2", "3"), 0), "2")
 }
+
+// Guards against a first retry that waits up to twice as long as it should.
+func TestFirstBackoffIsTheInitialOne(t *testing.T) {
+	assert.Equal(t, backoff(1, 1), initialBackoff)
+	assert.Equal(t, backoff(2, 1), 2*initialBackoff)
+	assert.Equal(t, backoff(20, 1), maxBackoff)
+}
--- a/internal/load/caller/retry.go
+++ b/internal/load/caller/retry.go
@@ -57,9 +57,10 @@
 	return retryDecision{retry: tries < maxTries && wait < left, wait: wait}
 }
 
-// backoff is exponential with full jitter; jitter is a random number from 0 to 1.
+// backoff is exponential with full jitter; jitter is a random number from 0 to 1, tries the
+// number of tries so far, from 1.
 func backoff(tries int, jitter float64) time.Duration {
-	ceiling := min(initialBackoff<<min(tries, 10), maxBackoff)
+	ceiling := min(initialBackoff<<min(tries-1, 10), maxBackoff)
 	return time.Duration(jitter * float64(ceiling))
 }
 
