load: customers don't share prompts because their names are equally long

Measured: TestCustomersHavePrefixesOfTheirOwn fails without the change, passes with it. Experiments with prefixes weren't measured anew.

--- a/internal/load/experiment/experiment_test.go
+++ b/internal/load/experiment/experiment_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 
 	"github.com/vanillagate/vanillagate/internal/load/caller"
 	"github.com/vanillagate/vanillagate/internal/load/runner"
+	"github.com/vanillagate/vanillagate/internal/load/shape"
 )
 
 const experimentsDir = "../../../experiments"
@@ -152,3 +155,14 @@
 		assert.ErrorContains(t, err, c.want)
 	}
 }
+
+// Guards against customers that share cached prompts only because their names are equally long.
+func TestCustomersHavePrefixesOfTheirOwn(t *testing.T) {
+	mix := shape.Mix{InputWords: 100, Prefixes: 1}
+	words := func(customer string) string {
+		text := generateInput(mix, rand.New(rand.NewPCG(1, 1)), customer, "r")
+		return strings.TrimPrefix(text, customer)
+	}
+	assert.Assert(t, words("granite") != words("quartzy"))
+	assert.Equal(t, words("granite"), words("granite"))
+}
--- a/internal/load/experiment/input.go
+++ b/internal/load/experiment/input.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"strings"
 
@@ -26,7 +27,7 @@
 	length := max(m.InputWords, 1)
 	if m.Prefixes > 0 {
 		prefixIndex := random.IntN(m.Prefixes)
-		prefix := rand.New(rand.NewPCG(uint64(prefixIndex), uint64(len(customer))))
+		prefix := rand.New(rand.NewPCG(uint64(prefixIndex), hashOf(customer)))
 		fmt.Fprintf(&text, "%s record %d ", customer, prefixIndex)
 		writeWords(&text, prefix, length*sharedPrefixTenths/10)
 		length -= length * sharedPrefixTenths / 10
@@ -37,6 +38,12 @@
 	return text.String()
 }
 
+func hashOf(customer string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(customer)) // never fails
+	return h.Sum64()
+}
+
 func writeWords(text *strings.Builder, random *rand.Rand, count int) {
 	for range count {
 		text.WriteString(vocabulary[random.IntN(len(vocabulary))])
