--- a/internal/load/experiment/experiment_test.go
+++ b/internal/load/experiment/experiment_test.go
@@ -156,6 +156,14 @@
 	}
 }
 
+// Guards against a quick run that sends no request because its scenario has no quick variant.
+func TestScenarioWithoutQuickVariantIsRunInFull(t *testing.T) {
+	s := Scenario{DurationMS: 8000}
+	assert.Equal(t, s.Duration(true), 8*time.Second)
+	s.QuickDurationMS = 2500
+	assert.Equal(t, s.Duration(true), 2500*time.Millisecond)
+}
+
 // Guards against customers that share cached prompts only because their names are equally long.
 func TestCustomersHavePrefixesOfTheirOwn(t *testing.T) {
 	mix := shape.Mix{InputWords: 100, Prefixes: 1}
--- a/internal/load/experiment/scenario.go
+++ b/internal/load/experiment/scenario.go
@@ -291,9 +291,10 @@
 	return slices.ContainsFunc(s.Shape.Customers, func(c shape.Customer) bool { return c.Contract.Customer == name })
 }
 
-// Duration returns how long requests are sent.
+// Duration returns how long requests are sent. A scenario without a quick variant is run in
+// full.
 func (s *Scenario) Duration(quick bool) time.Duration {
-	if quick {
+	if quick && s.QuickDurationMS > 0 {
 		return time.Duration(s.QuickDurationMS) * time.Millisecond
 	}
 	return time.Duration(s.DurationMS) * time.Millisecond
