--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -30,6 +30,7 @@
 	listentest.Dial(t, l.Addr().String(), callers)
 	closed := make(chan error, 1)
 	go func() { closed <- l.Close() }()
+	time.Sleep(20 * time.Millisecond) // Close comes first
 	accepted := 0
 	for {
 		conn, err := l.Accept()
