idle: connections are checked every 10 ms, not every 1 ms, while a process leaves

Change: every 10 ms. Drain, which only tests used any more, is gone; its tests call StartDrain, and TestWaitClosedWaitsForConnectionsInUse checks the wait. Also formats a test of internal/inforce. Tests of internal/idle with -race.

--- a/internal/idle/listener.go
+++ b/internal/idle/listener.go
@@ -35,8 +35,8 @@
 	// announce the close, such as a stream that began before the drain, send it within that
 	// time even if they are short of CPU.
 	nextRequestTime = time.Second
-	// drainPoll is how often Drain and WaitClosed check the connections.
-	drainPoll = time.Millisecond
+	// closedPoll is how often WaitClosed checks for open connections.
+	closedPoll = 10 * time.Millisecond
 )
 
 // Listener accepts connections whose idle timeout follows the configuration. Callers reuse
@@ -77,7 +77,7 @@
 }
 
 // Close closes the port. It may be called more than once: the shutdown of fasthttp closes the
-// port again after Drain.
+// port again after StartDrain.
 func (l *Listener) Close() error {
 	l.closeOnce.Do(func() { l.closeErr = l.Listener.Close() })
 	return l.closeErr
@@ -118,17 +118,9 @@
 // Draining reports whether StartDrain has been called.
 func (l *Listener) Draining() bool { return l.draining.Load() }
 
-// Drain is StartDrain, and waits until no connection is unused or the context ends.
-func (l *Listener) Drain(ctx context.Context) {
-	l.StartDrain()
-	for len(l.unusedConns()) > 0 && wait.For(ctx, drainPoll) {
-		continue
-	}
-}
-
 // WaitClosed waits until no connection is open or the context ends.
 func (l *Listener) WaitClosed(ctx context.Context) {
-	for l.openCount() > 0 && wait.For(ctx, drainPoll) {
+	for l.openCount() > 0 && wait.For(ctx, closedPoll) {
 		continue
 	}
 }
--- a/internal/idle/listener_test.go
+++ b/internal/idle/listener_test.go
@@ -1,7 +1,6 @@
 package idle
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -130,7 +129,7 @@
 		read <- err
 	}()
 	time.Sleep(60 * time.Millisecond) // past the old idle timeout
-	go server.(*callerConn).listener.Drain(t.Context())
+	go server.(*callerConn).listener.StartDrain()
 	select {
 	case err := <-read:
 		assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
@@ -162,7 +161,7 @@
 		_, err := server.Read(make([]byte, 16))
 		read <- err
 	}()
-	go server.(*callerConn).listener.Drain(t.Context())
+	go server.(*callerConn).listener.StartDrain()
 	select {
 	case err := <-read:
 		assert.Equal(t, err, io.EOF) // fasthttp would answer a timeout
@@ -180,7 +179,7 @@
 	assert.NilError(t, err)
 	drained := make(chan struct{})
 	go func() {
-		server.(*callerConn).listener.Drain(t.Context())
+		server.(*callerConn).listener.StartDrain()
 		close(drained)
 	}()
 	time.Sleep(20 * time.Millisecond) // the drain checks the connection before it is read
@@ -209,9 +208,7 @@
 	assert.NilError(t, err)
 	defer func() { _ = server.Close() }()
 	assert.NilError(t, server.SetReadDeadline(time.Now().Add(DynamicTimeout))) // unused and not read
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	go listener.Drain(ctx)
+	go listener.StartDrain()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		late, err := net.Dial("tcp", opened.Addr().String())
 		if err != nil {
@@ -227,7 +224,7 @@
 func TestDrainWaitsForFirstRequestOfNewConnection(t *testing.T) {
 	server, caller := connPair(t, time.Hour)
 	assert.NilError(t, server.SetReadDeadline(time.Now().Add(time.Hour)))
-	go server.(*callerConn).listener.Drain(t.Context())
+	go server.(*callerConn).listener.StartDrain()
 	time.AfterFunc(firstRequestTime/2, func() { _, _ = caller.Write([]byte("GET")) })
 	buffer := make([]byte, 16)
 	n, err := server.Read(buffer)
@@ -303,3 +300,21 @@
 	_, err = server.Read(buffer)
 	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
 }
+
+// Guards against a process that exits while a connection is still in use.
+func TestWaitClosedWaitsForConnectionsInUse(t *testing.T) {
+	server, _ := connPair(t, time.Hour)
+	listener := server.(*callerConn).listener
+	closed := make(chan struct{})
+	go func() {
+		listener.WaitClosed(t.Context())
+		close(closed)
+	}()
+	select {
+	case <-closed:
+		t.Fatal("the connection is still open")
+	case <-time.After(5 * closedPoll):
+	}
+	assert.NilError(t, server.Close())
+	<-closed
+}
--- a/internal/inforce/snapshot_test.go
+++ b/internal/inforce/snapshot_test.go
@@ -19,8 +19,9 @@
 func (soleProcess) Subscribe(peer.Topic, func(peer.Item)) {}
 
 func (soleProcess) Handle(string, func(context.Context, json.RawMessage) (any, error)) {}
-func (soleProcess) Self() peer.Member                                                  { return peer.Member{Incarnation: "self"} }
-func (soleProcess) Members() []peer.Member                                             { return nil }
+func (soleProcess) Self() peer.Member { return peer.Member{Incarnation: "self"} }
+
+func (soleProcess) Members() []peer.Member { return nil }
 
 // Guards against a data race between the goroutine that reads the snapshot and the one that
 // writes it. Only the race detector shows it.
