--- a/internal/inforce/snapshot_test.go
+++ b/internal/inforce/snapshot_test.go
@@ -19,6 +19,7 @@
 func (soleProcess) Subscribe(peer.Topic, func(peer.Item)) {}
 
 func (soleProcess) Handle(string, func(context.Context, json.RawMessage) (any, error)) {}
+
 func (soleProcess) Self() peer.Member { return peer.Member{Incarnation: "self"} }
 
 func (soleProcess) Members() []peer.Member { return nil }
