--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -106,7 +106,7 @@
 	}
 	l.closing.Store(true)
 	if err := tcp.SetDeadline(time.Unix(1, 0)); err != nil { // ends a waiting Accept
-		return l.closeNow()
+		return l.forceClose()
 	}
 	for range closeChecks {
 		if closed, err := l.tryClose(tcp); closed {
@@ -115,7 +115,7 @@
 		time.Sleep(closeCheckInterval)
 	}
 	l.Log.Warn("Port closed with connections that weren't accepted; they are reset.", zap.Stringer("address", l.Addr()))
-	return l.closeNow()
+	return l.forceClose()
 }
 
 // tryClose closes the port if its accept queue is empty, and reports whether it is closed.
@@ -135,13 +135,17 @@
 	if waiting {
 		return nil
 	}
-	l.closed = true
-	return errors.Join(err, l.Listener.Close())
+	return errors.Join(err, l.closeLocked())
 }
 
-func (l *Listener) closeNow() error {
+func (l *Listener) forceClose() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.closeLocked()
+}
+
+// closeLocked closes the port unless it is closed already. The caller holds mu.
+func (l *Listener) closeLocked() error {
 	if l.closed {
 		return nil
 	}
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -22,8 +22,7 @@
 	return &Listener{Listener: opened, Log: log}
 }
 
-// Guards against resetting connections that are still in the accept queue when the port is
-// closed: their callers have connected and may have sent a request.
+// Guards against resetting connections that are still in the accept queue when the port closes.
 func TestCloseResetsNoQueuedConnection(t *testing.T) {
 	const callers = 50
 	l := listen(t, zap.NewNop())
@@ -61,8 +60,7 @@
 	assert.NilError(t, l.Close())
 }
 
-// Guards against a shutdown that never ends because nobody accepts the connections in the
-// queue. The log must say that they are reset.
+// Guards against a shutdown that never ends, or resets silently, because nobody accepts.
 func TestCloseEndsIfNobodyAccepts(t *testing.T) {
 	logged, logs := observer.New(zap.WarnLevel)
 	l := listen(t, zap.New(logged))
--- a/internal/backing/backing.go
+++ b/internal/backing/backing.go
@@ -75,6 +75,26 @@
 	Commit(ctx context.Context, writes []Write) ([]Conflict, error)
 }
 
+// ScanAll calls visit for all rows of a partition whose Sort is greater than after, in order. It
+// reads pageSize rows at a time, and ends at the first error, also of visit.
+func ScanAll(ctx context.Context, table Table, partition, after string, pageSize int, visit func(Row) error) error {
+	for {
+		rows, err := table.Scan(ctx, partition, after, pageSize)
+		if err != nil {
+			return err
+		}
+		for _, row := range rows {
+			if err := visit(row); err != nil {
+				return err
+			}
+			after = row.Sort
+		}
+		if len(rows) < pageSize {
+			return nil
+		}
+	}
+}
+
 // ObjectStore stores objects by name.
 type ObjectStore interface {
 	Get(ctx context.Context, name string) ([]byte, error)
--- a/internal/command/lease/lease_test.go
+++ b/internal/command/lease/lease_test.go
@@ -174,8 +174,7 @@
 	assert.Assert(t, holds, "the other pool's lease wasn't renewed")
 }
 
-// Guards against leases beyond the first page that are never read: a pool whose lease is held
-// by another process would look free, and its own could not be renewed.
+// Guards against leases beyond the first page that are never read, and look free.
 func TestLeasesBeyondTheFirstPageAreRead(t *testing.T) {
 	store := memory.New()
 	a, b := newProcess(store, "a"), newProcess(store, "b")
--- a/internal/command/lease/manager.go
+++ b/internal/command/lease/manager.go
@@ -90,35 +90,13 @@
 	return errors.Join(errs...)
 }
 
-// ReadAll reads the rows of all leases.
-func ReadAll(ctx context.Context, table backing.Table) ([]backing.Row, error) {
-	var all []backing.Row
-	after := ""
-	for {
-		rows, err := table.Scan(ctx, Partition, after, pageSize)
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, rows...)
-		if len(rows) < pageSize {
-			return all, nil
-		}
-		after = rows[len(rows)-1].Sort
-	}
+// VisitAll calls visit for the row of each lease, and ends at its first error.
+func VisitAll(ctx context.Context, table backing.Table, visit func(backing.Row) error) error {
+	return backing.ScanAll(ctx, table, Partition, "", pageSize, visit)
 }
 
 func (m *Manager) read(ctx context.Context) error {
-	rows, err := ReadAll(ctx, m.table)
-	if err != nil {
-		return err
-	}
-	now := m.clock()
-	for _, row := range rows {
-		if err := m.observe(row, now); err != nil {
-			return err
-		}
-	}
-	return nil
+	return VisitAll(ctx, m.table, func(row backing.Row) error { return m.observe(row, m.clock()) })
 }
 
 func (m *Manager) observe(row backing.Row, now Instant) error {
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -57,8 +57,7 @@
 	assert.NilError(t, <-ended)
 }
 
-// Guards against a caller that gets no answer, or one that tells it not to retry, because it
-// is still sending its headers when the process shuts down.
+// Guards against a caller, still sending at the shutdown, that gets no answer or one against a retry.
 func TestRequestStillBeingSentIsAnsweredAfterTheReadTimeout(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -195,7 +195,7 @@
 	}
 	var answer *target.Answer
 	if sc.route.NonIdempotent {
-		answer, prob = s.runNonIdempotent(runCtx, sc, func() *problem.Problem { return checkCallerPresent(ctx) })
+		answer, prob = s.runNonIdempotent(runCtx, ctx, sc)
 	} else {
 		answer, prob = s.dispatch(runCtx, sc, sendConditions{})
 	}
@@ -225,12 +225,12 @@
 // outcome. It isn't sent if its caller has left by the time it is claimed: the
 // claim may take long, and the caller may have been told by another VM in the
 // meantime that nothing ran.
-func (s *Server) runNonIdempotent(ctx context.Context, sc *serviceCall, checkCaller func() *problem.Problem) (*target.Answer, *problem.Problem) {
+func (s *Server) runNonIdempotent(runCtx context.Context, ctx *fasthttp.RequestCtx, sc *serviceCall) (*target.Answer, *problem.Problem) {
 	visibleAt, visible := s.lastVisibleToPeers(sc)
 	if !visible {
 		return nil, lateClaimProblem()
 	}
-	out := s.claims.ClaimOrWait(ctx, claim.Request{
+	out := s.claims.ClaimOrWait(runCtx, claim.Request{
 		Identity:  claim.Identity{Customer: sc.contract.Customer, IdempotencyKey: sc.key},
 		RequestID: sc.id, Incarnation: s.opts.Network.Self().Incarnation,
 		Fingerprint: claim.FingerprintOf(sc.method, sc.name+sc.path, sc.body),
@@ -243,13 +243,13 @@
 		s.claims.ReleaseAsync(out.Grant)
 		return nil, lateClaimProblem()
 	}
-	if prob := checkCaller(); prob != nil {
+	if prob := checkCallerPresent(ctx); prob != nil {
 		s.claims.ReleaseAsync(out.Grant)
 		return nil, prob
 	}
 	// The client checks the time limit again right before it sends, because the
 	// process may be frozen in between.
-	answer, prob := s.dispatch(ctx, sc, sendConditions{token: uint64(out.Grant.Token), notAfter: sendBefore})
+	answer, prob := s.dispatch(runCtx, sc, sendConditions{token: uint64(out.Grant.Token), notAfter: sendBefore})
 	switch {
 	case prob == nil:
 		s.claims.FinishAsync(out.Grant, claim.Answer{
--- a/internal/idle/listener.go
+++ b/internal/idle/listener.go
@@ -94,9 +94,7 @@
 func (l *Listener) StartDrain() {
 	l.draining.Store(true)
 	_ = l.Close() // fails only if it is already closed
-	for _, c := range l.unusedConns() {
-		c.expireIfUnused()
-	}
+	l.applyDeadlines()
 }
 
 // EndWaits ends the waiting for what callers may still send, because the process is about to
@@ -104,15 +102,16 @@
 // a timeout, so that the request can be refused.
 func (l *Listener) EndWaits() {
 	l.ending.Store(true)
-	for _, c := range l.openConns() {
-		c.endWait()
-	}
+	l.applyDeadlines()
 }
 
-func (l *Listener) openConns() []*callerConn {
+func (l *Listener) applyDeadlines() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return slices.Collect(maps.Keys(l.open))
+	conns := slices.Collect(maps.Keys(l.open))
+	l.mu.Unlock()
+	for _, c := range conns {
+		c.applyDeadline()
+	}
 }
 
 // Draining reports whether StartDrain has been called.
@@ -131,18 +130,6 @@
 	return len(l.open)
 }
 
-func (l *Listener) unusedConns() []*callerConn {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var list []*callerConn
-	for c := range l.open {
-		if c.isUnused() {
-			list = append(list, c)
-		}
-	}
-	return list
-}
-
 func (l *Listener) remove(c *callerConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -180,13 +167,20 @@
 		c.minIdleTimeout = c.listener.IdleTimeout()
 	}
 	c.deadline = t
+	return c.TCPConn.SetReadDeadline(c.currentDeadline())
+}
+
+// currentDeadline returns the read deadline to apply: the one that fasthttp set, or an earlier
+// one while the listener drains. The caller holds mu.
+func (c *callerConn) currentDeadline() time.Time {
 	switch {
-	case c.unusedLocked() && c.listener.draining.Load():
-		t = c.drainDeadline()
 	case c.listener.ending.Load():
-		t = time.Now()
+		return time.Now()
+	case c.unusedLocked() && c.listener.draining.Load():
+		return c.drainDeadline()
+	default:
+		return c.deadline
 	}
-	return c.TCPConn.SetReadDeadline(t)
 }
 
 // idleEnd returns when the idle timeout ends. The caller holds mu.
@@ -197,16 +191,11 @@
 // drainDeadline returns until when an unused connection waits for a request while the listener
 // drains. The caller holds mu.
 func (c *callerConn) drainDeadline() time.Time {
-	now := time.Now()
-	until := now
-	switch {
-	case c.listener.ending.Load():
-	case c.nothingRead:
+	until := c.idleSince.Add(nextRequestTime)
+	if c.nothingRead {
 		until = c.accepted.Add(firstRequestTime)
-	case c.idle:
-		until = c.idleSince.Add(nextRequestTime)
 	}
-	if until.Before(now) {
+	if now := time.Now(); until.Before(now) {
 		return now
 	}
 	return until
@@ -251,10 +240,7 @@
 		return nil
 	}
 	c.nothingRead = false
-	if c.listener.ending.Load() {
-		return c.TCPConn.SetReadDeadline(time.Now())
-	}
-	return c.TCPConn.SetReadDeadline(c.deadline)
+	return c.TCPConn.SetReadDeadline(c.currentDeadline())
 }
 
 // extendForPendingData extends the deadline to read data that has arrived on an unused
@@ -291,26 +277,11 @@
 // unusedLocked reports whether the connection waits for a request. The caller holds mu.
 func (c *callerConn) unusedLocked() bool { return c.nothingRead || c.idle }
 
-func (c *callerConn) isUnused() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.unusedLocked()
-}
-
-// expireIfUnused ends the wait for a request that hasn't arrived.
-func (c *callerConn) expireIfUnused() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.unusedLocked() {
-		_ = c.TCPConn.SetReadDeadline(c.drainDeadline()) // fails only on a closed connection
-	}
-}
-
-// endWait ends a read that waits for the caller.
-func (c *callerConn) endWait() {
+// applyDeadline applies the deadline that holds since the listener drains.
+func (c *callerConn) applyDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_ = c.TCPConn.SetReadDeadline(time.Now()) // fails only on a closed connection
+	_ = c.TCPConn.SetReadDeadline(c.currentDeadline()) // fails only on a closed connection
 }
 
 // Close closes the connection.
--- a/internal/idle/listener_test.go
+++ b/internal/idle/listener_test.go
@@ -36,6 +36,15 @@
 	return server, caller
 }
 
+// receiveFirstBytes has the caller send the first bytes of a request, and reads them.
+func receiveFirstBytes(t *testing.T, server, caller net.Conn) {
+	t.Helper()
+	_, err := caller.Write([]byte("GET"))
+	assert.NilError(t, err)
+	_, err = server.Read(make([]byte, 16))
+	assert.NilError(t, err)
+}
+
 // The process stalls: it is frozen or has used up its CPU share. A request arrives on an idle
 // connection in time, and the idle timeout passes before the process reads it. The request
 // must be served; if the connection were closed, the caller would get no answer.
@@ -97,15 +106,12 @@
 	idleTimeout.Store(int64(400 * time.Millisecond))
 	server, caller := connPairWithIdleTimeout(t, func() time.Duration { return time.Duration(idleTimeout.Load()) })
 	assert.NilError(t, server.SetReadDeadline(time.Now().Add(time.Hour))) // waiting for the first request
-	_, err := caller.Write([]byte("GET"))
-	assert.NilError(t, err)
+	receiveFirstBytes(t, server, caller)
 	buffer := make([]byte, 16)
-	_, err = server.Read(buffer)
-	assert.NilError(t, err)
 	idleTimeout.Store(int64(20 * time.Millisecond)) // while the request is answered
 	begun := time.Now()
 	assert.NilError(t, server.SetReadDeadline(begun.Add(DynamicTimeout)))
-	_, err = server.Read(buffer)
+	_, err := server.Read(buffer)
 	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
 	assert.Assert(t, time.Since(begun) >= 390*time.Millisecond, "%v", time.Since(begun))
 }
@@ -116,11 +122,8 @@
 	var idleTimeout atomic.Int64
 	idleTimeout.Store(int64(20 * time.Millisecond))
 	server, caller := connPairWithIdleTimeout(t, func() time.Duration { return time.Duration(idleTimeout.Load()) })
-	_, err := caller.Write([]byte("GET"))
-	assert.NilError(t, err)
+	receiveFirstBytes(t, server, caller)
 	buffer := make([]byte, 16)
-	_, err = server.Read(buffer)
-	assert.NilError(t, err)
 	assert.NilError(t, server.SetReadDeadline(time.Now().Add(DynamicTimeout)))
 	idleTimeout.Store(int64(time.Hour))
 	read := make(chan error, 1)
@@ -232,15 +235,11 @@
 	assert.Equal(t, string(buffer[:n]), "GET")
 }
 
-// Guards against dropping a request that follows an answer which didn't announce the close:
-// the caller sends it while the listener drains.
+// Guards against dropping the request after an answer that didn't announce the close.
 func TestDrainReadsTheRequestThatFollowsAnAnswer(t *testing.T) {
 	server, caller := connPair(t, time.Hour)
-	_, err := caller.Write([]byte("GET"))
-	assert.NilError(t, err)
+	receiveFirstBytes(t, server, caller)
 	buffer := make([]byte, 16)
-	_, err = server.Read(buffer)
-	assert.NilError(t, err)
 	server.(*callerConn).listener.StartDrain()
 	assert.NilError(t, server.SetReadDeadline(time.Now().Add(DynamicTimeout))) // the answer has been written
 	time.AfterFunc(nextRequestTime/2, func() { _, _ = caller.Write([]byte("PUT")) })
@@ -252,39 +251,31 @@
 // Guards against a shutdown that waits for connections whose callers send nothing more.
 func TestDrainEndsConnectionThatWasUsedLongAgo(t *testing.T) {
 	server, caller := connPair(t, time.Hour)
-	_, err := caller.Write([]byte("GET"))
-	assert.NilError(t, err)
+	receiveFirstBytes(t, server, caller)
 	buffer := make([]byte, 16)
-	_, err = server.Read(buffer)
-	assert.NilError(t, err)
 	assert.NilError(t, server.SetReadDeadline(time.Now().Add(DynamicTimeout)))
 	time.Sleep(nextRequestTime)
 	began := time.Now()
 	server.(*callerConn).listener.StartDrain()
-	_, err = server.Read(buffer)
+	_, err := server.Read(buffer)
 	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
 	assert.Assert(t, time.Since(began) < nextRequestTime/2, "%v", time.Since(began))
 }
 
-// Guards against a caller that gets no answer because it is still sending its request when
-// the process exits: the read must end, so that the request can be refused.
+// Guards against a read that has no answer to give, because it goes on until the process exits.
 func TestEndOfWaitsEndsAPartialRead(t *testing.T) {
 	server, caller := connPair(t, time.Hour)
 	assert.NilError(t, server.SetReadDeadline(time.Now().Add(time.Hour)))
-	_, err := caller.Write([]byte("GET"))
-	assert.NilError(t, err)
+	receiveFirstBytes(t, server, caller)
 	buffer := make([]byte, 16)
-	_, err = server.Read(buffer)
-	assert.NilError(t, err)
 	listener := server.(*callerConn).listener
 	listener.StartDrain()
 	time.AfterFunc(20*time.Millisecond, listener.EndWaits)
-	_, err = server.Read(buffer)
+	_, err := server.Read(buffer)
 	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
 }
 
-// Guards against a first request that arrives in part just before the process exits, and is
-// waited for until the read timeout.
+// Guards against a first request, read in part before the exit, that is waited for until its timeout.
 func TestPartialRequestAtTheEndOfWaitsIsNotWaitedFor(t *testing.T) {
 	server, caller := connPair(t, time.Hour)
 	listener := server.(*callerConn).listener
--- a/internal/inforce/snapshot_test.go
+++ b/internal/inforce/snapshot_test.go
@@ -24,8 +24,7 @@
 
 func (soleProcess) Members() []peer.Member { return nil }
 
-// Guards against a data race between the goroutine that reads the snapshot and the one that
-// writes it. Only the race detector shows it.
+// Guards against a data race, seen by the race detector only, of the snapshot's reader and writer.
 func TestSnapshotIsReadAndWrittenConcurrently(t *testing.T) {
 	store := memory.New()
 	k := New(Options{
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -189,8 +189,7 @@
 	assert.DeepEqual(t, table.Digest(), NewTable(self, testTimeouts).Digest())
 }
 
-// Guards against a digest that doesn't follow a rejected claim of a death: processes with the
-// same records would compare them again and again.
+// Guards against processes with equal records whose digests differ after a rejected claim of a death.
 func TestDigestFollowsARejectedDeathClaim(t *testing.T) {
 	x := record("x", 1)
 	rejected, direct := NewTable(self, testTimeouts), NewTable(self, testTimeouts)
--- a/internal/pipeline/withdrawn_test.go
+++ b/internal/pipeline/withdrawn_test.go
@@ -48,8 +48,7 @@
 	}, now)
 }
 
-// Guards against losing a third target: a peer's evidence withdraws the attempt, whose target
-// crashes a moment later, and the crash isn't recorded.
+// Guards against losing a third target because the crash of a withdrawn attempt isn't recorded.
 func TestCrashAfterWithdrawalIsRecorded(t *testing.T) {
 	evidence := &sharedEvidence{table: suspect.NewTable("self")}
 	request := singleStageRequest(3)
--- a/internal/query/costs/costs.go
+++ b/internal/query/costs/costs.go
@@ -123,7 +123,7 @@
 		return Report{}, err
 	}
 	for _, writer := range writers {
-		err := scan(ctx, table, Partition(writer), "", func(row backing.Row) error {
+		err := backing.ScanAll(ctx, table, Partition(writer), "", pageSize, func(row backing.Row) error {
 			return addRow(sums, row, since, until)
 		})
 		if err != nil {
@@ -137,7 +137,7 @@
 // the day of since or later.
 func writersSince(ctx context.Context, table backing.Table, since time.Time) ([]peer.Incarnation, error) {
 	var writers []peer.Incarnation
-	err := scan(ctx, table, PartitionIndex, since.UTC().Format(dayFormat), func(row backing.Row) error {
+	err := backing.ScanAll(ctx, table, PartitionIndex, since.UTC().Format(dayFormat), pageSize, func(row backing.Row) error {
 		var body IndexRow
 		if err := json.Unmarshal(row.Body, &body); err != nil {
 			return fmt.Errorf("costs: index row %s: %w", row.Sort, err)
@@ -149,24 +149,6 @@
 	return slices.Compact(writers), err
 }
 
-func scan(ctx context.Context, table backing.Table, partition, after string, visit func(backing.Row) error) error {
-	for {
-		rows, err := table.Scan(ctx, partition, after, pageSize)
-		if err != nil {
-			return err
-		}
-		for _, row := range rows {
-			if err := visit(row); err != nil {
-				return err
-			}
-			after = row.Sort
-		}
-		if len(rows) < pageSize {
-			return nil
-		}
-	}
-}
-
 func addRow(sums map[Key]*Amount, row backing.Row, since, until time.Time) error {
 	var body Row
 	if err := json.Unmarshal(row.Body, &body); err != nil {
--- a/internal/query/leases/leases.go
+++ b/internal/query/leases/leases.go
@@ -20,17 +20,17 @@
 
 // List reads the leases. It can't tell whether a holder is still running.
 func List(ctx context.Context, table backing.Table) ([]Holder, error) {
-	rows, err := lease.ReadAll(ctx, table)
-	if err != nil {
-		return nil, err
-	}
-	all := make([]Holder, 0, len(rows))
-	for _, row := range rows {
+	all := []Holder{}
+	err := lease.VisitAll(ctx, table, func(row backing.Row) error {
 		body, err := lease.Decode(row)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		all = append(all, Holder{Pool: row.Sort, Holder: body.Holder, Token: row.Version, Released: body.Released})
+		return nil
+	})
+	if err != nil {
+		return nil, err
 	}
 	return all, nil
 }
--- a/internal/serve/gather/reserve_test.go
+++ b/internal/serve/gather/reserve_test.go
@@ -28,8 +28,7 @@
 	return nil
 }
 
-// Guards against a reservation that outlives its request because another gatherer ranks first
-// by the time it is cancelled: it keeps other requests out until its due time.
+// Guards against a reservation that stays because another gatherer ranks first when it is cancelled.
 func TestReservationIsCancelledWhereItWasMade(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		life, stop := context.WithCancel(context.Background())
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -161,8 +161,7 @@
 	}
 }
 
-// Guards against a call that is withdrawn and given up at once: whether its target survives
-// shows only when the target ends the connection.
+// Guards against giving up a withdrawn call before it shows whether its target survives.
 func TestWithdrawnCallIsReadUntilItsTargetEndsIt(t *testing.T) {
 	const shutdownTime = 100 * time.Millisecond
 	left := make(chan time.Time, 1)
--- a/test/not_run_test.go
+++ b/test/not_run_test.go
@@ -239,14 +239,21 @@
 	c.assertExecution("nobody has the key", r.key, sendNow(c.entries[1].address, r), problem.NotRun)
 }
 
-// Guards against a booking that runs long after its caller has left: the VM read
-// it in time, but its claim had to wait for the table service.
-func TestBookingAbandonedWhileItIsClaimedDoesNotRun(t *testing.T) {
-	t.Parallel()
+// startClusterWithFrozenTable starts two entry VMs. What the first sends to the table service
+// is held up by the returned relay.
+func startClusterWithFrozenTable(t *testing.T) (*cluster, *entryVM, *relay.Relay) {
+	t.Helper()
 	c := startCluster(t, clusterOptions{entries: 2})
 	first, tableRelay := c.addTableRelay(c.entries[0])
 	c.waitEntriesKnown()
 	tableRelay.SetFaults(relay.Faults{FreezeToTarget: true})
+	return c, first, tableRelay
+}
+
+// Guards against a booking that runs after its caller has left, because its claim took long.
+func TestBookingAbandonedWhileItIsClaimedDoesNotRun(t *testing.T) {
+	t.Parallel()
+	c, first, tableRelay := startClusterWithFrozenTable(t)
 	r := bookingRequestWithTimeout(newKey(), 20*time.Second)
 	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 	defer cancel()
@@ -263,10 +270,7 @@
 // not take that for their answer that nobody has the key.
 func TestReplacedVMDoesNotReportNotRunBeforeItKnowsItsPeers(t *testing.T) {
 	t.Parallel()
-	c := startCluster(t, clusterOptions{entries: 2})
-	first, tableRelay := c.addTableRelay(c.entries[0])
-	c.waitEntriesKnown()
-	tableRelay.SetFaults(relay.Faults{FreezeToTarget: true})
+	c, first, tableRelay := startClusterWithFrozenTable(t)
 	r := bookingRequestWithTimeout(newKey(), 10*time.Second)
 	claimed := sendAsync(first.address, r)
 	c.entries[1].kill(t)
