--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -103,6 +103,7 @@
 		return nil, nil, j.recordRefusal(target, call, answer)
 	}
 	j.runs++
+	j.Metrics.count(series("vanillagate_target_answers", "framing", string(answer.Kind)))
 	return answer, call, nil
 }
 
@@ -200,7 +201,8 @@
 		}
 		call.End(outcome, time.Now())
 		j.reportBroken(target.Address)
-		j.Log.Info("Answer ended early.", requestID(j.req.ID), zap.String("target", target.ID), zap.Error(err))
+		j.Log.Info("Answer ended early.", requestID(j.req.ID), zap.String("target", target.ID),
+			zap.String("framing", string(answer.Kind)), zap.Error(err))
 		return attempt{target: target, mayHaveArrived: true, mayHaveRun: true, err: err}
 	}
 	outcome := pool.Answered
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -156,7 +156,7 @@
 // failOver resumes the stream at another target, if the route allows it, or ends it.
 func (s *stream) failOver(err error) {
 	j := s.job
-	from := s.target.ID
+	from, framedBy := s.target.ID, s.answer.Kind
 	outcome := pool.Failed
 	if j.ctx.Err() != nil {
 		outcome = pool.Abandoned
@@ -175,7 +175,7 @@
 			return
 		}
 	}
-	j.Log.Warn("Stream broke.", requestID(j.req.ID), zap.String("target", from),
+	j.Log.Warn("Stream broke.", requestID(j.req.ID), zap.String("target", from), zap.String("framing", string(framedBy)),
 		zap.String("after_event", s.lastEventID), zap.Duration("after", time.Since(j.req.Arrived)), zap.Error(err),
 		zap.NamedError("cause", context.Cause(j.ctx)))
 	s.partial = nil
