run: a stream that ends inside an event, or unframed before its first one, has broken off

Cause: the end of the framing was taken for the end of the stream. An answer without length or chunks ends with its connection, also if its engine crashes; fill passed the incomplete event on and ended the stream as complete. Chunks that an engine's server ends properly after a crash and a length that fits the rest had the same effect.

Change: events are found in any framing, with any line end and in reads of any size. Only complete events are forwarded on all routes, so the end of a broken stream is visible in a length, too; an event beyond 256 KiB is passed on in parts, and its stream isn't resumed. A stream that ends inside an event is resumed where its route allows it, else it is cut. An answer of another content type is passed on as it comes.

--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -1,16 +1,16 @@
 package run
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
-	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/framing"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
 )
@@ -18,17 +18,31 @@
 // readSize is the size of the read buffer; events are far smaller.
 const readSize = 2048
 
-// stream forwards events as they come. A resumable stream forwards complete events only: if
-// a target fails in the middle of an event, the next one sends it again, starting after the
-// last event that the caller has.
+// maxHeldBytes limits how much of an incomplete event is held back.
+const maxHeldBytes = 256 << 10
+
+// Errors of streams whose end is that of a complete answer as far as its framing tells.
+var (
+	errEndsInsideEvent = errors.New("stream ended inside an event")
+	errNoEvent         = errors.New("stream ended with its connection before its first event")
+)
+
+// stream forwards complete events as they come. If a target fails in the middle of an event, the
+// caller can tell from the framing that the answer is incomplete, and a resumable stream goes on
+// at another target after the last event that the caller has.
 type stream struct {
 	job    *job
 	target *pool.Target
 	answer *upstream.Answer
 	call   *pool.Call
 
-	pending     []byte // to be returned by Read
-	partial     []byte // incomplete event
+	pending []byte // to be returned by Read
+	// opaque is set if the answer isn't a series of events.
+	opaque  bool
+	events  eventScanner
+	partial []byte // incomplete event
+	// splitEvent is set while the caller has a part of an event that was too large to hold back.
+	splitEvent  bool
 	lastEventID string // id of the last event returned
 	started     bool
 	resumed     bool
@@ -42,7 +56,9 @@
 }
 
 func (j *job) stream(target *pool.Target, answer *upstream.Answer, call *pool.Call) *Reply {
-	s := &stream{job: j, target: target, answer: answer, call: call, lastEventID: j.req.LastEventID}
+	s := &stream{
+		job: j, target: target, answer: answer, call: call, lastEventID: j.req.LastEventID, opaque: !isEventStream(&answer.Header),
+	}
 	length := answer.Length
 	if j.route.Resumable {
 		length = -1 // the rest may come from another target
@@ -50,6 +66,14 @@
 	return &Reply{Status: answer.Status, Answer: &Answer{Header: endToEndHeaders(&answer.Header), Body: s, Length: length}}
 }
 
+// isEventStream reports whether an answer is a series of events, as it is unless it says
+// otherwise.
+func isEventStream(h *fasthttp.ResponseHeader) bool {
+	contentType, _, _ := strings.Cut(string(h.ContentType()), ";")
+	contentType = strings.TrimSpace(contentType)
+	return contentType == "" || strings.EqualFold(contentType, "text/event-stream")
+}
+
 // Read returns the next bytes of the stream.
 func (s *stream) Read(p []byte) (int, error) {
 	for len(s.pending) == 0 {
@@ -73,14 +97,30 @@
 		return
 	}
 	if errors.Is(err, io.EOF) {
-		s.pending = append(s.pending, s.partial...)
-		s.partial = nil
+		err = s.incomplete()
+	}
+	if err == nil {
 		s.end(io.EOF, pool.Answered)
 		return
 	}
 	s.failOver(err)
 }
 
+// incomplete returns why a stream is incomplete although its framing has ended; nil if it isn't.
+// A target that crashes may close its connection, or end its chunks, like one that is done.
+func (s *stream) incomplete() error {
+	switch {
+	case s.opaque:
+		return nil
+	case s.events.inside():
+		return errEndsInsideEvent
+	case s.answer.Kind == framing.Connection && !s.events.complete:
+		return errNoEvent
+	default:
+		return nil
+	}
+}
+
 func (s *stream) receive(data []byte) {
 	now := time.Now()
 	if !s.lastRead.IsZero() {
@@ -94,32 +134,25 @@
 			s.job.inputs.release()
 		}
 	}
-	if !s.job.route.Resumable {
-		s.pending = append(s.pending[:0], data...)
+	s.pending = s.pending[:0]
+	if s.opaque {
+		s.pending = append(s.pending, data...)
 		return
 	}
-	s.partial = append(s.partial, data...)
-	s.pending = s.pending[:0]
-	for {
-		end := eventEnd(s.partial)
-		if end == 0 {
-			return
+	for len(data) > 0 {
+		n, ended := s.events.next(data)
+		s.partial = append(s.partial, data[:n]...)
+		data = data[n:]
+		if ended {
+			s.emit(s.partial)
+			s.partial, s.splitEvent = s.partial[:0], false
 		}
-		s.emit(s.partial[:end])
-		s.partial = s.partial[end:]
 	}
-}
-
-// eventEnd returns the end of the first event, after its empty line; 0 if the event is
-// incomplete.
-func eventEnd(data []byte) int {
-	end := 0
-	for _, mark := range []string{"\n\n", "\r\n\r\n"} {
-		if i := bytes.Index(data, []byte(mark)); i >= 0 && (end == 0 || i+len(mark) < end) {
-			end = i + len(mark)
-		}
+	if !s.events.inside() || len(s.partial) > maxHeldBytes {
+		s.splitEvent = s.events.inside()
+		s.pending = append(s.pending, s.partial...)
+		s.partial = s.partial[:0]
 	}
-	return end
 }
 
 // emit adds an event to the output, unless the caller already has it.
@@ -134,25 +167,6 @@
 	s.pending = append(s.pending, event...)
 }
 
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			return string(bytes.TrimSpace(value))
-		}
-	}
-	return ""
-}
-
-// isLater reports whether event a comes after event b. Ids are increasing numbers.
-func isLater(a, b string) bool {
-	x, errX := strconv.ParseInt(a, 10, 64)
-	y, errY := strconv.ParseInt(b, 10, 64)
-	if errX != nil || errY != nil {
-		return a != b
-	}
-	return x > y
-}
-
 // failOver resumes the stream at another target, if the route allows it, or ends it.
 func (s *stream) failOver(err error) {
 	j := s.job
@@ -165,7 +179,7 @@
 	s.call.End(outcome, time.Now())
 	j.reportBroken(s.target.Address)
 	j.tried[s.target.ID] = true
-	for j.ctx.Err() == nil && j.route.Resumable && j.runs < j.route.Attempts && j.sends < maxSends {
+	for j.ctx.Err() == nil && s.resumable() && j.runs < j.route.Attempts && j.sends < maxSends {
 		if !j.Budget.TakeRetry(j.service, time.Now()) {
 			break
 		}
@@ -182,6 +196,9 @@
 	s.end(truncationError(j.ctx, err), outcome)
 }
 
+// resumable reports whether another target can go on after the last event that the caller has.
+func (s *stream) resumable() bool { return s.job.route.Resumable && !s.opaque && !s.splitEvent }
+
 // truncationError is never io.EOF: a stream that broke must not look complete.
 func truncationError(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
@@ -214,7 +231,7 @@
 		return false
 	}
 	s.target, s.answer, s.call = target, answer, call
-	s.partial = nil
+	s.partial, s.events = nil, eventScanner{}
 	s.started = false
 	s.resumed = s.lastEventID != ""
 	return true
