platform: an answer that ends with its connection is passed on without a length or chunks

What callers saw: an answer whose target had marked its end by nothing but the end of its connection came with a length, or with chunks and a last chunk. It claimed to be complete, which nobody knew: a target that crashes closes its connection, too.

Cause: readWhole, relay and stream forgot how the target had framed its answer, and fasthttp gives each body a length or chunks.

--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/framing"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
@@ -217,7 +218,7 @@
 	return attempt{target: target, mayHaveArrived: true, reply: &Reply{
 		Status: answer.Status,
 		Answer: &Answer{
-			Header: endToEndHeaders(&answer.Header), Length: buffered.Len(),
+			Header: endToEndHeaders(&answer.Header), Length: buffered.Len(), Unframed: answer.Kind == framing.Connection,
 			Body: io.NopCloser(strings.NewReader(buffered.String())),
 		},
 	}}
@@ -230,7 +231,9 @@
 		call.End(pool.Answered, time.Now())
 		j.cleanUp()
 	}}
-	return &Reply{Status: answer.Status, Answer: &Answer{Header: endToEndHeaders(&answer.Header), Body: body, Length: answer.Length}}
+	return &Reply{Status: answer.Status, Answer: &Answer{
+		Header: endToEndHeaders(&answer.Header), Body: body, Length: answer.Length, Unframed: answer.Kind == framing.Connection,
+	}}
 }
 
 // relayedBody is an answer body that releases its resources when it is closed.
