target, entry, claim: an unframed answer stays unframed, in kept copies, too

What callers saw: the answer of a plain service that had neither a length nor chunks came with a length, and the recorded answer of a call that runs once was returned with one from then on, even if the service had been cut off.

Change: the client of vanillagate's targets reads bodies through internal/framing like the other one (its own chunk and trailer reader is gone); Answer.Unframed goes with the answer, into a claim's row as an optional field, and to the caller. The streams of this front were safe: they want a finish reason and [DONE]. So were stage calls of both fronts: their answers are JSON objects, which can't be cut and still be parsed. Second fault found there: the body of a stream's error answer that was cut off passed for a whole one.

Evidence: with the former client TestUnframedAnswerIsMarked and TestCutErrorAnswerOfAStreamIsAFailure fail, now they pass.

--- a/internal/command/claim/claim.go
+++ b/internal/command/claim/claim.go
@@ -93,12 +93,15 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	// Unframed is set if only the end of its connection ended the target's answer.
+	Unframed bool
 }
 
 // RecordedAnswer is an Answer as stored in a claim's row.
 type RecordedAnswer struct {
 	Status      int    `json:"status"`
 	ContentType string `json:"content_type,omitempty"`
+	Unframed    bool   `json:"unframed,omitempty"`
 	// Body is the answer's body, unless it is stored in the object named
 	// Object.
 	Body   []byte `json:"body,omitempty"`
--- a/internal/command/claim/finish.go
+++ b/internal/command/claim/finish.go
@@ -160,7 +160,9 @@
 }
 
 func newRecordedAnswer(grant Grant, got Answer) RecordedAnswer {
-	recorded := RecordedAnswer{Status: got.Status, ContentType: got.ContentType, Size: len(got.Body), Sum: hexSHA256(got.Body)}
+	recorded := RecordedAnswer{
+		Status: got.Status, ContentType: got.ContentType, Unframed: got.Unframed, Size: len(got.Body), Sum: hexSHA256(got.Body),
+	}
 	if len(got.Body) <= maxInlineBytes {
 		recorded.Body = got.Body
 	} else {
@@ -198,7 +200,7 @@
 	if recorded == nil {
 		return nil, errBodyMismatch
 	}
-	got := &Answer{Status: recorded.Status, ContentType: recorded.ContentType, Body: recorded.Body}
+	got := &Answer{Status: recorded.Status, ContentType: recorded.ContentType, Body: recorded.Body, Unframed: recorded.Unframed}
 	if recorded.Object != "" {
 		body, err := objects.Get(ctx, recorded.Object)
 		if err != nil {
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"slices"
 	"strings"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/vanillagate/vanillagate/internal/command/claim"
 	"github.com/vanillagate/vanillagate/internal/config"
 	"github.com/vanillagate/vanillagate/internal/directory"
+	"github.com/vanillagate/vanillagate/internal/framing"
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/pipeline"
 	"github.com/vanillagate/vanillagate/internal/problem"
@@ -118,6 +121,10 @@
 	s.served(&sc.call)
 	ctx.SetStatusCode(answer.Status)
 	ctx.SetContentType(answer.ContentType)
+	if answer.Unframed {
+		framing.AnswerUnframed(ctx, io.NopCloser(bytes.NewReader(answer.Body)))
+		return
+	}
 	ctx.SetBody(answer.Body)
 }
 
@@ -253,7 +260,7 @@
 	switch {
 	case prob == nil:
 		s.claims.FinishAsync(out.Grant, claim.Answer{
-			Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body,
+			Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body, Unframed: answer.Unframed,
 		})
 	case prob.Execution == problem.NotRun:
 		s.claims.ReleaseAsync(out.Grant)
@@ -291,7 +298,9 @@
 func claimResponse(out claim.Outcome) (*target.Answer, *problem.Problem) {
 	switch {
 	case out.Result == claim.Taken && out.Answer != nil:
-		return &target.Answer{Status: out.Answer.Status, ContentType: out.Answer.ContentType, Body: out.Answer.Body}, nil
+		return &target.Answer{
+			Status: out.Answer.Status, ContentType: out.Answer.ContentType, Body: out.Answer.Body, Unframed: out.Answer.Unframed,
+		}, nil
 	case out.Result == claim.Taken && out.Finished:
 		return nil, problem.New(503, "outcome-unread", "The outcome can't be read",
 			"The request ran; its recorded answer can't be read now.", problem.Ran).WithRetryAfter(claimRetryAfter)
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -5,12 +5,12 @@
 package target
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"net/http/httputil"
 	"strconv"
 	"strings"
 	"time"
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/vanillagate/vanillagate/internal/conns"
+	"github.com/vanillagate/vanillagate/internal/framing"
 	"github.com/vanillagate/vanillagate/internal/problem"
 	"github.com/vanillagate/vanillagate/internal/targetapi"
 )
@@ -76,6 +77,9 @@
 	// Load is the target's load report that came with the answer; nil without
 	// one.
 	Load *targetapi.LoadReport
+	// Unframed is set if the answer had neither a length nor chunks. It may have
+	// been cut off, so the caller's must not claim to be complete either.
+	Unframed bool
 	// HasIdentity says that the answer carries the call's identity. Only an
 	// answer with an error status may lack it, since proxies in front of a
 	// target send such answers.
@@ -167,21 +171,41 @@
 		return nil, err
 	}
 	defer ex.finish()
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	resp.SkipBody = call.Method == fasthttp.MethodHead
-	if err := resp.ReadLimitBody(ex.conn.R, c.maxBody); err != nil {
+	var h fasthttp.ResponseHeader
+	if err := readHeader(ex.conn.R, &h); err != nil {
+		return nil, ex.failure(err)
+	}
+	body := framing.NewBody(ex.conn.R, &h, call.Method)
+	answer := answerFromHeader(&h)
+	answer.Unframed = body.Kind == framing.Connection
+	if answer.Body, err = c.readBody(body); err != nil {
 		return nil, ex.failure(err)
 	}
-	answer := answerFromHeader(&resp.Header)
-	answer.Body = append([]byte(nil), resp.Body()...)
-	answer.HasIdentity, err = checkIdentity(&resp.Header, call.Identity)
+	answer.HasIdentity, err = checkIdentity(&h, call.Identity)
 	// A connection that returned the answer to another call may return this
 	// call's answer to the next one.
-	ex.reusable = answer.HasIdentity && !resp.ConnectionClose()
+	ex.reusable = answer.HasIdentity && !h.ConnectionClose()
 	return answer, err
 }
 
+// readHeader reads the header of an answer and skips interim (1xx) answers.
+func readHeader(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	for {
+		if err := h.Read(r); err != nil || h.StatusCode() >= fasthttp.StatusOK {
+			return err
+		}
+	}
+}
+
+// readBody reads a whole body.
+func (c *Client) readBody(body *framing.Body) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, int64(c.maxBody)+1))
+	if err == nil && len(data) > c.maxBody {
+		err = fasthttp.ErrBodyTooLarge
+	}
+	return data, err
+}
+
 // exchange is one call on one connection.
 type exchange struct {
 	client        *Client
@@ -348,11 +372,8 @@
 type Stream struct {
 	Answer *Answer
 	ex     *exchange
-	body   io.Reader
+	body   *framing.Body
 	lines  *lineReader
-	// chunked says that the body has chunked encoding and ends with trailer
-	// lines.
-	chunked bool
 }
 
 // OpenStream makes a call whose answer is a stream of events. If the status is
@@ -363,7 +384,7 @@
 		return nil, err
 	}
 	var h fasthttp.ResponseHeader
-	if err := h.Read(ex.conn.R); err != nil {
+	if err := readHeader(ex.conn.R, &h); err != nil {
 		defer ex.finish()
 		return nil, ex.failure(err)
 	}
@@ -376,14 +397,14 @@
 }
 
 func (c *Client) newStream(ex *exchange, h *fasthttp.ResponseHeader, hasIdentity bool) (*Stream, error) {
-	s := &Stream{Answer: answerFromHeader(h), ex: ex, chunked: h.ContentLength() == -1}
+	s := &Stream{Answer: answerFromHeader(h), ex: ex, body: framing.NewBody(ex.conn.R, h, fasthttp.MethodPost)}
 	s.Answer.HasIdentity = hasIdentity
-	s.body = bodyReader(ex, h)
+	s.body.OnTrailer = s.readTrailerLine
 	s.lines = newLineReader(s.body)
 	if s.Answer.Status == fasthttp.StatusOK {
 		return s, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(s.body, int64(c.maxBody)))
+	body, err := c.readBody(s.body)
 	if err != nil {
 		defer s.Close()
 		return nil, ex.failure(err)
@@ -392,16 +413,6 @@
 	return s, nil
 }
 
-func bodyReader(ex *exchange, h *fasthttp.ResponseHeader) io.Reader {
-	if n := h.ContentLength(); n >= 0 {
-		return io.LimitReader(ex.conn.R, int64(n))
-	}
-	if h.ContentLength() == -1 {
-		return httputil.NewChunkedReader(ex.conn.R)
-	}
-	return ex.conn.R
-}
-
 // Next returns the data of the next event, or io.EOF when the connection ends.
 // Any other error is a *Failure.
 func (s *Stream) Next() ([]byte, error) {
@@ -417,29 +428,15 @@
 // body doesn't end properly the events stay valid, but the connection is not
 // kept.
 func (s *Stream) Drain() {
-	if !s.chunked {
+	if s.body.Kind == framing.Connection {
 		return
 	}
 	if _, err := io.Copy(io.Discard, io.LimitReader(s.lines.r, maxEventBytes)); err != nil {
 		return
 	}
-	for range maxTrailerLines {
-		line, err := s.ex.conn.R.ReadString('\n')
-		if err != nil {
-			return
-		}
-		line = strings.TrimSpace(line)
-		if line == "" {
-			s.ex.reusable = true
-			return
-		}
-		s.readTrailerLine(line)
-	}
+	s.ex.reusable = s.body.Complete()
 }
 
-// maxTrailerLines bounds the trailer lines after a chunked body.
-const maxTrailerLines = 16
-
 func (s *Stream) readTrailerLine(line string) {
 	name, value, _ := strings.Cut(line, ":")
 	if !strings.EqualFold(name, targetapi.HeaderEngineTime) {
