--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -158,10 +158,23 @@
 	}
 }
 
-// Dial opens a connection.
-func Dial(ctx context.Context, address string) (*Conn, error) {
+// DialFunc opens a connection to an IP:port.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP opens a connection that fails soon if the other side falls silent.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: socket.UserTimeout(unackedTimeout)}
-	c, err := d.DialContext(ctx, "tcp", address)
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Dial opens a connection with DialTCP.
+func Dial(ctx context.Context, address string) (*Conn, error) {
+	return DialFunc(DialTCP).Dial(ctx, address)
+}
+
+// Dial opens a connection.
+func (d DialFunc) Dial(ctx context.Context, address string) (*Conn, error) {
+	c, err := d(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/conns"
 	"github.com/vanillagate/vanillagate/internal/logging"
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/serve/engines"
@@ -45,6 +46,9 @@
 	// NewStageClient creates the client that calls stage targets, which sends over the given
 	// HTTP client.
 	NewStageClient func(*upstream.Client) gather.StageClient
+	// DialTarget opens connections to targets and to the callers' addresses of peers; nil for
+	// conns.DialTCP.
+	DialTarget conns.DialFunc
 	// RetryBudget limits the retries of all processes together.
 	RetryBudget quota.Rule
 	// PropagationBound is the maximum time until a change in the store takes effect; 0 means
@@ -97,7 +101,7 @@
 	}
 	s := &Server{
 		log: logging.WithComponent(o.Log, "serve"), metrics: o.Metrics, zone: o.Zone, network: network,
-		plans: &plan.Holder{}, client: &upstream.Client{}, budget: o.budget(time.Now()), started: time.Now(),
+		plans: &plan.Holder{}, client: &upstream.Client{Dial: o.DialTarget}, budget: o.budget(time.Now()), started: time.Now(),
 	}
 	s.baseCtx, s.cancel = context.WithCancel(context.Background())
 	s.table = pool.New(logging.WithComponent(o.Log, "targets"))
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -85,6 +85,9 @@
 // Client sends requests and keeps unused connections for reuse. It is safe for concurrent use,
 // and its zero value is ready to use.
 type Client struct {
+	// Dial opens connections; nil for conns.DialTCP.
+	Dial conns.DialFunc
+
 	idle   conns.Pool
 	dialed atomic.Int64
 }
@@ -138,8 +141,16 @@
 	if kept := c.idle.Take(r.Address, time.Now(), r.MaxIdleTime); kept != nil {
 		return kept, nil
 	}
+	return c.Connect(ctx, r.Address)
+}
+
+// Connect opens a new connection.
+func (c *Client) Connect(ctx context.Context, address string) (*conns.Conn, error) {
 	c.dialed.Add(1)
-	return conns.Dial(ctx, r.Address)
+	if c.Dial == nil {
+		return conns.Dial(ctx, address)
+	}
+	return c.Dial.Dial(ctx, address)
 }
 
 // write sends the request. A long body is written in the background while the answer is read.
