serve: a VM that is cut off from targets passes requests on, and gathers for none

Cause: a VM that lost its links to the targets kept its role as a gatherer, so no process could run those stages, and had no way to serve its own callers: it tried one target after the other, a second each, after stages run for nothing. Nothing in the system knew of a partition: an unreachable target backs off, and each request finds the next one.

Gatherers leave such VMs out, and give back what they have queued. Requests are passed on to a peer before their stages, once. A VM that is cut off reports no crashes of targets.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -26,6 +26,8 @@
 	TopicSuspect Topic = "suspect"
 	// TopicDemand carries each process's demand per contract.
 	TopicDemand Topic = "demand"
+	// TopicReach carries the services from which processes are cut off.
+	TopicReach Topic = "reach"
 	// TopicInForce carries the configuration revision in force at each process.
 	TopicInForce Topic = "in_force"
 )
--- a/internal/serve/gather/dispatch.go
+++ b/internal/serve/gather/dispatch.go
@@ -14,7 +14,11 @@
 func (g *Gatherer) dispatch(s *shard, batch *plan.Batch, now time.Time) {
 	s.queue.timing = timingOf(batch)
 	if g.shardingOf(s.Service).isEmpty(s.Shard) {
-		g.returnQueued(s)
+		g.returnQueued(s, NoTargetInShard)
+		return
+	}
+	if g.replaced(s.Shard) {
+		g.returnQueued(s, GathererCutOff)
 		return
 	}
 	g.expire(s, batch, now, pastDeadline)
@@ -41,21 +45,33 @@
 }
 
 // returnQueued returns all queued items to their owners because the shard's targets were
-// removed or evacuated. The owners submit them to another shard if there is time. The caller
-// holds mu.
-func (g *Gatherer) returnQueued(s *shard) {
+// removed or evacuated, or this process is cut off from them. The owners submit them to another
+// shard or gatherer if there is time. The caller holds mu.
+func (g *Gatherer) returnQueued(s *shard, reason Reason) {
 	byOwner := map[string][]Result{}
 	for _, item := range s.queue.clear() {
 		s.reservations.itemStarted(item.Key)
-		byOwner[item.owner] = append(byOwner[item.owner], Result{Key: item.Key, Reason: NoTargetInShard})
+		byOwner[item.owner] = append(byOwner[item.owner], Result{Key: item.Key, Reason: reason})
 	}
 	for owner, results := range byOwner {
-		g.log.Info("Shard has no targets left; items are given back.", zap.String("service", s.Service),
+		g.log.Info("Items are given back.", zap.String("reason", string(reason)), zap.String("service", s.Service),
 			zap.String("zone", s.Zone), zap.Int("part", s.Part), zap.String("owner", owner), zap.Int("items", len(results)))
 		g.sendResults(s, owner, results...)
 	}
 }
 
+// Redispatch gives back the items of shards that this process no longer gathers for because it is
+// cut off from their targets.
+func (g *Gatherer) Redispatch() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.shards {
+		if batch := g.batch(s.Shard); batch != nil {
+			g.dispatch(s, batch, time.Now())
+		}
+	}
+}
+
 // scheduleDispatch runs dispatch again after dispatchInterval. The caller holds mu.
 func (g *Gatherer) scheduleDispatch(s *shard) {
 	if s.dispatchScheduled {
--- a/internal/serve/gather/failover_test.go
+++ b/internal/serve/gather/failover_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/serve/gather"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
@@ -22,6 +23,11 @@
 }
 
 func newMembers(life context.Context, pools *servetest.FakeTargets, n int) []member {
+	return newMembersWithReach(life, pools, n, nil)
+}
+
+// newMembersWithReach creates members of which those in cutOff are cut off from all services.
+func newMembersWithReach(life context.Context, pools *servetest.FakeTargets, n int, cutOff map[string]bool) []member {
 	cluster := &servetest.Cluster{Delay: time.Millisecond}
 	var list []member
 	for i := range n {
@@ -33,7 +39,7 @@
 		plans.Apply(&plan.Plan{Version: 1, Services: []plan.Service{{Name: "s", Batch: pools.Services["s"]}}})
 		node := cluster.Add(string(rune('a'+i)), "z")
 		list = append(list, member{node: node, Requester: gather.New(gather.Options{
-			Log: zap.NewNop(), Network: node, Table: table,
+			Log: zap.NewNop(), Network: node, Table: table, Reach: &fakeReach{self: string(node.Self().Incarnation), cutOff: cutOff},
 			Gatherer: gather.NewGatherer(life, zap.NewNop(), table, plans, pools),
 		})})
 	}
@@ -85,3 +91,42 @@
 		time.Sleep(time.Second) // lets messages in transit arrive
 	})
 }
+
+// fakeReach says which processes are cut off from all services.
+type fakeReach struct {
+	self   string
+	cutOff map[string]bool
+}
+
+func (f *fakeReach) CutOff(string) bool { return f.cutOff[f.self] }
+
+func (f *fakeReach) PeerCutOff(id peer.Incarnation, _ ...string) bool { return f.cutOff[string(id)] }
+
+func (f *fakeReach) Generation() uint64 { return uint64(len(f.cutOff)) }
+
+// Guards against a gatherer that is cut off from the targets, so that no process can run its stages.
+func TestCutOffProcessDoesNotGather(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		life, stop := context.WithCancel(context.Background())
+		defer stop()
+		pools := &servetest.FakeTargets{Services: map[string]*plan.Batch{
+			"s": {Size: 4, CallTime: 20 * time.Millisecond, BufferBytes: 1000, Keep: 4 * time.Second},
+		}}
+		cutOff := map[string]bool{}
+		list := newMembersWithReach(life, pools, 2, cutOff)
+		assert.NilError(t, list[0].runItem(life, "first"))
+		primary, other := list[0], list[1]
+		if primary.calls() == 0 {
+			primary, other = other, primary
+		}
+		cutOff[string(primary.node.Self().Incarnation)] = true
+		assert.NilError(t, primary.runItem(life, "second"))
+		assert.Equal(t, primary.calls(), 1)
+		assert.Equal(t, other.calls(), 1)
+		cutOff[string(other.node.Self().Incarnation)] = true
+		assert.NilError(t, other.runItem(life, "third"))
+		assert.Equal(t, primary.calls(), 2, "all are cut off")
+		stop()
+		time.Sleep(time.Second) // lets messages in transit arrive
+	})
+}
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -65,13 +65,16 @@
 	deliver func(owner string, shard Shard, results []Result)
 	// release frees results of any allocator. final is false while their reader may still fail.
 	release func(allocator Allocator, handles []string, final bool)
+	// replaced reports whether this process doesn't gather for a shard because it is cut off from
+	// its service. It is called with mu held.
+	replaced func(Shard) bool
 	// leaveOut is Options.LeaveOut.
 	leaveOut  leaveout.Set
 	shardings shardings
 	// life is cancelled at shutdown and ends the calls in progress.
 	life context.Context
 
-	mu     sync.Mutex // guards shards, everything in them and stats; acquired before pool.Table's
+	mu     sync.Mutex // guards shards, everything in them and stats; acquired before Requester's and pool.Table's
 	shards map[Shard]*shard
 	stats  Stats
 }
@@ -111,7 +114,7 @@
 
 // NewGatherer creates a gatherer. Its calls end when life is cancelled.
 func NewGatherer(life context.Context, log *zap.Logger, table *pool.Table, plans *plan.Holder, client StageClient) *Gatherer {
-	return &Gatherer{log: log, table: table, plans: plans, client: client, life: life, shards: map[Shard]*shard{}}
+	return &Gatherer{log: log, table: table, plans: plans, client: client, life: life, shards: map[Shard]*shard{}, replaced: func(Shard) bool { return false }}
 }
 
 // Stats returns the counts so far.
--- a/internal/serve/gather/item.go
+++ b/internal/serve/gather/item.go
@@ -86,6 +86,8 @@
 	NoSpace Reason = "room"
 	// TargetFailed: the target failed to process the item, or the call failed.
 	TargetFailed Reason = "error"
+	// GathererCutOff: the gatherer is cut off from the service; others aren't.
+	GathererCutOff Reason = "gatherer cut off"
 	// NoTargetInShard: the shard has no targets, but other shards of the service have.
 	NoTargetInShard Reason = "moved"
 	// NoTarget: the service has no target that takes work.
--- a/internal/serve/gather/owners.go
+++ b/internal/serve/gather/owners.go
@@ -16,6 +16,7 @@
 	plan    *plan.Plan
 	targets uint64 // generation of the target table
 	leaving bool
+	reach   uint64 // generation of Reach
 }
 
 // owners says which process gathers for which shard. All processes that know the same members,
@@ -83,9 +84,13 @@
 	if r.leaveOut.Has(leaveout.Sharing) {
 		return []peer.Incarnation{view.Self.Incarnation}
 	}
+	reach := uint64(0)
+	if r.reach != nil {
+		reach = r.reach.Generation()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	current := assignmentInputs{view: view, plan: r.own.plans.Current(), targets: r.table.Generation(), leaving: r.leaving}
+	current := assignmentInputs{view: view, plan: r.own.plans.Current(), targets: r.table.Generation(), leaving: r.leaving, reach: reach}
 	return r.responsive(r.owners.Get(current, r.assign).rankingOf(shard))
 }
 
@@ -120,6 +125,7 @@
 	if !inputs.leaving || len(eligible) == 0 {
 		eligible = append(eligible, inputs.view.Self)
 	}
+	eligible = r.withoutCutOff(inputs, eligible)
 	list := peer.SelectByCPU(eligible)
 	if r.leaveOut.Has(leaveout.StrongOnly) {
 		list = incarnations(eligible)
@@ -128,6 +134,39 @@
 	return list
 }
 
+// withoutCutOff removes the processes that are cut off from services with stages, unless all are.
+func (r *Requester) withoutCutOff(inputs assignmentInputs, members []peer.Member) []peer.Member {
+	if r.reach == nil || inputs.plan == nil {
+		return members
+	}
+	var services []string
+	for _, service := range inputs.plan.Services {
+		if service.Batch != nil {
+			services = append(services, service.Name)
+		}
+	}
+	var kept []peer.Member
+	for _, m := range members {
+		cutOff := r.reach.PeerCutOff(m.Incarnation, services...)
+		if m.Incarnation == inputs.view.Self.Incarnation {
+			cutOff = slices.ContainsFunc(services, r.reach.CutOff)
+		}
+		if !cutOff {
+			kept = append(kept, m)
+		}
+	}
+	if len(kept) == 0 {
+		return members
+	}
+	return kept
+}
+
+// replaced reports whether this process is cut off from a shard's service and others gather for it.
+func (r *Requester) replaced(shard Shard) bool {
+	return r.reach != nil && r.reach.CutOff(shard.Service) &&
+		!slices.Contains(r.gatherers(shard), r.network.Self().Incarnation)
+}
+
 // shardingOf returns the shards of a service.
 func (r *Requester) shardingOf(service string) *sharding {
 	return r.own.shardingOf(service)
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -15,6 +15,7 @@
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
+	"github.com/vanillagate/vanillagate/internal/wait"
 )
 
 const (
@@ -30,6 +31,9 @@
 	// freeMessageDelay is how long results to be freed are collected for one message to their
 	// allocator: long enough for those of one request.
 	freeMessageDelay = 5 * time.Millisecond
+	// handoverPause is the time until items that were given back by a gatherer that is cut off are
+	// submitted again; by then its notice has arrived at most processes.
+	handoverPause = 20 * time.Millisecond
 	// deliveryTimeout bounds the calls that deliver or free results or cancel a request.
 	deliveryTimeout = 500 * time.Millisecond
 )
@@ -40,6 +44,7 @@
 	network peer.Network
 	table   *pool.Table
 	own     *Gatherer
+	reach   Reach
 	// leaveOut is Options.LeaveOut.
 	leaveOut leaveout.Set
 	started  time.Time
@@ -81,6 +86,16 @@
 	return fmt.Sprintf("service %q refused the items: %s (%v too late)", r.Service, r.Reason, r.Wait)
 }
 
+// Reach tells which processes are cut off from which services.
+type Reach interface {
+	// CutOff reports whether this process is cut off from a service.
+	CutOff(service string) bool
+	// PeerCutOff reports whether another process is cut off from any of the services.
+	PeerCutOff(id peer.Incarnation, services ...string) bool
+	// Generation grows whenever one of these answers changes.
+	Generation() uint64
+}
+
 // Options configures a Requester.
 type Options struct {
 	Log     *zap.Logger
@@ -88,6 +103,8 @@
 	Table   *pool.Table
 	// Gatherer is this process's own gatherer.
 	Gatherer *Gatherer
+	// Reach may be nil: no process is cut off.
+	Reach Reach
 	// LeaveOut disables mechanisms, for measurements.
 	LeaveOut leaveout.Set
 }
@@ -96,13 +113,14 @@
 // called before the network starts.
 func New(o Options) *Requester {
 	r := &Requester{
-		log: o.Log, network: o.Network, table: o.Table, leaveOut: o.LeaveOut, started: time.Now(),
+		log: o.Log, network: o.Network, table: o.Table, reach: o.Reach, leaveOut: o.LeaveOut, started: time.Now(),
 		pending: map[Key]*pending{}, unresponsive: map[peer.Incarnation]bool{}, pendingFrees: map[freeKey][]string{},
 	}
 	r.own = o.Gatherer
 	r.own.leaveOut = o.LeaveOut
 	r.own.deliver = r.deliver
 	r.own.release = r.free
+	r.own.replaced = r.replaced
 	peer.HandleCall(o.Network, methodSubmit, func(c submitCall) (any, error) {
 		return r.own.Submit(string(c.Owner), c.Shard, c.Items, time.Now()), nil
 	})
@@ -164,10 +182,19 @@
 		}
 		done, err := r.runOnShard(ctx, shard, work)
 		var refused *RefusedError
-		if !errors.As(err, &refused) || refused.Reason != NoTargetInShard {
+		if !errors.As(err, &refused) {
+			return done, err
+		}
+		switch refused.Reason {
+		case NoTargetInShard:
+			excluded[shard] = true
+		case GathererCutOff:
+			if !wait.For(ctx, handoverPause) {
+				return nil, context.Cause(ctx)
+			}
+		default:
 			return done, err
 		}
-		excluded[shard] = true
 	}
 }
 
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -43,6 +43,8 @@
 	// there was none.
 	recoveredAt time.Time
 	onLeave     []func(*Target)
+	// onUnreachable is set before the first call.
+	onUnreachable []func(*Target)
 }
 
 // LapsedGracePeriod is how long targets whose entries lapsed during a store outage stay in use,
@@ -78,6 +80,10 @@
 // Apply.
 func (t *Table) OnLeave(fn func(*Target)) { t.onLeave = append(t.onLeave, fn) }
 
+// OnUnreachable registers a function that is called with each target to which no connection could be
+// established. Call it before the first Begin.
+func (t *Table) OnUnreachable(fn func(*Target)) { t.onUnreachable = append(t.onUnreachable, fn) }
+
 // LastChangeRevision returns the revision of the last known change to a target.
 func (t *Table) LastChangeRevision() uint64 {
 	t.mu.RLock()
@@ -499,8 +505,13 @@
 
 func (t *Table) ended(c *Call, outcome Outcome, now time.Time) {
 	t.recordOutcome(c, outcome, now)
-	if outcome == Failed {
+	switch outcome {
+	case Failed:
 		t.ejectIfFailing(c.target, now)
+	case Unreachable:
+		for _, fn := range t.onUnreachable {
+			fn(c.target)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/serve/reach/reach_test.go
@@ -0,0 +1,121 @@
+package reach_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/peer"
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+	"github.com/vanillagate/vanillagate/internal/serve/reach"
+	"github.com/vanillagate/vanillagate/internal/serve/servetest"
+)
+
+// vm is a process with a tracker; cut makes its connections to targets hang.
+type vm struct {
+	*reach.Tracker
+	id    peer.Incarnation
+	table *pool.Table
+	cut   atomic.Bool
+	dials atomic.Int64
+}
+
+var services = []string{"engines", "desk"}
+
+func newVM(ctx context.Context, cluster *servetest.Cluster, name string) *vm {
+	v := &vm{table: pool.New(zap.NewNop()), id: peer.Incarnation(name)}
+	var entries []pool.Entry
+	for _, service := range services {
+		for i := range 5 {
+			id := fmt.Sprint(service, i)
+			entries = append(entries, pool.Entry{ID: id, Service: service, Address: id, Slots: 1, State: pool.Ready, Revision: 1})
+		}
+	}
+	v.table.Reset(entries, 1, time.Now())
+	v.Tracker = reach.New(reach.Options{
+		Log: zap.NewNop(), Network: cluster.Add(name, "z"), Table: v.table, Services: func() []string { return services },
+		Connect: func(ctx context.Context, _ string) error {
+			v.dials.Add(1)
+			if !v.cut.Load() {
+				return nil
+			}
+			<-ctx.Done()
+			return ctx.Err()
+		},
+	})
+	go v.Run(ctx)
+	return v
+}
+
+// failToConnect ends calls to n targets of a service without a connection.
+func (v *vm) failToConnect(service string, n int) {
+	for _, target := range v.table.ReadySet(service).Targets[:n] {
+		v.table.Begin(target, 0, time.Now()).End(pool.Unreachable, time.Now())
+	}
+}
+
+func TestCutOffVMTellsItsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		cluster := &servetest.Cluster{Delay: time.Millisecond}
+		a, b := newVM(ctx, cluster, "a"), newVM(ctx, cluster, "b")
+		a.cut.Store(true)
+		a.failToConnect("engines", 2)
+		time.Sleep(2 * time.Second)
+		for _, service := range services {
+			assert.Assert(t, a.CutOff(service), service)
+			assert.Assert(t, b.PeerCutOff("a", service), service)
+		}
+		assert.Assert(t, !b.CutOff("engines"))
+		assert.Assert(t, !a.PeerCutOff("b", services...))
+		before := b.Generation()
+		time.Sleep(20 * time.Second)
+		assert.Assert(t, b.PeerCutOff("a", "engines"), "its notice expired during the partition")
+		assert.Equal(t, b.Generation(), before, "the same notice again changes nothing")
+		a.cut.Store(false)
+		time.Sleep(time.Second)
+		assert.Assert(t, !a.CutOff("engines") && !b.PeerCutOff("a", services...))
+	})
+}
+
+// Guards against a VM that died while it was cut off and is left out forever.
+func TestNoticeOfADeadVMExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		cluster := &servetest.Cluster{Delay: time.Millisecond}
+		aCtx, kill := context.WithCancel(ctx)
+		a, b := newVM(aCtx, cluster, "a"), newVM(ctx, cluster, "b")
+		a.cut.Store(true)
+		a.failToConnect("engines", 2)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, b.PeerCutOff("a", "engines"))
+		kill()
+		time.Sleep(6 * time.Second)
+		assert.Assert(t, !b.PeerCutOff("a", "engines"))
+	})
+}
+
+// Guards against a VM that counts as cut off because a few targets have crashed, and against
+// connections that are opened for nothing.
+func TestFailedTargetsAloneAreNoPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		v := newVM(ctx, &servetest.Cluster{}, "a")
+		v.failToConnect("engines", 1)
+		time.Sleep(time.Second)
+		assert.Equal(t, v.dials.Load(), int64(0))
+		v.failToConnect("engines", 3)
+		time.Sleep(time.Second)
+		assert.Equal(t, v.dials.Load(), int64(5))
+		assert.Assert(t, !v.CutOff("engines"))
+	})
+}
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -120,10 +120,7 @@
 	r := &upstream.Request{
 		Address: target.Address, Method: j.req.Method, URI: j.req.URI, Host: j.req.Host,
 		Header: j.Codec.RequestHeader(j.req, info), Body: j.req.Body,
-		MatchesRequest: func(h *fasthttp.ResponseHeader) bool {
-			id := j.Codec.ReadAnswer(h).ID
-			return id == "" || id == j.req.ID
-		},
+		MatchesRequest: j.matchesRequest,
 	}
 	if !j.route.Repeatable() {
 		r.MaxIdleTime = maxConnIdleTime
@@ -132,6 +129,12 @@
 	return r
 }
 
+// matchesRequest reports whether an answer belongs to this request.
+func (j *job) matchesRequest(h *fasthttp.ResponseHeader) bool {
+	id := j.Codec.ReadAnswer(h).ID
+	return id == "" || id == j.req.ID
+}
+
 // limitIdleConns sets how many idle connections this process keeps to a target of the
 // service. Half of the connections that a target accepts are divided among all processes.
 // If idle processes kept more, the target would reset new connections of others, and it
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -57,6 +57,8 @@
 	LeaveOut leaveout.Set
 	// Suspicion finds the requests that crash their targets; nil for none.
 	Suspicion Suspicion
+	// Reach tells which services this process and its peers reach; nil if it reaches all.
+	Reach Reach
 	// TimeToReady estimates how long a process that has just started takes to learn the
 	// configuration and the targets; if nil, minStartingRetry is used.
 	TimeToReady func(now time.Time) time.Duration
@@ -162,7 +164,9 @@
 	}
 	j.deadline = j.req.Arrived.Add(j.timeout())
 	j.ctx, j.cancel = context.WithDeadlineCause(ctx, j.deadline, ErrTimeout)
-	j.Budget.AddRequest(j.service, j.req.Arrived)
+	if !j.req.Forwarded { // the process that got it from its caller has counted it
+		j.Budget.AddRequest(j.service, j.req.Arrived)
+	}
 	return nil
 }
 
@@ -193,9 +197,9 @@
 }
 
 // reportBroken reports to Suspicion that a connection to a target broke while it had the
-// request.
+// request. To a process that is cut off, all targets look as if they had crashed.
 func (j *job) reportBroken(address string) {
-	if j.Suspicion != nil && j.ctx.Err() == nil {
+	if j.Suspicion != nil && j.ctx.Err() == nil && !j.cutOff() {
 		j.Suspicion.ConnectionBroke(j.contentID, address)
 	}
 }
@@ -223,6 +227,9 @@
 }
 
 func (j *job) run() *Reply {
+	if reply := j.forward(); reply != nil {
+		return reply
+	}
 	if reply := j.prepare(); reply != nil {
 		return reply
 	}
@@ -234,6 +241,9 @@
 		if result.reply != nil {
 			return result.reply
 		}
+		if reply := j.forward(); reply != nil {
+			return reply
+		}
 		if reply := j.afterFailure(result); reply != nil {
 			return reply
 		}
--- /dev/null
+++ b/internal/serve/run/forward.go
@@ -0,0 +1,96 @@
+package run
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/framing"
+	"github.com/vanillagate/vanillagate/internal/serve/upstream"
+)
+
+// Reach tells from which services this process is cut off, and which peers aren't.
+type Reach interface {
+	CutOff(service string) bool
+	// Forwarders lists the callers' addresses of peers that may process requests for a service, in
+	// order of preference.
+	Forwarders(service string) []string
+}
+
+// maxForwards is how many peers a request is passed on to if it can't be sent to them.
+const maxForwards = 2
+
+// cutOff reports whether this process is cut off from the request's service.
+func (j *job) cutOff() bool { return j.Reach != nil && j.Reach.CutOff(j.service) }
+
+// forward passes the request on to a peer if this process is cut off from the request's service. nil
+// means that it is processed here. A request is passed on once at most, and only if it was sent to
+// no target.
+func (j *job) forward() *Reply {
+	if j.req.Forwarded || j.sends > 0 || !j.cutOff() {
+		return nil
+	}
+	addresses := j.Reach.Forwarders(j.service)
+	if len(addresses) > 0 && j.inputs != nil {
+		j.inputs.release() // the peer runs the stages again
+	}
+	for _, address := range addresses[:min(len(addresses), maxForwards)] {
+		if reply := j.forwardTo(address); reply != nil {
+			return reply
+		}
+	}
+	return nil
+}
+
+// forwardTo passes the request on to one peer; nil means that another one may be asked.
+func (j *job) forwardTo(address string) *Reply {
+	j.sentAt = time.Now()
+	answer, err := j.Client.Send(j.ctx, j.forwardRequest(address))
+	if err == nil {
+		j.Log.Info("Request passed on to another VM.", requestID(j.req.ID), zap.String("peer", address), zap.String("service", j.service))
+		j.Metrics.count("vanillagate_forwarded_requests")
+		j.sends++
+		j.runs++
+		return j.forwardedReply(answer)
+	}
+	sent := !upstream.NotSent(err)
+	j.Log.Warn("VM to which a request was passed on didn't answer.", requestID(j.req.ID), zap.String("peer", address),
+		zap.Bool("sent", sent), zap.Error(err))
+	if sent {
+		j.runs++
+	}
+	if cause := context.Cause(j.ctx); cause != nil {
+		return j.giveUp(endReason(cause), fasthttp.StatusGatewayTimeout)
+	}
+	if sent && (!j.route.Repeatable() || j.runs >= j.route.Attempts || !j.Budget.TakeRetry(j.service, time.Now())) {
+		j.sends++
+		return j.giveUp(LostAnswer, fasthttp.StatusBadGateway)
+	}
+	return nil
+}
+
+func (j *job) forwardRequest(address string) *upstream.Request {
+	r := &upstream.Request{
+		Address: address, Method: j.req.Method, URI: j.req.URI, Host: j.req.Host, Body: j.req.Body,
+		Header:         j.Codec.ForwardHeader(j.req, time.Until(j.deadline)),
+		MatchesRequest: j.matchesRequest,
+	}
+	if !j.route.Repeatable() {
+		r.MaxIdleTime = maxConnIdleTime
+	}
+	return r
+}
+
+// forwardedReply returns the peer's answer, which is passed on as it comes.
+func (j *job) forwardedReply(answer *upstream.Answer) *Reply {
+	body := &relayedBody{Reader: io.Reader(answer), close: func() {
+		answer.Close()
+		j.cleanUp()
+	}}
+	return &Reply{Status: answer.Status, Answer: &Answer{
+		Header: endToEndHeaders(&answer.Header), Body: body, Length: answer.Length, Unframed: answer.Kind == framing.Connection,
+	}}
+}
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -38,6 +38,8 @@
 	Prompt   place.Prompt
 	// LastEventID is the id of the last event of this stream that the caller has received.
 	LastEventID string
+	// Forwarded is set if another process passed the request on.
+	Forwarded bool
 }
 
 // AttemptInfo is what a target is told with an attempt in addition to the request itself.
@@ -73,6 +75,9 @@
 type Codec interface {
 	// RequestHeader returns the header lines of an attempt.
 	RequestHeader(r *Request, info AttemptInfo) []upstream.Header
+	// ForwardHeader returns the header lines with which a request is passed on to a peer.
+	// remaining is how long the answer is awaited.
+	ForwardHeader(r *Request, remaining time.Duration) []upstream.Header
 	// ReadAnswer parses the header of an answer.
 	ReadAnswer(h *fasthttp.ResponseHeader) AnswerInfo
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -25,6 +25,7 @@
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/quota"
+	"github.com/vanillagate/vanillagate/internal/serve/reach"
 	"github.com/vanillagate/vanillagate/internal/serve/run"
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
 	"github.com/vanillagate/vanillagate/internal/serve/warmup"
@@ -79,6 +80,7 @@
 	network  *peer.Node
 	follower *follow.Follower
 	stages   *gather.Requester
+	reach    *reach.Tracker
 	budget   *quota.Budget
 	warmup   *warmup.Limiter  // nil if disabled by LeaveOut
 	engines  *engines.Tracker // nil if disabled by LeaveOut
@@ -120,13 +122,18 @@
 	if o.LeaveOut.Has(leaveout.LeavingAlone) {
 		s.table.DisableConnectBackoff()
 	}
+	s.reach = reach.New(reach.Options{
+		Log: logging.WithComponent(o.Log, "reach"), Network: network, Table: s.table, Connect: s.connect, Services: s.services,
+		OnChange: func() { s.stages.Gatherer().Redispatch() },
+	})
+	s.client.OnSlowConnect = s.reach.ConnectSlow
 	s.stages = gather.New(gather.Options{
-		Log: logging.WithComponent(o.Log, "stages"), Network: network, Table: s.table, LeaveOut: o.LeaveOut,
+		Log: logging.WithComponent(o.Log, "stages"), Network: network, Table: s.table, Reach: s.reach, LeaveOut: o.LeaveOut,
 		Gatherer: gather.NewGatherer(s.baseCtx, logging.WithComponent(o.Log, "gather"), s.table, s.plans, o.NewStageClient(s.client)),
 	})
 	s.executor = &run.Executor{
 		Log: logging.WithComponent(o.Log, "request"), Plans: s.plans, Table: s.table, Client: s.client, Codec: o.Codec,
-		Stages: s.stages, Budget: s.budget, Zone: o.Zone, Metrics: &run.Metrics{Registry: o.Metrics},
+		Stages: s.stages, Budget: s.budget, Reach: forwarding{s.reach, network}, Zone: o.Zone, Metrics: &run.Metrics{Registry: o.Metrics},
 		LeaveOut: o.LeaveOut, TimeToReady: s.timeToReady, ContactAge: s.follower.ContactAge,
 	}
 	if !o.LeaveOut.Has(leaveout.EngineAccounts) {
@@ -178,6 +185,7 @@
 		return eris.Wrap(err, "serve")
 	}
 	s.tasks.Go(func() { s.follower.Run(s.baseCtx) })
+	s.tasks.Go(func() { s.reach.Run(s.baseCtx) })
 	s.tasks.Go(s.runMaintenance)
 	return nil
 }
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -87,6 +87,9 @@
 type Client struct {
 	// Dial opens connections; nil for conns.DialTCP.
 	Dial conns.DialFunc
+	// OnSlowConnect is called with an address that hasn't accepted a connection for
+	// SlowConnectTime. It may be nil.
+	OnSlowConnect func(address string)
 
 	idle   conns.Pool
 	dialed atomic.Int64
@@ -144,9 +147,16 @@
 	return c.Connect(ctx, r.Address)
 }
 
+// SlowConnectTime is far longer than it takes to connect to a target that is reachable, and than a VM
+// that is short of CPU usually stalls.
+const SlowConnectTime = 300 * time.Millisecond
+
 // Connect opens a new connection.
 func (c *Client) Connect(ctx context.Context, address string) (*conns.Conn, error) {
 	c.dialed.Add(1)
+	if c.OnSlowConnect != nil {
+		defer time.AfterFunc(SlowConnectTime, func() { c.OnSlowConnect(address) }).Stop()
+	}
 	if c.Dial == nil {
 		return conns.Dial(ctx, address)
 	}
