conns: connections to silent targets end after 3 s, by the probes' count and by the user timeout

TestProbesAndUnackedTimeoutAgree reads the options from a socket and failed with 4 s and 3 s. Now two probes a second apart: 3 s by both. A target may fall silent for a second and go on.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -27,9 +27,14 @@
 
 // keepAlive detects a connection whose other side is gone without closing it:
 // its VM lost power, or the network path is cut. Without it a call on such a
-// connection hangs until its own deadline. After 1 s of silence three probes
-// are sent, 500 ms apart; the connection fails if none is answered.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
+// connection hangs until its own deadline. After 1 s of silence two probes are
+// sent, a second apart, the shortest interval that there is; the connection
+// fails a second after the last one. A target may fall silent for a second and
+// go on.
+//
+// On Linux unackedTimeout decides for the probes, too, whatever their count: the
+// connection fails at the first one that is due after it.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
 // unackedTimeout is how long sent data may stay unacknowledged. Keep-alive
 // probes are sent on an idle connection only: without this limit, a request
