run: a request that was passed on and got no answer isn't sent again

A request that was sent to a peer without an answer went to a second one if its route allows repeats: the first may have used all attempts of the route already, so more targets could get it than the route allows. The caller gets 502 and decides. Results of stages are released only once a peer has answered: if no peer could be reached, they were gone for the way that is left. The refusal before a shutdown is named for what it is.

--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -234,7 +234,7 @@
 		return reply
 	}
 	for {
-		if reply := j.refuseIfCutOff(); reply != nil {
+		if reply := j.refuseIfCutByShutdown(); reply != nil {
 			return reply
 		}
 		result := j.attempt()
--- a/internal/serve/run/forward.go
+++ b/internal/serve/run/forward.go
@@ -34,9 +34,6 @@
 		return nil
 	}
 	addresses := j.Reach.Forwarders(j.service)
-	if len(addresses) > 0 && j.inputs != nil {
-		j.inputs.release() // the peer runs the stages again
-	}
 	for _, address := range addresses[:min(len(addresses), maxForwards)] {
 		if reply := j.forwardTo(address); reply != nil {
 			return reply
@@ -45,28 +42,28 @@
 	return nil
 }
 
-// forwardTo passes the request on to one peer; nil means that another one may be asked.
+// forwardTo passes the request on to one peer; nil means that it wasn't sent.
 func (j *job) forwardTo(address string) *Reply {
 	j.sentAt = time.Now()
 	answer, err := j.Client.Send(j.ctx, j.forwardRequest(address))
 	if err == nil {
 		j.Log.Info("Request passed on to another VM.", requestID(j.req.ID), zap.String("peer", address), zap.String("service", j.service))
 		j.Metrics.count("vanillagate_forwarded_requests")
-		j.sends++
-		j.runs++
+		if j.inputs != nil {
+			j.inputs.release() // the peer has run the stages again
+		}
 		return j.forwardedReply(answer)
 	}
 	sent := !upstream.NotSent(err)
 	j.Log.Warn("VM to which a request was passed on didn't answer.", requestID(j.req.ID), zap.String("peer", address),
 		zap.Bool("sent", sent), zap.Error(err))
 	if sent {
-		j.runs++
+		j.runs++ // the peer may have sent it to a target
 	}
 	if cause := context.Cause(j.ctx); cause != nil {
 		return j.giveUp(endReason(cause), fasthttp.StatusGatewayTimeout)
 	}
-	if sent && (!j.route.Repeatable() || j.runs >= j.route.Attempts || !j.Budget.TakeRetry(j.service, time.Now())) {
-		j.sends++
+	if sent {
 		return j.giveUp(LostAnswer, fasthttp.StatusBadGateway)
 	}
 	return nil
--- a/internal/serve/run/shutdown.go
+++ b/internal/serve/run/shutdown.go
@@ -61,9 +61,9 @@
 	return refuse(fasthttp.StatusServiceUnavailable, ShuttingDown, shutdownRetryAfter)
 }
 
-// refuseIfCutOff refuses a request that is about to be sent to a target, but would probably
+// refuseIfCutByShutdown refuses a request that is about to be sent to a target, but would probably
 // be cut off by the end of this process; nil if there is enough time.
-func (j *job) refuseIfCutOff() *Reply {
+func (j *job) refuseIfCutByShutdown() *Reply {
 	d := j.shutdown.Load()
 	if d == nil || j.answerStats.shareLonger(j.route.Name, time.Until(d.End)) <= maxCutShare {
 		return nil
--- a/internal/serve/run/shutdown_test.go
+++ b/internal/serve/run/shutdown_test.go
@@ -59,7 +59,7 @@
 				e.StartShutdown(ShutdownSchedule{AcceptUntil: time.Now(), End: time.Now().Add(c.left)})
 			}
 			j := &job{Executor: e, route: &plan.Route{Name: "route"}, runs: c.runs}
-			reply := j.refuseIfCutOff()
+			reply := j.refuseIfCutByShutdown()
 			if c.refused == 0 {
 				assert.Assert(t, reply == nil)
 				return
