pool: targets that say how many rejections they can take get few requests to reject

Change: such a target gets from each process at most its even share of the slots in flight, so that there is nothing to reject even if the target queues nothing, and nothing at all for a pause after a rejection, so long that all processes together stay below half of N (5 s at most). An answer without the header ends both.

Limits: a limit below members/5 isn't kept by the pause alone, since it is capped at 5 s.

--- /dev/null
+++ b/internal/serve/pool/rejections.go
@@ -0,0 +1,62 @@
+package pool
+
+import "time"
+
+const (
+	// rejectionLimitTTL is how long a target's limit holds after the target last stated it; it
+	// states it in all its answers. It is longer than the longest pause, during which there are none.
+	rejectionLimitTTL = 10 * time.Second
+	// rejectionShare is the share of a target's limit that the processes use. The rest is for
+	// requests that they send at the same moment.
+	rejectionShare = 0.5
+	// minRejectionPause and maxRejectionPause limit how long a process sends a target nothing after
+	// a rejection.
+	minRejectionPause = 100 * time.Millisecond
+	maxRejectionPause = 5 * time.Second
+)
+
+// rejections limits how often a target has to reject requests for want of room. Some targets fall over
+// if they reject more than a number of requests in a second, from all processes together, and say so.
+// The zero value is that of a target without a limit.
+type rejections struct {
+	perSecond   int
+	statedUntil time.Time
+	pausedUntil time.Time
+}
+
+// SetRejectionLimit stores how many rejections a second the target can take; nil means that it states
+// no limit.
+func (t *Target) SetRejectionLimit(perSecond *int, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if perSecond == nil {
+		t.rejections = rejections{}
+		return
+	}
+	t.rejections.perSecond = *perSecond
+	t.rejections.statedUntil = now.Add(rejectionLimitTTL)
+}
+
+func (r *rejections) limited(now time.Time) bool { return now.Before(r.statedUntil) }
+
+// rejected records that the target has rejected a request of one of several processes. The pause is
+// so long that their rejections together stay below the limit.
+func (r *rejections) rejected(members int, now time.Time) {
+	if !r.limited(now) {
+		return
+	}
+	pause := maxRejectionPause
+	if r.perSecond > 0 {
+		pause = time.Duration(float64(members) / (rejectionShare * float64(r.perSecond)) * float64(time.Second))
+	}
+	r.pausedUntil = now.Add(min(max(pause, minRejectionPause), maxRejectionPause))
+}
+
+// paused reports whether the target gets nothing because it has rejected a request.
+func (r *rejections) paused(now time.Time) bool { return r.limited(now) && now.Before(r.pausedUntil) }
+
+// shareInUse reports whether one of several processes has its share of the target's slots in flight.
+// With even shares there is nothing to reject, even if the target queues nothing.
+func (r *rejections) shareInUse(members, slots, inFlight int, now time.Time) bool {
+	return r.limited(now) && inFlight >= max(1, slots/members)
+}
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -43,6 +44,7 @@
 	// there was none.
 	recoveredAt time.Time
 	onLeave     []func(*Target)
+	members     atomic.Int64
 	// onUnreachable is set before the first call.
 	onUnreachable []func(*Target)
 }
@@ -91,6 +93,9 @@
 	return t.lastChange
 }
 
+// SetMemberCount sets the number of processes that send requests to the targets, this one included.
+func (t *Table) SetMemberCount(n int) { t.members.Store(int64(n)) }
+
 // Loaded reports whether the complete list has ever been read.
 func (t *Table) Loaded() bool {
 	t.mu.RLock()
@@ -251,7 +256,7 @@
 		return back.update(c.Entry, now)
 	}
 	t.byID[c.ID] = &Target{
-		ID: c.ID, Born: c.Born, Service: c.Service, Address: c.Address, Zone: c.Zone, hash: routing.RendezvousScore(c.ID), entry: c.Entry,
+		ID: c.ID, Born: c.Born, Service: c.Service, Address: c.Address, Zone: c.Zone, hash: routing.RendezvousScore(c.ID), members: &t.members, entry: c.Entry,
 		evacuated: t.evacuated(c.Zone), coldUntil: now.Add(c.ColdLeft),
 	}
 	if t.loaded { // the first list is logged as a whole
@@ -527,6 +532,8 @@
 		if !t.noConnectBackoff {
 			target.backOff(now)
 		}
+	case Full:
+		target.rejections.rejected(target.memberCount(), now)
 	case Answered:
 		target.connectBackoff = 0
 		target.health.FailuresInRow = 0
--- a/internal/serve/pool/target.go
+++ b/internal/serve/pool/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vanillagate/vanillagate/internal/routing"
@@ -15,6 +16,8 @@
 	Address string
 	Zone    string
 	hash    uint64 // of ID
+	// members is the Table's number of processes.
+	members *atomic.Int64
 
 	// mu guards the fields below. It is taken after Table.mu; no other lock is taken while it is
 	// held.
@@ -38,6 +41,7 @@
 	connectRetryAt time.Time
 	connectBackoff time.Duration
 	failureRate    float64 // moving average of failed calls
+	rejections     rejections
 }
 
 // Report is the load that a target reported with its latest response.
@@ -63,6 +67,9 @@
 	// latest period in which this process sent it no requests, so that it may have restarted or
 	// become cold unnoticed.
 	ColdUntil, UnobservedUntil time.Time
+	// ShareInUse means that the target limits its rejections and that this process has its share of
+	// the target's slots in flight.
+	ShareInUse bool
 	// Cold is set by the caller that decides whether the target counts as cold.
 	Cold bool
 }
@@ -137,6 +144,7 @@
 	return View{
 		Target: t, Slots: t.entry.Slots, InFlight: t.inFlight, Tokens: t.tokens,
 		Report: report, Weight: e.Weight(t.health, now), ColdUntil: t.coldUntil, UnobservedUntil: t.unobservedUntil,
+		ShareInUse: t.rejections.shareInUse(t.memberCount(), t.entry.Slots, t.inFlight, now),
 	}
 }
 
@@ -161,12 +169,20 @@
 func (t *Target) usable(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.gone || t.evacuated || t.entry.State != Ready || now.Before(t.connectRetryAt) {
+	if t.gone || t.evacuated || t.entry.State != Ready || now.Before(t.connectRetryAt) || t.rejections.paused(now) {
 		return false
 	}
 	return t.lapsesAt.IsZero() || now.Before(t.lapsesAt)
 }
 
+// memberCount returns the number of processes that send requests to the target.
+func (t *Target) memberCount() int {
+	if t.members == nil {
+		return 1
+	}
+	return int(max(t.members.Load(), 1))
+}
+
 // mayReturn reports whether the entry of a lapsed target may still reappear.
 func (t *Target) mayReturn(now time.Time) bool {
 	t.mu.Lock()
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -100,6 +100,7 @@
 	if info.Report != nil {
 		target.SetReport(*info.Report)
 	}
+	target.SetRejectionLimit(info.RejectionLimit, time.Now())
 	if info.NotRun {
 		return nil, nil, j.recordRefusal(target, call, answer)
 	}
--- a/internal/serve/run/choose.go
+++ b/internal/serve/run/choose.go
@@ -63,6 +63,7 @@
 
 // pickFrom picks one of the given targets; nil if none of them accepts the request.
 func (c *choice) pickFrom(views []pool.View) *pool.Target {
+	views = slices.DeleteFunc(views, func(v pool.View) bool { return v.ShareInUse })
 	views = c.excludeCold(views)
 	for {
 		target := c.pick(views)
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -69,6 +69,8 @@
 	Signed bool
 	// Report is the target's load; nil if it isn't given.
 	Report *pool.Report
+	// RejectionLimit is how many rejections a second the target can take; nil if it states none.
+	RejectionLimit *int
 }
 
 // Codec translates between this package and the wire format of the targets.
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -198,7 +198,9 @@
 	for wait.For(s.baseCtx, maintenancePeriod) {
 		now := time.Now()
 		s.client.Prune(now)
-		s.budget.SetMemberCount(1+len(s.network.View().Members), now)
+		members := 1 + len(s.network.View().Members)
+		s.budget.SetMemberCount(members, now)
+		s.table.SetMemberCount(members)
 		if s.warmup != nil {
 			s.warmup.Prune(now)
 		}
