--- a/internal/serve/forwarding.go
+++ b/internal/serve/forwarding.go
@@ -17,9 +17,9 @@
 
 var _ run.Reach = forwarding{}
 
-// Forwarders lists the callers' addresses of the peers in the region of this process that aren't cut
+// PeerAddresses lists the callers' addresses of the peers in the region of this process that aren't cut
 // off from a service, those of its zone first.
-func (f forwarding) Forwarders(service string) []string {
+func (f forwarding) PeerAddresses(service string) []string {
 	view := f.network.View()
 	var near, far []string
 	for _, m := range view.Members {
--- a/internal/serve/reach/reach.go
+++ b/internal/serve/reach/reach.go
@@ -62,7 +62,7 @@
 // Tracker tracks which services this VM and the others reach. It is safe for concurrent use.
 type Tracker struct {
 	Options
-	// hints has the services with failed connections. It never blocks.
+	// hints holds a service to check next.
 	hints chan string
 
 	mu sync.Mutex // guards the fields below; no other lock is taken while it is held
@@ -164,7 +164,7 @@
 	}
 	select {
 	case t.hints <- target.Service:
-	default: // a check is due anyway
+	default: // the next failure tries again
 	}
 }
 
--- a/internal/serve/run/forward.go
+++ b/internal/serve/run/forward.go
@@ -14,13 +14,14 @@
 
 // Reach tells from which services this process is cut off, and which peers aren't.
 type Reach interface {
+	// CutOff reports whether this process can't connect to the targets of a service.
 	CutOff(service string) bool
-	// Forwarders lists the callers' addresses of peers that may process requests for a service, in
+	// PeerAddresses lists the callers' addresses of peers that may process requests for a service, in
 	// order of preference.
-	Forwarders(service string) []string
+	PeerAddresses(service string) []string
 }
 
-// maxForwards is how many peers a request is passed on to if it can't be sent to them.
+// maxForwards is how many peers are tried if no connection to them can be established.
 const maxForwards = 2
 
 // cutOff reports whether this process is cut off from the request's service.
@@ -33,7 +34,7 @@
 	if j.req.Forwarded || j.sends > 0 || !j.cutOff() {
 		return nil
 	}
-	addresses := j.Reach.Forwarders(j.service)
+	addresses := j.Reach.PeerAddresses(j.service)
 	for _, address := range addresses[:min(len(addresses), maxForwards)] {
 		if reply := j.forwardTo(address); reply != nil {
 			return reply
