--- a/internal/serve/gather/failover_test.go
+++ b/internal/serve/gather/failover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,7 +28,7 @@
 }
 
 // newMembersWithReach creates members of which those in cutOff are cut off from all services.
-func newMembersWithReach(life context.Context, pools *servetest.FakeTargets, n int, cutOff map[string]bool) []member {
+func newMembersWithReach(life context.Context, pools *servetest.FakeTargets, n int, cutOff *cutOffSet) []member {
 	cluster := &servetest.Cluster{Delay: time.Millisecond}
 	var list []member
 	for i := range n {
@@ -92,17 +93,50 @@
 	})
 }
 
-// fakeReach says which processes are cut off from all services.
+// cutOffSet has the processes that are cut off from all services. nil is an empty set.
+type cutOffSet struct {
+	mu      sync.Mutex // guards members
+	members map[string]bool
+}
+
+func (s *cutOffSet) add(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.members == nil {
+		s.members = map[string]bool{}
+	}
+	s.members[name] = true
+}
+
+func (s *cutOffSet) has(name string) bool {
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members[name]
+}
+
+// fakeReach is the reach of one process.
 type fakeReach struct {
 	self   string
-	cutOff map[string]bool
+	cutOff *cutOffSet
 }
 
-func (f *fakeReach) CutOff(string) bool { return f.cutOff[f.self] }
+func (f *fakeReach) CutOff(string) bool { return f.cutOff.has(f.self) }
 
-func (f *fakeReach) PeerCutOff(id peer.Incarnation, _ ...string) bool { return f.cutOff[string(id)] }
+func (f *fakeReach) PeerCutOff(id peer.Incarnation, _ ...string) bool {
+	return f.cutOff.has(string(id))
+}
 
-func (f *fakeReach) Generation() uint64 { return uint64(len(f.cutOff)) }
+func (f *fakeReach) Generation() uint64 {
+	if f.cutOff == nil {
+		return 0
+	}
+	f.cutOff.mu.Lock()
+	defer f.cutOff.mu.Unlock()
+	return uint64(len(f.cutOff.members))
+}
 
 // Guards against a gatherer that is cut off from the targets, so that no process can run its stages.
 func TestCutOffProcessDoesNotGather(t *testing.T) {
@@ -112,18 +146,18 @@
 		pools := &servetest.FakeTargets{Services: map[string]*plan.Batch{
 			"s": {Size: 4, CallTime: 20 * time.Millisecond, BufferBytes: 1000, Keep: 4 * time.Second},
 		}}
-		cutOff := map[string]bool{}
+		cutOff := &cutOffSet{}
 		list := newMembersWithReach(life, pools, 2, cutOff)
 		assert.NilError(t, list[0].runItem(life, "first"))
 		primary, other := list[0], list[1]
 		if primary.calls() == 0 {
 			primary, other = other, primary
 		}
-		cutOff[string(primary.node.Self().Incarnation)] = true
+		cutOff.add(string(primary.node.Self().Incarnation))
 		assert.NilError(t, primary.runItem(life, "second"))
 		assert.Equal(t, primary.calls(), 1)
 		assert.Equal(t, other.calls(), 1)
-		cutOff[string(other.node.Self().Incarnation)] = true
+		cutOff.add(string(other.node.Self().Incarnation))
 		assert.NilError(t, other.runItem(life, "third"))
 		assert.Equal(t, primary.calls(), 2, "all are cut off")
 		stop()
