run: one function builds the reply that passes an answer on

Cause: four places (streams, buffered, relayed and forwarded answers) each decided whether the reply is unframed.

Change: passOn builds the reply and alone decides it. No behaviour changes.

--- a/internal/conns/keepalive_test.go
+++ b/internal/conns/keepalive_test.go
@@ -9,8 +9,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against keep-alive settings that the system rounds or overrides, so that a connection to a
-// silent target ends later than intended.
+// Guards against connections to silent targets that end late since keep-alive settings are rounded.
 func TestProbesAndUnackedTimeoutAgree(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/internal/serve/pool/rejections_test.go
+++ b/internal/serve/pool/rejections_test.go
@@ -123,8 +123,7 @@
 	return result
 }
 
-// Guards against targets that fall over because all processes together have them reject more requests
-// in a second than they can take.
+// Guards against targets that fall over because all processes together have them reject too much.
 func TestTargetsInOverloadRejectFewRequests(t *testing.T) {
 	for _, o := range []overload{
 		{members: 8, targets: 3, slots: 6, queue: 2, limit: 5, work: 300 * time.Millisecond, perSecond: 90},
--- a/internal/serve/reach/reach_test.go
+++ b/internal/serve/reach/reach_test.go
@@ -103,8 +103,7 @@
 	})
 }
 
-// Guards against a VM that counts as cut off because a few targets have crashed, and against
-// connections that are opened for nothing.
+// Guards against a VM that counts as cut off, or checks, because a few targets have crashed.
 func TestFailedTargetsAloneAreNoPartition(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -219,12 +219,15 @@
 		j.recordCompleteAnswer()
 	}
 	j.cleanUp()
-	return attempt{target: target, mayHaveArrived: true, reply: &Reply{
-		Status: answer.Status,
-		Answer: &Answer{
-			Header: endToEndHeaders(&answer.Header), Length: buffered.Len(), Unframed: answer.Kind == framing.Connection,
-			Body: io.NopCloser(strings.NewReader(buffered.String())),
-		},
+	body := io.NopCloser(strings.NewReader(buffered.String()))
+	return attempt{target: target, mayHaveArrived: true, reply: passOn(answer, body, buffered.Len())}
+}
+
+// passOn returns the reply that passes an answer on with the given body. Its end is marked no better
+// than that of the answer.
+func passOn(answer *upstream.Answer, body io.ReadCloser, length int) *Reply {
+	return &Reply{Status: answer.Status, Answer: &Answer{
+		Header: endToEndHeaders(&answer.Header), Body: body, Length: length, Unframed: answer.Kind == framing.Connection,
 	}}
 }
 
@@ -235,9 +238,7 @@
 		call.End(pool.Answered, time.Now())
 		j.cleanUp()
 	}}
-	return &Reply{Status: answer.Status, Answer: &Answer{
-		Header: endToEndHeaders(&answer.Header), Body: body, Length: answer.Length, Unframed: answer.Kind == framing.Connection,
-	}}
+	return passOn(answer, body, answer.Length)
 }
 
 // relayedBody is an answer body that releases its resources when it is closed.
--- a/internal/serve/run/forward.go
+++ b/internal/serve/run/forward.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
-	"github.com/vanillagate/vanillagate/internal/framing"
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
 )
 
@@ -84,11 +82,9 @@
 
 // forwardedReply returns the peer's answer, which is passed on as it comes.
 func (j *job) forwardedReply(answer *upstream.Answer) *Reply {
-	body := &relayedBody{Reader: io.Reader(answer), close: func() {
+	body := &relayedBody{Reader: answer, close: func() {
 		answer.Close()
 		j.cleanUp()
 	}}
-	return &Reply{Status: answer.Status, Answer: &Answer{
-		Header: endToEndHeaders(&answer.Header), Body: body, Length: answer.Length, Unframed: answer.Kind == framing.Connection,
-	}}
+	return passOn(answer, body, answer.Length)
 }
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -63,9 +63,7 @@
 	if j.route.Resumable {
 		length = -1 // the rest may come from another target
 	}
-	return &Reply{Status: answer.Status, Answer: &Answer{
-		Header: endToEndHeaders(&answer.Header), Body: s, Length: length, Unframed: answer.Kind == framing.Connection,
-	}}
+	return passOn(answer, s, length)
 }
 
 // isEventStream reports whether an answer is a series of events, as it is unless it says
