run: a request that no target can get is refused at once

Traced: while all VMs are cut off from a service, a request tries one target after the other, 1 s for each connection, whenever their backoff has ended.

A VM that is cut off and has no peer to pass a request on to sends it only to targets to which it keeps a connection or to which its last check connected. Without any, it refuses the request before its stages; Retry-After is about the time until the next check.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,6 +72,13 @@
 	return now.Sub(c.lastUsed) >= idle
 }
 
+// reusable reports whether the connection is still open, and was used less than maxIdleTime ago; 0 means
+// no limit.
+func (c *Conn) reusable(now time.Time, maxIdleTime time.Duration) bool {
+	recent := maxIdleTime == 0 || now.Sub(c.lastUsed) < maxIdleTime
+	return recent && !c.expired(now) && c.R.Buffered() == 0 && socket.Peek(c.Conn) == socket.Idle
+}
+
 // Pool keeps unused connections by address. A connection may be put back only
 // after its answer was read to the end. Before reuse it is checked without
 // reading from it: on a closed one the outcome of the next call would be
@@ -91,14 +99,21 @@
 		if c == nil {
 			return nil
 		}
-		recent := maxIdleTime == 0 || now.Sub(c.lastUsed) < maxIdleTime
-		if recent && !c.expired(now) && c.R.Buffered() == 0 && socket.Peek(c.Conn) == socket.Idle {
+		if c.reusable(now, maxIdleTime) {
 			return c
 		}
 		_ = c.Close() // unused, so the error does not matter
 	}
 }
 
+// Has reports whether a connection to an address is kept that was used less than maxIdleTime ago; 0
+// means no limit.
+func (p *Pool) Has(address string, now time.Time, maxIdleTime time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.byAddress[address], func(c *Conn) bool { return c.reusable(now, maxIdleTime) })
+}
+
 func (p *Pool) pop(address string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/serve/reach/check.go
+++ b/internal/serve/reach/check.go
@@ -1,6 +1,10 @@
 package reach
 
-import "time"
+import (
+	"time"
+
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+)
 
 const (
 	// maxChecked is how many targets of a service a check connects to.
@@ -30,7 +34,10 @@
 }
 
 // check is the result of connecting to targets of a service.
-type check struct{ tried, connected int }
+type check struct {
+	tried     int
+	connected []*pool.Target
+}
 
 // cutOff decides whether this VM is cut off from the service; was is the decision before.
 func (c check) cutOff(was bool) bool {
@@ -38,8 +45,8 @@
 	case c.tried == 0:
 		return false
 	case was:
-		return connectedDivisor*c.connected < c.tried
+		return connectedDivisor*len(c.connected) < c.tried
 	default:
-		return cutOffDivisor*c.connected < c.tried
+		return cutOffDivisor*len(c.connected) < c.tried
 	}
 }
--- a/internal/serve/reach/check_test.go
+++ b/internal/serve/reach/check_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
 )
 
 func TestCutOff(t *testing.T) {
@@ -25,7 +27,7 @@
 		{8, 3, true, true},
 		{8, 4, true, false},
 	} {
-		assert.Equal(t, check{tried: tc.tried, connected: tc.connected}.cutOff(tc.was), tc.cutOff, "%+v", tc)
+		assert.Equal(t, check{tried: tc.tried, connected: make([]*pool.Target, tc.connected)}.cutOff(tc.was), tc.cutOff, "%+v", tc)
 	}
 }
 
--- a/internal/serve/reach/reach.go
+++ b/internal/serve/reach/reach.go
@@ -69,7 +69,9 @@
 	// failures has the time of each target's last failed connection, by service.
 	failures map[string]failures
 	cutOff   map[string]bool
-	peers    map[peer.Incarnation]peerNotice
+	// connected has the targets of each service to which the last check connected.
+	connected map[string][]*pool.Target
+	peers     map[peer.Incarnation]peerNotice
 	// generation grows with every change of cutOff and peers.
 	generation uint64
 }
@@ -78,7 +80,7 @@
 func New(o Options) *Tracker {
 	t := &Tracker{
 		Options: o, hints: make(chan string, 1), failures: map[string]failures{}, cutOff: map[string]bool{},
-		peers: map[peer.Incarnation]peerNotice{},
+		connected: map[string][]*pool.Target{}, peers: map[peer.Incarnation]peerNotice{},
 	}
 	o.Network.Subscribe(peer.TopicReach, t.receive)
 	o.Table.OnUnreachable(func(target *pool.Target) { t.connectFailed(target, time.Now()) })
@@ -92,6 +94,13 @@
 	return t.cutOff[service]
 }
 
+// Connected reports whether the last check of a target's service connected to the target.
+func (t *Tracker) Connected(target *pool.Target) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Contains(t.connected[target.Service], target)
+}
+
 // PeerCutOff reports whether another process has told that it is cut off from any of the services.
 func (t *Tracker) PeerCutOff(id peer.Incarnation, services ...string) bool {
 	t.mu.Lock()
@@ -240,21 +249,21 @@
 	t.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	var mu sync.Mutex // guards result
-	result := check{tried: len(targets)}
+	var mu sync.Mutex // guards connected
+	var connected []*pool.Target
 	var group errgroup.Group
 	for _, target := range targets {
 		group.Go(func() error {
 			if t.Connect(ctx, target.Address) == nil {
 				mu.Lock()
 				defer mu.Unlock()
-				result.connected++
+				connected = append(connected, target)
 			}
 			return nil
 		})
 	}
 	_ = group.Wait() // a failed connection is a result
-	return result
+	return check{tried: len(targets), connected: connected}
 }
 
 // sample returns a random choice of the targets.
@@ -274,13 +283,14 @@
 	defer t.mu.Unlock()
 	for i, service := range services {
 		was := t.cutOff[service]
+		t.connected[service] = results[i].connected
 		if results[i].cutOff(was) == was {
 			continue
 		}
 		changed = true
 		t.generation++
 		t.Log.Warn("Reach of a service changed.", zap.String("service", service), zap.Bool("cut_off", !was),
-			zap.Int("targets_tried", results[i].tried), zap.Int("connected", results[i].connected))
+			zap.Int("targets_tried", results[i].tried), zap.Int("connected", len(results[i].connected)))
 		if was {
 			delete(t.cutOff, service)
 		} else {
@@ -297,6 +307,7 @@
 	defer t.mu.Unlock()
 	maps.DeleteFunc(t.cutOff, func(service string, _ bool) bool { return !slices.Contains(current, service) })
 	maps.DeleteFunc(t.failures, func(service string, _ failures) bool { return !slices.Contains(current, service) })
+	maps.DeleteFunc(t.connected, func(service string, _ []*pool.Target) bool { return !slices.Contains(current, service) })
 	t.generation++
 }
 
--- a/internal/serve/reach/reach_test.go
+++ b/internal/serve/reach/reach_test.go
@@ -17,12 +17,13 @@
 	"github.com/vanillagate/vanillagate/internal/serve/servetest"
 )
 
-// vm is a process with a tracker; cut makes its connections to targets hang.
+// vm is a process with a tracker; cut makes its connections to targets hang, but for the one spared.
 type vm struct {
 	*reach.Tracker
 	id    peer.Incarnation
 	table *pool.Table
 	cut   atomic.Bool
+	spare string // address
 	dials atomic.Int64
 }
 
@@ -40,9 +41,9 @@
 	v.table.Reset(entries, 1, time.Now())
 	v.Tracker = reach.New(reach.Options{
 		Log: zap.NewNop(), Network: cluster.Add(name, "z"), Table: v.table, Services: func() []string { return services },
-		Connect: func(ctx context.Context, _ string) error {
+		Connect: func(ctx context.Context, address string) error {
 			v.dials.Add(1)
-			if !v.cut.Load() {
+			if !v.cut.Load() || address == v.spare {
 				return nil
 			}
 			<-ctx.Done()
@@ -85,6 +86,23 @@
 	})
 }
 
+// Guards against a VM that refuses what the few targets that it reaches could serve.
+func TestCutOffVMKnowsTheTargetsThatItReaches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		v := newVM(ctx, &servetest.Cluster{}, "a")
+		v.spare = "desk3"
+		v.cut.Store(true)
+		v.failToConnect("engines", 2)
+		time.Sleep(time.Second)
+		assert.Assert(t, v.CutOff("desk"))
+		for _, target := range v.table.ReadySet("desk").Targets {
+			assert.Equal(t, v.Connected(target), target.Address == v.spare, target.Address)
+		}
+	})
+}
+
 // Guards against a VM that died while it was cut off and is left out forever.
 func TestNoticeOfADeadVMExpires(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -121,11 +121,9 @@
 	r := &upstream.Request{
 		Address: target.Address, Method: j.req.Method, URI: j.req.URI, Host: j.req.Host,
 		Header: j.Codec.RequestHeader(j.req, info), Body: j.req.Body,
+		MaxIdleTime:    j.maxIdleTime(),
 		MatchesRequest: j.matchesRequest,
 	}
-	if !j.route.Repeatable() {
-		r.MaxIdleTime = maxConnIdleTime
-	}
 	j.limitIdleConns(r)
 	return r
 }
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -230,6 +230,9 @@
 	if reply := j.forward(); reply != nil {
 		return reply
 	}
+	if reply := j.refuseIfUnreachable(); reply != nil {
+		return reply
+	}
 	if reply := j.prepare(); reply != nil {
 		return reply
 	}
--- a/internal/serve/run/forward.go
+++ b/internal/serve/run/forward.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
 )
 
@@ -14,6 +16,9 @@
 type Reach interface {
 	// CutOff reports whether this process can't connect to the targets of a service.
 	CutOff(service string) bool
+	// Connected reports whether this process could connect to a target of a service from which it
+	// is cut off.
+	Connected(target *pool.Target) bool
 	// PeerAddresses lists the callers' addresses of peers that may process requests for a service, in
 	// order of preference.
 	PeerAddresses(service string) []string
@@ -25,6 +30,38 @@
 // cutOff reports whether this process is cut off from the request's service.
 func (j *job) cutOff() bool { return j.Reach != nil && j.Reach.CutOff(j.service) }
 
+// cutOffRetry is the least delay after which callers are told to retry at a process that is cut off:
+// about the time until it checks the targets again.
+const cutOffRetry = 500 * time.Millisecond
+
+// refuseIfUnreachable refuses the request if this process is cut off from all targets of its service;
+// nil otherwise.
+func (j *job) refuseIfUnreachable() *Reply {
+	if !j.cutOff() || len(j.reachable(j.Table.Views(j.service, time.Now()))) > 0 {
+		return nil
+	}
+	return j.errorReply(fasthttp.StatusServiceUnavailable, NoTarget, retryAfter(cutOffRetry))
+}
+
+// reachable removes the targets that this process can't reach. To those that it reaches although it is
+// cut off it has connected lately, or a connection is kept.
+func (j *job) reachable(views []pool.View) []pool.View {
+	if !j.cutOff() {
+		return views
+	}
+	return slices.DeleteFunc(views, func(v pool.View) bool {
+		return !j.Reach.Connected(v.Target) && !j.Client.HasIdle(v.Address, j.maxIdleTime())
+	})
+}
+
+// maxIdleTime limits how long a connection that the request uses may have been idle; 0 means no limit.
+func (j *job) maxIdleTime() time.Duration {
+	if j.route.Repeatable() {
+		return 0
+	}
+	return maxConnIdleTime
+}
+
 // forward passes the request on to a peer if this process is cut off from the request's service. nil
 // means that it is processed here. A request is passed on once at most, and only if it was sent to
 // no target.
@@ -69,15 +106,12 @@
 }
 
 func (j *job) forwardRequest(address string) *upstream.Request {
-	r := &upstream.Request{
+	return &upstream.Request{
 		Address: address, Method: j.req.Method, URI: j.req.URI, Host: j.req.Host, Body: j.req.Body,
 		Header:         j.Codec.ForwardHeader(j.req, time.Until(j.deadline)),
+		MaxIdleTime:    j.maxIdleTime(),
 		MatchesRequest: j.matchesRequest,
 	}
-	if !j.route.Repeatable() {
-		r.MaxIdleTime = maxConnIdleTime
-	}
-	return r
 }
 
 // forwardedReply returns the peer's answer, which is passed on as it comes.
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -105,6 +105,12 @@
 // left: another one may have or get the address.
 func (c *Client) CloseIdle(address string) { c.idle.CloseIdle(address) }
 
+// HasIdle reports whether an unused connection to an address is kept that a request with this
+// MaxIdleTime may reuse.
+func (c *Client) HasIdle(address string, maxIdleTime time.Duration) bool {
+	return c.idle.Has(address, time.Now(), maxIdleTime)
+}
+
 // Send makes one attempt and reads the header of the answer. Every error is a *Failure. When
 // ctx ends, the connection is closed, also while the body is being read. The caller must
 // always close the answer.
