reach: a check during which the process stood still does not count

The connections of a check time out after 300 ms also if the process is frozen meanwhile, so that a VM that continues takes itself for cut off until its next check. Found by reading, since a VM that is cut off now refuses what no peer can take.

A check that takes 100 ms longer than it may leaves the decision as it was.

TestFrozenVMIsNotCutOff fails before and passes after (15 of 15 with -race).

--- a/internal/serve/reach/check.go
+++ b/internal/serve/reach/check.go
@@ -9,6 +9,8 @@
 const (
 	// maxChecked is how many targets of a service a check connects to.
 	maxChecked = 8
+	// maxCheckTime is how long a check may take that counts.
+	maxCheckTime = connectTimeout + 100*time.Millisecond
 	// suspiciousTargets is how many targets of a service have to refuse or ignore connections
 	// within suspicionTime for a check.
 	suspiciousTargets = 2
@@ -37,11 +39,16 @@
 type check struct {
 	tried     int
 	connected []*pool.Target
+	// late is set if the check took so much longer than connectTimeout that this process must have
+	// stood still. Its failures say nothing of the network.
+	late bool
 }
 
 // cutOff decides whether this VM is cut off from the service; was is the decision before.
 func (c check) cutOff(was bool) bool {
 	switch {
+	case c.late:
+		return was
 	case c.tried == 0:
 		return false
 	case was:
--- a/internal/serve/reach/check_test.go
+++ b/internal/serve/reach/check_test.go
@@ -27,6 +27,7 @@
 		{8, 3, true, true},
 		{8, 4, true, false},
 	} {
+		assert.Equal(t, check{tried: tc.tried, late: true}.cutOff(tc.was), tc.was, "%+v", tc)
 		assert.Equal(t, check{tried: tc.tried, connected: make([]*pool.Target, tc.connected)}.cutOff(tc.was), tc.cutOff, "%+v", tc)
 	}
 }
--- a/internal/serve/reach/reach.go
+++ b/internal/serve/reach/reach.go
@@ -247,6 +247,7 @@
 	t.mu.Lock()
 	delete(t.failures, service)
 	t.mu.Unlock()
+	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	var mu sync.Mutex // guards connected
@@ -263,7 +264,7 @@
 		})
 	}
 	_ = group.Wait() // a failed connection is a result
-	return check{tried: len(targets), connected: connected}
+	return check{tried: len(targets), connected: connected, late: time.Since(start) > maxCheckTime}
 }
 
 // sample returns a random choice of the targets.
@@ -283,7 +284,9 @@
 	defer t.mu.Unlock()
 	for i, service := range services {
 		was := t.cutOff[service]
-		t.connected[service] = results[i].connected
+		if !results[i].late {
+			t.connected[service] = results[i].connected
+		}
 		if results[i].cutOff(was) == was {
 			continue
 		}
--- a/internal/serve/reach/reach_test.go
+++ b/internal/serve/reach/reach_test.go
@@ -24,7 +24,9 @@
 	table *pool.Table
 	cut   atomic.Bool
 	spare string // address
-	dials atomic.Int64
+	// freeze stops the next check for this long, after which all of its connections have timed out.
+	freeze atomic.Int64
+	dials  atomic.Int64
 }
 
 var services = []string{"engines", "desk"}
@@ -43,6 +45,11 @@
 		Log: zap.NewNop(), Network: cluster.Add(name, "z"), Table: v.table, Services: func() []string { return services },
 		Connect: func(ctx context.Context, address string) error {
 			v.dials.Add(1)
+			if d := time.Duration(v.freeze.Load()); d > 0 {
+				time.Sleep(d)
+				v.freeze.Store(0)
+				return context.DeadlineExceeded
+			}
 			if !v.cut.Load() || address == v.spare {
 				return nil
 			}
@@ -103,6 +110,22 @@
 	})
 }
 
+// Guards against a VM that counts as cut off because it was frozen during a check.
+func TestFrozenVMIsNotCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		v := newVM(ctx, &servetest.Cluster{}, "a")
+		v.freeze.Store(int64(2 * time.Second))
+		v.failToConnect("engines", 2)
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			assert.Assert(t, !v.CutOff("engines"))
+		}
+		assert.Assert(t, v.dials.Load() > 0)
+	})
+}
+
 // Guards against a VM that died while it was cut off and is left out forever.
 func TestNoticeOfADeadVMExpires(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
