reach: notices are numbered by a counter

They were numbered by the time of day. After a step back of the clock within 5 s of the last notice the network refuses the next ones, and peers pass requests on to a VM that is cut off, or do not to one that is connected again. Found by reading.

A counter for each process; an incarnation that starts again has a new origin.

--- a/internal/serve/reach/reach.go
+++ b/internal/serve/reach/reach.go
@@ -64,6 +64,8 @@
 	Options
 	// hints holds a service to check next.
 	hints chan string
+	// notices is the number of notices published. Only Run's goroutine uses it.
+	notices uint64
 
 	mu sync.Mutex // guards the fields below; no other lock is taken while it is held
 	// failures has the time of each target's last failed connection, by service.
@@ -319,8 +321,8 @@
 	t.mu.Lock()
 	services := slices.Sorted(maps.Keys(t.cutOff))
 	t.mu.Unlock()
-	version := uint64(time.Now().UnixMicro())
-	if err := t.Network.Publish(peer.TopicReach, noticeKey, version, noticeTTL, notice{Services: services}); err != nil {
+	t.notices++
+	if err := t.Network.Publish(peer.TopicReach, noticeKey, t.notices, noticeTTL, notice{Services: services}); err != nil {
 		t.Log.Warn("Failed to tell the peers from which services this VM is cut off.", zap.Error(err))
 	}
 }
--- a/internal/serve/reach/reach_test.go
+++ b/internal/serve/reach/reach_test.go
@@ -126,6 +126,26 @@
 	})
 }
 
+// Guards against notices that peers ignore after a step of the clock.
+func TestNoticesAreNumberedConsecutively(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		cluster := &servetest.Cluster{}
+		var versions []uint64
+		cluster.Add("b", "z").Subscribe(peer.TopicReach, func(i peer.Item) { versions = append(versions, i.Version) })
+		a := newVM(ctx, cluster, "a")
+		a.cut.Store(true)
+		a.failToConnect("engines", 2)
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		assert.Assert(t, len(versions) > 5, "%v", versions)
+		for i, version := range versions {
+			assert.Equal(t, version, uint64(i+1))
+		}
+	})
+}
+
 // Guards against a VM that died while it was cut off and is left out forever.
 func TestNoticeOfADeadVMExpires(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
