reach: a VM that has just been cut off tells its peers once

The check that finds the cut publishes a notice, and the loop published the same again at once.

The time of the last notice is kept where it is published.

TestNoticesAreNotRepeatedAtOnce fails before (notices 1 and 2 at the same instant), passes 5 of 5 with -race; the partition tests of platform/ pass.

--- a/internal/serve/reach/reach.go
+++ b/internal/serve/reach/reach.go
@@ -64,8 +64,10 @@
 	Options
 	// hints holds a service to check next.
 	hints chan string
-	// notices is the number of notices published. Only Run's goroutine uses it.
-	notices uint64
+	// notices is the number of notices published, noticedAt the time of the last one. Only Run's
+	// goroutine uses them.
+	notices   uint64
+	noticedAt time.Time
 
 	mu sync.Mutex // guards the fields below; no other lock is taken while it is held
 	// failures has the time of each target's last failed connection, by service.
@@ -182,7 +184,6 @@
 // Run checks services when connections fail, and all of them periodically while this VM is cut off
 // from any, until the context ends.
 func (t *Tracker) Run(ctx context.Context) {
-	var noticed time.Time
 	for {
 		if !t.isCutOff() {
 			select {
@@ -197,9 +198,8 @@
 		if t.isCutOff() {
 			t.forgetOtherServices()
 			t.checkServices(ctx, t.Services())
-			if time.Since(noticed) >= noticePeriod {
+			if time.Since(t.noticedAt) >= noticePeriod {
 				t.publish()
-				noticed = time.Now()
 			}
 		}
 		if !wait.For(ctx, checkPeriod) {
@@ -322,6 +322,7 @@
 	services := slices.Sorted(maps.Keys(t.cutOff))
 	t.mu.Unlock()
 	t.notices++
+	t.noticedAt = time.Now()
 	if err := t.Network.Publish(peer.TopicReach, noticeKey, t.notices, noticeTTL, notice{Services: services}); err != nil {
 		t.Log.Warn("Failed to tell the peers from which services this VM is cut off.", zap.Error(err))
 	}
--- a/internal/serve/reach/reach_test.go
+++ b/internal/serve/reach/reach_test.go
@@ -146,6 +146,25 @@
 	})
 }
 
+// Guards against a VM that tells its peers the same twice at once.
+func TestNoticesAreNotRepeatedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		cluster := &servetest.Cluster{}
+		var at []time.Time
+		cluster.Add("b", "z").Subscribe(peer.TopicReach, func(peer.Item) { at = append(at, time.Now()) })
+		a := newVM(ctx, cluster, "a")
+		a.cut.Store(true)
+		a.failToConnect("engines", 2)
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		for i := 1; i < len(at); i++ {
+			assert.Assert(t, at[i].After(at[i-1]), "notices %d and %d", i-1, i)
+		}
+	})
+}
+
 // Guards against a VM that died while it was cut off and is left out forever.
 func TestNoticeOfADeadVMExpires(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
