reach: the generation grows only when an answer has changed

While a VM was cut off, forgetOtherServices raised the generation with each check, twice a second, also if it dropped nothing. Requester.gatherers keys its assignment of shards by the generation, so the VM computed the same assignment again each time.

The generation grows if a service was dropped from those that are cut off. The three loops that drop services are one function.

TestCutOffVMTellsItsPeers also checks the generation of the VM that is cut off: fails before, passes with -race, as do the tests of gather (2 of 2).

--- a/internal/serve/reach/reach.go
+++ b/internal/serve/reach/reach.go
@@ -310,10 +310,18 @@
 	current := t.Services()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	maps.DeleteFunc(t.cutOff, func(service string, _ bool) bool { return !slices.Contains(current, service) })
-	maps.DeleteFunc(t.failures, func(service string, _ failures) bool { return !slices.Contains(current, service) })
-	maps.DeleteFunc(t.connected, func(service string, _ []*pool.Target) bool { return !slices.Contains(current, service) })
-	t.generation++
+	keepOnly(t.failures, current)
+	keepOnly(t.connected, current)
+	before := len(t.cutOff)
+	keepOnly(t.cutOff, current)
+	if len(t.cutOff) != before {
+		t.generation++
+	}
+}
+
+// keepOnly deletes all other services from a map.
+func keepOnly[V any](m map[string]V, services []string) {
+	maps.DeleteFunc(m, func(service string, _ V) bool { return !slices.Contains(services, service) })
 }
 
 // publish tells the other processes from which services this VM is cut off.
--- a/internal/serve/reach/reach_test.go
+++ b/internal/serve/reach/reach_test.go
@@ -83,10 +83,11 @@
 		}
 		assert.Assert(t, !b.CutOff("engines"))
 		assert.Assert(t, !a.PeerCutOff("b", services...))
-		before := b.Generation()
+		before, own := b.Generation(), a.Generation()
 		time.Sleep(20 * time.Second)
 		assert.Assert(t, b.PeerCutOff("a", "engines"), "its notice expired during the partition")
 		assert.Equal(t, b.Generation(), before, "the same notice again changes nothing")
+		assert.Equal(t, a.Generation(), own, "the same checks again change nothing")
 		a.cut.Store(false)
 		time.Sleep(time.Second)
 		assert.Assert(t, !a.CutOff("engines") && !b.PeerCutOff("a", services...))
