reach: a check and a slow connection share one time limit; tests of notices share their setup

The 300 ms stood twice, in upstream (SlowConnectTime) and in reach (connectTimeout), for the same thing: how long a target that is reachable may take to accept a connection. Two tests repeated ten lines.

Change. connectTimeout is upstream.SlowConnectTime. noticesOfCutOffVM is the setup of both tests, whose assertions stay. Nothing else changes.

--- a/internal/serve/reach/reach.go
+++ b/internal/serve/reach/reach.go
@@ -17,6 +17,7 @@
 
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
+	"github.com/vanillagate/vanillagate/internal/serve/upstream"
 	"github.com/vanillagate/vanillagate/internal/wait"
 )
 
@@ -25,7 +26,7 @@
 	// between two checks of a service.
 	checkPeriod = 500 * time.Millisecond
 	// connectTimeout is how long a target may take to accept a connection in a check.
-	connectTimeout = 300 * time.Millisecond
+	connectTimeout = upstream.SlowConnectTime
 	// noticeTTL is how long the notice of a VM that is cut off is valid; it is repeated every
 	// noticePeriod.
 	noticeTTL    = 5 * time.Second
--- a/internal/serve/reach/reach_test.go
+++ b/internal/serve/reach/reach_test.go
@@ -127,22 +127,36 @@
 	})
 }
 
+// published is a notice as its peers get it.
+type published struct {
+	version uint64
+	at      time.Time
+}
+
+// noticesOfCutOffVM returns what a VM publishes in ten seconds of being cut off.
+func noticesOfCutOffVM(ctx context.Context) []published {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	cluster := &servetest.Cluster{}
+	var list []published
+	cluster.Add("b", "z").Subscribe(peer.TopicReach, func(i peer.Item) {
+		list = append(list, published{version: i.Version, at: time.Now()})
+	})
+	a := newVM(ctx, cluster, "a")
+	a.cut.Store(true)
+	a.failToConnect("engines", 2)
+	time.Sleep(10 * time.Second)
+	synctest.Wait()
+	return list
+}
+
 // Guards against notices that peers ignore after a step of the clock.
 func TestNoticesAreNumberedConsecutively(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, stop := context.WithCancel(t.Context())
-		defer stop()
-		cluster := &servetest.Cluster{}
-		var versions []uint64
-		cluster.Add("b", "z").Subscribe(peer.TopicReach, func(i peer.Item) { versions = append(versions, i.Version) })
-		a := newVM(ctx, cluster, "a")
-		a.cut.Store(true)
-		a.failToConnect("engines", 2)
-		time.Sleep(10 * time.Second)
-		synctest.Wait()
-		assert.Assert(t, len(versions) > 5, "%v", versions)
-		for i, version := range versions {
-			assert.Equal(t, version, uint64(i+1))
+		notices := noticesOfCutOffVM(t.Context())
+		assert.Assert(t, len(notices) > 5, "%v", notices)
+		for i, n := range notices {
+			assert.Equal(t, n.version, uint64(i+1))
 		}
 	})
 }
@@ -150,18 +164,9 @@
 // Guards against a VM that tells its peers the same twice at once.
 func TestNoticesAreNotRepeatedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, stop := context.WithCancel(t.Context())
-		defer stop()
-		cluster := &servetest.Cluster{}
-		var at []time.Time
-		cluster.Add("b", "z").Subscribe(peer.TopicReach, func(peer.Item) { at = append(at, time.Now()) })
-		a := newVM(ctx, cluster, "a")
-		a.cut.Store(true)
-		a.failToConnect("engines", 2)
-		time.Sleep(10 * time.Second)
-		synctest.Wait()
-		for i := 1; i < len(at); i++ {
-			assert.Assert(t, at[i].After(at[i-1]), "notices %d and %d", i-1, i)
+		notices := noticesOfCutOffVM(t.Context())
+		for i := 1; i < len(notices); i++ {
+			assert.Assert(t, notices[i].at.After(notices[i-1].at), "notices %d and %d", i-1, i)
 		}
 	})
 }
