quota: metrics of what the retry budget divides by and of retries that aren't sent yet

Logs and metrics couldn't tell the hypotheses on retries over the shared budget apart: neither the number of processes that a process divides the reserve by, nor the retries that it has taken and not yet sent, could be read. No decision changes. Tests of run and quota pass.

--- a/internal/serve/gauges.go
+++ b/internal/serve/gauges.go
@@ -21,6 +21,7 @@
 	g.set("plan.version", int64(s.plans.Version()))
 	g.set("targets.revision", int64(s.table.LastChangeRevision()))
 	g.set("members", int64(1+len(s.network.View().Members)))
+	g.set("retry_budget.processes", int64(s.budget.MemberCount()))
 	g.set("requests.in_flight", s.inFlight.Load())
 	g.set("targets.connections_opened", s.client.Dialed())
 	g.set("plan.rejected", s.follower.RejectedPlans())
@@ -70,5 +71,6 @@
 	g.set("vanillagate_service_targets_out"+label, int64(count.Out))
 	g.set("vanillagate_service_targets_cold"+label, int64(count.Cold))
 	g.set("vanillagate_service_calls"+label, int64(count.Calls))
+	g.set("vanillagate_service_retries_spent"+label, int64(s.budget.RetriesSpent(service, now)))
 	g.set("vanillagate_service_repeats_left"+label, int64(s.budget.RetriesLeft(service, now)))
 }
--- a/internal/serve/quota/quota.go
+++ b/internal/serve/quota/quota.go
@@ -134,6 +134,13 @@
 	return b.rule.Reserve / float64(b.members)
 }
 
+// RetriesSpent returns the number of retries that count against a service's budget.
+func (b *Budget) RetriesSpent(service string, now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return sum(b.windowFor(service, now).retries)
+}
+
 // RetriesLeft returns the number of retries left in a service's budget.
 func (b *Budget) RetriesLeft(service string, now time.Time) float64 {
 	b.mu.Lock()
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -91,6 +91,9 @@
 	now := time.Now()
 	j.sentAt = now
 	call := j.Table.Begin(target, j.req.Prompt.Input, now)
+	if j.sends > 0 {
+		j.Metrics.count(series("vanillagate_retries_sent", "service", j.service))
+	}
 	answer, err := j.Client.Send(ctx, j.buildRequest(target, lastEvent, now))
 	if err != nil {
 		return nil, nil, j.recordNoAnswer(ctx, target, call, err)
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -335,7 +335,7 @@
 	if j.sends >= maxSends {
 		return j.giveUp(TargetsFull, fasthttp.StatusBadGateway)
 	}
-	if failed.mayHaveArrived && !j.Budget.TakeRetry(j.service, time.Now()) {
+	if failed.mayHaveArrived && !j.takeRetry() {
 		return j.giveUp(OverBudget, fasthttp.StatusBadGateway)
 	}
 	if failed.inputsLost {
@@ -345,6 +345,15 @@
 	return nil
 }
 
+// takeRetry takes a retry from the budget and reports whether there was one.
+func (j *job) takeRetry() bool {
+	if !j.Budget.TakeRetry(j.service, time.Now()) {
+		return false
+	}
+	j.Metrics.count(series("vanillagate_retries_taken", "service", j.service))
+	return true
+}
+
 // maxSends is the maximum number of targets to which a request is sent if each of them
 // refuses it.
 const maxSends = 4
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -180,7 +180,7 @@
 	j.reportBroken(s.target.Address)
 	j.tried[s.target.ID] = true
 	for j.ctx.Err() == nil && s.resumable() && j.runs < j.route.Attempts && j.sends < maxSends {
-		if !j.Budget.TakeRetry(j.service, time.Now()) {
+		if !j.takeRetry() {
 			break
 		}
 		if s.resume() {
