quota: failing tests of the retry budget that all processes share

Each fails on this code without any load: 134 retries of 58 allowed where two of eight processes restart behind a cut, 60 to 98 of 58 where all lose sight of each other for a moment, 299 of 298 where the callers of five of eight processes move to the other three at 120 requests a second.

--- a/internal/serve/quota/quota_test.go
+++ b/internal/serve/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -135,6 +136,109 @@
 	assert.Equal(t, sent, int(boundShare*rule.Reserve/9))
 }
 
+// spendReserve takes all retries that the processes have left, without any requests.
+func spendReserve(budgets []*Budget, now time.Time) int {
+	sent := 0
+	for _, b := range budgets {
+		for b.TakeRetry("s", now) {
+			sent++
+		}
+	}
+	return sent
+}
+
+// startTogether returns the budgets of n processes that know each other, at the returned time.
+func startTogether(n int) ([]*Budget, time.Time) {
+	var budgets []*Budget
+	for range n {
+		b := New(rule, start)
+		b.SetMemberCount(n, start)
+		budgets = append(budgets, b)
+	}
+	return budgets, start.Add(settlePeriod)
+}
+
+// Guards against processes that restart while they are cut off and each take the whole reserve.
+func TestProcessesRestartedBehindACutStayWithinBound(t *testing.T) {
+	budgets, now := startTogether(8)
+	budgets[6], budgets[7] = NewAfterRestart(rule, now), NewAfterRestart(rule, now)
+	for end := now.Add(rule.Window + 2*time.Second); now.Before(end); now = now.Add(time.Second) {
+		for _, b := range budgets[:6] {
+			b.SetMemberCount(6, now)
+		}
+		for _, b := range budgets[6:] {
+			b.SetMemberCount(1, now)
+		}
+	}
+	sent := spendReserve(budgets, now)
+	assert.Assert(t, float64(sent) <= rule.Reserve, "%d retries, %.0f allowed", sent, rule.Reserve)
+}
+
+// Guards against processes that take a larger part because they don't see each other at one moment.
+func TestProcessesThatLoseSightOfEachOtherStayWithinBound(t *testing.T) {
+	for _, n := range []int{2, 3, 4, 5, 8, 30} {
+		for _, after := range []time.Duration{31 * time.Second, 30 * time.Minute} {
+			budgets, now := startTogether(n)
+			for end := now.Add(after); now.Before(end); now = now.Add(time.Second) {
+				for _, b := range budgets {
+					b.SetMemberCount(n, now)
+				}
+			}
+			for _, b := range budgets {
+				b.SetMemberCount(1, now)
+			}
+			sent := spendReserve(budgets, now)
+			assert.Check(t, float64(sent) <= rule.Reserve, "%d processes after %v: %d retries, %.0f allowed", n, after, sent, rule.Reserve)
+		}
+	}
+}
+
+// Guards against the same traffic allowing retries twice: at the processes that had it and at those
+// that take it over. Failures begin just before five of eight processes are killed.
+func TestTrafficThatMovesStaysWithinBound(t *testing.T) {
+	for _, perSecond := range []int{16, 120, 600} {
+		budgets, now := startTogether(8)
+		var requests, retries []time.Time
+		killedAt := now.Add(3 * rule.Window)
+		step := time.Second / time.Duration(perSecond)
+		for i := 0; now.Before(killedAt.Add(3 * rule.Window)); i, now = i+1, now.Add(step) {
+			receiving := budgets
+			if now.After(killedAt) {
+				receiving = budgets[:3]
+			}
+			receiving[i%len(receiving)].AddRequest("s", now)
+			requests = append(requests, now)
+			if now.Before(killedAt.Add(-time.Second)) {
+				continue
+			}
+			for range spendReserve(receiving, now) {
+				retries = append(retries, now)
+			}
+			allowed := allowedRetries(requests, now)
+			if sent := len(retries) - indexAfter(retries, now.Add(-rule.Window)); float64(sent) > allowed {
+				t.Errorf("%d requests a second: %d retries, %.1f allowed, %v after the move", perSecond, sent, allowed, now.Sub(killedAt))
+				break
+			}
+		}
+	}
+}
+
+// allowedRetries returns the users' bound for the window that ends now. It counts the requests of that
+// window, the one before it or the one half a window before it, whichever has most.
+func allowedRetries(requests []time.Time, now time.Time) float64 {
+	most := 0
+	for _, end := range []time.Time{now, now.Add(-rule.Window / 2), now.Add(-rule.Window)} {
+		most = max(most, indexAfter(requests, end)-indexAfter(requests, end.Add(-rule.Window)))
+	}
+	return rule.Ratio*float64(most) + rule.Reserve
+}
+
+// indexAfter returns the number of the sorted times that aren't after a moment.
+func indexAfter(times []time.Time, moment time.Time) int {
+	i, _ := slices.BinarySearchFunc(times, moment.Add(1), time.Time.Compare)
+	return i
+}
+
 func TestServicesHaveSeparateBudgets(t *testing.T) {
 	b := New(Rule{Ratio: 0.5, Window: 10 * time.Second}, start)
 	for range 10 {
