quota: the number of processes that share the reserve isn't what one process sees

What callers saw. Nothing by itself; while targets reject requests, they get more retries than all processes together may send.

A process divided the reserve by the processes that it saw. One that restarted behind a cut saw itself, and after a window took all of it; any process lowered the number by a fifth, at once, 30 s after it had last risen, by what it saw at one moment (a process that wakes from a freeze sees nobody). Ruled out: that a restarted process takes itself for the first one (bootstrap is false from then on).

The highest number holds for two hours after it was last seen (quota/process_count.go). It is unknown, and nothing of the reserve is used, until another process is seen, unless the settings name no other VM. A process asks a peer how many it has counted, so one that restarts in a part of the system learns of the rest. The same number now limits permits for cold targets (none while it is unknown), idle connections and shares of targets that limit rejections.

If all processes restart while the system is split, no process remembers the others.

--- a/internal/serve/quota/quota.go
+++ b/internal/serve/quota/quota.go
@@ -20,21 +20,15 @@
 // edge and counts that differ by a request or two.
 const boundShare = 0.85
 
-// settlePeriod is how long a process uses nothing of the reserve after its start and after it has
-// learned of a higher member count: before that it may know too few members and take too large a
-// part.
-const settlePeriod = 2 * time.Second
-
 // windowSlices is the number of slices that a window is divided into for counting.
 const windowSlices = 10
 
 // Budget counts one process's requests and retries by service.
 type Budget struct {
-	mu             sync.Mutex // guards the fields below; no other lock is taken while it is held
-	rule           Rule
-	byService      map[string]*window
-	members        int
-	membersChanged time.Time // when the member count last changed
+	mu        sync.Mutex // guards the fields below; no other lock is taken while it is held
+	rule      Rule
+	byService map[string]*window
+	processes processCount
 	// noReserveUntil is until when retries may use only the share of the process's own requests.
 	noReserveUntil time.Time
 }
@@ -52,19 +46,40 @@
 
 // New returns a budget for a process of a system that starts for the first time.
 func New(rule Rule, now time.Time) *Budget {
-	return &Budget{rule: rule.withValidWindow(), byService: map[string]*window{}, members: 1, membersChanged: now}
+	b := &Budget{rule: rule.withValidWindow(), byService: map[string]*window{}}
+	b.processes.see(1, now)
+	return b
 }
 
 // NewAfterRestart returns a budget for a process that replaces another. It gets nothing of the reserve for a
 // whole window, since its predecessor may just have spent its part. Otherwise the reserve could be
 // spent twice within one window, for example if all processes were killed during an outage of
-// targets.
+// targets. It also awaits its peers, see AwaitPeers.
 func NewAfterRestart(rule Rule, now time.Time) *Budget {
 	b := New(rule, now)
 	b.noReserveUntil = now.Add(b.rule.Window)
+	b.AwaitPeers()
 	return b
 }
 
+// AwaitPeers makes the number of processes unknown until another process is seen. A process that starts
+// while it is cut off sees only itself, and must not take the whole reserve.
+func (b *Budget) AwaitPeers() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.processes = processCount{awaitsPeers: true}
+}
+
+// SetOnlyProcess ends AwaitPeers: there are no other processes.
+func (b *Budget) SetOnlyProcess(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.processes.awaitsPeers {
+		b.processes.awaitsPeers = false
+		b.processes.see(1, now)
+	}
+}
+
 // SetRule replaces the rule. Counts are kept unless the length of the window changes; then counting
 // starts anew with the reserve held back as after a restart.
 func (b *Budget) SetRule(rule Rule, now time.Time) {
@@ -78,34 +93,31 @@
 	b.rule = rule
 }
 
-// SetMemberCount sets the number of processes that share the reserve. The number is lowered by at most a
-// fifth at a time, and only after memberCountHold: a process that is cut off from its peers must not
-// take the whole reserve, since they continue to spend their parts.
+// SetMemberCount sets the number of processes that this one sees, including itself. The highest number
+// holds for processCountHold after it was last seen.
 func (b *Budget) SetMemberCount(n int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if n > b.members {
-		b.members = n
-		b.membersChanged = now
-		return
-	}
-	if n < b.members && now.Sub(b.membersChanged) > memberCountHold {
-		b.members = max(n, b.members*4/5)
-		b.membersChanged = now.Add(-settlePeriod)
-	}
+	b.processes.see(n, now)
 }
 
-// MemberCount returns the number of processes that share common limits. It falls slowly, see
-// SetMemberCount.
-func (b *Budget) MemberCount() int {
+// LearnProcessCount records how many processes another one has counted, and how long ago it last saw them
+// all. A process that has restarted learns in this way of those that are out of sight.
+func (b *Budget) LearnProcessCount(n int, age time.Duration, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.members
+	if age <= processCountHold {
+		b.processes.learn(n, now.Add(-age), now)
+	}
 }
 
-// memberCountHold is how long a higher member count is kept before it is lowered. It is many times
-// the length of an ordinary network partition, which is several seconds.
-const memberCountHold = 30 * time.Second
+// ProcessCount returns the number of processes that share common bounds, also if some of them are out of
+// sight, and how long ago they were last all seen. It is 0 while the number is unknown.
+func (b *Budget) ProcessCount(now time.Time) (n int, age time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.processes.highest, now.Sub(b.processes.seenAt)
+}
 
 // AddRequest counts the first arrival of a request at a service.
 func (b *Budget) AddRequest(service string, now time.Time) {
@@ -128,10 +140,10 @@
 
 // reserveShare returns this process's part of the reserve. The caller holds mu.
 func (b *Budget) reserveShare(now time.Time) float64 {
-	if now.Before(b.noReserveUntil) || now.Sub(b.membersChanged) < settlePeriod {
+	if now.Before(b.noReserveUntil) || !b.processes.settled(now) {
 		return 0
 	}
-	return b.rule.Reserve / float64(b.members)
+	return b.rule.Reserve / float64(b.processes.highest)
 }
 
 // RetriesSpent returns the number of retries that count against a service's budget.
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -147,7 +147,8 @@
 	if service == nil || service.MaxConnections <= 0 || j.LeaveOut.Has(leaveout.FewKept) {
 		return
 	}
-	r.MaxIdleConns = service.MaxConnections / 2 / j.Budget.MemberCount()
+	processes, _ := j.Budget.ProcessCount(time.Now())
+	r.MaxIdleConns = service.MaxConnections / 2 / max(processes, 1)
 	r.CloseAfterAnswer = r.MaxIdleConns == 0
 }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,7 +67,9 @@
 	if o.AfterRestart {
 		return quota.NewAfterRestart(o.RetryBudget, now)
 	}
-	return quota.New(o.RetryBudget, now)
+	b := quota.New(o.RetryBudget, now)
+	b.AwaitPeers()
+	return b
 }
 
 // Server is the serving core of one process.
@@ -82,12 +85,15 @@
 	stages   *gather.Requester
 	reach    *reach.Tracker
 	budget   *quota.Budget
+	counts   *countExchange
 	warmup   *warmup.Limiter  // nil if disabled by LeaveOut
 	engines  *engines.Tracker // nil if disabled by LeaveOut
 	executor *run.Executor
 
-	started  time.Time
-	inFlight atomic.Int64
+	// readSeeds reads the peer addresses of the seed processes; nil if there are none.
+	readSeeds func(context.Context) ([]string, error)
+	started   time.Time
+	inFlight  atomic.Int64
 	// shutdownSince is when the shutdown began; nil before it.
 	shutdownSince atomic.Pointer[time.Time]
 	tasks         sync.WaitGroup
@@ -104,6 +110,7 @@
 	s := &Server{
 		log: logging.WithComponent(o.Log, "serve"), metrics: o.Metrics, zone: o.Zone, network: network,
 		plans: &plan.Holder{}, client: &upstream.Client{Dial: o.DialTarget}, budget: o.budget(time.Now()), started: time.Now(),
+		readSeeds: o.Peers.Seeds,
 	}
 	s.baseCtx, s.cancel = context.WithCancel(context.Background())
 	s.table = pool.New(logging.WithComponent(o.Log, "targets"))
@@ -136,12 +143,13 @@
 		Stages: s.stages, Budget: s.budget, Reach: forwarding{s.reach, network}, Zone: o.Zone, Metrics: &run.Metrics{Registry: o.Metrics},
 		LeaveOut: o.LeaveOut, TimeToReady: s.timeToReady, ContactAge: s.follower.ContactAge,
 	}
+	s.counts = newCountExchange(s.log, network, s.budget)
 	if !o.LeaveOut.Has(leaveout.EngineAccounts) {
 		s.engines = engines.New(logging.WithComponent(o.Log, "engines"), network)
 		s.executor.Engines = s.engines
 	}
 	if !o.LeaveOut.Has(leaveout.Warmup) {
-		s.warmup = warmup.New(network, s.budget.MemberCount, time.Now())
+		s.warmup = warmup.New(network, s.processCount, time.Now())
 		s.executor.Warmup = s.warmup
 	}
 	if !o.LeaveOut.Has(leaveout.Containment) {
@@ -184,8 +192,10 @@
 	if err := s.network.Start(s.baseCtx); err != nil {
 		return eris.Wrap(err, "serve")
 	}
+	s.updateProcessCount(time.Now())
 	s.tasks.Go(func() { s.follower.Run(s.baseCtx) })
 	s.tasks.Go(func() { s.reach.Run(s.baseCtx) })
+	s.tasks.Go(func() { s.counts.run(s.baseCtx) })
 	s.tasks.Go(s.runMaintenance)
 	return nil
 }
@@ -198,9 +208,7 @@
 	for wait.For(s.baseCtx, maintenancePeriod) {
 		now := time.Now()
 		s.client.Prune(now)
-		members := 1 + len(s.network.View().Members)
-		s.budget.SetMemberCount(members, now)
-		s.table.SetMemberCount(members)
+		s.updateProcessCount(now)
 		if s.warmup != nil {
 			s.warmup.Prune(now)
 		}
@@ -210,6 +218,32 @@
 	}
 }
 
+// updateProcessCount updates how many processes share common bounds.
+func (s *Server) updateProcessCount(now time.Time) {
+	if s.isOnlyVM() {
+		s.budget.SetOnlyProcess(now)
+	}
+	members := 1 + len(s.network.View().Members)
+	s.budget.SetMemberCount(members, now)
+	s.table.SetMemberCount(max(members, s.processCount()))
+}
+
+// processCount returns the number of processes that share common bounds; 0 while it is unknown.
+func (s *Server) processCount() int {
+	n, _ := s.budget.ProcessCount(time.Now())
+	return n
+}
+
+// isOnlyVM reports whether the seeds name no other VM.
+func (s *Server) isOnlyVM() bool {
+	if s.readSeeds == nil {
+		return true
+	}
+	seeds, err := s.readSeeds(s.baseCtx)
+	own := s.network.Self().PeerAddress
+	return err == nil && !slices.ContainsFunc(seeds, func(address string) bool { return address != own })
+}
+
 // Plans returns the holder of the configuration in force.
 func (s *Server) Plans() *plan.Holder { return s.plans }
 
--- a/internal/serve/warmup/warmup.go
+++ b/internal/serve/warmup/warmup.go
@@ -52,7 +52,7 @@
 // use.
 type Limiter struct {
 	network peer.Network
-	// recentMax returns the highest recent number of processes.
+	// recentMax returns the highest recent number of processes, 0 while it is unknown.
 	recentMax func() int
 	started   time.Time
 
@@ -64,7 +64,8 @@
 	view  *peer.View
 }
 
-// New returns a limiter. recentMax returns the highest recent number of processes.
+// New returns a limiter. recentMax returns the highest recent number of processes; while it is 0, the
+// number is unknown and the limiter gives no permits.
 func New(network peer.Network, recentMax func() int, now time.Time) *Limiter {
 	return &Limiter{network: network, recentMax: recentMax, started: now, next: map[string]time.Time{}}
 }
@@ -92,12 +93,13 @@
 // permit returns the pause after a request sent now, and whether one may be sent. The caller holds
 // mu.
 func (l *Limiter) permit(target string, rule Rule, now time.Time) (time.Duration, bool) {
-	if now.Sub(l.started) < startupDelay {
+	recentMax := l.recentMax()
+	if now.Sub(l.started) < startupDelay || recentMax == 0 {
 		return 0, false
 	}
 	view := l.network.View()
 	known := 1 + len(view.Members)
-	p := permits{known: known, recentMax: max(known, l.recentMax()), rank: l.rank(view, target), lot: lot(target, view.Self.Incarnation)}
+	p := permits{known: known, recentMax: max(known, recentMax), rank: l.rank(view, target), lot: lot(target, view.Self.Incarnation)}
 	pause, holds := p.pause(rule.PerSecond)
 	return pause, holds && !now.Before(l.next[target])
 }
