quota: the same traffic doesn't allow retries at two processes

What callers saw. Nothing by itself; targets that fail get more retries than all processes together may send when VMs are lost at the same time.

Each process allows itself a share of its own requests in its own last window. If the callers of some VMs move to others, the same traffic has allowed retries at the first and allows them again at the others, and a process that restarts allows itself those that its predecessor may just have sent. The windows of processes don't end at the same moment, and the bound counts one window.

Requests allow retries up to 1.25 times the earlier rate (the window before, or the older half of what is known in the first two windows); a process that replaces another allows none for one window, which until now held for the reserve only. With 1.25 and the 0.85 that is used of the bound, the worst case, a fifth of the traffic moving, is 1.02 of the ratio part; what is left of the reserve covers it.

--- a/internal/serve/quota/quota.go
+++ b/internal/serve/quota/quota.go
@@ -29,8 +29,13 @@
 	rule      Rule
 	byService map[string]*window
 	processes processCount
-	// noReserveUntil is until when retries may use only the share of the process's own requests.
+	// noReserveUntil is until when retries may use only the share of the process's own requests,
+	// noRetriesUntil until when there are none at all.
 	noReserveUntil time.Time
+	noRetriesUntil time.Time
+	// countsFrom is when the counts begin: at the start of a process that replaces another, else with
+	// the first request. Zero before that.
+	countsFrom time.Time
 }
 
 // defaultWindow is used if a rule has no window or one with less than a nanosecond per slice. A
@@ -51,13 +56,14 @@
 	return b
 }
 
-// NewAfterRestart returns a budget for a process that replaces another. It gets nothing of the reserve for a
-// whole window, since its predecessor may just have spent its part. Otherwise the reserve could be
+// NewAfterRestart returns a budget for a process that replaces another. It allows nothing for a whole
+// window, since its predecessor may just have spent its part. Otherwise the bound could be
 // spent twice within one window, for example if all processes were killed during an outage of
 // targets. It also awaits its peers, see AwaitPeers.
 func NewAfterRestart(rule Rule, now time.Time) *Budget {
 	b := New(rule, now)
-	b.noReserveUntil = now.Add(b.rule.Window)
+	b.noRetriesUntil = now.Add(b.rule.Window)
+	b.countsFrom = now
 	b.AwaitPeers()
 	return b
 }
@@ -89,6 +95,7 @@
 	if rule.Window != b.rule.Window {
 		b.byService = map[string]*window{}
 		b.noReserveUntil = now.Add(max(rule.Window, b.rule.Window))
+		b.countsFrom = now
 	}
 	b.rule = rule
 }
@@ -123,6 +130,9 @@
 func (b *Budget) AddRequest(service string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.countsFrom.IsZero() {
+		b.countsFrom = now
+	}
 	b.windowFor(service, now).requests[0]++
 }
 
@@ -150,7 +160,7 @@
 func (b *Budget) RetriesSpent(service string, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return sum(b.windowFor(service, now).retries)
+	return sum(b.windowFor(service, now).retries[:])
 }
 
 // RetriesLeft returns the number of retries left in a service's budget.
@@ -162,10 +172,32 @@
 
 // retriesLeft returns the number of retries left in a window. The caller holds mu.
 func (b *Budget) retriesLeft(w *window, now time.Time) float64 {
-	allowed := b.rule.Ratio*float64(sum(w.requests)) + b.reserveShare(now)
-	return boundShare*allowed - float64(sum(w.retries))
+	if now.Before(b.noRetriesUntil) {
+		return 0
+	}
+	allowed := b.rule.Ratio*b.countedRequests(w, now) + b.reserveShare(now)
+	return boundShare*allowed - float64(sum(w.retries[:]))
+}
+
+// maxGrowth is the factor by which the rate of the requests that allow retries may exceed the earlier rate.
+const maxGrowth = 1.25
+
+// countedRequests returns the number of requests that allow retries. Requests that this process has
+// taken over from others don't, for the length of a window: those may just have spent the
+// retries for the same traffic. The caller holds mu.
+func (b *Budget) countedRequests(w *window, now time.Time) float64 {
+	latest := float64(sum(w.requests[:windowSlices]))
+	slices := min(int(now.Sub(b.countsFrom)/b.slice())+1, len(w.requests))
+	older := slices / 2
+	if older == 0 {
+		return latest
+	}
+	perSlice := float64(sum(w.requests[slices-older:slices])) / float64(older)
+	return min(latest, maxGrowth*perSlice*float64(min(slices, windowSlices)))
 }
 
+func (b *Budget) slice() time.Duration { return b.rule.Window / windowSlices }
+
 // windowFor returns a service's window, advanced to now. The caller holds mu.
 func (b *Budget) windowFor(service string, now time.Time) *window {
 	w := b.byService[service]
@@ -173,15 +205,15 @@
 		w = &window{sliceStart: now}
 		b.byService[service] = w
 	}
-	w.advance(now, b.rule.Window/windowSlices)
+	w.advance(now, b.slice())
 	return w
 }
 
-// window holds counts per slice, the newest first. Retries have one slice more than the window, so
-// that any window of that length is covered.
+// window holds counts per slice, the newest first. Requests have the slices of two windows. Retries have
+// one slice more than the window, so that any window of that length is covered.
 type window struct {
 	sliceStart time.Time // of the newest slice
-	requests   [windowSlices]int
+	requests   [2 * windowSlices]int
 	retries    [windowSlices + 1]int
 }
 
@@ -201,10 +233,10 @@
 	clear(counts[:steps])
 }
 
-func sum[T [windowSlices]int | [windowSlices + 1]int](counts T) int {
+func sum(counts []int) int {
 	total := 0
-	for i := range len(counts) {
-		total += counts[i]
+	for _, n := range counts {
+		total += n
 	}
 	return total
 }
