quota: a retry counts until a window after it was sent

What callers saw. Nothing by itself; targets get more retries in a window than all processes together may send.

A retry was counted when it was decided. Between that and its arrival lie stages that run again, the claim at a tracker, the dial, or a freeze: retries decided in two windows arrive in one. A retry that was never sent used the budget up.

TakeRetry returns a Retry that counts until it is sent and for a window from then on, or is given back when its request ends. A request has one unsent retry at most, so a resumed stream whose stages fail doesn't take another.

TestCancelledRetryIsGivenBack is new. The other tests of quota take a retry and send it at once; their checks are as they were.

--- a/internal/serve/quota/quota.go
+++ b/internal/serve/quota/quota.go
@@ -136,18 +136,6 @@
 	b.windowFor(service, now).requests[0]++
 }
 
-// TakeRetry takes one retry from the budget. It reports whether there was one.
-func (b *Budget) TakeRetry(service string, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	w := b.windowFor(service, now)
-	if b.retriesLeft(w, now) < 1 {
-		return false
-	}
-	w.retries[0]++
-	return true
-}
-
 // reserveShare returns this process's part of the reserve. The caller holds mu.
 func (b *Budget) reserveShare(now time.Time) float64 {
 	if now.Before(b.noReserveUntil) || !b.processes.settled(now) {
@@ -160,7 +148,7 @@
 func (b *Budget) RetriesSpent(service string, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return sum(b.windowFor(service, now).retries[:])
+	return b.windowFor(service, now).spent()
 }
 
 // RetriesLeft returns the number of retries left in a service's budget.
@@ -176,7 +164,7 @@
 		return 0
 	}
 	allowed := b.rule.Ratio*b.countedRequests(w, now) + b.reserveShare(now)
-	return boundShare*allowed - float64(sum(w.retries[:]))
+	return boundShare*allowed - float64(w.spent())
 }
 
 // maxGrowth is the factor by which the rate of the requests that allow retries may exceed the earlier rate.
@@ -215,8 +203,13 @@
 	sliceStart time.Time // of the newest slice
 	requests   [2 * windowSlices]int
 	retries    [windowSlices + 1]int
+	// unsent is the number of retries that were taken and neither sent nor cancelled.
+	unsent int
 }
 
+// spent returns the number of retries that count against the budget.
+func (w *window) spent() int { return sum(w.retries[:]) + w.unsent }
+
 func (w *window) advance(now time.Time, slice time.Duration) {
 	steps := int(now.Sub(w.sliceStart) / slice)
 	if steps <= 0 {
--- a/internal/serve/quota/quota_test.go
+++ b/internal/serve/quota/quota_test.go
@@ -35,7 +35,7 @@
 				requests = append(requests, now)
 				continue
 			}
-			if b.TakeRetry("s", now) {
+			if take(b, "s", now) {
 				retries = append(retries, now)
 			}
 			sent := countWithin(retries, now)
@@ -89,7 +89,7 @@
 				budgets[i].AddRequest("s", now)
 				requests = append(requests, now)
 			default:
-				for budgets[i].TakeRetry("s", now) {
+				for take(budgets[i], "s", now) {
 					retries = append(retries, now)
 				}
 			}
@@ -102,6 +102,13 @@
 	})
 }
 
+// take takes a retry and sends it at once.
+func take(b *Budget, service string, now time.Time) bool {
+	r := b.TakeRetry(service, now)
+	r.Sent(now)
+	return r != nil
+}
+
 func countWithin(times []time.Time, now time.Time) int {
 	n := 0
 	for _, at := range times {
@@ -116,10 +123,10 @@
 // starts at once would spend the reserve many times over.
 func TestReserveIsHeldBackUntilPeersAreKnown(t *testing.T) {
 	b := New(rule, start)
-	assert.Assert(t, !b.TakeRetry("s", start))
+	assert.Assert(t, !take(b, "s", start))
 	b.SetMemberCount(9, start.Add(time.Second))
-	assert.Assert(t, !b.TakeRetry("s", start.Add(2*time.Second)))
-	assert.Assert(t, b.TakeRetry("s", start.Add(3*time.Second)))
+	assert.Assert(t, !take(b, "s", start.Add(2*time.Second)))
+	assert.Assert(t, take(b, "s", start.Add(3*time.Second)))
 }
 
 // A process that is cut off from its peers sees none of them, while they continue to spend their
@@ -130,7 +137,7 @@
 	now := start.Add(5 * time.Second)
 	b.SetMemberCount(1, now)
 	sent := 0
-	for b.TakeRetry("s", now) {
+	for take(b, "s", now) {
 		sent++
 	}
 	assert.Equal(t, sent, int(boundShare*rule.Reserve/9))
@@ -140,7 +147,7 @@
 func spendReserve(budgets []*Budget, now time.Time) int {
 	sent := 0
 	for _, b := range budgets {
-		for b.TakeRetry("s", now) {
+		for take(b, "s", now) {
 			sent++
 		}
 	}
@@ -239,13 +246,44 @@
 	return i
 }
 
+// Guards against retries that are taken in two windows and arrive in one: their stages ran again first, or
+// the process was frozen.
+func TestRetriesThatAreSentLateStayWithinBound(t *testing.T) {
+	b := New(rule, start)
+	now := start.Add(settlePeriod)
+	var late []*Retry
+	for r := b.TakeRetry("s", now); r != nil; r = b.TakeRetry("s", now) {
+		late = append(late, r)
+	}
+	now = now.Add(rule.Window + 2*time.Second)
+	for _, r := range late {
+		r.Sent(now)
+		r.Sent(now)
+	}
+	sent := len(late) + spendReserve([]*Budget{b}, now)
+	assert.Assert(t, float64(sent) <= rule.Reserve, "%d retries, %.0f allowed", sent, rule.Reserve)
+}
+
+// Guards against a budget that is used up by retries whose requests end before they are sent.
+func TestCancelledRetryIsGivenBack(t *testing.T) {
+	b := New(rule, start)
+	now := start.Add(settlePeriod)
+	before := b.RetriesLeft("s", now)
+	r := b.TakeRetry("s", now)
+	assert.Equal(t, b.RetriesLeft("s", now), before-1)
+	r.Cancel()
+	r.Cancel()
+	r.Sent(now)
+	assert.Equal(t, b.RetriesLeft("s", now), before)
+}
+
 func TestServicesHaveSeparateBudgets(t *testing.T) {
 	b := New(Rule{Ratio: 0.5, Window: 10 * time.Second}, start)
 	for range 10 {
 		b.AddRequest("a", start)
 	}
-	assert.Assert(t, b.TakeRetry("a", start))
-	assert.Assert(t, !b.TakeRetry("b", start))
+	assert.Assert(t, take(b, "a", start))
+	assert.Assert(t, !take(b, "b", start))
 	assert.Assert(t, b.RetriesLeft("a", start) > 3)
 }
 
@@ -256,12 +294,12 @@
 	b := New(Rule{Ratio: 0.2, Reserve: 100, Window: 10 * time.Second}, now)
 	now = now.Add(settlePeriod)
 	for range 50 {
-		assert.Assert(t, b.TakeRetry("s", now))
+		assert.Assert(t, take(b, "s", now))
 	}
 	b.SetRule(Rule{Ratio: 0.2, Reserve: 40, Window: 10 * time.Second}, now)
-	assert.Assert(t, !b.TakeRetry("s", now))
+	assert.Assert(t, !take(b, "s", now))
 	b.SetRule(Rule{Ratio: 0.2, Reserve: 100, Window: 5 * time.Second}, now)
-	assert.Assert(t, !b.TakeRetry("s", now), "the reserve is held back after a change of the window")
+	assert.Assert(t, !take(b, "s", now), "the reserve is held back after a change of the window")
 }
 
 // The settings contain a window too short to be divided into slices, at the start or after a
@@ -276,6 +314,6 @@
 		changed.SetRule(short, start)
 		changed.AddRequest("s", start)
 		changed.AddRequest("s", start.Add(time.Second))
-		assert.Assert(t, !b.TakeRetry("s", start.Add(time.Second)), "two requests do not allow a retry")
+		assert.Assert(t, !take(b, "s", start.Add(time.Second)), "two requests do not allow a retry")
 	}
 }
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -127,6 +127,9 @@
 		MaxIdleTime:    j.maxIdleTime(),
 		MatchesRequest: j.matchesRequest,
 	}
+	if taken := j.retry; taken != nil {
+		r.OnSent = func() { taken.Sent(time.Now()) }
+	}
 	j.limitIdleConns(r)
 	return r
 }
@@ -164,6 +167,7 @@
 	}
 	call.End(outcome, time.Now())
 	if sent {
+		j.retry.Sent(time.Now()) // a part of the request may have arrived
 		j.sends++
 		j.runs++
 		j.reportBroken(target.Address)
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -102,6 +102,8 @@
 	// zone is the zone in which the stages run whose services are divided by zone.
 	zone       string
 	claimState claimState
+	// retry is the last retry taken from the budget; nil if there was none.
+	retry *quota.Retry
 	// stageErr is why the stages couldn't be run, restartErr why they were run again.
 	stageErr   error
 	restartErr error
@@ -218,6 +220,7 @@
 
 // cleanUp releases the resources of the request.
 func (j *job) cleanUp() {
+	j.retry.Cancel()
 	if j.inputs != nil {
 		j.inputs.release()
 	}
@@ -345,9 +348,14 @@
 	return nil
 }
 
-// takeRetry takes a retry from the budget and reports whether there was one.
+// takeRetry takes a retry from the budget, unless one was taken that hasn't been sent. It reports whether
+// there was one.
 func (j *job) takeRetry() bool {
-	if !j.Budget.TakeRetry(j.service, time.Now()) {
+	if j.retry.Unsent() {
+		return true
+	}
+	j.retry = j.Budget.TakeRetry(j.service, time.Now())
+	if j.retry == nil {
 		return false
 	}
 	j.Metrics.count(series("vanillagate_retries_taken", "service", j.service))
