pool: the request rate that a target states is read, kept and logged

Nothing read the rate, so neither logs nor metrics showed which targets had stated one, when, or whether it was kept. The answers of targets, those of stage calls included, carry the rate into pool.RateLimit: the lowest valid value if there are several, nothing for values that are no rate. A change is logged, and vanillagate_service_targets_rate_limited counts the targets. An answer to a request that was sent before the statement doesn't end it. No decision depends on it yet.

--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -256,7 +256,7 @@
 		return back.update(c.Entry, now)
 	}
 	t.byID[c.ID] = &Target{
-		ID: c.ID, Born: c.Born, Service: c.Service, Address: c.Address, Zone: c.Zone, hash: routing.RendezvousScore(c.ID), members: &t.members, entry: c.Entry,
+		ID: c.ID, Born: c.Born, Service: c.Service, Address: c.Address, Zone: c.Zone, hash: routing.RendezvousScore(c.ID), log: t.log, members: &t.members, entry: c.Entry,
 		evacuated: t.evacuated(c.Zone), coldUntil: now.Add(c.ColdLeft),
 	}
 	if t.loaded { // the first list is logged as a whole
@@ -418,9 +418,9 @@
 
 // Count holds the target counts of a service.
 type Count struct {
-	// Usable targets may get requests now. Of these, Out are ejected after failures and Cold report
-	// themselves as cold.
-	Usable, Out, Cold int
+	// Usable targets may get requests now. Of these, Out are ejected after failures, Cold report
+	// themselves as cold, and RateLimited have stated a request rate.
+	Usable, Out, Cold, RateLimited int
 	// Calls is the number of this process's calls in flight to the usable targets.
 	Calls int
 }
@@ -441,6 +441,9 @@
 		if now.Before(v.ColdUntil) {
 			c.Cold++
 		}
+		if v.RateLimit > 0 {
+			c.RateLimited++
+		}
 	}
 	return c
 }
--- a/internal/serve/pool/target.go
+++ b/internal/serve/pool/target.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/vanillagate/vanillagate/internal/routing"
 )
 
@@ -16,6 +18,7 @@
 	Address string
 	Zone    string
 	hash    uint64 // of ID
+	log     *zap.Logger
 	// members is the Table's number of processes.
 	members *atomic.Int64
 
@@ -42,6 +45,7 @@
 	connectBackoff time.Duration
 	failureRate    float64 // moving average of failed calls
 	rejections     rejections
+	rateLimit      RateLimit
 }
 
 // Report is the load that a target reported with its latest response.
@@ -70,6 +74,8 @@
 	// ShareInUse means that the target limits its rejections and that this process has its share of
 	// the target's slots in flight.
 	ShareInUse bool
+	// RateLimit is the request rate that the target has stated, in requests per second; 0 for no limit.
+	RateLimit float64
 	// Cold is set by the caller that decides whether the target counts as cold.
 	Cold bool
 }
@@ -144,6 +150,7 @@
 	return View{
 		Target: t, Slots: t.entry.Slots, InFlight: t.inFlight, Tokens: t.tokens,
 		Report: report, Weight: e.Weight(t.health, now), ColdUntil: t.coldUntil, UnobservedUntil: t.unobservedUntil,
+		RateLimit:  t.rateLimit.PerSecond,
 		ShareInUse: t.rejections.shareInUse(t.memberCount(), t.entry.Slots, t.inFlight, now),
 	}
 }
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -104,6 +104,7 @@
 		target.SetReport(*info.Report)
 	}
 	target.SetRejectionLimit(info.RejectionLimit, time.Now())
+	target.SetRateLimit(info.RateLimit, now, time.Now())
 	if info.NotRun {
 		return nil, nil, j.recordRefusal(target, call, answer)
 	}
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -71,6 +71,9 @@
 	Report *pool.Report
 	// RejectionLimit is how many rejections a second the target can take; nil if it states none.
 	RejectionLimit *int
+	// RateLimit is how many requests a second the target takes from all processes together, 0 if it
+	// states no limit; nil if what it states is no rate.
+	RateLimit *float64
 }
 
 // Codec translates between this package and the wire format of the targets.
--- a/internal/serve/run/retry_budget_test.go
+++ b/internal/serve/run/retry_budget_test.go
@@ -86,7 +86,9 @@
 				targets.connectTime.Store(0)
 			}
 			ctx := context.WithValue(context.Background(), dialsKey{}, &atomic.Int32{})
-			running.Go(func() { e.Run(ctx, &Request{ID: fmt.Sprint("id-", i), Host: "h", Path: "/x", URI: "/x", Method: "GET", Arrived: time.Now()}) })
+			running.Go(func() {
+				e.Run(ctx, &Request{ID: fmt.Sprint("id-", i), Host: "h", Path: "/x", URI: "/x", Method: "GET", Arrived: time.Now()})
+			})
 		}
 		running.Wait()
 		var retries []time.Time
