warmup, engines: the request rate that a target states is kept by all processes together

What callers saw. Nothing by itself: targets in need got as many requests as before.

Nothing kept the rate. The class: a limit of all processes together that no process keeps alone. An even share isn't enough: with 8 VMs, a rate of one a second leaves each one request in 8 s, and the caller has chosen its VM already.

One decision for the rates of cold targets and of targets in need (warmup.Rate): the lower one holds. The target's tracker hands out four fifths of a stated rate from a token bucket, for targets of plain services too; while it doesn't answer, permits by rendezvous hashing use the rest. A VM doesn't ask again before the next token. Less urgent requests leave a part of a token to those before them. The first process that hears of another rate tells its peers (topic rate), so one that has had no answer keeps it too. A target in need goes on getting a little, so it can say that its need is over. If all targets are limited, the target is claimed before the stages, and what none takes is refused at once, with the time until the next token as Retry-After.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -28,6 +28,8 @@
 	TopicDemand Topic = "demand"
 	// TopicReach carries the services from which processes are cut off.
 	TopicReach Topic = "reach"
+	// TopicRate carries the request rates that targets have stated.
+	TopicRate Topic = "rate"
 	// TopicInForce carries the configuration revision in force at each process.
 	TopicInForce Topic = "in_force"
 )
--- a/internal/serve/engines/prefill_schedule.go
+++ b/internal/serve/engines/prefill_schedule.go
@@ -7,39 +7,53 @@
 // concurrent use.
 type prefillSchedule struct {
 	busyUntil map[string]time.Time
-	// coldBuckets holds the engines that got requests while they were cold.
-	coldBuckets map[string]*tokenBucket
+	// buckets holds the engines that got requests while their rate was limited.
+	buckets map[string]*tokenBucket
 }
 
 func newPrefillSchedule() *prefillSchedule {
-	return &prefillSchedule{busyUntil: map[string]time.Time{}, coldBuckets: map[string]*tokenBucket{}}
+	return &prefillSchedule{busyUntil: map[string]time.Time{}, buckets: map[string]*tokenBucket{}}
 }
 
-// coldBurst is how many requests a cold engine may get at once after a pause.
-const coldBurst = 2
+const (
+	// rateBurst is how many requests an engine with a limited rate may get at once after a pause.
+	rateBurst = 2
+	// rankReserve is the part of a token that a request leaves in the bucket for each rank before its
+	// own, up to lastRank.
+	rankReserve = 0.2
+	lastRank    = 4
+)
 
 // tokenBucket is a token bucket; a token stands for a request.
 type tokenBucket struct {
-	tokens float64
-	at     time.Time
+	tokens    float64
+	perSecond float64
+	at        time.Time
 }
 
-// hasColdToken refills the bucket of a cold engine, which can handle perSecond requests a second,
-// and reports whether the engine may get another one now.
-func (s *prefillSchedule) hasColdToken(engine string, perSecond float64, now time.Time) bool {
-	b := s.coldBuckets[engine]
+// hasToken refills the bucket of an engine that takes perSecond requests a second, 0 for no limit, and
+// reports whether it may get a request of a rank now. If not, wait is the time until it may get one of the
+// first rank.
+func (s *prefillSchedule) hasToken(engine string, perSecond float64, rank int, now time.Time) (has bool, wait time.Duration) {
+	if perSecond <= 0 {
+		return true, 0
+	}
+	b := s.buckets[engine]
 	if b == nil {
-		b = &tokenBucket{tokens: coldBurst, at: now}
-		s.coldBuckets[engine] = b
+		b = &tokenBucket{tokens: rateBurst, at: now}
+		s.buckets[engine] = b
+	}
+	b.tokens = min(b.tokens+perSecond*now.Sub(b.at).Seconds(), rateBurst)
+	b.at, b.perSecond = now, perSecond
+	if reserve := rankReserve * float64(min(max(rank, 0), lastRank)); b.tokens >= 1+reserve {
+		return true, 0
 	}
-	b.tokens = min(b.tokens+perSecond*now.Sub(b.at).Seconds(), coldBurst)
-	b.at = now
-	return b.tokens >= 1
+	return false, max(time.Duration((1-b.tokens)/perSecond*float64(time.Second)), 0)
 }
 
-// takeColdToken takes a token from a cold engine's bucket.
-func (s *prefillSchedule) takeColdToken(engine string) {
-	if b := s.coldBuckets[engine]; b != nil {
+// takeToken takes a token from an engine's bucket.
+func (s *prefillSchedule) takeToken(engine string) {
+	if b := s.buckets[engine]; b != nil {
 		b.tokens--
 	}
 }
@@ -60,19 +74,16 @@
 	return wait, true
 }
 
-// coldBucketTTL is how long an unused bucket is kept. After that time it would be full again.
-const coldBucketTTL = 10 * time.Second
-
-// sweep removes idle engines.
+// sweep removes idle engines, and buckets that would be full again.
 func (s *prefillSchedule) sweep(now time.Time) {
 	for engine, until := range s.busyUntil {
 		if !until.After(now) {
 			delete(s.busyUntil, engine)
 		}
 	}
-	for engine, b := range s.coldBuckets {
-		if now.Sub(b.at) > coldBucketTTL {
-			delete(s.coldBuckets, engine)
+	for engine, b := range s.buckets {
+		if b.perSecond*now.Sub(b.at).Seconds() > rateBurst {
+			delete(s.buckets, engine)
 		}
 	}
 }
--- a/internal/serve/engines/tracker.go
+++ b/internal/serve/engines/tracker.go
@@ -5,6 +5,9 @@
 // state is soft: while processes see different members, two trackers each hold a part of it, and if
 // a tracker doesn't answer, the prompt is sent without asking.
 //
+// A tracker also hands out the requests that an engine with a limited rate takes, cold or in need, and, for
+// these, of targets of other services.
+//
 // Trackers also learn from the responses that all processes observe how long engines take.
 package engines
 
@@ -18,6 +21,7 @@
 	"github.com/vanillagate/vanillagate/internal/derived"
 	"github.com/vanillagate/vanillagate/internal/member"
 	"github.com/vanillagate/vanillagate/internal/peer"
+	"github.com/vanillagate/vanillagate/internal/serve/warmup"
 )
 
 const methodClaim = "engines.claim"
@@ -48,8 +52,11 @@
 	Tokens int
 	// Limit is the longest acceptable wait at the engine.
 	Limit time.Duration
-	// ColdPerSecond is how many requests a second a cold engine can handle; 0 for a warm one.
-	ColdPerSecond float64
+	// Rate is how many requests a second the engine takes from all processes.
+	Rate warmup.Rate
+	// Rank is the request's priority; 0 is the most urgent. Less urgent ones leave a part of an
+	// engine's limited rate to those before them.
+	Rank int
 }
 
 // Answer is the tracker's answer to a Claim.
@@ -58,16 +65,11 @@
 	Taken bool
 	// Wait is how long the engine will be busy with earlier prompts.
 	Wait time.Duration
-	// Cold is set if the claim was refused because the cold engine already got as many requests as
-	// it can handle.
-	Cold bool
+	// OverRate is set if the claim was refused because the engine already got as many requests as it
+	// takes. Wait is then the time until it takes the next one of the first rank.
+	OverRate bool
 }
 
-// TrackerRateShare is the share of a cold engine's request rate that its tracker hands out. The
-// rest is for processes that the tracker doesn't answer, and for a second tracker while processes
-// see different members.
-const TrackerRateShare = 0.6
-
 // claimCall is the wire format of a Claim. Times are in milliseconds.
 type claimCall struct {
 	Service string   `json:"service"`
@@ -75,6 +77,8 @@
 	Tokens  int      `json:"tokens"`
 	Limit   int64    `json:"limit"`
 	Cold    float64  `json:"cold,omitempty"`
+	Rank    int      `json:"rank,omitempty"`
+	Stated  float64  `json:"stated,omitempty"`
 	Samples []Sample `json:"samples,omitempty"`
 }
 
@@ -82,8 +86,9 @@
 type claimAnswer struct {
 	Taken bool  `json:"taken,omitempty"`
 	Wait  int64 `json:"wait,omitempty"`
-	Cold  bool  `json:"cold,omitempty"`
-	Curve Curve `json:"curve"`
+	// OverRate is Answer.OverRate.
+	OverRate bool  `json:"cold,omitempty"`
+	Curve    Curve `json:"curve"`
 }
 
 // Tracker asks the trackers of engines, and acts as the tracker for some of them. It is safe for
@@ -150,7 +155,7 @@
 	}
 	call := claimCall{
 		Service: c.Service, Engine: c.Engine, Tokens: c.Tokens, Limit: c.Limit.Milliseconds(),
-		Cold: c.ColdPerSecond, Samples: t.takeSamples(c.Service),
+		Cold: c.Rate.Cold, Stated: c.Rate.Stated, Rank: c.Rank, Samples: t.takeSamples(c.Service),
 	}
 	answer, err := t.callTracker(ctx, tracker, call)
 	if err != nil {
@@ -162,7 +167,7 @@
 	t.mu.Lock()
 	t.curves[c.Service] = receivedCurve{curve: answer.Curve, at: now}
 	t.mu.Unlock()
-	return Answer{Taken: answer.Taken, Wait: time.Duration(answer.Wait) * time.Millisecond, Cold: answer.Cold}, true
+	return Answer{Taken: answer.Taken, Wait: time.Duration(answer.Wait) * time.Millisecond, OverRate: answer.OverRate}, true
 }
 
 // markUnresponsive stops claims to a tracker that didn't answer for unresponsivePause.
@@ -231,15 +236,19 @@
 		f.add(s.Tokens, s.Seconds)
 	}
 	curve := f.curve()
-	if call.Cold > 0 && !t.prefillSchedule.hasColdToken(call.Engine, TrackerRateShare*call.Cold, now) {
-		return claimAnswer{Cold: true, Curve: curve}
+	rate := warmup.Rate{Cold: call.Cold, Stated: call.Stated}
+	answer := claimAnswer{Curve: curve}
+	if has, wait := t.prefillSchedule.hasToken(call.Engine, rate.Tracked(), call.Rank, now); !has {
+		answer.OverRate, answer.Wait = true, wait.Milliseconds()
+		return answer
 	}
 	prefill := time.Duration(curve.PrefillTime(call.Tokens) * float64(time.Second))
 	wait, taken := t.prefillSchedule.reserve(call.Engine, prefill, time.Duration(call.Limit)*time.Millisecond, now)
-	if taken && call.Cold > 0 {
-		t.prefillSchedule.takeColdToken(call.Engine)
+	if taken && rate.Limited() {
+		t.prefillSchedule.takeToken(call.Engine)
 	}
-	return claimAnswer{Taken: taken, Wait: wait.Milliseconds(), Curve: curve}
+	answer.Taken, answer.Wait = taken, wait.Milliseconds()
+	return answer
 }
 
 // Sweep removes expired state. Call it about once a second.
--- a/internal/serve/engines/tracker_test.go
+++ b/internal/serve/engines/tracker_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillagate/vanillagate/internal/serve/servetest"
+	"github.com/vanillagate/vanillagate/internal/serve/warmup"
 )
 
 // newTrackers returns the trackers of n processes that are connected to each other.
@@ -108,13 +109,13 @@
 		taken, asked := 0, 0
 		start := time.Now()
 		for time.Since(start) < 2*time.Second {
-			answer, answered := all[asked%20].Claim(context.Background(), Claim{Service: "s", Engine: "e", Limit: time.Hour, ColdPerSecond: 14})
+			answer, answered := all[asked%20].Claim(context.Background(), Claim{Service: "s", Engine: "e", Limit: time.Hour, Rate: warmup.Rate{Cold: 14}})
 			assert.Assert(t, answered)
 			asked++
 			if answer.Taken {
 				taken++
 			}
-			assert.Assert(t, answer.Taken != answer.Cold)
+			assert.Assert(t, answer.Taken != answer.OverRate)
 			time.Sleep(time.Millisecond)
 		}
 		assert.Assert(t, taken <= 2*14, "%d of %d in two seconds", taken, asked)
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -45,8 +45,9 @@
 	recoveredAt time.Time
 	onLeave     []func(*Target)
 	members     atomic.Int64
-	// onUnreachable is set before the first call.
+	// onUnreachable is set before the first call, onRateChange before the first Apply.
 	onUnreachable []func(*Target)
+	onRateChange  func(*Target)
 }
 
 // LapsedGracePeriod is how long targets whose entries lapsed during a store outage stay in use,
@@ -256,7 +257,7 @@
 		return back.update(c.Entry, now)
 	}
 	t.byID[c.ID] = &Target{
-		ID: c.ID, Born: c.Born, Service: c.Service, Address: c.Address, Zone: c.Zone, hash: routing.RendezvousScore(c.ID), log: t.log, members: &t.members, entry: c.Entry,
+		ID: c.ID, Born: c.Born, Service: c.Service, Address: c.Address, Zone: c.Zone, hash: routing.RendezvousScore(c.ID), log: t.log, members: &t.members, onRateChange: t.onRateChange, entry: c.Entry,
 		evacuated: t.evacuated(c.Zone), coldUntil: now.Add(c.ColdLeft),
 	}
 	if t.loaded { // the first list is logged as a whole
--- a/internal/serve/pool/target.go
+++ b/internal/serve/pool/target.go
@@ -19,8 +19,9 @@
 	Zone    string
 	hash    uint64 // of ID
 	log     *zap.Logger
-	// members is the Table's number of processes.
-	members *atomic.Int64
+	// members is the Table's number of processes, onRateChange the function set by OnRateChange.
+	members      *atomic.Int64
+	onRateChange func(*Target)
 
 	// mu guards the fields below. It is taken after Table.mu; no other lock is taken while it is
 	// held.
@@ -45,7 +46,7 @@
 	connectBackoff time.Duration
 	failureRate    float64 // moving average of failed calls
 	rejections     rejections
-	rateLimit      RateLimit
+	rateLimit      rateLimit
 }
 
 // Report is the load that a target reported with its latest response.
@@ -150,7 +151,7 @@
 	return View{
 		Target: t, Slots: t.entry.Slots, InFlight: t.inFlight, Tokens: t.tokens,
 		Report: report, Weight: e.Weight(t.health, now), ColdUntil: t.coldUntil, UnobservedUntil: t.unobservedUntil,
-		RateLimit:  t.rateLimit.PerSecond,
+		RateLimit:  t.rateLimit.perSecond,
 		ShareInUse: t.rejections.shareInUse(t.memberCount(), t.entry.Slots, t.inFlight, now),
 	}
 }
--- a/internal/serve/run/choose.go
+++ b/internal/serve/run/choose.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/vanillagate/vanillagate/internal/serve/engines"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/place"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
@@ -13,8 +12,11 @@
 )
 
 // choose picks the target of the next attempt; nil if there is none. An engine is claimed
-// through its tracker. A cold target gets the request only within its rate limit.
+// through its tracker. A target with a limited rate gets the request only within it.
 func (j *job) choose() *pool.Target {
+	if target := j.takeReserved(); target != nil {
+		return target
+	}
 	c := j.newChoice(time.Now())
 	j.claimState = claimState{}
 	views, all := j.candidates(c.now)
@@ -40,9 +42,9 @@
 type choice struct {
 	job *job
 	now time.Time
-	// isEngine means that the service's targets are model engines, tracked that their load
-	// is tracked across all processes.
-	isEngine, tracked bool
+	// isEngine means that the service's targets are model engines, whose load is tracked across
+	// all processes unless Engines is nil.
+	isEngine bool
 	// rule limits the request rate of the service's cold targets; the zero value sets no
 	// limit.
 	rule warmup.Rule
@@ -55,18 +57,21 @@
 		return c
 	}
 	c.isEngine = service.Engine != nil
-	c.tracked = c.isEngine && j.Engines != nil
 	if j.Warmup != nil {
 		c.rule = warmup.Rule{PerSecond: service.ColdPerSecond, Time: service.ColdTime}
 	}
 	return c
 }
 
+// maxOverRateClaims is how many targets with a stated rate are asked in vain before only the others are
+// considered.
+const maxOverRateClaims = 8
+
 // pickFrom picks one of the given targets; nil if none of them accepts the request.
 func (c *choice) pickFrom(views []pool.View) *pool.Target {
 	views = slices.DeleteFunc(views, func(v pool.View) bool { return v.ShareInUse })
-	views = c.excludeCold(views)
-	for {
+	views = c.excludeLimited(views)
+	for refused := 0; ; {
 		target := c.pick(views)
 		if target == nil {
 			return nil
@@ -74,22 +79,40 @@
 		switch c.allow(views, target) {
 		case claimAccepted:
 			return target
-		case claimCold:
-			views = slices.DeleteFunc(views, func(v pool.View) bool { return v.Target == target })
+		case claimOverRate:
+			if target.RateLimit() > 0 {
+				refused++
+			}
+			views = slices.DeleteFunc(views, func(v pool.View) bool {
+				return v.Target == target || refused >= maxOverRateClaims && v.RateLimit > 0
+			})
 		}
 	}
 }
 
-// excludeCold removes the cold targets to which this process may not send now. Those of
-// tracked engines stay, since their trackers decide.
-func (c *choice) excludeCold(views []pool.View) []pool.View {
-	if c.rule.PerSecond <= 0 {
-		return views
+// rate returns the request rate that a target takes from all processes.
+func (c *choice) rate(v pool.View) warmup.Rate {
+	if c.job.Warmup == nil {
+		return warmup.Rate{}
 	}
+	return c.rule.RateOf(v, c.now)
+}
+
+// excludeLimited removes the targets with a limited rate to which this process may not send now. Where
+// there are trackers, they decide, and a target is left out until its tracker may permit a request.
+func (c *choice) excludeLimited(views []pool.View) []pool.View {
 	kept := views[:0]
 	for _, v := range views {
-		v.Cold = c.rule.IsCold(v, c.now)
-		if !v.Cold || c.tracked || c.job.Warmup.Allowed(v.ID, c.rule, c.now) {
+		rate := c.rate(v)
+		v.Cold = rate.Cold > 0
+		switch {
+		case !rate.Limited():
+			kept = append(kept, v)
+		case c.job.Engines == nil:
+			if c.job.Warmup.Allowed(v.ID, rate.Total(), c.now) {
+				kept = append(kept, v)
+			}
+		case c.job.Warmup.DeferredFor(v.ID, c.now) == 0:
 			kept = append(kept, v)
 		}
 	}
@@ -98,22 +121,24 @@
 
 // allow asks whether the request may be sent to the chosen target.
 func (c *choice) allow(views []pool.View, target *pool.Target) claimResult {
-	cold := slices.ContainsFunc(views, func(v pool.View) bool { return v.Target == target && v.Cold })
-	rule := c.rule
-	if !cold {
-		rule.PerSecond = 0
+	var rate warmup.Rate
+	for _, v := range views {
+		if v.Target == target {
+			rate = c.rate(v)
+		}
 	}
-	if c.tracked {
-		answer := c.job.claim(views, target, rule.PerSecond)
+	permitted := rate.Total()
+	if c.job.Engines != nil && (c.isEngine || rate.Limited()) {
+		answer := c.claim(views, target, rate)
 		if answer != claimUnanswered {
 			return answer
 		}
-		rule.PerSecond *= 1 - engines.TrackerRateShare
+		permitted = rate.Untracked()
 	}
-	if !cold || c.job.Warmup.Take(target.ID, rule, c.now) {
+	if !rate.Limited() || c.job.Warmup.Take(target.ID, permitted, c.now) {
 		return claimAccepted
 	}
-	return claimCold
+	return claimOverRate
 }
 
 func (c *choice) pick(views []pool.View) *pool.Target {
--- a/internal/serve/run/claim.go
+++ b/internal/serve/run/claim.go
@@ -5,7 +5,9 @@
 
 	"github.com/vanillagate/vanillagate/internal/serve/engines"
 	"github.com/vanillagate/vanillagate/internal/serve/place"
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
+	"github.com/vanillagate/vanillagate/internal/serve/warmup"
 )
 
 const (
@@ -43,28 +45,38 @@
 	claimAccepted claimResult = iota
 	// claimBusy: the engine is occupied with other prompts for longer than the wait limit.
 	claimBusy
-	// claimCold: the engine is cold and accepts no more requests for now.
-	claimCold
+	// claimOverRate: the target takes no more requests for now.
+	claimOverRate
 	// claimUnanswered: the tracker didn't answer.
 	claimUnanswered
 )
 
-// claim adds the prompt to an engine's tracked load. If the engine is busy, its view is
-// updated with its current load, so that the next choice is another one.
-func (j *job) claim(views []pool.View, target *pool.Target, coldPerSecond float64) claimResult {
-	prefillTokens := place.PrefillTokens(views, j.req.Prompt, target.ID)
-	j.claimState = claimState{attempts: j.claimState.attempts + 1, prefillTokens: prefillTokens}
-	answer, answered := j.Engines.Claim(j.ctx, engines.Claim{
-		Service: j.service, Engine: target.ID, Tokens: prefillTokens, Limit: j.waitLimit(prefillTokens),
-		ColdPerSecond: coldPerSecond,
-	})
+// claim asks the target's tracker, which adds the prompt to an engine's tracked load. If the engine is busy,
+// its view is updated with its current load, so that the next choice is another one.
+func (c *choice) claim(views []pool.View, target *pool.Target, rate warmup.Rate) claimResult {
+	j := c.job
+	claim := engines.Claim{
+		Service: j.service, Engine: target.ID, Limit: unlimitedWait, Rate: rate,
+		Rank: plan.EffectivePriority(j.route, j.team),
+	}
+	earlier := j.claimState.attempts
+	if c.isEngine {
+		claim.Tokens = place.PrefillTokens(views, j.req.Prompt, target.ID)
+		j.claimState = claimState{attempts: earlier + 1, prefillTokens: claim.Tokens}
+		claim.Limit = j.waitLimit(claim.Tokens)
+	}
+	answer, answered := j.Engines.Claim(j.ctx, claim)
 	switch {
 	case !answered:
 		return claimUnanswered
-	case answer.Cold:
-		return claimCold
+	case answer.OverRate:
+		j.claimState.attempts = earlier
+		if j.Warmup != nil && answer.Wait > 0 {
+			j.Warmup.Defer(target.ID, c.now.Add(answer.Wait))
+		}
+		return claimOverRate
 	case answer.Taken:
-		j.claimState.wait, j.claimState.waitKnown = answer.Wait, true
+		j.claimState.wait, j.claimState.waitKnown = answer.Wait, c.isEngine
 		return claimAccepted
 	}
 	// The added tokens outweigh any affinity, so that the next choice is another engine.
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -48,10 +48,11 @@
 	Budget  *quota.Budget
 	Zone    string
 	Metrics *Metrics
-	// Engines tracks the load of model engines across all processes; nil for none.
+	// Engines tracks the load of model engines, and the requests to targets with a limited rate, across
+	// all processes; nil for none.
 	Engines *engines.Tracker
-	// Warmup decides when this process may send requests to cold targets; nil sets no
-	// limit.
+	// Warmup decides when this process may send requests to targets with a limited rate, cold or in
+	// need; nil sets no limit.
 	Warmup *warmup.Limiter
 	// LeaveOut disables individual mechanisms, for measurements.
 	LeaveOut leaveout.Set
@@ -102,6 +103,8 @@
 	// zone is the zone in which the stages run whose services are divided by zone.
 	zone       string
 	claimState claimState
+	// reserved is the target that was claimed before the stages run; nil if none was.
+	reserved *pool.Target
 	// retry is the last retry taken from the budget; nil if there was none.
 	retry *quota.Retry
 	// stageErr is why the stages couldn't be run, restartErr why they were run again.
@@ -261,6 +264,9 @@
 	if len(j.route.Stages) == 0 {
 		return nil
 	}
+	if reply := j.reserveTarget(); reply != nil {
+		return reply
+	}
 	results, err := j.runStages()
 	if err == nil {
 		j.inputs = results
@@ -329,7 +335,7 @@
 		return j.giveUp(endReason(cause), fasthttp.StatusGatewayTimeout)
 	}
 	if failed.target == nil {
-		return j.giveUp(NoTarget, fasthttp.StatusBadGateway)
+		return j.refuseWithoutTarget()
 	}
 	j.tried[failed.target.ID] = true
 	if failed.mayHaveRun && (!j.route.Repeatable() || j.runs >= j.route.Attempts) {
--- /dev/null
+++ b/internal/serve/run/rate_limit.go
@@ -0,0 +1,63 @@
+package run
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+)
+
+// reserveTarget claims the target before the stages run, if all targets of the service have stated a
+// request rate: results of stages would be wasted on a request that no target takes. It returns the
+// refusal if none takes the request now, else nil.
+func (j *job) reserveTarget() *Reply {
+	if j.Warmup == nil || !j.Table.AllRateLimited(j.service, time.Now()) {
+		return nil
+	}
+	j.reserved = j.choose()
+	if j.reserved == nil {
+		return j.refuseForRate()
+	}
+	return nil
+}
+
+// takeReserved returns the target that was claimed before the stages, if it still accepts requests.
+func (j *job) takeReserved() *pool.Target {
+	target := j.reserved
+	j.reserved = nil
+	if target == nil || target.GoneOrDraining() || target.Evacuated() {
+		return nil
+	}
+	return target
+}
+
+// refuseWithoutTarget refuses the request because no target takes it.
+func (j *job) refuseWithoutTarget() *Reply {
+	if j.Warmup != nil && j.Table.AllRateLimited(j.service, time.Now()) {
+		return j.refuseForRate()
+	}
+	return j.giveUp(NoTarget, fasthttp.StatusBadGateway)
+}
+
+// refuseForRate refuses the request because no target takes more requests for now.
+func (j *job) refuseForRate() *Reply {
+	return j.errorReply(fasthttp.StatusBadGateway, RateLimited, retryAfter(j.rateWait()))
+}
+
+// rateWait returns the time until one of the targets with a stated rate may take a request.
+func (j *job) rateWait() time.Duration {
+	now := time.Now()
+	soonest := maxRetryAfter
+	for _, v := range j.Table.Views(j.service, now) {
+		if v.RateLimit <= 0 {
+			continue
+		}
+		wait := j.Warmup.DeferredFor(v.ID, now)
+		if wait == 0 {
+			wait = time.Duration(float64(time.Second) / v.RateLimit)
+		}
+		soonest = min(soonest, wait)
+	}
+	return soonest
+}
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -100,6 +100,7 @@
 	StagesLate      Reason = "stages can't be done in time"
 	StagesFailed    Reason = "stages failed"
 	TargetsFull     Reason = "targets refused"
+	RateLimited     Reason = "targets take no more requests for now"
 	OverBudget      Reason = "no repeat left in the budget"
 	LostAnswer      Reason = "target gave no answer"
 	TimedOut        Reason = "time is up"
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -144,6 +144,7 @@
 		LeaveOut: o.LeaveOut, TimeToReady: s.timeToReady, ContactAge: s.follower.ContactAge,
 	}
 	s.counts = newCountExchange(s.log, network, s.budget)
+	newRateNotices(s.log, network, s.table)
 	if !o.LeaveOut.Has(leaveout.EngineAccounts) {
 		s.engines = engines.New(logging.WithComponent(o.Log, "engines"), network)
 		s.executor.Engines = s.engines
--- a/internal/serve/warmup/warmup.go
+++ b/internal/serve/warmup/warmup.go
@@ -1,8 +1,8 @@
-// Package warmup bounds the requests that all processes together send to a cold target, without a
-// coordinator. A target that has just started, or has become cold again, crashes if it gets more
-// requests than its service's cold rate.
+// Package warmup bounds the requests that all processes together send to a target that takes only a
+// limited rate, without a coordinator. A target that has just started, or has become cold again, crashes if
+// it gets more requests than its service's cold rate; a target in need states a rate itself.
 //
-// If a cold target can handle n requests a second, n processes hold a permit for it: those that
+// If a target takes n requests a second, n processes hold a permit for it: those that
 // rank first by rendezvous hashing over the members. Each uses its permit once in a little over a
 // second. If there are fewer processes than permits, they all hold one and use it more often. A
 // process that sees only some of the members uses permits as rarely as if the members that it
@@ -10,6 +10,7 @@
 package warmup
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -36,6 +37,51 @@
 	return now.Before(v.ColdUntil) || now.Before(v.UnobservedUntil.Add(r.Time))
 }
 
+// Rate holds how many requests a second a target takes from all processes together: while it is cold, and as
+// it has stated; 0 for no limit.
+type Rate struct{ Cold, Stated float64 }
+
+// RateOf returns the rate that a target takes now.
+func (r Rule) RateOf(v pool.View, now time.Time) Rate {
+	rate := Rate{Stated: v.RateLimit}
+	if r.IsCold(v, now) {
+		rate.Cold = r.PerSecond
+	}
+	return rate
+}
+
+const (
+	// coldTrackerShare and statedTrackerShare are the shares of the rates that a target's tracker hands
+	// out. The rest is for processes that the tracker doesn't answer. For cold targets, whose bound
+	// covers a single second, it is also for a second tracker while processes see different members.
+	coldTrackerShare   = 0.6
+	statedTrackerShare = 0.8
+)
+
+// Limited reports whether there is a limit.
+func (r Rate) Limited() bool { return r.Cold > 0 || r.Stated > 0 }
+
+// Total returns the requests a second of all processes; 0 for no limit.
+func (r Rate) Total() float64 { return lower(r.Cold, r.Stated) }
+
+// Tracked returns the part of the rate that the target's tracker hands out.
+func (r Rate) Tracked() float64 {
+	return lower(coldTrackerShare*r.Cold, statedTrackerShare*r.Stated)
+}
+
+// Untracked returns the part of the rate that is left for processes that the tracker doesn't answer.
+func (r Rate) Untracked() float64 {
+	return lower((1-coldTrackerShare)*r.Cold, (1-statedTrackerShare)*r.Stated)
+}
+
+// lower returns the lower of two limits, of which 0 is none.
+func lower(a, b float64) float64 {
+	if a <= 0 || b <= 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
 const (
 	// pauseFactor is the shortest pause between two requests of a permit holder, as a multiple of
 	// the permit's period. It allows for requests that overtake each other.
@@ -48,8 +94,8 @@
 	partitionShare = 0.7
 )
 
-// Limiter decides when this process may send a request to a cold target. It is safe for concurrent
-// use.
+// Limiter decides when this process may send a request to a target with a limited rate. It is safe for
+// concurrent use.
 type Limiter struct {
 	network peer.Network
 	// recentMax returns the highest recent number of processes, 0 while it is unknown.
@@ -59,6 +105,8 @@
 	mu sync.Mutex // guards the fields below; no other lock is taken while it is held
 	// next holds the time of this process's next permitted request to a target, by target ID.
 	next map[string]time.Time
+	// deferred holds until when this process doesn't ask a target's tracker again, by target ID.
+	deferred map[string]time.Time
 	// ranks holds this process's rank for a target, by target ID, as of view.
 	ranks map[string]int
 	view  *peer.View
@@ -67,23 +115,38 @@
 // New returns a limiter. recentMax returns the highest recent number of processes; while it is 0, the
 // number is unknown and the limiter gives no permits.
 func New(network peer.Network, recentMax func() int, now time.Time) *Limiter {
-	return &Limiter{network: network, recentMax: recentMax, started: now, next: map[string]time.Time{}}
+	return &Limiter{network: network, recentMax: recentMax, started: now, next: map[string]time.Time{}, deferred: map[string]time.Time{}}
+}
+
+// Defer records that the target's tracker gives no permission before the given time.
+func (l *Limiter) Defer(target string, until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.deferred[target] = until
 }
 
-// Allowed reports whether this process may send a request to a target now.
-func (l *Limiter) Allowed(target string, rule Rule, now time.Time) bool {
+// DeferredFor returns how long this process doesn't ask a target's tracker; 0 if it may.
+func (l *Limiter) DeferredFor(target string, now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, allowed := l.permit(target, rule, now)
+	return max(l.deferred[target].Sub(now), 0)
+}
+
+// Allowed reports whether this process may send a request now to a target that takes perSecond requests a
+// second; 0 means no limit.
+func (l *Limiter) Allowed(target string, perSecond float64, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, allowed := l.permit(target, perSecond, now)
 	return allowed
 }
 
 // Take uses the permit for a target, if this process may send a request now, and reports whether it
-// may.
-func (l *Limiter) Take(target string, rule Rule, now time.Time) bool {
+// may. See Allowed.
+func (l *Limiter) Take(target string, perSecond float64, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	pause, allowed := l.permit(target, rule, now)
+	pause, allowed := l.permit(target, perSecond, now)
 	if allowed {
 		l.next[target] = now.Add(pause)
 	}
@@ -92,7 +155,7 @@
 
 // permit returns the pause after a request sent now, and whether one may be sent. The caller holds
 // mu.
-func (l *Limiter) permit(target string, rule Rule, now time.Time) (time.Duration, bool) {
+func (l *Limiter) permit(target string, perSecond float64, now time.Time) (time.Duration, bool) {
 	recentMax := l.recentMax()
 	if now.Sub(l.started) < startupDelay || recentMax == 0 {
 		return 0, false
@@ -100,7 +163,7 @@
 	view := l.network.View()
 	known := 1 + len(view.Members)
 	p := permits{known: known, recentMax: max(known, recentMax), rank: l.rank(view, target), lot: lot(target, view.Self.Incarnation)}
-	pause, holds := p.pause(rule.PerSecond)
+	pause, holds := p.pause(perSecond)
 	return pause, holds && !now.Before(l.next[target])
 }
 
@@ -122,11 +185,9 @@
 func (l *Limiter) Prune(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for target, next := range l.next {
-		if now.After(next) {
-			delete(l.next, target)
-		}
-	}
+	over := func(_ string, until time.Time) bool { return now.After(until) }
+	maps.DeleteFunc(l.next, over)
+	maps.DeleteFunc(l.deferred, over)
 }
 
 func rankOf(view *peer.View, target string) int {
--- a/internal/serve/warmup/warmup_test.go
+++ b/internal/serve/warmup/warmup_test.go
@@ -23,7 +23,7 @@
 
 // rateLimiter is a way to bound the requests to cold targets.
 type rateLimiter interface {
-	Take(target string, rule Rule, now time.Time) bool
+	Take(target string, perSecond float64, now time.Time) bool
 }
 
 // newLimiters returns the limiters of n processes that were recentMax at their peak. Each process
@@ -57,7 +57,7 @@
 }
 
 // Take implements rateLimiter.
-func (e *evenShare) Take(target string, _ Rule, now time.Time) bool {
+func (e *evenShare) Take(target string, _ float64, now time.Time) bool {
 	if now.Before(e.next[target]) {
 		return false
 	}
@@ -70,7 +70,6 @@
 // and the total rate of requests taken.
 func simulate(seed uint64, limiters []rateLimiter, targets int, rate float64) (most int, taken float64) {
 	random := rand.New(rand.NewPCG(seed, 1))
-	rule := Rule{PerSecond: perSecond, Time: 3 * time.Second}
 	arrivals := map[string][]time.Time{}
 	total := 0
 	const length = 10 * time.Second
@@ -78,7 +77,7 @@
 		limiter := limiters[random.IntN(len(limiters))]
 		for _, i := range random.Perm(targets) {
 			target := fmt.Sprintf("engine-%d", i)
-			if limiter.Take(target, rule, now) {
+			if limiter.Take(target, perSecond, now) {
 				late := time.Duration(random.Float64() * float64(50*time.Millisecond))
 				arrivals[target] = append(arrivals[target], now.Add(late))
 				total++
@@ -148,9 +147,8 @@
 // A process that has just started knows no peers yet and would take all permits for itself.
 func TestNewProcessHoldsNoPermit(t *testing.T) {
 	limiter := New((&servetest.Cluster{}).Add("a", "z"), func() int { return 1 }, start)
-	rule := Rule{PerSecond: perSecond}
-	assert.Assert(t, !limiter.Take("e", rule, start.Add(startupDelay/2)))
-	assert.Assert(t, limiter.Take("e", rule, start.Add(startupDelay)))
+	assert.Assert(t, !limiter.Take("e", perSecond, start.Add(startupDelay/2)))
+	assert.Assert(t, limiter.Take("e", perSecond, start.Add(startupDelay)))
 }
 
 // A target that can handle less than one request a second must still get some.
