gather: stage targets get calls at their stated rate

What callers saw. Nothing by itself: stage targets in need got call after call.

The same as at engines and plain targets: nothing kept the rate. One process gathers for a stage target, so it can keep the rate alone. The gatherer starts calls of a target that has stated a rate at four fifths of it, and doesn't call it to free results, which expire. What it reserves and how long it expects items to wait follow from that.

--- a/internal/serve/gather/call.go
+++ b/internal/serve/gather/call.go
@@ -105,7 +105,7 @@
 func (g *Gatherer) callFailed(s *shard, target *pool.Target, taken []*queuedItem, err error, now time.Time) {
 	notRun := errors.Is(err, ErrFull) || upstream.NotSent(err)
 	if notRun {
-		s.pausedUntil[target.ID] = now.Add(fullPause)
+		s.pause(target.ID, now.Add(fullPause))
 	}
 	g.log.Warn("Call of a stage target failed.", zap.String("target", target.ID), zap.String("service", s.Service),
 		zap.Int("items", len(taken)), zap.Error(err))
--- a/internal/serve/gather/dispatch.go
+++ b/internal/serve/gather/dispatch.go
@@ -174,6 +174,9 @@
 func (g *Gatherer) startCall(s *shard, batch *plan.Batch, target *pool.Target, taken []*queuedItem, now time.Time) {
 	expected := batch.CallTime + time.Duration(len(taken))*batch.ItemTime
 	s.activeCalls[target.ID] = &activeCall{ends: now.Add(expected)}
+	if rate := target.RateLimit(); rate > 0 {
+		s.pause(target.ID, now.Add(minCallInterval(rate)))
+	}
 	items := make([]Item, 0, len(taken))
 	for _, item := range taken {
 		item.tries++
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -313,8 +313,8 @@
 		if target == nil {
 			continue // the target is gone, and its results with it
 		}
-		if target.Evacuated() {
-			continue // an evacuated target gets no calls; its results expire
+		if target.Evacuated() || target.RateLimit() > 0 {
+			continue // the target gets no calls, or few, and those to run items; its results expire
 		}
 		go g.free(s, target, handles)
 	}
--- a/internal/serve/gather/targets.go
+++ b/internal/serve/gather/targets.go
@@ -20,7 +20,7 @@
 			continue
 		}
 		counted++
-		targets += 1 / p.slowdown()
+		targets += min(1/p.slowdown(), usableShare(v, batch))
 		space += batch.BufferBytes - g.bufferOf(s, v.Address, now).foreign()
 	}
 	if counted > 0 {
@@ -47,12 +47,15 @@
 	soonest := batch.CallTime
 	for _, v := range g.availableTargets(s, now) {
 		targets++
-		call := s.activeCalls[v.ID]
-		if call == nil {
+		call, pausedUntil := s.activeCalls[v.ID], s.pausedUntil[v.ID]
+		switch {
+		case call != nil:
+			soonest = min(soonest, max(call.ends.Sub(now), 0))
+		case v.RateLimit > 0 && now.Before(pausedUntil):
+			soonest = min(soonest, pausedUntil.Sub(now))
+		default:
 			free = true
-			continue
 		}
-		soonest = min(soonest, max(call.ends.Sub(now), 0))
 	}
 	if targets == 0 {
 		return 0
@@ -80,3 +83,28 @@
 	}
 	return kept
 }
+
+// statedRateShare is the share of a target's stated rate that its gatherer uses. The rest is for another
+// process that gathers for the same shard while processes see different members.
+const statedRateShare = 0.8
+
+// minCallInterval returns the time between the starts of two calls of a target that has stated a rate of
+// perSecond requests.
+func minCallInterval(perSecond float64) time.Duration {
+	return time.Duration(float64(time.Second) / (statedRateShare * perSecond))
+}
+
+// usableShare returns the part of a target's time in which it may have calls.
+func usableShare(v pool.View, batch *plan.Batch) float64 {
+	if v.RateLimit <= 0 {
+		return 1
+	}
+	return min(1, float64(batch.MaxCallTime())/float64(minCallInterval(v.RateLimit)))
+}
+
+// pause makes a target get no calls before the given time.
+func (s *shard) pause(target string, until time.Time) {
+	if until.After(s.pausedUntil[target]) {
+		s.pausedUntil[target] = until
+	}
+}
