run: cold targets of plain services get permits, as before

Cause. also had trackers decide on cold targets of plain services, which hand out three fifths of their rate; permits use up to five sixths. Trackers are asked for engines and for targets that have stated a rate. Tests of cold targets and of stated rates pass.

--- a/internal/serve/run/choose.go
+++ b/internal/serve/run/choose.go
@@ -98,8 +98,13 @@
 	return c.rule.RateOf(v, c.now)
 }
 
-// excludeLimited removes the targets with a limited rate to which this process may not send now. Where
-// there are trackers, they decide, and a target is left out until its tracker may permit a request.
+// tracked reports whether a target's tracker is asked before a request is sent to it.
+func (c *choice) tracked(rate warmup.Rate) bool {
+	return c.job.Engines != nil && (c.isEngine || rate.Stated > 0)
+}
+
+// excludeLimited removes the targets with a limited rate to which this process may not send now. A target
+// that has a tracker is left out until the tracker may permit a request.
 func (c *choice) excludeLimited(views []pool.View) []pool.View {
 	kept := views[:0]
 	for _, v := range views {
@@ -108,11 +113,11 @@
 		switch {
 		case !rate.Limited():
 			kept = append(kept, v)
-		case c.job.Engines == nil:
-			if c.job.Warmup.Allowed(v.ID, rate.Total(), c.now) {
+		case c.tracked(rate):
+			if c.job.Warmup.DeferredFor(v.ID, c.now) == 0 {
 				kept = append(kept, v)
 			}
-		case c.job.Warmup.DeferredFor(v.ID, c.now) == 0:
+		case c.job.Warmup.Allowed(v.ID, rate.Total(), c.now):
 			kept = append(kept, v)
 		}
 	}
@@ -128,7 +133,7 @@
 		}
 	}
 	permitted := rate.Total()
-	if c.job.Engines != nil && (c.isEngine || rate.Limited()) {
+	if c.tracked(rate) {
 		answer := c.claim(views, target, rate)
 		if answer != claimUnanswered {
 			return answer
