--- a/internal/serve/engines/tracker.go
+++ b/internal/serve/engines/tracker.go
@@ -21,7 +21,7 @@
 	"github.com/vanillagate/vanillagate/internal/derived"
 	"github.com/vanillagate/vanillagate/internal/member"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/serve/warmup"
+	"github.com/vanillagate/vanillagate/internal/serve/ratelimit"
 )
 
 const methodClaim = "engines.claim"
@@ -53,7 +53,7 @@
 	// Limit is the longest acceptable wait at the engine.
 	Limit time.Duration
 	// Rate is how many requests a second the engine takes from all processes.
-	Rate warmup.Rate
+	Rate ratelimit.Rate
 	// Rank is the request's priority; 0 is the most urgent. Less urgent ones leave a part of an
 	// engine's limited rate to those before them.
 	Rank int
@@ -236,7 +236,7 @@
 		f.add(s.Tokens, s.Seconds)
 	}
 	curve := f.curve()
-	rate := warmup.Rate{Cold: call.Cold, Stated: call.Stated}
+	rate := ratelimit.Rate{Cold: call.Cold, Stated: call.Stated}
 	answer := claimAnswer{Curve: curve}
 	if has, wait := t.prefillSchedule.hasToken(call.Engine, rate.Tracked(), call.Rank, now); !has {
 		answer.OverRate, answer.Wait = true, wait.Milliseconds()
--- a/internal/serve/engines/tracker_test.go
+++ b/internal/serve/engines/tracker_test.go
@@ -10,8 +10,8 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillagate/vanillagate/internal/serve/ratelimit"
 	"github.com/vanillagate/vanillagate/internal/serve/servetest"
-	"github.com/vanillagate/vanillagate/internal/serve/warmup"
 )
 
 // newTrackers returns the trackers of n processes that are connected to each other.
@@ -109,7 +109,7 @@
 		taken, asked := 0, 0
 		start := time.Now()
 		for time.Since(start) < 2*time.Second {
-			answer, answered := all[asked%20].Claim(context.Background(), Claim{Service: "s", Engine: "e", Limit: time.Hour, Rate: warmup.Rate{Cold: 14}})
+			answer, answered := all[asked%20].Claim(context.Background(), Claim{Service: "s", Engine: "e", Limit: time.Hour, Rate: ratelimit.Rate{Cold: 14}})
 			assert.Assert(t, answered)
 			asked++
 			if answer.Taken {
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -60,7 +60,7 @@
 	// EngineAccounts: before a process sends a prompt to an engine, it asks the engine's tracker
 	// what the engine reads for other processes.
 	EngineAccounts Mechanism = "engine-accounts"
-	// Warmup: the request rate to a cold target is bounded across all processes.
+	// Warmup: the request rate to a target that is cold or has stated a rate is bounded across all processes.
 	Warmup Mechanism = "warmup"
 	// FewKept: the number of idle connections to a target is bounded by the number that it accepts.
 	FewKept Mechanism = "few-kept"
--- a/internal/serve/warmup/warmup.go
+++ b/internal/serve/ratelimit/ratelimit.go
@@ -1,4 +1,4 @@
-// Package warmup bounds the requests that all processes together send to a target that takes only a
+// Package ratelimit bounds the requests that all processes together send to a target that takes only a
 // limited rate, without a coordinator. A target that has just started, or has become cold again, crashes if
 // it gets more requests than its service's cold rate; a target in need states a rate itself.
 //
@@ -7,7 +7,7 @@
 // second. If there are fewer processes than permits, they all hold one and use it more often. A
 // process that sees only some of the members uses permits as rarely as if the members that it
 // doesn't see continued to use theirs.
-package warmup
+package ratelimit
 
 import (
 	"maps"
--- a/internal/serve/warmup/warmup_test.go
+++ b/internal/serve/ratelimit/ratelimit_test.go
@@ -1,4 +1,4 @@
-package warmup
+package ratelimit
 
 import (
 	"fmt"
--- a/internal/serve/run/choose.go
+++ b/internal/serve/run/choose.go
@@ -8,7 +8,7 @@
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/place"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
-	"github.com/vanillagate/vanillagate/internal/serve/warmup"
+	"github.com/vanillagate/vanillagate/internal/serve/ratelimit"
 )
 
 // choose picks the target of the next attempt; nil if there is none. An engine is claimed
@@ -47,7 +47,7 @@
 	isEngine bool
 	// rule limits the request rate of the service's cold targets; the zero value sets no
 	// limit.
-	rule warmup.Rule
+	rule ratelimit.Rule
 }
 
 func (j *job) newChoice(now time.Time) *choice {
@@ -57,8 +57,8 @@
 		return c
 	}
 	c.isEngine = service.Engine != nil
-	if j.Warmup != nil {
-		c.rule = warmup.Rule{PerSecond: service.ColdPerSecond, Time: service.ColdTime}
+	if j.RateLimiter != nil {
+		c.rule = ratelimit.Rule{PerSecond: service.ColdPerSecond, Time: service.ColdTime}
 	}
 	return c
 }
@@ -91,15 +91,15 @@
 }
 
 // rate returns the request rate that a target takes from all processes.
-func (c *choice) rate(v pool.View) warmup.Rate {
-	if c.job.Warmup == nil {
-		return warmup.Rate{}
+func (c *choice) rate(v pool.View) ratelimit.Rate {
+	if c.job.RateLimiter == nil {
+		return ratelimit.Rate{}
 	}
 	return c.rule.RateOf(v, c.now)
 }
 
 // tracked reports whether a target's tracker is asked before a request is sent to it.
-func (c *choice) tracked(rate warmup.Rate) bool {
+func (c *choice) tracked(rate ratelimit.Rate) bool {
 	return c.job.Engines != nil && (c.isEngine || rate.Stated > 0)
 }
 
@@ -114,10 +114,10 @@
 		case !rate.Limited():
 			kept = append(kept, v)
 		case c.tracked(rate):
-			if c.job.Warmup.DeferredFor(v.ID, c.now) == 0 {
+			if c.job.RateLimiter.DeferredFor(v.ID, c.now) == 0 {
 				kept = append(kept, v)
 			}
-		case c.job.Warmup.Allowed(v.ID, rate.Total(), c.now):
+		case c.job.RateLimiter.Allowed(v.ID, rate.Total(), c.now):
 			kept = append(kept, v)
 		}
 	}
@@ -126,7 +126,7 @@
 
 // allow asks whether the request may be sent to the chosen target.
 func (c *choice) allow(views []pool.View, target *pool.Target) claimResult {
-	var rate warmup.Rate
+	var rate ratelimit.Rate
 	for _, v := range views {
 		if v.Target == target {
 			rate = c.rate(v)
@@ -140,7 +140,7 @@
 		}
 		permitted = rate.Untracked()
 	}
-	if !rate.Limited() || c.job.Warmup.Take(target.ID, permitted, c.now) {
+	if !rate.Limited() || c.job.RateLimiter.Take(target.ID, permitted, c.now) {
 		return claimAccepted
 	}
 	return claimOverRate
--- a/internal/serve/run/claim.go
+++ b/internal/serve/run/claim.go
@@ -7,7 +7,7 @@
 	"github.com/vanillagate/vanillagate/internal/serve/place"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
-	"github.com/vanillagate/vanillagate/internal/serve/warmup"
+	"github.com/vanillagate/vanillagate/internal/serve/ratelimit"
 )
 
 const (
@@ -53,7 +53,7 @@
 
 // claim asks the target's tracker, which adds the prompt to an engine's tracked load. If the engine is busy,
 // its view is updated with its current load, so that the next choice is another one.
-func (c *choice) claim(views []pool.View, target *pool.Target, rate warmup.Rate) claimResult {
+func (c *choice) claim(views []pool.View, target *pool.Target, rate ratelimit.Rate) claimResult {
 	j := c.job
 	claim := engines.Claim{
 		Service: j.service, Engine: target.ID, Limit: unlimitedWait, Rate: rate,
@@ -71,8 +71,8 @@
 		return claimUnanswered
 	case answer.OverRate:
 		j.claimState.attempts = earlier
-		if j.Warmup != nil && answer.Wait > 0 {
-			j.Warmup.Defer(target.ID, c.now.Add(answer.Wait))
+		if j.RateLimiter != nil && answer.Wait > 0 {
+			j.RateLimiter.Defer(target.ID, c.now.Add(answer.Wait))
 		}
 		return claimOverRate
 	case answer.Taken:
--- a/internal/serve/run/cold_test.go
+++ b/internal/serve/run/cold_test.go
@@ -13,8 +13,8 @@
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/quota"
+	"github.com/vanillagate/vanillagate/internal/serve/ratelimit"
 	"github.com/vanillagate/vanillagate/internal/serve/servetest"
-	"github.com/vanillagate/vanillagate/internal/serve/warmup"
 )
 
 // coldExecutors returns executors of several processes that share the given number of
@@ -44,7 +44,7 @@
 		network := cluster.Add(fmt.Sprintf("vm-%d", i), "a")
 		list = append(list, &Executor{
 			Plans: plans, Table: table, Budget: quota.New(quota.Rule{}, now),
-			Warmup: warmup.New(network, func() int { return processes }, now.Add(-time.Minute)),
+			RateLimiter: ratelimit.New(network, func() int { return processes }, now.Add(-time.Minute)),
 		})
 	}
 	return list
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -16,8 +16,8 @@
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/quota"
+	"github.com/vanillagate/vanillagate/internal/serve/ratelimit"
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
-	"github.com/vanillagate/vanillagate/internal/serve/warmup"
 	"github.com/vanillagate/vanillagate/internal/suspect"
 )
 
@@ -51,9 +51,9 @@
 	// Engines tracks the load of model engines, and the requests to targets with a limited rate, across
 	// all processes; nil for none.
 	Engines *engines.Tracker
-	// Warmup decides when this process may send requests to targets with a limited rate, cold or in
+	// RateLimiter decides when this process may send requests to targets with a limited rate, cold or in
 	// need; nil sets no limit.
-	Warmup *warmup.Limiter
+	RateLimiter *ratelimit.Limiter
 	// LeaveOut disables individual mechanisms, for measurements.
 	LeaveOut leaveout.Set
 	// Suspicion finds the requests that crash their targets; nil for none.
--- a/internal/serve/run/rate_limit.go
+++ b/internal/serve/run/rate_limit.go
@@ -12,7 +12,7 @@
 // request rate: results of stages would be wasted on a request that no target takes. It returns the
 // refusal if none takes the request now, else nil.
 func (j *job) reserveTarget() *Reply {
-	if j.Warmup == nil || !j.Table.AllRateLimited(j.service, time.Now()) {
+	if j.RateLimiter == nil || !j.Table.AllRateLimited(j.service, time.Now()) {
 		return nil
 	}
 	j.reserved = j.choose()
@@ -34,7 +34,7 @@
 
 // refuseWithoutTarget refuses the request because no target takes it.
 func (j *job) refuseWithoutTarget() *Reply {
-	if j.Warmup != nil && j.Table.AllRateLimited(j.service, time.Now()) {
+	if j.RateLimiter != nil && j.Table.AllRateLimited(j.service, time.Now()) {
 		return j.refuseForRate()
 	}
 	return j.giveUp(NoTarget, fasthttp.StatusBadGateway)
@@ -53,7 +53,7 @@
 		if v.RateLimit <= 0 {
 			continue
 		}
-		wait := j.Warmup.DeferredFor(v.ID, now)
+		wait := j.RateLimiter.DeferredFor(v.ID, now)
 		if wait == 0 {
 			wait = time.Duration(float64(time.Second) / v.RateLimit)
 		}
--- a/internal/serve/run/rate_limit_test.go
+++ b/internal/serve/run/rate_limit_test.go
@@ -18,8 +18,8 @@
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/quota"
+	"github.com/vanillagate/vanillagate/internal/serve/ratelimit"
 	"github.com/vanillagate/vanillagate/internal/serve/servetest"
-	"github.com/vanillagate/vanillagate/internal/serve/warmup"
 )
 
 // limitedLoadShape describes a simulated service, some of whose targets state a request rate in all answers.
@@ -81,8 +81,8 @@
 		s.nodes = append(s.nodes, node)
 		s.executors = append(s.executors, &Executor{
 			Log: zap.NewNop(), Plans: plans, Table: table, Budget: quota.New(quota.Rule{}, now),
-			Engines: engines.New(zap.NewNop(), node),
-			Warmup:  warmup.New(node, func() int { return s.processes }, now.Add(-time.Minute)),
+			Engines:     engines.New(zap.NewNop(), node),
+			RateLimiter: ratelimit.New(node, func() int { return s.processes }, now.Add(-time.Minute)),
 		})
 	}
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -26,10 +26,10 @@
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/quota"
+	"github.com/vanillagate/vanillagate/internal/serve/ratelimit"
 	"github.com/vanillagate/vanillagate/internal/serve/reach"
 	"github.com/vanillagate/vanillagate/internal/serve/run"
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
-	"github.com/vanillagate/vanillagate/internal/serve/warmup"
 	"github.com/vanillagate/vanillagate/internal/wait"
 )
 
@@ -74,21 +74,21 @@
 
 // Server is the serving core of one process.
 type Server struct {
-	log      *zap.Logger
-	metrics  metrics.Registry
-	zone     string
-	plans    *plan.Holder
-	table    *pool.Table
-	client   *upstream.Client
-	network  *peer.Node
-	follower *follow.Follower
-	stages   *gather.Requester
-	reach    *reach.Tracker
-	budget   *quota.Budget
-	counts   *countExchange
-	warmup   *warmup.Limiter  // nil if disabled by LeaveOut
-	engines  *engines.Tracker // nil if disabled by LeaveOut
-	executor *run.Executor
+	log         *zap.Logger
+	metrics     metrics.Registry
+	zone        string
+	plans       *plan.Holder
+	table       *pool.Table
+	client      *upstream.Client
+	network     *peer.Node
+	follower    *follow.Follower
+	stages      *gather.Requester
+	reach       *reach.Tracker
+	budget      *quota.Budget
+	counts      *countExchange
+	rateLimiter *ratelimit.Limiter // nil if disabled by LeaveOut
+	engines     *engines.Tracker   // nil if disabled by LeaveOut
+	executor    *run.Executor
 
 	// readSeeds reads the peer addresses of the seed processes; nil if there are none.
 	readSeeds func(context.Context) ([]string, error)
@@ -150,8 +150,8 @@
 		s.executor.Engines = s.engines
 	}
 	if !o.LeaveOut.Has(leaveout.Warmup) {
-		s.warmup = warmup.New(network, s.processCount, time.Now())
-		s.executor.Warmup = s.warmup
+		s.rateLimiter = ratelimit.New(network, s.processCount, time.Now())
+		s.executor.RateLimiter = s.rateLimiter
 	}
 	if !o.LeaveOut.Has(leaveout.Containment) {
 		s.executor.Suspicion = newCrashDetector(s.baseCtx, logging.WithComponent(o.Log, "suspicion"), network)
@@ -210,8 +210,8 @@
 		now := time.Now()
 		s.client.Prune(now)
 		s.updateProcessCount(now)
-		if s.warmup != nil {
-			s.warmup.Prune(now)
+		if s.rateLimiter != nil {
+			s.rateLimiter.Prune(now)
 		}
 		if s.engines != nil {
 			s.engines.Sweep(now)
