pool, engines: changes of a stated rate are reported once a second; token buckets on their own

Reading the change: a target that states another rate in each answer would have each process publish a notice an answer. The token buckets of limited targets stood in the schedule of prompts, and the share of a stated rate that is handed out stood twice.

--- a/internal/serve/engines/simulation_test.go
+++ b/internal/serve/engines/simulation_test.go
@@ -63,7 +63,7 @@
 		all, _ := newTrackers(30)
 		withClaims = countLonger(simulateWaits(1, func(process int, engine string, tokens int) bool {
 			answer, answered := all[process].Claim(context.Background(), Claim{
-				Service: "s", Engine: engine, Tokens: tokens, Limit: 20 * time.Millisecond,
+				Service: "s", Target: engine, Tokens: tokens, Limit: 20 * time.Millisecond,
 			})
 			return !answered || answer.Taken
 		}), long)
--- a/internal/serve/engines/tracker.go
+++ b/internal/serve/engines/tracker.go
@@ -47,15 +47,16 @@
 // Claim asks whether a prompt may be sent to an engine.
 type Claim struct {
 	Service string
-	Engine  string
-	// Tokens is the number of tokens that the engine will have to read.
+	// Target is the ID of the engine, or of a target of another service that limits its rate.
+	Target string
+	// Tokens is the number of tokens that an engine will have to read.
 	Tokens int
 	// Limit is the longest acceptable wait at the engine.
 	Limit time.Duration
-	// Rate is how many requests a second the engine takes from all processes.
+	// Rate is how many requests a second the target takes from all processes.
 	Rate ratelimit.Rate
-	// Rank is the request's priority; 0 is the most urgent. Less urgent ones leave a part of an
-	// engine's limited rate to those before them.
+	// Rank is the request's priority; 0 is the most urgent. Less urgent ones leave a part of a limited
+	// rate to those before them.
 	Rank int
 }
 
@@ -65,7 +66,7 @@
 	Taken bool
 	// Wait is how long the engine will be busy with earlier prompts.
 	Wait time.Duration
-	// OverRate is set if the claim was refused because the engine already got as many requests as it
+	// OverRate is set if the claim was refused because the target already got as many requests as it
 	// takes. Wait is then the time until it takes the next one of the first rank.
 	OverRate bool
 }
@@ -73,7 +74,7 @@
 // claimCall is the wire format of a Claim. Times are in milliseconds.
 type claimCall struct {
 	Service string   `json:"service"`
-	Engine  string   `json:"engine"`
+	Target  string   `json:"engine"`
 	Tokens  int      `json:"tokens"`
 	Limit   int64    `json:"limit"`
 	Cold    float64  `json:"cold,omitempty"`
@@ -100,6 +101,7 @@
 
 	mu              sync.Mutex // guards the fields below; no other lock is taken while it is held
 	prefillSchedule *prefillSchedule
+	rateBuckets     rateBuckets
 	fits            map[string]*fit // by service
 	samples         map[string][]Sample
 	curves          map[string]receivedCurve
@@ -120,7 +122,7 @@
 // New returns a tracker. Call it before the network starts.
 func New(log *zap.Logger, network peer.Network) *Tracker {
 	t := &Tracker{
-		log: log, network: network, prefillSchedule: newPrefillSchedule(), fits: map[string]*fit{},
+		log: log, network: network, prefillSchedule: newPrefillSchedule(), rateBuckets: rateBuckets{}, fits: map[string]*fit{},
 		samples: map[string][]Sample{}, curves: map[string]receivedCurve{}, unresponsive: map[peer.Incarnation]time.Time{},
 	}
 	peer.HandleCall(network, methodClaim, func(c claimCall) (any, error) { return t.handleClaim(c, time.Now()), nil })
@@ -149,12 +151,12 @@
 // Claim asks an engine's tracker; false if it didn't answer or isn't asked at present.
 func (t *Tracker) Claim(ctx context.Context, c Claim) (Answer, bool) {
 	now := time.Now()
-	tracker, answering := t.trackerOf(c.Engine, now)
+	tracker, answering := t.trackerOf(c.Target, now)
 	if !answering {
 		return Answer{}, false
 	}
 	call := claimCall{
-		Service: c.Service, Engine: c.Engine, Tokens: c.Tokens, Limit: c.Limit.Milliseconds(),
+		Service: c.Service, Target: c.Target, Tokens: c.Tokens, Limit: c.Limit.Milliseconds(),
 		Cold: c.Rate.Cold, Stated: c.Rate.Stated, Rank: c.Rank, Samples: t.takeSamples(c.Service),
 	}
 	answer, err := t.callTracker(ctx, tracker, call)
@@ -238,14 +240,14 @@
 	curve := f.curve()
 	rate := ratelimit.Rate{Cold: call.Cold, Stated: call.Stated}
 	answer := claimAnswer{Curve: curve}
-	if has, wait := t.prefillSchedule.hasToken(call.Engine, rate.Tracked(), call.Rank, now); !has {
+	if has, wait := t.rateBuckets.hasToken(call.Target, rate.Tracked(), call.Rank, now); !has {
 		answer.OverRate, answer.Wait = true, wait.Milliseconds()
 		return answer
 	}
 	prefill := time.Duration(curve.PrefillTime(call.Tokens) * float64(time.Second))
-	wait, taken := t.prefillSchedule.reserve(call.Engine, prefill, time.Duration(call.Limit)*time.Millisecond, now)
+	wait, taken := t.prefillSchedule.reserve(call.Target, prefill, time.Duration(call.Limit)*time.Millisecond, now)
 	if taken && rate.Limited() {
-		t.prefillSchedule.takeToken(call.Engine)
+		t.rateBuckets.takeToken(call.Target)
 	}
 	answer.Taken, answer.Wait = taken, wait.Milliseconds()
 	return answer
@@ -256,6 +258,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.prefillSchedule.sweep(now)
+	t.rateBuckets.sweep(now)
 	for id, until := range t.unresponsive {
 		if now.After(until) {
 			delete(t.unresponsive, id)
--- a/internal/serve/engines/tracker_test.go
+++ b/internal/serve/engines/tracker_test.go
@@ -31,7 +31,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		all, _ := newTrackers(12)
 		ctx := context.Background()
-		claim := Claim{Service: "s", Engine: "e", Tokens: 40_000, Limit: 20 * time.Millisecond}
+		claim := Claim{Service: "s", Target: "e", Tokens: 40_000, Limit: 20 * time.Millisecond}
 		first, answered := all[0].Claim(ctx, claim)
 		assert.Assert(t, answered && first.Taken && first.Wait == 0)
 		for _, other := range all[1:] {
@@ -55,7 +55,7 @@
 		for range 50 {
 			started := time.Now()
 			for i := range 9 {
-				all[0].Claim(context.Background(), Claim{Service: "s", Engine: fmt.Sprint("e", i)})
+				all[0].Claim(context.Background(), Claim{Service: "s", Target: fmt.Sprint("e", i)})
 			}
 			if time.Since(started) > 0 {
 				waited++
@@ -75,8 +75,8 @@
 		left, leave := context.WithCancel(context.Background())
 		leave()
 		for i := range 9 {
-			all[0].Claim(left, Claim{Service: "s", Engine: fmt.Sprint("e", i)})
-			_, answered := all[0].Claim(context.Background(), Claim{Service: "s", Engine: fmt.Sprint("e", i)})
+			all[0].Claim(left, Claim{Service: "s", Target: fmt.Sprint("e", i)})
+			_, answered := all[0].Claim(context.Background(), Claim{Service: "s", Target: fmt.Sprint("e", i)})
 			assert.Assert(t, answered)
 		}
 	})
@@ -90,7 +90,7 @@
 		for i := range 3000 {
 			tokens := 300 + i%50*1000
 			all[i%12].RecordSample("s", Sample{Tokens: tokens, Seconds: truth.FirstEvent(tokens)})
-			all[i%12].Claim(context.Background(), Claim{Service: "s", Engine: fmt.Sprint("e", i%40), Limit: time.Hour})
+			all[i%12].Claim(context.Background(), Claim{Service: "s", Target: fmt.Sprint("e", i%40), Limit: time.Hour})
 		}
 		for _, tracker := range all {
 			curve, known := tracker.Curve("s", time.Now())
@@ -109,7 +109,7 @@
 		taken, asked := 0, 0
 		start := time.Now()
 		for time.Since(start) < 2*time.Second {
-			answer, answered := all[asked%20].Claim(context.Background(), Claim{Service: "s", Engine: "e", Limit: time.Hour, Rate: ratelimit.Rate{Cold: 14}})
+			answer, answered := all[asked%20].Claim(context.Background(), Claim{Service: "s", Target: "e", Limit: time.Hour, Rate: ratelimit.Rate{Cold: 14}})
 			assert.Assert(t, answered)
 			asked++
 			if answer.Taken {
--- a/internal/serve/gather/targets.go
+++ b/internal/serve/gather/targets.go
@@ -84,14 +84,10 @@
 	return kept
 }
 
-// statedRateShare is the share of a target's stated rate that its gatherer uses. The rest is for another
-// process that gathers for the same shard while processes see different members.
-const statedRateShare = 0.8
-
 // minCallInterval returns the time between the starts of two calls of a target that has stated a rate of
-// perSecond requests.
+// perSecond requests. The gatherer is to a stage target what a tracker is to an engine.
 func minCallInterval(perSecond float64) time.Duration {
-	return time.Duration(float64(time.Second) / (statedRateShare * perSecond))
+	return time.Duration(float64(time.Second) / (pool.StatedRateShare * perSecond))
 }
 
 // usableShare returns the part of a target's time in which it may have calls.
--- a/internal/serve/pool/rate_limit.go
+++ b/internal/serve/pool/rate_limit.go
@@ -11,8 +11,19 @@
 type rateLimit struct {
 	perSecond float64 // 0 after the need has ended
 	statedAt  time.Time
+	// reportedAt is when OnRateChange's function was last called with the target.
+	reportedAt time.Time
 }
 
+// StatedRateShare is the share of a stated rate that is used by the process that decides on the target's
+// requests: its tracker, or the gatherer of a stage target. The rest is for processes that it doesn't answer.
+const StatedRateShare = 0.8
+
+// rateReportPause is the least time between two reports of a target's changes: one that states another rate
+// in each answer must not fill the links between processes. What isn't reported, others learn from
+// its answers.
+const rateReportPause = time.Second
+
 // SetRateLimit stores what an answer of the target states: requests per second, 0 for no limit, or nil for
 // nothing. The answer is to a request that was sent at sentAt. One that was sent before the limit was
 // stated doesn't end the limit: answers may overtake each other.
@@ -22,14 +33,18 @@
 	}
 }
 
-// stateRate reports whether the rate is another one than before.
-func (t *Target) stateRate(perSecond float64, sentAt, now time.Time) (changed bool) {
+// stateRate reports whether a change of the rate is to be reported.
+func (t *Target) stateRate(perSecond float64, sentAt, now time.Time) (report bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if perSecond == 0 && sentAt.Before(t.rateLimit.statedAt) {
 		return false
 	}
-	return t.updateRate(perSecond, now)
+	if !t.updateRate(perSecond, now) || now.Sub(t.rateLimit.reportedAt) < rateReportPause {
+		return false
+	}
+	t.rateLimit.reportedAt = now
+	return true
 }
 
 // LearnRateLimit stores the rate that the target has stated to another process; 0 for no limit.
@@ -49,7 +64,7 @@
 // updateRate replaces the rate, logs a change and reports whether there was one. The caller holds mu.
 func (t *Target) updateRate(perSecond float64, now time.Time) (changed bool) {
 	before := t.rateLimit.perSecond
-	t.rateLimit = rateLimit{perSecond: perSecond, statedAt: now}
+	t.rateLimit.perSecond, t.rateLimit.statedAt = perSecond, now
 	if perSecond == before {
 		return false
 	}
@@ -61,7 +76,7 @@
 }
 
 // OnRateChange sets the function that is called with each target that states another request rate to this
-// process than before. Call it before the first Apply.
+// process than before, at most once in rateReportPause. Call it before the first Apply.
 func (t *Table) OnRateChange(fn func(*Target)) { t.onRateChange = fn }
 
 // LearnRateLimit stores the rate that a target has stated to another process; see Target.LearnRateLimit.
--- a/internal/serve/rate_notices_test.go
+++ b/internal/serve/rate_notices_test.go
@@ -29,3 +29,19 @@
 		now = now.Add(time.Second)
 	}
 }
+
+// Guards against a target that states another rate in each answer filling the links between processes.
+func TestRateThatKeepsChangingIsReportedRarely(t *testing.T) {
+	cluster := &servetest.Cluster{}
+	now := time.Now()
+	table := pool.New(zap.NewNop())
+	newRateNotices(zap.NewNop(), cluster.Add("a", "z"), table)
+	table.Reset([]pool.Entry{{ID: "t", Service: "s", Address: "10.0.0.1:1", State: pool.Ready, Revision: 1}}, 1, now)
+	target := table.Views("s", now)[0].Target
+	for i := range 300 {
+		rate := float64(i % 3)
+		target.SetRateLimit(&rate, now, now)
+		now = now.Add(10 * time.Millisecond)
+	}
+	assert.Assert(t, cluster.PublishedCount() <= 4, "%d notices in 3 s", cluster.PublishedCount())
+}
--- a/internal/serve/ratelimit/ratelimit.go
+++ b/internal/serve/ratelimit/ratelimit.go
@@ -50,13 +50,10 @@
 	return rate
 }
 
-const (
-	// coldTrackerShare and statedTrackerShare are the shares of the rates that a target's tracker hands
-	// out. The rest is for processes that the tracker doesn't answer. For cold targets, whose bound
-	// covers a single second, it is also for a second tracker while processes see different members.
-	coldTrackerShare   = 0.6
-	statedTrackerShare = 0.8
-)
+// coldTrackerShare is the share of a cold target's rate that its tracker hands out. The rest is for processes
+// that the tracker doesn't answer, and for a second tracker while processes see different members. Of a
+// stated rate, it is pool.StatedRateShare.
+const coldTrackerShare = 0.6
 
 // Limited reports whether there is a limit.
 func (r Rate) Limited() bool { return r.Cold > 0 || r.Stated > 0 }
@@ -66,12 +63,12 @@
 
 // Tracked returns the part of the rate that the target's tracker hands out.
 func (r Rate) Tracked() float64 {
-	return lower(coldTrackerShare*r.Cold, statedTrackerShare*r.Stated)
+	return lower(coldTrackerShare*r.Cold, pool.StatedRateShare*r.Stated)
 }
 
 // Untracked returns the part of the rate that is left for processes that the tracker doesn't answer.
 func (r Rate) Untracked() float64 {
-	return lower((1-coldTrackerShare)*r.Cold, (1-statedTrackerShare)*r.Stated)
+	return lower((1-coldTrackerShare)*r.Cold, (1-pool.StatedRateShare)*r.Stated)
 }
 
 // lower returns the lower of two limits, of which 0 is none.
--- a/internal/serve/run/claim.go
+++ b/internal/serve/run/claim.go
@@ -56,7 +56,7 @@
 func (c *choice) claim(views []pool.View, target *pool.Target, rate ratelimit.Rate) claimResult {
 	j := c.job
 	claim := engines.Claim{
-		Service: j.service, Engine: target.ID, Limit: unlimitedWait, Rate: rate,
+		Service: j.service, Target: target.ID, Limit: unlimitedWait, Rate: rate,
 		Rank: plan.EffectivePriority(j.route, j.team),
 	}
 	earlier := j.claimState.attempts
