run: a stream that no target can resume ends at once

What callers saw. A broken stream whose stages couldn't run again, or that had no other target, was tried again and again without being sent, until its deadline or the retry budget ended it; the process spent its CPU on that.

Cause. failOver tried again whatever the reason was. Change. resume tells whether another target may go on with the stream.

--- a/internal/serve/run/retry_budget_test.go
+++ b/internal/serve/run/retry_budget_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillagate/vanillagate/internal/conns"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/quota"
@@ -33,7 +34,7 @@
 func (plainCodec) ForwardHeader(*Request, time.Duration) []upstream.Header { return nil }
 
 func (plainCodec) ReadAnswer(h *fasthttp.ResponseHeader) AnswerInfo {
-	return AnswerInfo{NotRun: h.StatusCode() == fasthttp.StatusServiceUnavailable}
+	return AnswerInfo{NotRun: h.StatusCode() == fasthttp.StatusServiceUnavailable, Signed: true}
 }
 
 // refusingTargets refuse every request. All connections but the first of each request are delayed.
@@ -77,7 +78,7 @@
 		rule := quota.Rule{Reserve: 20, Window: 10 * time.Second}
 		targets := &refusingTargets{arrivals: map[string][]time.Time{}}
 		targets.connectTime.Store(int64(9 * time.Second))
-		e := newRetryingExecutor(rule, targets)
+		e := newRetryingExecutor(rule, 4, targets.dial, plan.Idempotent)
 		time.Sleep(3 * time.Second)
 		var running sync.WaitGroup
 		for i := range 60 {
@@ -109,11 +110,11 @@
 }
 
 // newRetryingExecutor returns an executor of a service whose requests may be retried.
-func newRetryingExecutor(rule quota.Rule, targets *refusingTargets) *Executor {
+func newRetryingExecutor(rule quota.Rule, targets int, dial conns.DialFunc, kind plan.Kind) *Executor {
 	now := time.Now()
 	table := pool.New(zap.NewNop())
 	var entries []pool.Entry
-	for i := range 4 {
+	for i := range targets {
 		entries = append(entries, pool.Entry{ID: fmt.Sprint("t-", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", i), Slots: 8, State: pool.Ready, Revision: 1})
 	}
 	table.Reset(entries, 1, now)
@@ -121,11 +122,43 @@
 	plans.Apply(&plan.Plan{
 		Version: 1, Services: []plan.Service{{Name: "s"}},
 		Routes: []plan.Route{{
-			Name: "r", Host: "h", Prefix: "/", Kind: plan.Idempotent, Attempts: 2, Timeout: time.Minute, Public: true, Split: []plan.Share{{Service: "s", Weight: 1}},
+			Name: "r", Host: "h", Prefix: "/", Kind: kind, Resumable: true, Attempts: 10, Timeout: time.Minute, Public: true, Split: []plan.Share{{Service: "s", Weight: 1}},
 		}},
 	})
 	return &Executor{
 		Log: zap.NewNop(), Plans: plans, Table: table, Codec: plainCodec{}, Budget: quota.New(rule, now),
-		Client: &upstream.Client{Dial: targets.dial},
+		Client: &upstream.Client{Dial: dial},
 	}
 }
+
+// cutTarget answers each request with a stream that it cuts inside its second event.
+type cutTarget struct{ arrivals atomic.Int32 }
+
+func (c *cutTarget) dial(context.Context, string) (net.Conn, error) {
+	ours, theirs := net.Pipe()
+	go func() {
+		defer func() { _ = theirs.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(theirs)); err != nil {
+			return
+		}
+		c.arrivals.Add(1)
+		_, _ = io.WriteString(theirs, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: a\n\nid: 2\ndat")
+	}()
+	return ours, nil
+}
+
+// Guards against a stream that is resumed again and again without being sent, until its deadline.
+func TestStreamThatNoTargetResumesEndsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := &cutTarget{}
+		e := newRetryingExecutor(quota.Rule{Reserve: 50, Window: 10 * time.Second}, 2, target.dial, plan.Stream)
+		time.Sleep(3 * time.Second)
+		start := time.Now()
+		reply := e.Run(context.Background(), &Request{ID: "id", Host: "h", Path: "/x", URI: "/x", Method: "GET", Arrived: start})
+		_, err := io.ReadAll(reply.Answer.Body)
+		assert.Assert(t, err != nil)
+		assert.Assert(t, time.Since(start) < time.Second, "ended after %v", time.Since(start))
+		assert.Equal(t, target.arrivals.Load(), int32(2), "each target is tried once")
+		assert.Equal(t, e.Budget.RetriesSpent("s", time.Now()), 1)
+	})
+}
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -183,11 +183,15 @@
 		if !j.takeRetry() {
 			break
 		}
-		if s.resume() {
+		outcome := s.resume()
+		if outcome == resumed {
 			j.Log.Info("Stream goes on at another target.", requestID(j.req.ID), zap.String("from", from),
 				zap.String("to", s.target.ID), zap.String("after_event", s.lastEventID), zap.Error(err))
 			return
 		}
+		if outcome == notResumable {
+			break
+		}
 	}
 	j.Log.Warn("Stream broke.", requestID(j.req.ID), zap.String("target", from), zap.String("framing", string(framedBy)),
 		zap.String("after_event", s.lastEventID), zap.Duration("after", time.Since(j.req.Arrived)), zap.Error(err),
@@ -207,34 +211,45 @@
 	return errors.Join(io.ErrUnexpectedEOF, err)
 }
 
+// resumeOutcome is the result of resuming a stream at another target.
+type resumeOutcome int
+
+const (
+	resumed resumeOutcome = iota
+	// targetFailed: the chosen target didn't go on with the stream; another one may.
+	targetFailed
+	// notResumable: the stages couldn't be run again, or there is no other target.
+	notResumable
+)
+
 // resume runs the stages again and asks another target to continue after the last event.
-func (s *stream) resume() bool {
+func (s *stream) resume() resumeOutcome {
 	j := s.job
 	if j.inputs != nil {
 		j.inputs.release()
 		if j.prepare() != nil {
-			return false
+			return notResumable
 		}
 	}
 	target := j.choose()
 	if target == nil {
-		return false
+		return notResumable
 	}
 	j.tried[target.ID] = true
 	answer, call, failed := j.send(j.ctx, target, s.lastEventID)
 	if failed != nil {
-		return false
+		return targetFailed
 	}
 	if answer.Status != fasthttp.StatusOK || !j.Codec.ReadAnswer(&answer.Header).Signed {
 		answer.Close()
 		call.End(pool.Failed, time.Now())
-		return false
+		return targetFailed
 	}
 	s.target, s.answer, s.call = target, answer, call
 	s.partial, s.events = nil, eventScanner{}
 	s.started = false
 	s.resumed = s.lastEventID != ""
-	return true
+	return resumed
 }
 
 func (s *stream) end(failure error, outcome pool.Outcome) {
