--- a/internal/serve/count_exchange_test.go
+++ b/internal/serve/count_exchange_test.go
@@ -13,8 +13,7 @@
 	"github.com/vanillagate/vanillagate/internal/serve/servetest"
 )
 
-// Guards against a process that restarts in a small part of a partitioned system and takes the part of
-// the reserve that its number of visible peers suggests.
+// Guards against a process that restarts in a small part of a split system and takes too much of the reserve.
 func TestRestartedProcessLearnsOfProcessesOutOfSight(t *testing.T) {
 	rule := quota.Rule{Reserve: 58, Window: 10 * time.Second}
 	cluster := &servetest.Cluster{}
--- a/internal/serve/quota/moving_traffic_test.go
+++ b/internal/serve/quota/moving_traffic_test.go
@@ -41,7 +41,7 @@
 				retries = append(retries, now)
 			}
 		}
-		sent := len(retries) - indexAfter(retries, now.Add(-rule.Window))
+		sent := countWithin(retries, now)
 		worst = max(worst, float64(sent)-allowedRetries(requests, now))
 	}
 	return worst
--- a/internal/serve/quota/quota_test.go
+++ b/internal/serve/quota/quota_test.go
@@ -109,14 +109,9 @@
 	return r != nil
 }
 
+// countWithin returns how many of the sorted times lie in the window that ends at now.
 func countWithin(times []time.Time, now time.Time) int {
-	n := 0
-	for _, at := range times {
-		if now.Sub(at) < rule.Window {
-			n++
-		}
-	}
-	return n
+	return indexAfter(times, now) - indexAfter(times, now.Add(-rule.Window))
 }
 
 // A process that starts knows no peers yet. If it took the whole reserve for itself, a cluster that
@@ -200,8 +195,7 @@
 	}
 }
 
-// Guards against the same traffic allowing retries twice: at the processes that had it and at those
-// that take it over. Failures begin just before five of eight processes are killed.
+// Guards against the same traffic allowing retries at the processes that had it and at those that take it over.
 func TestTrafficThatMovesStaysWithinBound(t *testing.T) {
 	for _, perSecond := range []int{16, 120, 600} {
 		budgets, now := startTogether(8)
@@ -222,7 +216,7 @@
 				retries = append(retries, now)
 			}
 			allowed := allowedRetries(requests, now)
-			if sent := len(retries) - indexAfter(retries, now.Add(-rule.Window)); float64(sent) > allowed {
+			if sent := countWithin(retries, now); float64(sent) > allowed {
 				t.Errorf("%d requests a second: %d retries, %.1f allowed, %v after the move", perSecond, sent, allowed, now.Sub(killedAt))
 				break
 			}
@@ -235,7 +229,7 @@
 func allowedRetries(requests []time.Time, now time.Time) float64 {
 	most := 0
 	for _, end := range []time.Time{now, now.Add(-rule.Window / 2), now.Add(-rule.Window)} {
-		most = max(most, indexAfter(requests, end)-indexAfter(requests, end.Add(-rule.Window)))
+		most = max(most, countWithin(requests, end))
 	}
 	return rule.Ratio*float64(most) + rule.Reserve
 }
@@ -246,8 +240,7 @@
 	return i
 }
 
-// Guards against retries that are taken in two windows and arrive in one: their stages ran again first, or
-// the process was frozen.
+// Guards against retries that are taken in two windows and arrive in one.
 func TestRetriesThatAreSentLateStayWithinBound(t *testing.T) {
 	b := New(rule, start)
 	now := start.Add(settlePeriod)
--- a/internal/serve/ratelimit/ratelimit_test.go
+++ b/internal/serve/ratelimit/ratelimit_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -86,24 +85,11 @@
 		}
 	}
 	for _, list := range arrivals {
-		most = max(most, busiestSecond(list))
+		most = max(most, servetest.MostWithin(list, time.Second))
 	}
 	return most, float64(total) / length.Seconds()
 }
 
-// busiestSecond returns the most arrivals in any second.
-func busiestSecond(list []time.Time) int {
-	slices.SortFunc(list, time.Time.Compare)
-	most, from := 0, 0
-	for to, at := range list {
-		for at.Sub(list[from]) >= time.Second {
-			from++
-		}
-		most = max(most, to-from+1)
-	}
-	return most
-}
-
 // Guards against many processes without coordination sending their requests to a few engines that
 // have just come back, and crashing them.
 func TestColdTargetStaysWithinBound(t *testing.T) {
--- a/internal/serve/run/rate_limit_test.go
+++ b/internal/serve/run/rate_limit_test.go
@@ -162,15 +162,8 @@
 	total := 0
 	for _, id := range s.ids()[:s.limited] {
 		times := slices.DeleteFunc(s.arrivals[id], func(at time.Time) bool { return at.Before(from) })
-		slices.SortFunc(times, time.Time.Compare)
 		total += len(times)
-		first := 0
-		for last, at := range times {
-			for at.Sub(times[first]) >= limitWindow {
-				first++
-			}
-			most = max(most, last-first+1)
-		}
+		most = max(most, servetest.MostWithin(times, limitWindow))
 	}
 	return most, float64(total) / float64(s.limited) / (limitedLoad - limitReaction).Seconds()
 }
