run: failing test of retries that their target rejects early

Retries count once their request is written. With a body of 8 KiB or more that is in the background; a target that rejects the request before it has read the body closes the connection, the write fails, and the retry never counts: 180 retries of 20 allowed.

--- a/internal/serve/run/retry_budget_test.go
+++ b/internal/serve/run/retry_budget_test.go
@@ -44,6 +44,8 @@
 	mu          sync.Mutex // guards what follows
 	// arrivals has the times at which each request arrived.
 	arrivals map[string][]time.Time
+	// early targets answer before they have read the body.
+	early bool
 }
 
 // dial connects to a target.
@@ -69,6 +71,9 @@
 	id := request.Header.Get("Id")
 	r.arrivals[id] = append(r.arrivals[id], time.Now())
 	r.mu.Unlock()
+	if !r.early {
+		_, _ = io.Copy(io.Discard, request.Body)
+	}
 	_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 }
 
@@ -109,6 +114,28 @@
 	})
 }
 
+// Guards against retries that never count because their target rejects them before it has read their body.
+func TestRetriesRejectedBeforeTheirBodyIsReadStayWithinBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rule := quota.Rule{Reserve: 20, Window: 10 * time.Second}
+		targets := &refusingTargets{arrivals: map[string][]time.Time{}, early: true}
+		e := newRetryingExecutor(rule, 4, targets.dial, plan.Idempotent)
+		time.Sleep(3 * time.Second)
+		for i := range 60 {
+			ctx := context.WithValue(context.Background(), dialsKey{}, &atomic.Int32{})
+			e.Run(ctx, &Request{
+				ID: fmt.Sprint("id-", i), Host: "h", Path: "/x", URI: "/x", Method: "POST", Body: make([]byte, 64<<10), Arrived: time.Now(),
+			})
+		}
+		retries := 0
+		for _, times := range targets.arrivals {
+			retries += len(times) - 1
+		}
+		assert.Assert(t, retries > 0)
+		assert.Assert(t, float64(retries) <= rule.Reserve, "%d retries arrived in a window, %.0f allowed", retries, rule.Reserve)
+	})
+}
+
 // newRetryingExecutor returns an executor of a service whose requests may be retried.
 func newRetryingExecutor(rule quota.Rule, targets int, dial conns.DialFunc, kind plan.Kind) *Executor {
 	now := time.Now()
