run: a retry counts once its target has answered

Seen by callers: nothing at first; targets got retries beyond the shared bound (BUDGET). Cause: a retry counted when its request had been written. A body of 8 KiB or more is written in the background; if the target answers and closes before it has read the body, that never happens. The retry stayed unsent, so the request's next retry took none, and at its end it was given back. Why it works: an answer proves that the request arrived, however much of it was read.

--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -99,6 +99,7 @@
 		return nil, nil, j.recordNoAnswer(ctx, target, call, err)
 	}
 	j.sends++
+	j.retry.Sent(time.Now()) // a target may answer before the body is written
 	info := j.Codec.ReadAnswer(&answer.Header)
 	if info.Report != nil {
 		target.SetReport(*info.Report)
