--- a/internal/serve/pool/entry.go
+++ b/internal/serve/pool/entry.go
@@ -27,6 +27,9 @@
 	// Address is the target's IP:port.
 	Address string
 	Zone    string
+	// Version is the version of the target's software. Versions have no order. It is empty if the entry
+	// comes from a process of an earlier release, which doesn't pass it on.
+	Version string `json:",omitempty"`
 	// Slots is the number of requests that the target runs concurrently.
 	Slots int
 	State State
--- a/internal/serve/pool/service.go
+++ b/internal/serve/pool/service.go
@@ -135,9 +135,10 @@
 	t[target.Service][target.ID] = true
 }
 
-// intern makes separately decoded entries share the strings of service and zone names, which saves
-// memory in large lists.
+// intern makes separately decoded entries share the strings of services, zones and versions, which
+// saves memory in large lists.
 func intern(e *Entry) {
 	e.Service = unique.Make(e.Service).Value()
 	e.Zone = unique.Make(e.Zone).Value()
+	e.Version = unique.Make(e.Version).Value()
 }
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -257,12 +257,12 @@
 		return back.update(c.Entry, now)
 	}
 	t.byID[c.ID] = &Target{
-		ID: c.ID, Born: c.Born, Service: c.Service, Address: c.Address, Zone: c.Zone, hash: routing.RendezvousScore(c.ID), log: t.log, members: &t.members, onRateChange: t.onRateChange, entry: c.Entry,
+		ID: c.ID, Born: c.Born, Service: c.Service, Address: c.Address, Zone: c.Zone, Version: c.Version, hash: routing.RendezvousScore(c.ID), log: t.log, members: &t.members, onRateChange: t.onRateChange, entry: c.Entry,
 		evacuated: t.evacuated(c.Zone), coldUntil: now.Add(c.ColdLeft),
 	}
 	if t.loaded { // the first list is logged as a whole
 		t.logChange("Target is new.", zap.String("target", c.ID), zap.String("service", c.Service),
-			zap.String("address", c.Address), zap.String("state", string(c.State)), zap.Uint64("revision", c.Revision))
+			zap.String("address", c.Address), zap.String("version", c.Version), zap.String("state", string(c.State)), zap.Uint64("revision", c.Revision))
 	}
 	if old != nil {
 		old.markGone()
--- a/internal/serve/pool/target.go
+++ b/internal/serve/pool/target.go
@@ -17,6 +17,7 @@
 	Service string
 	Address string
 	Zone    string
+	Version string // of its software
 	hash    uint64 // of ID
 	log     *zap.Logger
 	// members is the Table's number of processes, onRateChange the function set by OnRateChange.
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -38,6 +38,9 @@
 	Prompt   place.Prompt
 	// LastEventID is the id of the last event of this stream that the caller has received.
 	LastEventID string
+	// Resumes is the ID of the attempt that brought the first event of this stream; empty if the caller
+	// doesn't take a stream up.
+	Resumes string
 	// Forwarded is set if another process passed the request on.
 	Forwarded bool
 }
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillagate/vanillagate/internal/framing"
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
 )
@@ -59,6 +60,11 @@
 	s := &stream{
 		job: j, target: target, answer: answer, call: call, lastEventID: j.req.LastEventID, opaque: !isEventStream(&answer.Header),
 	}
+	if j.takesUp() {
+		j.Log.Info("Stream that a caller takes up goes on.", requestID(j.req.ID), zap.String("resumes", j.req.Resumes),
+			zap.String("after_event", j.req.LastEventID), zap.String("target", target.ID), zap.String("version", target.Version))
+		j.Metrics.count(series("vanillagate_streams_taken_up", "version", target.Version))
+	}
 	length := answer.Length
 	if j.route.Resumable {
 		length = -1 // the rest may come from another target
@@ -66,6 +72,11 @@
 	return passOn(answer, s, length)
 }
 
+// takesUp reports whether the caller takes up a stream of which it already has events.
+func (j *job) takesUp() bool {
+	return j.route.Kind == plan.Stream && (j.req.LastEventID != "" || j.req.Resumes != "")
+}
+
 // isEventStream reports whether an answer is a series of events, as it is unless it says
 // otherwise.
 func isEventStream(h *fasthttp.ResponseHeader) bool {
@@ -186,14 +197,14 @@
 		outcome := s.resume()
 		if outcome == resumed {
 			j.Log.Info("Stream goes on at another target.", requestID(j.req.ID), zap.String("from", from),
-				zap.String("to", s.target.ID), zap.String("after_event", s.lastEventID), zap.Error(err))
+				zap.String("to", s.target.ID), zap.String("version", s.target.Version), zap.String("after_event", s.lastEventID), zap.Error(err))
 			return
 		}
 		if outcome == notResumable {
 			break
 		}
 	}
-	j.Log.Warn("Stream broke.", requestID(j.req.ID), zap.String("target", from), zap.String("framing", string(framedBy)),
+	j.Log.Warn("Stream broke.", requestID(j.req.ID), zap.String("target", from), zap.String("version", s.target.Version), zap.String("framing", string(framedBy)),
 		zap.String("after_event", s.lastEventID), zap.Duration("after", time.Since(j.req.Arrived)), zap.Error(err),
 		zap.NamedError("cause", context.Cause(j.ctx)))
 	s.partial = nil
