run, origins: a stream goes on only at the version that began it

Cause: no decision read the version of targets. A stream that went on, inside one answer or taken up by its caller at any VM, got any target of its service, on a split route even of another service. Change: before the caller has its first event, the process that passes the stream on records where it began, and two others, chosen by rendezvous over the attempt, keep the record (origins). Who is asked to go on with a stream asks those that may have it; targets of other versions are left out. What isn't known for certain is refused at once. Nothing is recorded while the route has one service and that has one version. Why it works: the record is at another process before the caller can be elsewhere, it expires, and a search asks six processes at most.

--- /dev/null
+++ b/internal/serve/origins/origins.go
@@ -0,0 +1,211 @@
+// Package origins remembers at which service and software version each resumable stream began, so that any
+// process can resume it there, also after the death of the process that began it. A record is kept by
+// the process that passes the stream on and by two others, its holders, which rendezvous hashing over the
+// stream's key chooses. A process that resumes a stream asks the processes that may hold its record.
+package origins
+
+import (
+	"cmp"
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"slices"
+	"sync"
+	"time"
+	"unique"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/peer"
+	"github.com/vanillagate/vanillagate/internal/routing"
+)
+
+const (
+	methodStore = "origins.store"
+	methodFind  = "origins.find"
+)
+
+const (
+	// holderCount is how many other processes keep a record.
+	holderCount = 2
+	// maxHoldersTried is how many processes are asked to keep a record if some don't answer.
+	maxHoldersTried = 4
+	// maxHoldersAsked is how many processes are asked for a record. It is larger than holderCount, since
+	// members that have joined or left meanwhile change which processes rank first.
+	maxHoldersAsked = 6
+	storeTimeout    = 250 * time.Millisecond
+	findTimeout     = 250 * time.Millisecond
+	// maxRecords bounds the memory of one process to a few MB.
+	maxRecords = 20_000
+)
+
+// Origin is where a stream began.
+type Origin struct {
+	Service string `json:"s"`
+	// Version is the software version of the service's target.
+	Version string `json:"v"`
+}
+
+// Key identifies a stream by its customer and the attempt that brought its first event. Its length doesn't
+// depend on theirs.
+type Key string
+
+// KeyOf returns the key of a stream. team is empty for public routes.
+func KeyOf(team, attempt string) Key {
+	sum := sha256.Sum256([]byte(team + "\x00" + attempt))
+	return Key(base64.RawStdEncoding.EncodeToString(sum[:16]))
+}
+
+type record struct {
+	origin    Origin
+	expiresAt time.Time
+}
+
+// storeCall asks a process to keep a record for TTLMS milliseconds.
+type storeCall struct {
+	Key    Key    `json:"k"`
+	Origin Origin `json:"o"`
+	TTLMS  int64  `json:"ttl_ms"`
+}
+
+type storeAnswer struct {
+	Kept bool `json:"kept"`
+}
+
+type findCall struct {
+	Key Key `json:"k"`
+}
+
+// findAnswer has the origin of a stream, nil if the process doesn't know it.
+type findAnswer struct {
+	Origin *Origin `json:"o,omitempty"`
+}
+
+// Registry keeps the records of this process and those that others have sent to it. It is safe for concurrent
+// use.
+type Registry struct {
+	baseCtx context.Context
+	log     *zap.Logger
+	network peer.Network
+
+	mu      sync.Mutex // guards records; no other lock is taken while it is held
+	records map[Key]record
+}
+
+// New returns a registry, whose records are sent until baseCtx ends. Call it before the network starts.
+func New(baseCtx context.Context, log *zap.Logger, network peer.Network) *Registry {
+	r := &Registry{baseCtx: baseCtx, log: log, network: network, records: map[Key]record{}}
+	peer.HandleCall(network, methodStore, func(c storeCall) (any, error) {
+		kept := r.keep(c.Key, c.Origin, time.Now().Add(time.Duration(c.TTLMS)*time.Millisecond))
+		return storeAnswer{Kept: kept}, nil
+	})
+	peer.HandleCall(network, methodFind, func(c findCall) (any, error) {
+		if origin, known := r.local(c.Key, time.Now()); known {
+			return findAnswer{Origin: &origin}, nil
+		}
+		return findAnswer{}, nil
+	})
+	return r
+}
+
+// keep stores a record in this process. It reports false if there is no room.
+func (r *Registry) keep(key Key, origin Origin, expiresAt time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.records[key]; !known && len(r.records) >= maxRecords {
+		return false
+	}
+	origin = Origin{Service: unique.Make(origin.Service).Value(), Version: unique.Make(origin.Version).Value()}
+	r.records[key] = record{origin: origin, expiresAt: expiresAt}
+	return true
+}
+
+func (r *Registry) local(key Key, now time.Time) (Origin, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	found, known := r.records[key]
+	return found.origin, known && now.Before(found.expiresAt)
+}
+
+// Count returns the number of records in this process.
+func (r *Registry) Count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.records)
+}
+
+// Sweep removes expired records. Call it about once a second.
+func (r *Registry) Sweep(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for key, kept := range r.records {
+		if !now.Before(kept.expiresAt) {
+			delete(r.records, key)
+		}
+	}
+}
+
+// ranked returns the other processes that rank first for a stream, at most n, first those with the highest
+// rank. accept selects processes by their state.
+func (r *Registry) ranked(key Key, n int, accept func(peer.MemberState) bool) []peer.Incarnation {
+	type candidate struct {
+		id   peer.Incarnation
+		rank uint64
+	}
+	var all []candidate
+	for _, m := range r.network.View().Members {
+		if accept(m.State) {
+			all = append(all, candidate{m.Incarnation, routing.RendezvousScore(string(key), string(m.Incarnation))})
+		}
+	}
+	slices.SortFunc(all, func(a, b candidate) int { return cmp.Compare(b.rank, a.rank) })
+	var first []peer.Incarnation
+	for _, c := range all[:min(n, len(all))] {
+		first = append(first, c.id)
+	}
+	return first
+}
+
+// Result is the result of a search for a stream's origin.
+type Result struct {
+	Origin Origin
+	Found  bool
+	// Asked is how many processes were asked, Answered how many of them answered.
+	Asked, Answered int
+}
+
+// Find searches for the origin of a stream, here and at the processes that may hold its record.
+func (r *Registry) Find(ctx context.Context, key Key) Result {
+	if origin, known := r.local(key, time.Now()); known {
+		return Result{Origin: origin, Found: true}
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	asked := r.ranked(key, maxHoldersAsked, func(s peer.MemberState) bool { return s != peer.Dead })
+	result := Result{Asked: len(asked)}
+	type reply struct {
+		findAnswer
+		err error
+	}
+	replies := make(chan reply, len(asked))
+	for _, id := range asked {
+		go func() {
+			var got reply
+			got.err = r.network.Call(ctx, id, methodFind, findCall{Key: key}, &got.findAnswer)
+			replies <- got
+		}()
+	}
+	for range asked {
+		got := <-replies
+		if got.err != nil {
+			r.log.Debug("Process didn't tell whether it knows a stream's origin.", zap.Error(got.err))
+			continue
+		}
+		result.Answered++
+		if got.Origin != nil {
+			result.Origin, result.Found = *got.Origin, true
+			return result
+		}
+	}
+	return result
+}
--- /dev/null
+++ b/internal/serve/origins/recording.go
@@ -0,0 +1,127 @@
+package origins
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/peer"
+)
+
+// Recording sends the record of one stream to its holders.
+type Recording struct {
+	registry *Registry
+	key      Key
+	origin   Origin
+	expires  time.Time
+
+	mu sync.Mutex // guards the fields below; no other lock is taken while it is held
+	// kept has the processes that keep the record, sending whether it is being sent.
+	kept    map[peer.Incarnation]bool
+	sending bool
+	// settled is closed once a process has kept the record, or none of those tried has.
+	settled   chan struct{}
+	isSettled bool
+}
+
+// Record keeps the origin of a stream here until it expires, and sends it to its holders in the background.
+func (r *Registry) Record(key Key, origin Origin, expires time.Time) *Recording {
+	if !r.keep(key, origin, expires) {
+		r.log.Warn("No room for the origin of a stream.", zap.Int("records", r.Count()))
+	}
+	rec := &Recording{
+		registry: r, key: key, origin: origin, expires: expires,
+		kept: map[peer.Incarnation]bool{}, settled: make(chan struct{}),
+	}
+	rec.Refresh()
+	return rec
+}
+
+// Refresh sends the record in the background to processes that have become its holders since.
+func (rec *Recording) Refresh() {
+	ranked := rec.registry.ranked(rec.key, maxHoldersTried, func(s peer.MemberState) bool { return s == peer.Alive })
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	if rec.sending {
+		return
+	}
+	missing := 0
+	queue := make(chan peer.Incarnation, len(ranked))
+	for i, id := range ranked {
+		if rec.kept[id] {
+			continue
+		}
+		queue <- id
+		if i < holderCount {
+			missing++
+		}
+	}
+	close(queue)
+	if missing == 0 {
+		rec.settle()
+		return
+	}
+	rec.sending = true
+	go rec.send(missing, queue)
+}
+
+// send sends the record to n of the queued processes, and to further ones if some don't keep it.
+func (rec *Recording) send(n int, queue <-chan peer.Incarnation) {
+	var workers sync.WaitGroup
+	for range n {
+		workers.Go(func() {
+			for id := range queue {
+				if rec.sendTo(id) {
+					return
+				}
+			}
+		})
+	}
+	workers.Wait()
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.sending = false
+	rec.settle()
+}
+
+// sendTo reports whether the process has kept the record.
+func (rec *Recording) sendTo(id peer.Incarnation) bool {
+	ctx, cancel := context.WithTimeout(rec.registry.baseCtx, storeTimeout)
+	defer cancel()
+	call := storeCall{Key: rec.key, Origin: rec.origin, TTLMS: time.Until(rec.expires).Milliseconds()}
+	var answer storeAnswer
+	if err := rec.registry.network.Call(ctx, id, methodStore, call, &answer); err != nil || !answer.Kept {
+		rec.registry.log.Debug("Process doesn't keep a stream's origin.", zap.String("member", string(id)), zap.Error(err))
+		return false
+	}
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.kept[id] = true
+	rec.settle()
+	return true
+}
+
+// settle ends Wait. The caller holds mu.
+func (rec *Recording) settle() {
+	if !rec.isSettled {
+		rec.isSettled = true
+		close(rec.settled)
+	}
+}
+
+// Wait waits until another process keeps the record, or the ways to reach one are exhausted, but no longer than
+// limit. It reports whether another process keeps it.
+func (rec *Recording) Wait(limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-rec.settled:
+	case <-timer.C:
+	case <-rec.registry.baseCtx.Done():
+	}
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	return len(rec.kept) > 0
+}
--- a/internal/serve/plan/plan.go
+++ b/internal/serve/plan/plan.go
@@ -4,6 +4,7 @@
 package plan
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -190,6 +191,11 @@
 // TeamByKey returns the team that holds an API key; nil if there is none.
 func (p *Plan) TeamByKey(key string) *Team { return p.teamByKey[key] }
 
+// Includes reports whether requests of the route may go to a service.
+func (r *Route) Includes(service string) bool {
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Pick returns a service of the route's Split for a request. random is a random number in [0, 1).
 func (r *Route) Pick(random float64) string {
 	total := 0
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -26,6 +26,7 @@
 	byID     map[string]*Target
 	lapsed   map[string]*Target
 	services map[string]*service
+	left     leftVersions
 	// generation grows with every change of a ready set.
 	generation uint64
 	// synced is the revision up to which all changes are known, lastChange that of the last change
@@ -61,7 +62,7 @@
 func New(log *zap.Logger) *Table {
 	return &Table{
 		log: log, ejection: defaultEjection(),
-		byID: map[string]*Target{}, lapsed: map[string]*Target{}, services: map[string]*service{},
+		byID: map[string]*Target{}, lapsed: map[string]*Target{}, services: map[string]*service{}, left: leftVersions{},
 		evacuations: evacuations{byZone: map[string]Evacuation{}},
 	}
 }
@@ -265,7 +266,7 @@
 			zap.String("address", c.Address), zap.String("version", c.Version), zap.String("state", string(c.State)), zap.Uint64("revision", c.Revision))
 	}
 	if old != nil {
-		old.markGone()
+		t.retire(old, now)
 	}
 	return old
 }
@@ -286,7 +287,7 @@
 		t.log.Warn("Target's entry lapsed while the list was away.", zap.String("target", old.ID))
 		return nil
 	}
-	old.markGone()
+	t.retire(old, now)
 	t.logChange("Target was removed.", zap.String("target", old.ID), zap.String("service", old.Service))
 	return old
 }
@@ -336,7 +337,7 @@
 			continue
 		}
 		delete(t.lapsed, id)
-		target.markGone()
+		t.retire(target, now)
 		touched.add(target)
 		retired = append(retired, target)
 		t.log.Info("Lapsed target was dropped: its entry did not reappear.", zap.String("target", id))
--- /dev/null
+++ b/internal/serve/pool/versions.go
@@ -0,0 +1,57 @@
+package pool
+
+import "time"
+
+// versionMemory is how long after a version has left the list callers may still take up streams that it began.
+const versionMemory = 2 * time.Minute
+
+// leftVersions has the times at which the last target of a version left, by service and version.
+type leftVersions map[string]map[string]time.Time
+
+// add records that a target has left, and removes what is older than versionMemory.
+func (l leftVersions) add(target *Target, now time.Time) {
+	byVersion := l[target.Service]
+	if byVersion == nil {
+		byVersion = map[string]time.Time{}
+		l[target.Service] = byVersion
+	}
+	for version, at := range byVersion {
+		if now.Sub(at) > versionMemory {
+			delete(byVersion, version)
+		}
+	}
+	byVersion[target.Version] = now
+}
+
+// OnlyVersion returns the software version of all targets that a service has, or has had within
+// versionMemory; false if there are none or several versions.
+func (t *Table) OnlyVersion(service string, now time.Time) (string, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	only, found := "", false
+	differs := func(version string) bool {
+		if !found {
+			only, found = version, true
+		}
+		return version != only
+	}
+	if s := t.services[service]; s != nil {
+		for _, target := range s.targets {
+			if differs(target.Version) {
+				return "", false
+			}
+		}
+	}
+	for version, at := range t.left[service] {
+		if now.Sub(at) <= versionMemory && differs(version) {
+			return "", false
+		}
+	}
+	return only, found
+}
+
+// retire takes a target out of use for good. The caller holds mu.
+func (t *Table) retire(target *Target, now time.Time) {
+	target.markGone()
+	t.left.add(target, now)
+}
--- a/internal/serve/run/choose.go
+++ b/internal/serve/run/choose.go
@@ -23,7 +23,7 @@
 	if target := c.pickFrom(views); target != nil || all {
 		return target
 	}
-	return c.pickFrom(j.reachable(j.Table.Views(j.service, c.now)))
+	return c.pickFrom(j.eligible(j.Table.Views(j.service, c.now)))
 }
 
 // candidates returns the targets of the service to consider first. Requests that share a
@@ -35,7 +35,7 @@
 		name = j.req.ID
 	}
 	views, all = j.Table.Candidates(j.service, name, now)
-	return j.reachable(views), all
+	return j.eligible(views), all
 }
 
 // choice holds the parameters for choosing the target of one attempt.
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -13,6 +13,7 @@
 	"github.com/vanillagate/vanillagate/internal/serve/engines"
 	"github.com/vanillagate/vanillagate/internal/serve/gather"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
+	"github.com/vanillagate/vanillagate/internal/serve/origins"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/quota"
@@ -54,6 +55,9 @@
 	// RateLimiter decides when this process may send requests to targets with a limited rate, cold or in
 	// need; nil sets no limit.
 	RateLimiter *ratelimit.Limiter
+	// Origins tells at which version a stream that a caller takes up began; nil if only this process
+	// serves callers.
+	Origins *origins.Registry
 	// LeaveOut disables individual mechanisms, for measurements.
 	LeaveOut leaveout.Set
 	// Suspicion finds the requests that crash their targets; nil for none.
@@ -112,6 +116,11 @@
 	restartErr error
 	// slowestStage is the stage that took the longest.
 	slowestStage stageTime
+	// origin is the service and version that the caller's events are from; nil as long as it has none.
+	// recording is how other processes know it, recordedAt when that was last checked.
+	origin     *origins.Origin
+	recording  *origins.Recording
+	recordedAt time.Time
 	// preparedAt is when the stages were finished, sentAt when the request was last sent to
 	// a target; zero before.
 	preparedAt time.Time
@@ -169,10 +178,11 @@
 	}
 	j.deadline = j.req.Arrived.Add(j.timeout())
 	j.ctx, j.cancel = context.WithDeadlineCause(ctx, j.deadline, ErrTimeout)
+	refused := j.findOrigin()
 	if !j.req.Forwarded { // the process that got it from its caller has counted it
 		j.Budget.AddRequest(j.service, j.req.Arrived)
 	}
-	return nil
+	return refused
 }
 
 // maxPieces is the maximum total number of pieces in the stages of one request. The largest
@@ -239,6 +249,9 @@
 	if reply := j.refuseIfUnreachable(); reply != nil {
 		return reply
 	}
+	if j.versionGone() {
+		return j.refuseVersionGone()
+	}
 	if reply := j.prepare(); reply != nil {
 		return reply
 	}
--- /dev/null
+++ b/internal/serve/run/origin.go
@@ -0,0 +1,157 @@
+package run
+
+import (
+	"slices"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/serve/origins"
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+)
+
+const (
+	// maxRecordWait limits how long the first event of a stream is held back until another process knows
+	// where the stream began.
+	maxRecordWait = 50 * time.Millisecond
+	// takeUpTime is how long after its deadline a stream may still be taken up.
+	takeUpTime = time.Minute
+	// refreshPeriod is how often the holders of a running stream's record are checked.
+	refreshPeriod = time.Second
+	// maxListAge is the age up to which the list of targets counts as current without the word of a peer.
+	maxListAge = 3 * time.Second
+)
+
+// takesUp reports whether the caller takes up a stream of which it already has events.
+func (j *job) takesUp() bool {
+	return j.route.Kind == plan.Stream && (j.req.LastEventID != "" || j.req.Resumes != "")
+}
+
+// originKey returns the key of the request's stream.
+func (j *job) originKey() origins.Key {
+	team, attempt := "", j.req.ID
+	if j.team != nil {
+		team = j.team.Name
+	}
+	if j.req.Resumes != "" {
+		attempt = j.req.Resumes
+	}
+	return origins.KeyOf(team, attempt)
+}
+
+// findOrigin determines the service and version that began the stream that the caller takes up. It returns
+// the refusal if they aren't certain: what two versions write doesn't fit together.
+func (j *job) findOrigin() *Reply {
+	if !j.takesUp() {
+		return nil
+	}
+	var found origins.Result
+	if j.Origins != nil && j.req.Resumes != "" {
+		found = j.Origins.Find(j.ctx, j.originKey())
+	}
+	if found.Found {
+		j.origin = &found.Origin
+		if !j.route.Includes(found.Origin.Service) {
+			return refuse(fasthttp.StatusServiceUnavailable, VersionGone, 0)
+		}
+		j.service = found.Origin.Service
+		return nil
+	}
+	now := time.Now()
+	if origin, certain := j.onlyOrigin(now); certain && (found.Answered > 0 || j.listIsCurrent(now)) {
+		j.origin = &origin
+		return nil
+	}
+	j.Log.Info("Version that began a stream isn't known.", requestID(j.req.ID), zap.String("resumes", j.req.Resumes),
+		zap.Int("asked", found.Asked), zap.Int("answered", found.Answered))
+	if found.Answered < found.Asked {
+		return refuse(fasthttp.StatusServiceUnavailable, UnknownVersion, retryAfter(0))
+	}
+	return refuse(fasthttp.StatusServiceUnavailable, UnknownVersion, 0)
+}
+
+// onlyOrigin returns the service and version at which every stream of the request's route began; false if there
+// are several.
+func (j *job) onlyOrigin(now time.Time) (origins.Origin, bool) {
+	p := j.Plans.Current()
+	if p == nil {
+		return origins.Origin{}, false
+	}
+	route := p.Route(j.req.Host, j.req.Path)
+	if route == nil || len(route.Split) != 1 || !route.Includes(j.service) {
+		return origins.Origin{}, false
+	}
+	version, only := j.Table.OnlyVersion(j.service, now)
+	return origins.Origin{Service: j.service, Version: version}, only
+}
+
+// listIsCurrent reports whether the store, or a process that it answers, has confirmed the list lately.
+func (j *job) listIsCurrent(now time.Time) bool {
+	return j.ContactAge == nil || j.ContactAge(now) < maxListAge
+}
+
+// eligible removes the targets that this process can't reach, and those of other versions than the one that
+// began the stream.
+func (j *job) eligible(views []pool.View) []pool.View {
+	views = j.reachable(views)
+	if j.origin == nil {
+		return views
+	}
+	return slices.DeleteFunc(views, func(v pool.View) bool { return v.Version != j.origin.Version })
+}
+
+// versionGone reports whether the stream has begun and no target of its version gets requests.
+func (j *job) versionGone() bool {
+	return j.origin != nil && len(j.eligible(j.Table.Views(j.service, time.Now()))) == 0
+}
+
+// refuseVersionGone refuses the request because no target of its stream's version takes it.
+func (j *job) refuseVersionGone() *Reply {
+	var after time.Duration
+	for _, target := range j.Table.ReadySet(j.service).Targets {
+		if target.Version == j.origin.Version {
+			after = retryAfter(0)
+		}
+	}
+	return j.errorReply(fasthttp.StatusBadGateway, VersionGone, after)
+}
+
+// setOrigin records, before the caller gets a part of an event, which version wrote it. From then on the
+// stream goes on at that version only.
+func (j *job) setOrigin(target *pool.Target) {
+	taken := j.origin != nil
+	if !taken {
+		j.origin = &origins.Origin{Service: j.service, Version: target.Version}
+	}
+	j.recordOrigin()
+	if j.recording != nil && !taken && !j.recording.Wait(maxRecordWait) {
+		j.Metrics.count("streams.unrecorded")
+	}
+}
+
+// recordOrigin has other processes know where the stream began, as long as that isn't plain from the
+// configuration and the list of targets.
+func (j *job) recordOrigin() {
+	if j.Origins == nil || !j.route.Resumable {
+		return
+	}
+	now := time.Now()
+	j.recordedAt = now
+	if j.recording != nil {
+		j.recording.Refresh()
+		return
+	}
+	if origin, certain := j.onlyOrigin(now); certain && origin == *j.origin {
+		return
+	}
+	j.recording = j.Origins.Record(j.originKey(), *j.origin, j.deadline.Add(takeUpTime))
+}
+
+// refreshOrigin calls recordOrigin from time to time while the stream runs.
+func (j *job) refreshOrigin(now time.Time) {
+	if j.origin != nil && now.Sub(j.recordedAt) >= refreshPeriod {
+		j.recordOrigin()
+	}
+}
--- a/internal/serve/run/rate_limit.go
+++ b/internal/serve/run/rate_limit.go
@@ -37,6 +37,9 @@
 	if j.RateLimiter != nil && j.Table.AllRateLimited(j.service, time.Now()) {
 		return j.refuseForRate()
 	}
+	if j.origin != nil {
+		return j.refuseVersionGone()
+	}
 	return j.giveUp(NoTarget, fasthttp.StatusBadGateway)
 }
 
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -103,6 +103,8 @@
 	StagesLate      Reason = "stages can't be done in time"
 	StagesFailed    Reason = "stages failed"
 	TargetsFull     Reason = "targets refused"
+	UnknownVersion  Reason = "version that began the stream isn't known"
+	VersionGone     Reason = "no target of the version that began the stream"
 	RateLimited     Reason = "targets take no more requests for now"
 	OverBudget      Reason = "no repeat left in the budget"
 	LostAnswer      Reason = "target gave no answer"
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillagate/vanillagate/internal/framing"
-	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
 )
@@ -45,10 +44,12 @@
 	// splitEvent is set while the caller has a part of an event that was too large to hold back.
 	splitEvent  bool
 	lastEventID string // id of the last event returned
-	started     bool
-	resumed     bool
-	hasEnded    bool
-	failure     error
+	// hasOrigin is set once the job knows which version writes the stream.
+	hasOrigin bool
+	started   bool
+	resumed   bool
+	hasEnded  bool
+	failure   error
 	// lastRead is when data was last received, longestPause the longest time between two
 	// reads that returned data.
 	lastRead     time.Time
@@ -72,11 +73,6 @@
 	return passOn(answer, s, length)
 }
 
-// takesUp reports whether the caller takes up a stream of which it already has events.
-func (j *job) takesUp() bool {
-	return j.route.Kind == plan.Stream && (j.req.LastEventID != "" || j.req.Resumes != "")
-}
-
 // isEventStream reports whether an answer is a series of events, as it is unless it says
 // otherwise.
 func isEventStream(h *fasthttp.ResponseHeader) bool {
@@ -145,6 +141,7 @@
 			s.job.inputs.release()
 		}
 	}
+	s.job.refreshOrigin(now)
 	s.pending = s.pending[:0]
 	if s.opaque {
 		s.pending = append(s.pending, data...)
@@ -161,6 +158,9 @@
 	}
 	if !s.events.inside() || len(s.partial) > maxHeldBytes {
 		s.splitEvent = s.events.inside()
+		if s.splitEvent {
+			s.setOrigin()
+		}
 		s.pending = append(s.pending, s.partial...)
 		s.partial = s.partial[:0]
 	}
@@ -175,9 +175,18 @@
 	if id != "" {
 		s.lastEventID = id
 	}
+	s.setOrigin()
 	s.pending = append(s.pending, event...)
 }
 
+// setOrigin is called before each event, and has an effect at the first one.
+func (s *stream) setOrigin() {
+	if !s.hasOrigin {
+		s.hasOrigin = true
+		s.job.setOrigin(s.target)
+	}
+}
+
 // failOver resumes the stream at another target, if the route allows it, or ends it.
 func (s *stream) failOver(err error) {
 	j := s.job
@@ -229,13 +238,16 @@
 	resumed resumeOutcome = iota
 	// targetFailed: the chosen target didn't go on with the stream; another one may.
 	targetFailed
-	// notResumable: the stages couldn't be run again, or there is no other target.
+	// notResumable: the stages couldn't be run again, or there is no other target of the stream's version.
 	notResumable
 )
 
 // resume runs the stages again and asks another target to continue after the last event.
 func (s *stream) resume() resumeOutcome {
 	j := s.job
+	if j.versionGone() {
+		return notResumable
+	}
 	if j.inputs != nil {
 		j.inputs.release()
 		if j.prepare() != nil {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -23,6 +23,7 @@
 	"github.com/vanillagate/vanillagate/internal/serve/follow"
 	"github.com/vanillagate/vanillagate/internal/serve/gather"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
+	"github.com/vanillagate/vanillagate/internal/serve/origins"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/quota"
@@ -88,6 +89,7 @@
 	counts      *countExchange
 	rateLimiter *ratelimit.Limiter // nil if disabled by LeaveOut
 	engines     *engines.Tracker   // nil if disabled by LeaveOut
+	origins     *origins.Registry
 	executor    *run.Executor
 
 	// readSeeds reads the peer addresses of the seed processes; nil if there are none.
@@ -143,6 +145,8 @@
 		Stages: s.stages, Budget: s.budget, Reach: forwarding{s.reach, network}, Zone: o.Zone, Metrics: &run.Metrics{Registry: o.Metrics},
 		LeaveOut: o.LeaveOut, TimeToReady: s.timeToReady, ContactAge: s.follower.ContactAge,
 	}
+	s.origins = origins.New(s.baseCtx, logging.WithComponent(o.Log, "origins"), network)
+	s.executor.Origins = s.origins
 	s.counts = newCountExchange(s.log, network, s.budget)
 	newRateNotices(s.log, network, s.table)
 	if !o.LeaveOut.Has(leaveout.EngineAccounts) {
@@ -216,6 +220,7 @@
 		if s.engines != nil {
 			s.engines.Sweep(now)
 		}
+		s.origins.Sweep(now)
 	}
 }
 
