pool: a target whose version changes is another run

Seen by callers: a stream could go on at the new version of a target whose entry changed its version under the same ID and address (ORDER). Cause: the table kept the version of the first entry. A target that comes back with another version now replaces the run before, like one with another time of start. Evidence: TestTargetWithAnotherVersionIsAnotherRun failed before (v1 where v2 is listed).

--- a/internal/serve/pool/entry.go
+++ b/internal/serve/pool/entry.go
@@ -55,5 +55,5 @@
 
 // sameRun reports whether two entries describe the same run of the same target.
 func sameRun(a, b Entry) bool {
-	return a.ID == b.ID && a.Born == b.Born && a.Address == b.Address && a.Service == b.Service
+	return a.ID == b.ID && a.Born == b.Born && a.Address == b.Address && a.Service == b.Service && a.Version == b.Version
 }
--- /dev/null
+++ b/internal/serve/pool/versions_test.go
@@ -0,0 +1,54 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func versionEntry(id, version string, revision uint64) Entry {
+	e := entry(id, revision)
+	e.Version = version
+	return e
+}
+
+// Guards against streams that a target began with its earlier version and that go on there.
+func TestTargetWithAnotherVersionIsAnotherRun(t *testing.T) {
+	table := tableOf()
+	table.Apply([]Change{{Entry: versionEntry("a", "v1", 11)}}, 11, start)
+	before := table.Views("s", start)[0].Target
+	var left []*Target
+	table.OnLeave(func(target *Target) { left = append(left, target) })
+	table.Apply([]Change{{Entry: versionEntry("a", "v2", 12)}}, 12, start)
+	after := table.Views("s", start)
+	assert.Equal(t, len(after), 1)
+	assert.Equal(t, after[0].Version, "v2")
+	assert.Equal(t, before.Version, "v1")
+	assert.DeepEqual(t, len(left), 1)
+	assert.Assert(t, before.GoneOrDraining())
+}
+
+func TestOnlyVersion(t *testing.T) {
+	table := tableOf()
+	only := func(now time.Time) string {
+		version, only := table.OnlyVersion("s", now)
+		if !only {
+			return "none"
+		}
+		return version
+	}
+	assert.Equal(t, only(start), "none")
+	table.Apply([]Change{{Entry: versionEntry("a", "v1", 11)}, {Entry: versionEntry("b", "v1", 12)}}, 12, start)
+	assert.Equal(t, only(start), "v1")
+	table.Apply([]Change{{Entry: versionEntry("c", "", 13)}}, 13, start)
+	assert.Equal(t, only(start), "none")
+	table.Apply([]Change{{Entry: Entry{ID: "c", Revision: 14}, Removed: true}}, 14, start)
+	assert.Equal(t, only(start.Add(versionMemory)), "none")
+	assert.Equal(t, only(start.Add(versionMemory+time.Second)), "v1")
+	later := start.Add(2 * versionMemory)
+	draining := versionEntry("d", "v2", 15)
+	draining.State = Draining
+	table.Apply([]Change{{Entry: draining}}, 15, later)
+	assert.Equal(t, only(later), "none")
+}
