run: a stream whose events have no IDs isn't repeated from its start

Seen by callers: the first events of a broken stream came twice (ORDER). Cause: the last event's ID was empty, so the next target began anew, although the caller had events. Found while all ways in which a stream goes on were looked through. Evidence: TestBrokenStreamWithoutEventIDsIsNotRepeated failed before (a, b, a, b). Why it works: without an ID no target can be told where to go on; the stream ends as broken.

--- a/internal/serve/run/origin_test.go
+++ b/internal/serve/run/origin_test.go
@@ -128,3 +128,17 @@
 		})
 	}
 }
+
+// Guards against streams that are repeated from their start because their events have no IDs.
+func TestBrokenStreamWithoutEventIDsIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := &scriptedTargets{body: "data: a\n\ndata: b\n\ndat"}
+		e := versionedExecutor(targets, nil, "v1", "v1")
+		time.Sleep(3 * time.Second)
+		reply := e.Run(context.Background(), &Request{ID: "id", Host: "h", Path: "/x", URI: "/x", Method: "GET", Arrived: time.Now()})
+		body, err := io.ReadAll(reply.Answer.Body)
+		assert.Assert(t, err != nil)
+		assert.Equal(t, string(body), "data: a\n\ndata: b\n\n")
+		assert.Equal(t, len(targets.arrivals), 1)
+	})
+}
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -44,6 +44,8 @@
 	// splitEvent is set while the caller has a part of an event that was too large to hold back.
 	splitEvent  bool
 	lastEventID string // id of the last event returned
+	// hasEventWithoutID is set once such an event was returned: no target can be told to go on after it.
+	hasEventWithoutID bool
 	// hasOrigin is set once the job knows which version writes the stream.
 	hasOrigin bool
 	started   bool
@@ -174,6 +176,8 @@
 	}
 	if id != "" {
 		s.lastEventID = id
+	} else {
+		s.hasEventWithoutID = true
 	}
 	s.setOrigin()
 	s.pending = append(s.pending, event...)
@@ -221,7 +225,9 @@
 }
 
 // resumable reports whether another target can go on after the last event that the caller has.
-func (s *stream) resumable() bool { return s.job.route.Resumable && !s.opaque && !s.splitEvent }
+func (s *stream) resumable() bool {
+	return s.job.route.Resumable && !s.opaque && !s.splitEvent && !s.hasEventWithoutID
+}
 
 // truncationError is never io.EOF: a stream that broke must not look complete.
 func truncationError(ctx context.Context, err error) error {
