test: a seeded soak of streams that are taken up while VMs and engines come and go

Real processes: VMs are killed, stopped and frozen, engines of two versions crash and are replaced by others, callers leave and take streams up at any VM. Checked: no stream holds events of two versions, none has a gap, and at least half the share of new streams goes on where two engines of the version serve (the users' bound).

--- /dev/null
+++ b/test/platform_stream_versions_test.go
@@ -0,0 +1,332 @@
+package test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/platform/standin"
+)
+
+const (
+	versionSoakVMs = 6
+	// versionedRate is how many streams begin per second.
+	versionedRate   = 30
+	versionedEvents = 20
+	eventInterval   = 25 * time.Millisecond
+	// enginesPerVersion is more than the two for which a version counts as served.
+	enginesPerVersion = 3
+	// soakContactTime is how long a VM must have run without a fault for its refusals to count.
+	soakContactTime = 3 * time.Second
+	// maxAttempts limits how often a caller takes one stream up.
+	maxAttempts = 8
+)
+
+// streamSoak is a run in which callers take streams up while VMs and engines of several versions are
+// killed and replaced.
+type streamSoak struct {
+	t     *testing.T
+	edges *edgeSite
+	// randomMu guards random.
+	randomMu sync.Mutex
+	random   *rand.Rand
+
+	mu      sync.Mutex // guards the fields below
+	engines map[string][]*standin.Target
+	// disturbedAt is when the last fault of each VM began or ended; running has those that aren't stopped.
+	disturbedAt []time.Time
+	running     []bool
+	last        int
+	// begun counts new streams and those that began, takenUp streams taken up at undisturbed VMs while two engines
+	// of their version served, and those that went on.
+	begun, takenUp attemptCount
+	mixed          []string
+}
+
+type attemptCount struct{ tried, succeeded int }
+
+func (c *attemptCount) add(succeeded bool) {
+	c.tried++
+	if succeeded {
+		c.succeeded++
+	}
+}
+
+func (c attemptCount) share() float64 { return float64(c.succeeded) / float64(max(c.tried, 1)) }
+
+func newStreamSoak(t *testing.T, seed uint64) *streamSoak {
+	s := &streamSoak{
+		t: t, edges: startEdgeSite(t, versionSoakVMs), random: rand.New(rand.NewPCG(seed, 50)), engines: map[string][]*standin.Target{},
+		disturbedAt: make([]time.Time, versionSoakVMs), running: make([]bool, versionSoakVMs),
+	}
+	for i := range s.running {
+		s.running[i] = true
+	}
+	s.edges.site.Publish(func(config map[string]any) {
+		config["services"] = append(config["services"].([]any), map[string]any{
+			"name": "writers", "max-connections": 200, "engine": map[string]any{"slot-count": 16, "kv-cache-tokens": 500000},
+		})
+		config["routes"] = append(config["routes"].([]any), map[string]any{
+			"name": "write", "host": standin.Host, "prefix": "/write/", "kind": "streaming", "timeout-ms": 6000, "target-latency-ms": 1500,
+			"target-gap-ms": 300, "priority": 0, "service": "writers", "attempts": 2, "resumable": true,
+		})
+	})
+	for _, version := range []string{"v1", "v2"} {
+		for range enginesPerVersion {
+			s.startEngine(version)
+		}
+	}
+	time.Sleep(time.Second)
+	return s
+}
+
+func (s *streamSoak) pick(n int) int {
+	s.randomMu.Lock()
+	defer s.randomMu.Unlock()
+	return s.random.IntN(n)
+}
+
+func (s *streamSoak) startEngine(version string) {
+	s.mu.Lock()
+	s.last++
+	engine := &standin.Target{
+		ID: fmt.Sprintf("i-writer-%d", s.last), Service: "writers", Zone: "zone-a", Slots: 16, Events: versionedEvents, EventInterval: eventInterval,
+		Version: version, NamesVersion: true,
+	}
+	s.mu.Unlock()
+	assert.Check(s.t, engine.Start("127.0.0.1:0"))
+	s.t.Cleanup(engine.Stop)
+	s.edges.site.Store.Put("servers", engine.ID, engine.Entry("ready", 1))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engines[version] = append(s.engines[version], engine)
+}
+
+// removeEngine takes the oldest engine of a version out of the list of those that serve.
+func (s *streamSoak) removeEngine(version string) *standin.Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.engines[version]
+	if len(list) == 0 {
+		return nil
+	}
+	s.engines[version] = list[1:]
+	return list[0]
+}
+
+// crashEngine stops an engine abruptly; another one of its version starts later.
+func (s *streamSoak) crashEngine(version string) {
+	if engine := s.removeEngine(version); engine != nil {
+		engine.Stop()
+		time.Sleep(500 * time.Millisecond)
+		s.edges.site.Store.Delete("servers", engine.ID)
+		time.Sleep(500 * time.Millisecond)
+		s.startEngine(version)
+	}
+}
+
+// replaceEngines replaces the engines of a version by those of another, one after the other.
+func (s *streamSoak) replaceEngines(from, to string) {
+	for range enginesPerVersion {
+		s.startEngine(to)
+		time.Sleep(300 * time.Millisecond)
+		engine := s.removeEngine(from)
+		if engine == nil {
+			return
+		}
+		s.edges.site.Store.Put("servers", engine.ID, engine.Entry("draining", 1))
+		time.AfterFunc(2*time.Second, func() {
+			s.edges.site.Store.Delete("servers", engine.ID)
+			engine.Stop()
+		})
+	}
+}
+
+// disturbVM kills, stops or freezes a VM and has it serve again.
+func (s *streamSoak) disturbVM(vm int) {
+	kind := s.pick(3)
+	s.markDisturbed(vm, kind == 2)
+	run := s.edges.processes[vm]
+	switch kind {
+	case 0:
+		run.kill(s.t)
+	case 1:
+		run.signal(s.t, syscall.SIGTERM)
+		run.waitExit(s.t, waitTimeout)
+	case 2:
+		run.signal(s.t, syscall.SIGSTOP)
+		time.Sleep(700 * time.Millisecond)
+		run.signal(s.t, syscall.SIGCONT)
+		s.markDisturbed(vm, true)
+		return
+	}
+	time.Sleep(200 * time.Millisecond)
+	s.edges.start(vm)
+	s.edges.waitReady(vm)
+	s.markDisturbed(vm, true)
+}
+
+func (s *streamSoak) markDisturbed(vm int, running bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.disturbedAt[vm] = time.Now()
+	s.running[vm] = running
+}
+
+// pickVM returns a VM that isn't stopped.
+func (s *streamSoak) pickVM() int {
+	for {
+		vm := s.pick(versionSoakVMs)
+		s.mu.Lock()
+		running := s.running[vm]
+		s.mu.Unlock()
+		if running {
+			return vm
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// counts reports whether an attempt at a VM that began at a moment, at a version, counts.
+func (s *streamSoak) counts(vm int, version string, at time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return at.Sub(s.disturbedAt[vm]) > soakContactTime && (version == "" || len(s.engines[version]) >= 2)
+}
+
+// soakStream is one stream as its caller has it.
+type soakStream struct {
+	name     string
+	events   int
+	first    string // the attempt that brought the first event
+	versions map[string]bool
+	version  string
+}
+
+// runCaller begins a stream and takes it up, sometimes after leaving, until it is whole.
+func (s *streamSoak) runCaller(name string) {
+	c := &soakStream{name: name, versions: map[string]bool{}}
+	for n := 0; n < maxAttempts && c.events < versionedEvents; n++ {
+		until := versionedEvents
+		if s.pick(3) == 0 {
+			until = min(c.events+1+s.pick(8), versionedEvents)
+		}
+		vm, had, started := s.pickVM(), c.events, time.Now()
+		counts := s.counts(vm, c.version, started)
+		pause := s.attempt(c, vm, fmt.Sprintf("%s-%d", name, n), until)
+		if counts && s.counts(vm, c.version, time.Now()) {
+			s.mu.Lock()
+			if had == 0 {
+				s.begun.add(c.events > 0)
+			} else {
+				s.takenUp.add(c.events > had)
+			}
+			s.mu.Unlock()
+		}
+		time.Sleep(pause)
+	}
+	if len(c.versions) > 1 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.mixed = append(s.mixed, fmt.Sprint(name, " has ", c.versions))
+	}
+}
+
+// attempt asks a VM for the rest of a stream and leaves when it has the given number of events. It returns the time
+// until the next attempt.
+func (s *streamSoak) attempt(c *soakStream, vm int, id string, until int) time.Duration {
+	ctx, leave := context.WithTimeout(context.Background(), 5*time.Second)
+	defer leave()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.edges.vms[vm].RequestAddress()+"/write/x", strings.NewReader(c.name))
+	assert.Check(s.t, err)
+	req.Host = standin.Host
+	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("X-Api-Key", standin.TeamKey)
+	if c.events > 0 {
+		req.Header.Set("Last-Event-Id", strconv.Itoa(c.events))
+		req.Header.Set("Resumes", c.first)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		_, _ = io.Copy(io.Discard, resp.Body) // a refusal
+		return time.Duration(seconds * float64(time.Second))
+	}
+	s.read(c, resp.Body, id, until)
+	return 0
+}
+
+// read reads events until the caller has the given number, or the stream ends.
+func (s *streamSoak) read(c *soakStream, body io.Reader, id string, until int) {
+	lines := bufio.NewScanner(body)
+	for c.events < until && lines.Scan() {
+		if event, found := strings.CutPrefix(lines.Text(), "id: "); found {
+			assert.Check(s.t, event == strconv.Itoa(c.events+1), "%s: event %s after %d", c.name, event, c.events)
+		}
+		version, found := strings.CutPrefix(lines.Text(), "data: ")
+		if !found {
+			continue
+		}
+		c.events++
+		c.versions[version] = true
+		if c.first == "" {
+			c.first, c.version = id, version
+		}
+	}
+}
+
+// run plays the faults while streams begin.
+func (s *streamSoak) run(d time.Duration) {
+	var faults, streams sync.WaitGroup
+	end := time.Now().Add(d)
+	faults.Go(func() {
+		for vm := 0; time.Now().Before(end); vm = (vm + 1 + s.pick(3)) % versionSoakVMs {
+			s.disturbVM(vm)
+			time.Sleep(time.Duration(s.pick(300)) * time.Millisecond)
+		}
+	})
+	faults.Go(func() {
+		for next := 1; time.Now().Before(end); next++ {
+			time.Sleep(time.Duration(s.pick(500)) * time.Millisecond)
+			s.crashEngine(fmt.Sprint("v", next+s.pick(2)))
+			s.replaceEngines(fmt.Sprint("v", next), fmt.Sprint("v", next+2))
+		}
+	})
+	for n := 0; time.Now().Before(end); n++ {
+		streams.Go(func() { s.runCaller(fmt.Sprint("stream-", n)) })
+		time.Sleep(time.Second / versionedRate)
+	}
+	streams.Wait()
+	faults.Wait()
+}
+
+// Guards against streams that change their version, or are refused, while VMs and engines come and go.
+func TestPlatformStreamsKeepTheirVersion(t *testing.T) {
+	t.Parallel()
+	for _, seed := range plannedSeeds(t) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newStreamSoak(t, seed)
+			s.run(plannedDurationOf(t))
+			t.Logf("%d of %d streams began, %d of %d went on", s.begun.succeeded, s.begun.tried, s.takenUp.succeeded, s.takenUp.tried)
+			assert.Equal(t, len(s.mixed), 0, "%v", s.mixed)
+			assert.Assert(t, s.takenUp.tried >= 12)
+			assert.Assert(t, s.takenUp.share() >= s.begun.share()/2)
+		})
+	}
+}
