run, pool: a process that has just started records the streams that it begins

Seen by callers: streams begun at a VM that had just started were refused when they were taken up elsewhere. Cause: that VM knew one version and recorded nothing, while the others still counted a version that had left the list before its start. Change: a process that joins a running system records all streams until it has had the list for as long as versions that have left count. With one version throughout, and from the first start of the system on, nothing is recorded, as before.

--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -27,6 +27,9 @@
 	lapsed   map[string]*Target
 	services map[string]*service
 	left     leftVersions
+	// startedLate means that targets may have left before this process first had the list, at loadedAt.
+	startedLate bool
+	loadedAt    time.Time
 	// generation grows with every change of a ready set.
 	generation uint64
 	// synced is the revision up to which all changes are known, lastChange that of the last change
@@ -178,7 +181,7 @@
 	t.lastChange = max(before, asOf)
 	t.changeLog.startFrom(t.lastChange)
 	if !t.loaded {
-		t.loaded = true
+		t.loaded, t.loadedAt = true, now
 		t.log.Info("List of targets is known.", zap.Int("targets", len(t.byID)), zap.Uint64("revision", asOf))
 	}
 	return retired
--- a/internal/serve/pool/versions.go
+++ b/internal/serve/pool/versions.go
@@ -50,6 +50,16 @@
 	return only, found
 }
 
+// StartedLate records that the system has run before this process started. Call it before the first Apply.
+func (t *Table) StartedLate() { t.startedLate = true }
+
+// KnowsLeftVersions reports whether this process knows all versions that have left within versionMemory.
+func (t *Table) KnowsLeftVersions(now time.Time) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return !t.startedLate || t.loaded && now.Sub(t.loadedAt) > versionMemory
+}
+
 // retire takes a target out of use for good. The caller holds mu.
 func (t *Table) retire(target *Target, now time.Time) {
 	target.markGone()
--- a/internal/serve/pool/versions_test.go
+++ b/internal/serve/pool/versions_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 )
 
@@ -52,3 +53,15 @@
 	table.Apply([]Change{{Entry: draining}}, 15, later)
 	assert.Equal(t, only(later), "none")
 }
+
+func TestLeftVersionsAreKnownSomeTimeAfterALateStart(t *testing.T) {
+	first := tableOf("a")
+	assert.Assert(t, first.KnowsLeftVersions(start))
+	late := New(zap.NewNop())
+	late.StartedLate()
+	assert.Assert(t, !late.KnowsLeftVersions(start))
+	late.Reset([]Entry{entry("a", 1)}, 1, start)
+	late.Reset([]Entry{entry("a", 2)}, 2, start.Add(time.Minute))
+	assert.Assert(t, !late.KnowsLeftVersions(start.Add(versionMemory)))
+	assert.Assert(t, late.KnowsLeftVersions(start.Add(versionMemory+time.Second)))
+}
--- a/internal/serve/run/origin.go
+++ b/internal/serve/run/origin.go
@@ -143,7 +143,8 @@
 		j.recording.Refresh()
 		return
 	}
-	if origin, certain := j.onlyOrigin(now); certain && origin == *j.origin {
+	// Processes that have run for longer may know of more versions.
+	if origin, certain := j.onlyOrigin(now); certain && origin == *j.origin && j.Table.KnowsLeftVersions(now) {
 		return
 	}
 	j.recording = j.Origins.Record(j.originKey(), *j.origin, j.deadline.Add(takeUpTime))
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -116,6 +116,9 @@
 	}
 	s.baseCtx, s.cancel = context.WithCancel(context.Background())
 	s.table = pool.New(logging.WithComponent(o.Log, "targets"))
+	if o.AfterRestart {
+		s.table.StartedLate()
+	}
 	s.table.OnLeave(func(t *pool.Target) { s.client.CloseIdle(t.Address) })
 	s.follower = follow.New(logging.WithComponent(o.Log, "follow"), o.Source, s.plans, s.table)
 	s.follower.UsePeers(network)
