pool, follow: a version isn't lost by way of a process of an earlier release

During an upgrade, processes of the release before pass entries of targets on without their version. A process that took the list from one kept targets without a version until their entries changed, also after the upgrade: streams begun there would have been refused elsewhere. Change: the list isn't taken from a process that doesn't say that it has versions, but read from the store; a single entry without a version keeps the known one of the same run. Evidence: TestListWithoutVersionsIsNotUsed and TestEntryWithoutVersionKeepsTheKnownOne, both failed before. Two releases side by side were not run.

--- a/internal/serve/follow/follow_test.go
+++ b/internal/serve/follow/follow_test.go
@@ -92,7 +92,7 @@
 func (s *fakeStore) putTarget(id string, state pool.State) {
 	s.change(func() {
 		s.changes = append(s.changes, pool.Change{Entry: pool.Entry{
-			ID: id, Service: "s", Address: "10.0.0.1:" + id, Zone: "zone-" + id, Slots: 1, State: state, Revision: s.revision,
+			ID: id, Service: "s", Address: "10.0.0.1:" + id, Zone: "zone-" + id, Version: "v1", Slots: 1, State: state, Revision: s.revision,
 		}})
 	})
 }
--- a/internal/serve/follow/list_fetch.go
+++ b/internal/serve/follow/list_fetch.go
@@ -79,7 +79,7 @@
 	return all
 }
 
-// refusedError means that a peer doesn't send the list now. referral, if set, is a process
+// refusedError means that a peer doesn't send the list now, or not as this release needs it. referral, if set, is a process
 // that may.
 type refusedError struct{ referral peer.Incarnation }
 
@@ -142,7 +142,7 @@
 	switch {
 	case err != nil:
 		return err
-	case response.Refused || response.PartCount < 1 || response.PartCount > maxParts:
+	case response.Refused || response.PartCount < 1 || response.PartCount > maxParts || !response.HasVersions:
 		return refusedError{referral: response.Referral}
 	}
 	return list.add(number, response, time.Now())
--- a/internal/serve/follow/list_server.go
+++ b/internal/serve/follow/list_server.go
@@ -55,6 +55,9 @@
 	AgeMS int64 `json:"age_ms,omitempty"`
 	// Entries is a packed []pool.Entry.
 	Entries []byte `json:"entries,omitempty"`
+	// HasVersions means that the entries have the software versions of targets. Processes of earlier
+	// releases don't set it.
+	HasVersions bool `json:"versions,omitempty"`
 }
 
 // snapshot is the list at one revision, split into parts.
@@ -151,7 +154,7 @@
 		l.noteFinished(request.Reader) // readers request the parts in order
 	}
 	entries, err := s.part(request.Part)
-	return partResponse{PartCount: len(s.parts), AsOf: s.asOf, AgeMS: now.Sub(s.createdAt).Milliseconds(), Entries: entries}, err
+	return partResponse{PartCount: len(s.parts), AsOf: s.asOf, AgeMS: now.Sub(s.createdAt).Milliseconds(), Entries: entries, HasVersions: true}, err
 }
 
 // dropExpired releases a snapshot older than snapshotTTL.
--- a/internal/serve/follow/list_server_test.go
+++ b/internal/serve/follow/list_server_test.go
@@ -226,3 +226,23 @@
 		assert.Equal(t, countSynced(all, 1, targets), len(all))
 	})
 }
+
+// Guards against targets whose version stays unknown after an upgrade, since an earlier release sent the list.
+func TestListWithoutVersionsIsNotUsed(t *testing.T) {
+	for _, hasVersions := range []bool{false, true} {
+		inSynctest(t, func(t *testing.T, ctx context.Context) {
+			cluster := &servetest.Cluster{Delay: time.Millisecond}
+			sender := newProcess(nil)
+			sender.table.Reset([]pool.Entry{{ID: "a", Service: "s", State: pool.Ready, Revision: 1}}, 1, time.Now())
+			peer.HandleCall(cluster.Add("sender", "z"), methodList, func(request partRequest) (any, error) {
+				response, err := sender.listServer.serve(request, sender.table, time.Now())
+				response.HasVersions = hasVersions
+				return response, err
+			})
+			p := newProcess(nil)
+			p.UsePeers(cluster.Add("reader", "z"))
+			p.fetchList(ctx, "sender")
+			assert.Equal(t, p.table.Loaded(), hasVersions)
+		})
+	}
+}
--- a/internal/serve/pool/entry.go
+++ b/internal/serve/pool/entry.go
@@ -53,6 +53,17 @@
 	Removed bool
 }
 
+// withVersionOf returns the entry with the version of the known one, if it is of the same run and has no version
+// itself.
+func (e Entry) withVersionOf(known Entry) Entry {
+	filled := e
+	filled.Version = known.Version
+	if e.Version == "" && sameRun(filled, known) {
+		return filled
+	}
+	return e
+}
+
 // sameRun reports whether two entries describe the same run of the same target.
 func sameRun(a, b Entry) bool {
 	return a.ID == b.ID && a.Born == b.Born && a.Address == b.Address && a.Service == b.Service && a.Version == b.Version
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -207,6 +207,9 @@
 		if old != nil && (old.entry.Revision >= c.Revision || isEarlierRun(c, old)) {
 			continue
 		}
+		if old != nil {
+			c.Entry = c.withVersionOf(old.entry)
+		}
 		intern(&c.Entry)
 		if history != nil {
 			history.add(c, now)
--- a/internal/serve/pool/versions_test.go
+++ b/internal/serve/pool/versions_test.go
@@ -65,3 +65,20 @@
 	assert.Assert(t, !late.KnowsLeftVersions(start.Add(versionMemory)))
 	assert.Assert(t, late.KnowsLeftVersions(start.Add(versionMemory+time.Second)))
 }
+
+// Guards against a version that is forgotten because a process of an earlier release passes an entry on.
+func TestEntryWithoutVersionKeepsTheKnownOne(t *testing.T) {
+	table := tableOf()
+	table.Apply([]Change{{Entry: versionEntry("a", "v1", 11)}}, 11, start)
+	draining := versionEntry("a", "", 12)
+	draining.State = Draining
+	table.Apply([]Change{{Entry: draining}}, 12, start)
+	assert.Equal(t, len(usableIDs(table, start)), 0)
+	list, _ := table.Entries(start)
+	assert.Equal(t, list[0].Version, "v1")
+	other := versionEntry("a", "", 13)
+	other.Address = "10.0.0.2:1"
+	table.Apply([]Change{{Entry: other}}, 13, start)
+	list, _ = table.Entries(start)
+	assert.Equal(t, list[0].Version, "")
+}
