run: a stream of the only version goes on in an outage of the store, whoever began it

Seen by callers: a caller that takes a stream up without naming its first attempt was refused while the store had been away for three seconds, although there was one version only. Cause: peers were asked, and so shown to be in touch, only where an attempt was named. They are asked in both cases now, unless the list is current. Evidence: two cases of TestTakenUpStreamGoesOnOnlyAtAVersionThatIsCertain failed before.

--- a/internal/serve/run/origin.go
+++ b/internal/serve/run/origin.go
@@ -47,8 +47,15 @@
 	if !j.takesUp() {
 		return nil
 	}
+	now := time.Now()
+	only, certain := j.onlyOrigin(now)
+	current := j.listIsCurrent(now)
+	if j.req.Resumes == "" && certain && current {
+		j.origin = &only
+		return nil
+	}
 	var found origins.Result
-	if j.Origins != nil && j.req.Resumes != "" {
+	if j.Origins != nil {
 		found = j.Origins.Find(j.ctx, j.originKey())
 	}
 	if found.Found {
@@ -59,9 +66,8 @@
 		j.service = found.Origin.Service
 		return nil
 	}
-	now := time.Now()
-	if origin, certain := j.onlyOrigin(now); certain && (found.Answered > 0 || j.listIsCurrent(now)) {
-		j.origin = &origin
+	if certain && (found.Answered > 0 || current) {
+		j.origin = &only
 		return nil
 	}
 	j.Log.Info("Version that began a stream isn't known.", requestID(j.req.ID), zap.String("resumes", j.req.Resumes),
--- a/internal/serve/run/origin_test.go
+++ b/internal/serve/run/origin_test.go
@@ -91,6 +91,8 @@
 		{name: "not named, one version", versions: []string{"v1", "v1"}},
 		{name: "unknown, one version, old list, others answer", versions: []string{"v1"}, resumes: unknown, listAge: time.Minute},
 		{name: "unknown, one version, old list, others silent", versions: []string{"v1"}, resumes: unknown, silent: true, listAge: time.Minute, reason: UnknownVersion, comeBack: true},
+		{name: "not named, one version, old list, others answer", versions: []string{"v1"}, listAge: time.Minute},
+		{name: "not named, one version, old list, others silent", versions: []string{"v1"}, silent: true, listAge: time.Minute, reason: UnknownVersion, comeBack: true},
 		{name: "unknown, one version, others silent", versions: []string{"v1"}, resumes: unknown, silent: true},
 		{name: "unknown, one version, alone", versions: []string{"v1"}, resumes: unknown, alone: true},
 	} {
