--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -196,7 +196,12 @@
 		}()
 	}
 	for range asked {
-		got := <-replies
+		var got reply
+		select {
+		case got = <-replies:
+		case <-ctx.Done():
+			return result
+		}
 		if got.err != nil {
 			r.log.Debug("Process didn't tell whether it knows a stream's origin.", zap.Error(got.err))
 			continue
--- a/internal/serve/origins/origins_test.go
+++ b/internal/serve/origins/origins_test.go
@@ -192,3 +192,23 @@
 		assert.Equal(t, p.all[0].Count(), maxRecords)
 	})
 }
+
+// stuckNetwork has calls that don't end with their context, as while a link's write blocks.
+type stuckNetwork struct{ peer.Network }
+
+func (stuckNetwork) Call(context.Context, peer.Incarnation, string, any, any) error {
+	time.Sleep(10 * findTimeout)
+	return context.DeadlineExceeded
+}
+
+// Guards against requests that wait for a call that doesn't end in time.
+func TestSearchEndsInTimeAlthoughCallsAreStuck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newProcesses(3)
+		registry := New(context.Background(), zap.NewNop(), stuckNetwork{p.all[0].Node})
+		start := time.Now()
+		assert.Equal(t, registry.Find(context.Background(), KeyOf("", "unknown")), Result{Asked: 2})
+		assert.Assert(t, time.Since(start) <= findTimeout)
+		time.Sleep(10 * findTimeout) // until the calls have ended
+	})
+}
