run: a stream that sets the time to reconnect is resumed all the same

A block without data is no event. Since it counted as an event without an ID, and the stream wasn't resumed any more. Evidence: TestBrokenStreamWithAFieldBesideItsEventsIsResumed (one arrival before, two now).

--- a/internal/serve/run/events.go
+++ b/internal/serve/run/events.go
@@ -54,12 +54,18 @@
 func (s *eventScanner) inside() bool { return s.inLine || s.inEvent }
 
 func eventID(event []byte) string {
+	id, _ := eventField(event, "id")
+	return id
+}
+
+// eventField returns the value of an event's first field of a name, and whether there is one.
+func eventField(event []byte, name string) (value string, found bool) {
 	for line := range bytes.FieldsFuncSeq(event, func(r rune) bool { return r == '\n' || r == '\r' }) {
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			return string(bytes.TrimSpace(value))
+		if value, found := bytes.CutPrefix(line, []byte(name+":")); found {
+			return string(bytes.TrimSpace(value)), true
 		}
 	}
-	return ""
+	return "", false
 }
 
 // isLater reports whether event a comes after event b. Ids are increasing numbers.
--- a/internal/serve/run/origin_test.go
+++ b/internal/serve/run/origin_test.go
@@ -144,3 +144,16 @@
 		assert.Equal(t, len(targets.arrivals), 1)
 	})
 }
+
+// Guards against streams that are no longer resumed because they set the callers' time to reconnect.
+func TestBrokenStreamWithAFieldBesideItsEventsIsResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := &scriptedTargets{body: "retry: 1000\n\nid: 1\ndata: a\n\nid: 2\nda"}
+		e := versionedExecutor(targets, nil, "v1", "v1")
+		time.Sleep(3 * time.Second)
+		reply := e.Run(context.Background(), &Request{ID: "id", Host: "h", Path: "/x", URI: "/x", Method: "GET", Arrived: time.Now()})
+		_, err := io.ReadAll(reply.Answer.Body)
+		assert.Assert(t, err != nil)
+		assert.Equal(t, len(targets.arrivals), 2)
+	})
+}
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -176,7 +176,7 @@
 	}
 	if id != "" {
 		s.lastEventID = id
-	} else {
+	} else if _, hasData := eventField(event, "data"); hasData {
 		s.hasEventWithoutID = true
 	}
 	s.setOrigin()
