--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -33,8 +33,9 @@
 	// maxHoldersAsked is how many processes are asked for a record. It is larger than holderCount, since
 	// members that have joined or left meanwhile change which processes rank first.
 	maxHoldersAsked = 6
-	storeTimeout    = 250 * time.Millisecond
-	findTimeout     = 250 * time.Millisecond
+	// storeTimeout limits the call that has a process keep a record, findTimeout a whole search.
+	storeTimeout = 250 * time.Millisecond
+	findTimeout  = 250 * time.Millisecond
 	// maxRecords bounds the memory of one process to a few MB.
 	maxRecords = 20_000
 )
@@ -145,8 +146,8 @@
 	}
 }
 
-// ranked returns the other processes that rank first for a stream, at most n, first those with the highest
-// rank. accept selects processes by their state.
+// ranked returns the processes that rank first for a stream, at most n, the highest first. Unlike
+// peer.View.HighestRanked it leaves this process out, and accept selects the others by their state.
 func (r *Registry) ranked(key Key, n int, accept func(peer.MemberState) bool) []peer.Incarnation {
 	type candidate struct {
 		id   peer.Incarnation
