--- a/internal/serve/run/origin_test.go
+++ b/internal/serve/run/origin_test.go
@@ -131,13 +131,18 @@
 	}
 }
 
+// beginLater begins a stream once retries are allowed.
+func beginLater(e *Executor) *Reply {
+	time.Sleep(3 * time.Second)
+	return e.Run(context.Background(), &Request{ID: "id", Host: "h", Path: "/x", URI: "/x", Method: "GET", Arrived: time.Now()})
+}
+
 // Guards against streams that are repeated from their start because their events have no IDs.
 func TestBrokenStreamWithoutEventIDsIsNotRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		targets := &scriptedTargets{body: "data: a\n\ndata: b\n\ndat"}
 		e := versionedExecutor(targets, nil, "v1", "v1")
-		time.Sleep(3 * time.Second)
-		reply := e.Run(context.Background(), &Request{ID: "id", Host: "h", Path: "/x", URI: "/x", Method: "GET", Arrived: time.Now()})
+		reply := beginLater(e)
 		body, err := io.ReadAll(reply.Answer.Body)
 		assert.Assert(t, err != nil)
 		assert.Equal(t, string(body), "data: a\n\ndata: b\n\n")
@@ -150,8 +155,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		targets := &scriptedTargets{body: "retry: 1000\n\nid: 1\ndata: a\n\nid: 2\nda"}
 		e := versionedExecutor(targets, nil, "v1", "v1")
-		time.Sleep(3 * time.Second)
-		reply := e.Run(context.Background(), &Request{ID: "id", Host: "h", Path: "/x", URI: "/x", Method: "GET", Arrived: time.Now()})
+		reply := beginLater(e)
 		_, err := io.ReadAll(reply.Answer.Body)
 		assert.Assert(t, err != nil)
 		assert.Equal(t, len(targets.arrivals), 2)
