--- a/test/platform_stream_versions_test.go
+++ b/test/platform_stream_versions_test.go
@@ -42,14 +42,15 @@
 	randomMu sync.Mutex
 	random   *rand.Rand
 
-	mu      sync.Mutex // guards the fields below
-	engines map[string][]*standin.Target
+	mu sync.Mutex // guards the fields below
+	// engines are those that serve, by version; lastEngine numbers them.
+	engines    map[string][]*standin.Target
+	lastEngine int
 	// disturbedAt is when the last fault of each VM began or ended; running has those that aren't stopped.
 	disturbedAt []time.Time
 	running     []bool
-	last        int
-	// begun counts new streams and those that began, takenUp streams taken up at undisturbed VMs while two engines
-	// of their version served, and those that went on.
+	// begun and takenUp count the attempts to begin a stream and to take one up, as far as they are counted. mixed has
+	// the streams that hold events of several versions.
 	begun, takenUp attemptCount
 	mixed          []string
 }
@@ -99,9 +100,9 @@
 
 func (s *streamSoak) startEngine(version string) {
 	s.mu.Lock()
-	s.last++
+	s.lastEngine++
 	engine := &standin.Target{
-		ID: fmt.Sprintf("i-writer-%d", s.last), Service: "writers", Zone: "zone-a", Slots: 16, Events: versionedEvents, EventInterval: eventInterval,
+		ID: fmt.Sprintf("i-writer-%d", s.lastEngine), Service: "writers", Zone: "zone-a", Slots: 16, Events: versionedEvents, EventInterval: eventInterval,
 		Version: version, NamesVersion: true,
 	}
 	s.mu.Unlock()
@@ -198,8 +199,9 @@
 	}
 }
 
-// counts reports whether an attempt at a VM that began at a moment, at a version, counts.
-func (s *streamSoak) counts(vm int, version string, at time.Time) bool {
+// isCounted reports whether an attempt at a VM counts: the VM hasn't been disturbed lately, and two engines of the
+// stream's version, if it has begun, serve.
+func (s *streamSoak) isCounted(vm int, version string, at time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return at.Sub(s.disturbedAt[vm]) > soakContactTime && (version == "" || len(s.engines[version]) >= 2)
@@ -223,9 +225,9 @@
 			until = min(c.events+1+s.pick(8), versionedEvents)
 		}
 		vm, had, started := s.pickVM(), c.events, time.Now()
-		counts := s.counts(vm, c.version, started)
+		counted := s.isCounted(vm, c.version, started)
 		pause := s.attempt(c, vm, fmt.Sprintf("%s-%d", name, n), until)
-		if counts && s.counts(vm, c.version, time.Now()) {
+		if counted && s.isCounted(vm, c.version, time.Now()) {
 			s.mu.Lock()
 			if had == 0 {
 				s.begun.add(c.events > 0)
