--- a/internal/serve/follow/list_fetch.go
+++ b/internal/serve/follow/list_fetch.go
@@ -79,8 +79,8 @@
 	return all
 }
 
-// refusedError means that a peer doesn't send the list now, or not as this release needs it. referral, if set, is a process
-// that may.
+// refusedError means that a peer doesn't send the list now, or not in the form that this release needs.
+// referral, if set, is a process that may.
 type refusedError struct{ referral peer.Incarnation }
 
 func (refusedError) Error() string { return "peer doesn't send the target list at the moment" }
