--- a/internal/serve/crash_detector.go
+++ b/internal/serve/crash_detector.go
@@ -46,6 +46,9 @@
 	convictionTTL = time.Minute
 )
 
+// maxLoggedParts limits the parts of a prompt in a log line.
+const maxLoggedParts = 16
+
 const methodCrashes = "suspicion.crashes"
 
 // crash is the crash of one target while it ran a request, as sent to peers.
@@ -154,11 +157,15 @@
 }
 
 // ConnectionBroke probes the target after a short delay and records a crash if it is down.
-func (s *crashDetector) ConnectionBroke(f suspect.Fingerprint, address string) {
+func (s *crashDetector) ConnectionBroke(c run.BrokenCall) {
 	time.AfterFunc(probeDelay, func() {
-		if s.baseCtx.Err() == nil && s.targetDied(address) {
-			s.recordCrash(f, address)
+		if s.baseCtx.Err() != nil || !s.targetDied(c.Address) {
+			return
 		}
+		s.log.Warn("Target died under a request.", zap.String("request", c.RequestID), zap.String("target", c.Target),
+			zap.String("address", c.Address), zap.String("fingerprint", string(c.Content)), zap.Strings("parts", c.Parts[:min(len(c.Parts), maxLoggedParts)]),
+			zap.Bool("events", c.Events))
+		s.recordCrash(c.Content, c.Address)
 	})
 }
 
@@ -174,9 +181,7 @@
 }
 
 func (s *crashDetector) recordCrash(f suspect.Fingerprint, address string) {
-	evidence := s.table.RecordCrash(f, address, time.Now())
-	s.log.Warn("Target died under a request.", zap.String("address", address), zap.String("fingerprint", string(f)),
-		zap.Int("crashes", len(evidence.Crashes)))
+	s.table.RecordCrash(f, address, time.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.pending) == maxCrashesPerReport {
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -85,7 +85,21 @@
 	Convicted(suspect.Fingerprint) bool
 	// ConnectionBroke records that a request's connection to a target broke. Whether the
 	// target crashed is checked in the background.
-	ConnectionBroke(f suspect.Fingerprint, address string)
+	ConnectionBroke(BrokenCall)
+}
+
+// BrokenCall is a call to a target whose connection broke.
+type BrokenCall struct {
+	// RequestID identifies the request, Content what its target received.
+	RequestID string
+	Content   suspect.Fingerprint
+	// Parts are the IDs of the parts of its prompt.
+	Parts []string
+	// Target is the target's ID, Address its IP:port.
+	Target  string
+	Address string
+	// Events tells whether the caller had a whole event of this target's answer.
+	Events bool
 }
 
 // job is the state of one request being processed.
@@ -213,10 +227,17 @@
 
 // reportBroken reports to Suspicion that a connection to a target broke while it had the
 // request. To a process that is cut off, all targets look as if they had crashed.
-func (j *job) reportBroken(address string) {
-	if j.Suspicion != nil && j.ctx.Err() == nil && !j.cutOff() {
-		j.Suspicion.ConnectionBroke(j.contentID, address)
+func (j *job) reportBroken(target *pool.Target, events bool) {
+	if j.Suspicion == nil || j.ctx.Err() != nil || j.cutOff() {
+		return
+	}
+	var parts []string
+	for _, part := range j.req.Prompt.Parts {
+		parts = append(parts, part.ID)
 	}
+	j.Suspicion.ConnectionBroke(BrokenCall{
+		RequestID: j.req.ID, Content: j.contentID, Parts: parts, Target: target.ID, Address: target.Address, Events: events,
+	})
 }
 
 // timeout returns the shorter of the caller's and the route's timeout.
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -201,7 +201,7 @@
 	}
 	s.answer.Close()
 	s.call.End(outcome, time.Now())
-	j.reportBroken(s.target.Address)
+	j.reportBroken(s.target, s.events.complete)
 	j.tried[s.target.ID] = true
 	for j.ctx.Err() == nil && s.resumable() && j.runs < j.route.Attempts && j.sends < maxSends {
 		if !j.takeRetry() {
