crashes: parts of prompts that crash targets are found and refused, like contents

Cause: what makes requests the same fault was taken to be their bytes. The question was also asked only once, at admission.

Now a request has traits: its content and the shared parts of its prompt. All are reported, judged, published, kept and refused by one mechanism, package crashes. Processes report which traits were on a target that died to two collectors, and again to new ones. Before each send it is asked again. An unframed answer counts only if its target lives. A caller that leaves as its target dies is no reason not to report.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -24,6 +24,11 @@
 	// TopicSuspect carries fingerprints of requests suspected of crashing their
 	// targets.
 	TopicSuspect Topic = "suspect"
+	// TopicConviction carries convictions of requests that crash their targets, TopicCrashQuestion
+	// questions whether requests were answered all the same, and TopicCrashAnswer the answers to them.
+	TopicConviction    Topic = "conviction"
+	TopicCrashQuestion Topic = "crash_question"
+	TopicCrashAnswer   Topic = "crash_answer"
 	// TopicDemand carries each process's demand per contract.
 	TopicDemand Topic = "demand"
 	// TopicReach carries the services from which processes are cut off.
--- /dev/null
+++ b/internal/serve/crashes/detector.go
@@ -0,0 +1,440 @@
+package crashes
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/conns"
+	"github.com/vanillagate/vanillagate/internal/peer"
+	"github.com/vanillagate/vanillagate/internal/routing"
+	"github.com/vanillagate/vanillagate/internal/wait"
+)
+
+const (
+	// probeDelay is how long after a connection broke its target is probed. The port of a
+	// crashed process closes a few milliseconds later at most.
+	probeDelay = 50 * time.Millisecond
+	// probeTimeout limits the probe. A target that accepts a connection is alive.
+	probeTimeout = 300 * time.Millisecond
+	// collectorCount is how many processes collect the crash reports. If one of them is gone, the other
+	// still counts the crashes.
+	collectorCount = 2
+	// reviewPeriod is how often a collector judges its evidence if nothing new comes, minReviewPause the
+	// time between two reviews.
+	reviewPeriod   = 250 * time.Millisecond
+	minReviewPause = 20 * time.Millisecond
+	// askPeriod is how often the same traits are asked about, askTTL how long a question holds.
+	askPeriod = 5 * time.Second
+	askTTL    = 15 * time.Second
+	// answerDelay is the maximum random delay of an answer, and answerDelayPerMember what each member adds. An
+	// answer that another process has given meanwhile is left out. answerPeriod is the time between two answers
+	// about a trait.
+	answerDelay          = 30 * time.Millisecond
+	answerDelayPerMember = 500 * time.Microsecond
+	answerPeriod         = time.Second
+	// maxLoggedParts limits the parts of a prompt in a log line.
+	maxLoggedParts = 16
+)
+
+// Call is a call of a request to a target.
+type Call struct {
+	RequestID string
+	Traits    Traits
+	// Parts are the IDs of the shared parts of the prompt, for the log.
+	Parts []string
+	// Target is the target's ID, Address its IP:port.
+	Target  string
+	Address string
+}
+
+// Options configures a Detector.
+type Options struct {
+	Log     *zap.Logger
+	Network peer.Network
+	// Register keeps convictions; nil for none.
+	Register Register
+	// AfterRestart means that the system has run before, so that the register may hold convictions.
+	AfterRestart bool
+}
+
+// Detector is the part of one process that finds the requests that crash their targets.
+type Detector struct {
+	log     *zap.Logger
+	network peer.Network
+	baseCtx context.Context
+	// afterRestart is that of the options.
+	afterRestart bool
+
+	reporter *reporter
+	keeper   *keeper
+	// index finds convictions without a lock.
+	index atomic.Pointer[convictionIndex]
+	// wake has an element when the evidence is to be judged.
+	wake chan struct{}
+
+	mu          sync.Mutex // guards the fields below; no other lock is taken while it is held
+	convictions *convictionSet
+	// answered has the requests that this process has seen answered, watched the traits that a collector asks
+	// about, and until when.
+	answered answeredTraits
+	watched  map[Trait]time.Time
+	judge    judge
+	// askedAt is when this process, as a collector, asked last, lastAsked what.
+	askedAt   time.Time
+	lastAsked []Trait
+	version   uint64 // of the last item published
+}
+
+// New creates a detector. Call it before the network starts.
+func New(baseCtx context.Context, o Options) *Detector {
+	d := &Detector{
+		log: o.Log, network: o.Network, baseCtx: baseCtx, afterRestart: o.AfterRestart, wake: make(chan struct{}, 1),
+		convictions: newConvictionSet(), watched: map[Trait]time.Time{},
+	}
+	d.index.Store(d.convictions.index())
+	d.reporter = &reporter{log: o.Log, network: o.Network, baseCtx: baseCtx, receive: d.receiveReports}
+	d.keeper = newKeeper(o.Log, o.Register)
+	o.Network.Subscribe(peer.TopicConviction, d.receiveConvictions)
+	o.Network.Subscribe(peer.TopicCrashQuestion, d.receiveQuestion)
+	o.Network.Subscribe(peer.TopicCrashAnswer, d.receiveAnswer)
+	peer.HandleCall(o.Network, methodReport, func(list []report) (any, error) {
+		d.receiveReports(list)
+		return struct{}{}, nil
+	})
+	return d
+}
+
+// Run does the work of a collector while this process is one, until the context ends.
+func (d *Detector) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { d.runReviews(ctx) })
+	loops.Go(func() { d.runKeeper(ctx) })
+	loops.Wait()
+}
+
+func (d *Detector) runReviews(ctx context.Context) {
+	for d.awaitReview(ctx) {
+		now := time.Now()
+		d.expire(now)
+		d.reporter.followCollectors(now)
+		if d.isCollector() {
+			d.review(now)
+		}
+		wait.For(ctx, minReviewPause)
+	}
+}
+
+// awaitReview waits until the evidence is to be judged; false means that the context has ended.
+func (d *Detector) awaitReview(ctx context.Context) bool {
+	timer := time.NewTimer(reviewPeriod)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-d.wake:
+	case <-timer.C:
+	}
+	return true
+}
+
+// reviewSoon has the evidence judged.
+func (d *Detector) reviewSoon() {
+	select {
+	case d.wake <- struct{}{}:
+	default: // it will be anyway
+	}
+}
+
+func (d *Detector) isCollector() bool {
+	return slices.Contains(collectors(d.network.View()), d.network.Self().Incarnation)
+}
+
+// Convicted returns the conviction because of which a request must not run, if there is one.
+func (d *Detector) Convicted(t Traits) (Conviction, bool) { return d.index.Load().find(t) }
+
+// Convictions returns the number of convictions in force.
+func (d *Detector) Convictions() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.convictions.active())
+}
+
+// Broke probes the target of a call whose connection broke and reports a crash if it is down.
+func (d *Detector) Broke(c Call) {
+	time.AfterFunc(probeDelay, func() {
+		if d.baseCtx.Err() == nil && d.targetDied(c.Address) {
+			d.reportCrash(c)
+		}
+	})
+}
+
+func (d *Detector) reportCrash(c Call) {
+	d.log.Warn("Target died under a request.", zap.String("request", c.RequestID), zap.String("target", c.Target),
+		zap.String("address", c.Address), zap.Stringer("content", c.Traits.Content), zap.Strings("parts", c.Parts[:min(len(c.Parts), maxLoggedParts)]))
+	d.reporter.add(c, time.Now())
+}
+
+// Answered records that a request was answered completely. If the answer's end was that of its connection,
+// the target may have died after it; it is probed first.
+func (d *Detector) Answered(c Call, unframed bool) {
+	if !unframed {
+		d.recordAnswer(c.Traits, time.Now())
+		return
+	}
+	at := time.Now()
+	time.AfterFunc(probeDelay, func() {
+		if d.baseCtx.Err() != nil {
+			return
+		}
+		if d.targetDied(c.Address) {
+			d.reportCrash(c)
+			return
+		}
+		d.recordAnswer(c.Traits, at)
+	})
+}
+
+// targetDied reports whether connections to an address are refused.
+func (d *Detector) targetDied(address string) bool {
+	ctx, cancel := context.WithTimeout(d.baseCtx, probeTimeout)
+	defer cancel()
+	conn, err := conns.Dial(ctx, address)
+	if err == nil {
+		_ = conn.Close() // only probed
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// recordAnswer remembers an answer, and tells the other processes of it if a collector asks about one of
+// its traits.
+func (d *Detector) recordAnswer(t Traits, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	traits := append([]Trait{t.Content}, t.Parts[:min(len(t.Parts), maxPartsPerAnswer)]...)
+	var news []Trait
+	for _, trait := range traits {
+		d.answered.record(trait, at)
+		if at.Before(d.watched[trait]) && at.Sub(d.judge.answered.last(trait)) >= answerPeriod {
+			news = append(news, trait)
+		}
+	}
+	d.publishAnswers(news, at)
+}
+
+// answer is what a process publishes about a trait: how long ago a request with it was answered.
+type answer struct {
+	Trait Trait `json:"t"`
+	AgeMS int64 `json:"age_ms"`
+}
+
+// publishAnswers tells all processes, this one among them, of the last answers to requests with some
+// traits. The caller holds mu.
+func (d *Detector) publishAnswers(traits []Trait, now time.Time) {
+	var list []answer
+	for _, t := range traits {
+		at := d.answered.last(t)
+		d.judge.answered.record(t, at)
+		list = append(list, answer{Trait: t, AgeMS: now.Sub(at).Milliseconds()})
+	}
+	if len(list) > 0 {
+		d.publish(peer.TopicCrashAnswer, askTTL, list)
+	}
+}
+
+// publish publishes an item under a key of its own, so that it doesn't replace one that a peer hasn't
+// received yet. The caller holds mu.
+func (d *Detector) publish(topic peer.Topic, ttl time.Duration, body any) {
+	d.version++
+	version := d.version
+	go func() {
+		if err := d.network.Publish(topic, strconv.FormatUint(version, 10), version, ttl, body); err != nil {
+			d.log.Warn("Failed to tell the peers of crashes.", zap.String("topic", string(topic)), zap.Error(err))
+		}
+	}()
+}
+
+// decode decodes an item of a peer.
+func decode[T any](d *Detector, item peer.Item) (body T, ok bool) {
+	if err := json.Unmarshal(item.Body, &body); err != nil {
+		d.log.Warn("A peer's message about crashes can't be decoded.", zap.String("member", string(item.Origin)),
+			zap.String("topic", string(item.Topic)), zap.Error(err))
+		return body, false
+	}
+	return body, true
+}
+
+// receiveQuestion answers a collector's question about traits, unless another process does first.
+func (d *Detector) receiveQuestion(item peer.Item) {
+	if traits, ok := decode[[]Trait](d, item); ok {
+		d.answerQuestion(traits)
+	}
+}
+
+func (d *Detector) answerQuestion(traits []Trait) {
+	now := time.Now()
+	d.mu.Lock()
+	for _, t := range traits[:min(len(traits), maxAsked)] {
+		if _, found := d.watched[t]; found || len(d.watched) < maxAnsweredTraits {
+			d.watched[t] = now.Add(askTTL)
+		}
+	}
+	d.mu.Unlock()
+	delay := answerDelay + time.Duration(len(d.network.View().Members))*answerDelayPerMember
+	time.AfterFunc(time.Duration(rand.Float64()*float64(delay)), func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		var news []Trait
+		for _, t := range traits {
+			if own := d.answered.last(t); own.After(d.judge.answered.last(t).Add(answerPeriod)) {
+				news = append(news, t)
+			}
+		}
+		d.publishAnswers(news, time.Now())
+	})
+}
+
+// receiveAnswer records when another process has seen answers.
+func (d *Detector) receiveAnswer(item peer.Item) {
+	list, ok := decode[[]answer](d, item)
+	if !ok {
+		return
+	}
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, a := range list {
+		d.judge.answered.record(a.Trait, now.Add(-time.Duration(a.AgeMS)*time.Millisecond))
+	}
+}
+
+// receiveConvictions adopts the convictions of a collector.
+func (d *Detector) receiveConvictions(item peer.Item) {
+	if list, ok := decode[[]Conviction](d, item); ok {
+		d.adopt(list, time.Now())
+	}
+}
+
+// adopt adds convictions and returns those that are new.
+func (d *Detector) adopt(list []Conviction, now time.Time) []Conviction {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var news []Conviction
+	for _, c := range list {
+		if !d.convictions.merge(c, now) {
+			continue
+		}
+		news = append(news, c)
+		message := "Requests crash their targets and are refused from now on."
+		if c.Lifted {
+			message = "Requests are no longer refused for crashes."
+			d.acquit(c, now)
+		}
+		d.log.Warn(message, zap.String("conviction", c.Key()), zap.Strings("traits", c.names()), zap.Int("crashes", c.Crashes), zap.Uint64("revision", c.Revision))
+	}
+	d.index.Store(d.convictions.index())
+	return news
+}
+
+// acquit has the crashes so far no longer count against the traits of a lifted conviction. The caller
+// holds mu.
+func (d *Detector) acquit(c Conviction, now time.Time) {
+	for _, t := range c.Traits {
+		d.judge.answered.record(t, now)
+	}
+}
+
+// receiveReports adds the crashes that a process has seen to the evidence.
+func (d *Detector) receiveReports(list []report) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range list {
+		slices.Sort(r.Parts)
+		d.judge.evidence.add(r.Target, Traits{Content: r.Content, Parts: r.Parts}, now.Add(-time.Duration(r.AgeMS)*time.Millisecond))
+	}
+	d.reviewSoon()
+}
+
+// expire forgets what no longer counts.
+func (d *Detector) expire(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.judge.evidence.expire(now)
+	for t, until := range d.watched {
+		if now.After(until) {
+			delete(d.watched, t)
+		}
+	}
+	if d.convictions.expire(now) {
+		d.index.Store(d.convictions.index())
+	}
+}
+
+// review judges the evidence and publishes what follows from it.
+func (d *Detector) review(now time.Time) {
+	members := len(d.network.View().Members)
+	d.mu.Lock()
+	v := d.judge.review(d.convictions, members, now)
+	ask := len(v.ask) > 0 && (now.Sub(d.askedAt) >= askPeriod || !containsAll(d.lastAsked, v.ask))
+	if ask {
+		d.askedAt, d.lastAsked = now, v.ask
+		d.publish(peer.TopicCrashQuestion, askTTL, v.ask)
+		time.AfterFunc(contentAnswerTime(members), d.reviewSoon)
+	}
+	changes := d.nextRevisions(v)
+	d.mu.Unlock()
+	if ask {
+		d.answerQuestion(v.ask)
+	}
+	for _, c := range d.announce(changes, now) {
+		d.keeper.add(c)
+	}
+}
+
+// nextRevisions returns the changes of convictions with their revisions. The caller holds mu.
+func (d *Detector) nextRevisions(v verdicts) []Conviction {
+	var changes []Conviction
+	set := d.convictions.clone()
+	now := time.Now()
+	for _, c := range v.lifted {
+		c.Lifted = true
+		changes = append(changes, set.add(c, now))
+	}
+	for _, c := range v.convicted {
+		changes = append(changes, set.add(c, now))
+	}
+	return changes
+}
+
+// announce adopts convictions, publishes those that are new and returns them.
+func (d *Detector) announce(list []Conviction, now time.Time) []Conviction {
+	news := d.adopt(list, now)
+	if len(news) > 0 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.publish(peer.TopicConviction, convictionTTL, news)
+	}
+	return news
+}
+
+func containsAll(list, wanted []Trait) bool {
+	return !slices.ContainsFunc(wanted, func(t Trait) bool { return !slices.Contains(list, t) })
+}
+
+// collectors returns the processes that collect the crash reports.
+func collectors(view *peer.View) []peer.Incarnation {
+	list := view.HighestRanked(collectorCount, func(id peer.Incarnation) uint64 { return routing.RendezvousScore("crashes", string(id)) })
+	slices.SortFunc(list, func(a, b peer.Incarnation) int { return cmp.Compare(a, b) })
+	return list
+}
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -45,6 +45,9 @@
 	if target == nil {
 		return attempt{}
 	}
+	if reply := j.refuseIfConvicted(); reply != nil { // convicted while it waited for the target
+		return attempt{target: target, reply: reply}
+	}
 	answer, call, failed := j.send(j.ctx, target, j.req.LastEventID)
 	if failed != nil {
 		return *failed
@@ -172,7 +175,7 @@
 		j.retry.Sent(time.Now()) // a part of the request may have arrived
 		j.sends++
 		j.runs++
-		j.reportBroken(target, false)
+		j.reportBroken(target, time.Time{}, err)
 	}
 	j.Log.Info("Attempt got no answer.", requestID(j.req.ID), zap.String("target", target.ID),
 		zap.Bool("sent", sent), zap.Error(err))
@@ -213,7 +216,7 @@
 			outcome = pool.Abandoned
 		}
 		call.End(outcome, time.Now())
-		j.reportBroken(target, false)
+		j.reportBroken(target, time.Time{}, err)
 		j.Log.Info("Answer ended early.", requestID(j.req.ID), zap.String("target", target.ID),
 			zap.String("framing", string(answer.Kind)), zap.Error(err))
 		return attempt{target: target, mayHaveArrived: true, mayHaveRun: true, err: err}
@@ -225,6 +228,7 @@
 	call.End(outcome, time.Now())
 	if isSuccess(answer.Status) {
 		j.recordCompleteAnswer()
+		j.reportAnswered(target, answer.Kind)
 	}
 	j.cleanUp()
 	body := io.NopCloser(strings.NewReader(buffered.String()))
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/serve/crashes"
 	"github.com/vanillagate/vanillagate/internal/serve/engines"
 	"github.com/vanillagate/vanillagate/internal/serve/gather"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
@@ -19,7 +20,6 @@
 	"github.com/vanillagate/vanillagate/internal/serve/quota"
 	"github.com/vanillagate/vanillagate/internal/serve/ratelimit"
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
-	"github.com/vanillagate/vanillagate/internal/suspect"
 )
 
 // Causes for which the context of a request is cancelled: ErrTimeout when its timeout has
@@ -80,26 +80,13 @@
 // Suspicion finds the requests that crash their targets, whichever process they are sent
 // to.
 type Suspicion interface {
-	// Convicted reports whether a request has crashed so many targets that it is sent to no
-	// more.
-	Convicted(suspect.Fingerprint) bool
-	// ConnectionBroke records that a request's connection to a target broke. Whether the
-	// target crashed is checked in the background.
-	ConnectionBroke(BrokenCall)
-}
-
-// BrokenCall is a call to a target whose connection broke.
-type BrokenCall struct {
-	// RequestID identifies the request, Content what its target received.
-	RequestID string
-	Content   suspect.Fingerprint
-	// Parts are the IDs of the parts of its prompt.
-	Parts []string
-	// Target is the target's ID, Address its IP:port.
-	Target  string
-	Address string
-	// Events tells whether the caller had a whole event of this target's answer.
-	Events bool
+	// Convicted returns the conviction because of which a request is sent to no target, if there is one.
+	Convicted(crashes.Traits) (crashes.Conviction, bool)
+	// Broke records that a call's connection to its target broke. Whether the target crashed is checked in
+	// the background.
+	Broke(crashes.Call)
+	// Answered records a call's complete answer. unframed means that it ended with its connection.
+	Answered(call crashes.Call, unframed bool)
 }
 
 // job is the state of one request being processed.
@@ -139,8 +126,8 @@
 	// a target; zero before.
 	preparedAt time.Time
 	sentAt     time.Time
-	// contentID identifies the request by the content that its target receives.
-	contentID suspect.Fingerprint
+	// traits are what the request has in common with others that crash targets.
+	traits crashes.Traits
 }
 
 // Run processes a request and returns the answer. The caller of Run cancels ctx with
@@ -179,9 +166,9 @@
 	if tooManyPieces(j.req.Pieces) {
 		return refuse(fasthttp.StatusBadRequest, TooManyPieces, 0)
 	}
-	j.contentID = j.fingerprint()
-	if j.Suspicion != nil && j.Suspicion.Convicted(j.contentID) {
-		return refuse(fasthttp.StatusServiceUnavailable, CrashesTargets, 0)
+	j.traits = j.traitsOfRequest()
+	if reply := j.refuseIfConvicted(); reply != nil {
+		return reply
 	}
 	if !j.Table.Loaded() {
 		return refuse(fasthttp.StatusServiceUnavailable, NoTargetsYet, j.startingRetryAfter())
@@ -215,31 +202,6 @@
 	return total > maxPieces
 }
 
-// fingerprint is the same however often, and through whichever process, a caller sends the
-// same request.
-func (j *job) fingerprint() suspect.Fingerprint {
-	team := ""
-	if j.team != nil {
-		team = j.team.Name
-	}
-	return suspect.FingerprintOf(team, j.req.Method, j.req.Host, j.req.URI, string(j.req.Body))
-}
-
-// reportBroken reports to Suspicion that a connection to a target broke while it had the
-// request. To a process that is cut off, all targets look as if they had crashed.
-func (j *job) reportBroken(target *pool.Target, events bool) {
-	if j.Suspicion == nil || j.ctx.Err() != nil || j.cutOff() {
-		return
-	}
-	var parts []string
-	for _, part := range j.req.Prompt.Parts {
-		parts = append(parts, part.ID)
-	}
-	j.Suspicion.ConnectionBroke(BrokenCall{
-		RequestID: j.req.ID, Content: j.contentID, Parts: parts, Target: target.ID, Address: target.Address, Events: events,
-	})
-}
-
 // timeout returns the shorter of the caller's and the route's timeout.
 func (j *job) timeout() time.Duration {
 	limit := defaultTimeout
@@ -280,6 +242,9 @@
 		if reply := j.refuseIfCutByShutdown(); reply != nil {
 			return reply
 		}
+		if reply := j.refuseIfConvicted(); reply != nil {
+			return reply
+		}
 		result := j.attempt()
 		if result.reply != nil {
 			return result.reply
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -36,6 +36,9 @@
 	Pieces   []int
 	PieceKey string
 	Prompt   place.Prompt
+	// SharedParts are the IDs of the parts of the prompt, also of those that can't be read otherwise, but
+	// for the last one, which is the request's own.
+	SharedParts []string
 	// LastEventID is the id of the last event of this stream that the caller has received.
 	LastEventID string
 	// Resumes is the ID of the attempt that brought the first event of this stream; empty if the caller
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -52,6 +52,8 @@
 	resumed   bool
 	hasEnded  bool
 	failure   error
+	// firstRead is when the target's first data was received; zero before.
+	firstRead time.Time
 	// lastRead is when data was last received, longestPause the longest time between two
 	// reads that returned data.
 	lastRead     time.Time
@@ -138,6 +140,7 @@
 	s.lastRead = now
 	if !s.started {
 		s.started = true
+		s.firstRead = now
 		s.call.ResponseStarted()
 		if s.job.inputs != nil {
 			s.job.inputs.release()
@@ -201,10 +204,10 @@
 	}
 	s.answer.Close()
 	s.call.End(outcome, time.Now())
-	j.reportBroken(s.target, s.events.complete)
+	j.reportBroken(s.target, s.firstRead, err)
 	j.tried[s.target.ID] = true
 	for j.ctx.Err() == nil && s.resumable() && j.runs < j.route.Attempts && j.sends < maxSends {
-		if !j.takeRetry() {
+		if j.refuseIfConvicted() != nil || !j.takeRetry() {
 			break
 		}
 		outcome := s.resume()
@@ -261,7 +264,7 @@
 		}
 	}
 	target := j.choose()
-	if target == nil {
+	if target == nil || j.refuseIfConvicted() != nil {
 		return notResumable
 	}
 	j.tried[target.ID] = true
@@ -276,7 +279,7 @@
 	}
 	s.target, s.answer, s.call = target, answer, call
 	s.partial, s.events = nil, eventScanner{}
-	s.started = false
+	s.started, s.firstRead = false, time.Time{}
 	s.resumed = s.lastEventID != ""
 	return resumed
 }
@@ -297,6 +300,7 @@
 	whole := errors.Is(failure, io.EOF)
 	if whole {
 		s.job.recordCompleteAnswer()
+		s.job.reportAnswered(s.target, s.answer.Kind)
 	}
 	s.job.Metrics.streamEnded(s.job, whole)
 }
--- /dev/null
+++ b/internal/serve/run/suspicion.go
@@ -0,0 +1,77 @@
+package run
+
+import (
+	"errors"
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/framing"
+	"github.com/vanillagate/vanillagate/internal/serve/crashes"
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+)
+
+// writingTime is how long after the first bytes of its answer a request no longer counts as the cause of
+// its target's crash: a request that crashes targets does so as they begin to answer it.
+const writingTime = time.Second
+
+// traitsOfRequest returns the same traits however often, and through whichever process, a caller sends
+// the same request.
+func (j *job) traitsOfRequest() crashes.Traits {
+	team := ""
+	if j.team != nil {
+		team = j.team.Name
+	}
+	content := crashes.ContentTrait(team, j.req.Method, j.req.Host, j.req.URI, string(j.req.Body))
+	return crashes.NewTraits(content, j.req.SharedParts)
+}
+
+// refuseIfConvicted refuses the request if it is known to crash its targets; nil otherwise.
+func (j *job) refuseIfConvicted() *Reply {
+	if j.Suspicion == nil {
+		return nil
+	}
+	conviction, found := j.Suspicion.Convicted(j.traits)
+	if !found {
+		return nil
+	}
+	j.Log.Info("Request would crash its target.", requestID(j.req.ID), zap.String("conviction", conviction.Key()), zap.Int("arrivals", j.sends))
+	return j.errorReply(fasthttp.StatusBadGateway, CrashesTargets, 0)
+}
+
+// call describes the request's call to a target.
+func (j *job) call(target *pool.Target) crashes.Call {
+	return crashes.Call{RequestID: j.req.ID, Traits: j.traits, Parts: j.req.SharedParts, Target: target.ID, Address: target.Address}
+}
+
+// reportBroken reports to Suspicion that the connection to a target broke while it had the request.
+// firstBytes is when the first bytes of its answer came; zero if none did. To a process that is cut off,
+// all targets look as if they had crashed.
+func (j *job) reportBroken(target *pool.Target, firstBytes time.Time, err error) {
+	if j.Suspicion == nil || j.cutOff() {
+		return
+	}
+	if j.ctx.Err() != nil && !brokenByTarget(err) {
+		return
+	}
+	if !firstBytes.IsZero() && time.Since(firstBytes) >= writingTime {
+		return
+	}
+	j.Suspicion.Broke(j.call(target))
+}
+
+// brokenByTarget reports whether the other side ended a connection. This process ends those of callers
+// that have left by a deadline in the past.
+func brokenByTarget(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// reportAnswered reports the complete answer of a target.
+func (j *job) reportAnswered(target *pool.Target, kind framing.Kind) {
+	if j.Suspicion != nil {
+		j.Suspicion.Answered(j.call(target), kind == framing.Connection)
+	}
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -19,6 +19,7 @@
 	"github.com/vanillagate/vanillagate/internal/conns"
 	"github.com/vanillagate/vanillagate/internal/logging"
 	"github.com/vanillagate/vanillagate/internal/peer"
+	"github.com/vanillagate/vanillagate/internal/serve/crashes"
 	"github.com/vanillagate/vanillagate/internal/serve/engines"
 	"github.com/vanillagate/vanillagate/internal/serve/follow"
 	"github.com/vanillagate/vanillagate/internal/serve/gather"
@@ -60,6 +61,8 @@
 	// AfterRestart means that the system has run before. Another process may then have used the
 	// address of this one and spent its part of the retry budget.
 	AfterRestart bool
+	// Convictions keeps the convictions of requests that crash their targets; nil for none.
+	Convictions crashes.Register
 	// LeaveOut disables mechanisms, to measure their effect.
 	LeaveOut leaveout.Set
 }
@@ -90,6 +93,7 @@
 	rateLimiter *ratelimit.Limiter // nil if disabled by LeaveOut
 	engines     *engines.Tracker   // nil if disabled by LeaveOut
 	origins     *origins.Registry
+	crashes     *crashes.Detector // nil if disabled by LeaveOut
 	executor    *run.Executor
 
 	// readSeeds reads the peer addresses of the seed processes; nil if there are none.
@@ -161,7 +165,10 @@
 		s.executor.RateLimiter = s.rateLimiter
 	}
 	if !o.LeaveOut.Has(leaveout.Containment) {
-		s.executor.Suspicion = newCrashDetector(s.baseCtx, logging.WithComponent(o.Log, "suspicion"), network)
+		s.crashes = crashes.New(s.baseCtx, crashes.Options{
+			Log: logging.WithComponent(o.Log, "suspicion"), Network: network, Register: o.Convictions, AfterRestart: o.AfterRestart,
+		})
+		s.executor.Suspicion = s.crashes
 	}
 	return s, nil
 }
@@ -205,6 +212,9 @@
 	s.tasks.Go(func() { s.reach.Run(s.baseCtx) })
 	s.tasks.Go(func() { s.counts.run(s.baseCtx) })
 	s.tasks.Go(s.runMaintenance)
+	if s.crashes != nil {
+		s.tasks.Go(func() { s.crashes.Run(s.baseCtx) })
+	}
 	return nil
 }
 
