--- a/internal/serve/crashes/convictions.go
+++ b/internal/serve/crashes/convictions.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// convictionTTL is how long a conviction is in force. Targets may have been mended meanwhile.
+	// convictionTTL is how long a conviction is in force, answeredTTL how long if requests with its traits were
+	// answered before: something else may have changed. Targets may have been mended meanwhile.
 	convictionTTL = 24 * time.Hour
+	answeredTTL   = 10 * time.Minute
 	// maxConvictions limits the convictions that a process keeps.
 	maxConvictions = 256
 	// maxConvictedTraits limits the traits of one conviction.
@@ -26,6 +28,8 @@
 	Crashes int `json:"crashes"`
 	// Revision decides between two versions of the conviction of the same traits: the higher one holds.
 	Revision uint64 `json:"revision"`
+	// Answered means that requests with the traits were answered before.
+	Answered bool `json:"answered,omitempty"`
 	// Lifted means that the conviction is no longer in force.
 	Lifted bool `json:"lifted,omitempty"`
 }
@@ -41,6 +45,13 @@
 	return fmt.Sprintf("%016x", h.Sum64())
 }
 
+func (c Conviction) ttl() time.Duration {
+	if c.Answered {
+		return answeredTTL
+	}
+	return convictionTTL
+}
+
 // names returns the traits as texts, for logs.
 func (c Conviction) names() []string {
 	list := make([]string, 0, len(c.Traits))
@@ -122,7 +133,7 @@
 func (s *convictionSet) expire(now time.Time) bool {
 	removed := false
 	for key, c := range s.byKey {
-		if now.Sub(c.since) > convictionTTL {
+		if now.Sub(c.since) > c.ttl() {
 			delete(s.byKey, key)
 			removed = true
 		}
--- a/internal/serve/crashes/detector.go
+++ b/internal/serve/crashes/detector.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -33,7 +34,7 @@
 	// reviewPeriod is how often a collector judges its evidence if nothing new comes, minReviewPause the
 	// time between two reviews.
 	reviewPeriod   = 250 * time.Millisecond
-	minReviewPause = 20 * time.Millisecond
+	minReviewPause = 50 * time.Millisecond
 	// askPeriod is how often the same traits are asked about, askTTL how long a question holds.
 	askPeriod = 5 * time.Second
 	askTTL    = 15 * time.Second
@@ -41,7 +42,7 @@
 	// answer that another process has given meanwhile is left out. answerPeriod is the time between two answers
 	// about a trait.
 	answerDelay          = 30 * time.Millisecond
-	answerDelayPerMember = 500 * time.Microsecond
+	answerDelayPerMember = 600 * time.Microsecond
 	answerPeriod         = time.Second
 	// maxLoggedParts limits the parts of a prompt in a log line.
 	maxLoggedParts = 16
@@ -87,7 +88,7 @@
 	convictions *convictionSet
 	// answered has the requests that this process has seen answered, watched the traits that a collector asks
 	// about, and until when.
-	answered answeredTraits
+	answered recentTraits
 	watched  map[Trait]time.Time
 	judge    judge
 	// askedAt is when this process, as a collector, asked last, lastAsked what.
@@ -285,13 +286,12 @@
 	now := time.Now()
 	d.mu.Lock()
 	for _, t := range traits[:min(len(traits), maxAsked)] {
-		if _, found := d.watched[t]; found || len(d.watched) < maxAnsweredTraits {
+		if _, found := d.watched[t]; found || len(d.watched) < maxRecentTraits {
 			d.watched[t] = now.Add(askTTL)
 		}
 	}
 	d.mu.Unlock()
-	delay := answerDelay + time.Duration(len(d.network.View().Members))*answerDelayPerMember
-	time.AfterFunc(time.Duration(rand.Float64()*float64(delay)), func() {
+	time.AfterFunc(randomAnswerDelay(len(d.network.View().Members), rand.Float64()), func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		var news []Trait
@@ -304,6 +304,14 @@
 	})
 }
 
+// randomAnswerDelay returns the delay of an answer, given a random number in [0, 1). The density grows
+// exponentially towards the maximum, so that only a few processes answer before they hear of others.
+func randomAnswerDelay(members int, random float64) time.Duration {
+	longest := answerDelay + time.Duration(members)*answerDelayPerMember
+	growth := 1 + math.Log(float64(members+1))
+	return time.Duration(float64(longest) / growth * math.Log1p(random*math.Expm1(growth)))
+}
+
 // receiveAnswer records when another process has seen answers.
 func (d *Detector) receiveAnswer(item peer.Item) {
 	list, ok := decode[[]answer](d, item)
@@ -338,7 +346,9 @@
 		message := "Requests crash their targets and are refused from now on."
 		if c.Lifted {
 			message = "Requests are no longer refused for crashes."
-			d.acquit(c, now)
+			for _, t := range c.Traits {
+				d.judge.acquitted.record(t, now)
+			}
 		}
 		d.log.Warn(message, zap.String("conviction", c.Key()), zap.Strings("traits", c.names()), zap.Int("crashes", c.Crashes), zap.Uint64("revision", c.Revision))
 	}
@@ -346,14 +356,6 @@
 	return news
 }
 
-// acquit has the crashes so far no longer count against the traits of a lifted conviction. The caller
-// holds mu.
-func (d *Detector) acquit(c Conviction, now time.Time) {
-	for _, t := range c.Traits {
-		d.judge.answered.record(t, now)
-	}
-}
-
 // receiveReports adds the crashes that a process has seen to the evidence.
 func (d *Detector) receiveReports(list []report) {
 	now := time.Now()
--- a/internal/serve/crashes/detector_test.go
+++ b/internal/serve/crashes/detector_test.go
@@ -280,3 +280,17 @@
 		p.assertConvicted(true, prompt(100, "dead"))
 	})
 }
+
+// Guards against a question that all processes of a large system answer at once.
+func TestFewProcessesAnswerAQuestion(t *testing.T) {
+	const members = 984
+	early := 0
+	for i := range members {
+		delay := randomAnswerDelay(members, float64(i)/members)
+		assert.Assert(t, delay >= 0 && delay <= contentAnswerTime(members))
+		if delay < 200*time.Millisecond {
+			early++
+		}
+	}
+	assert.Assert(t, early <= 20, "%d answer within 200 ms", early)
+}
--- a/internal/serve/crashes/evidence.go
+++ b/internal/serve/crashes/evidence.go
@@ -10,7 +10,7 @@
 	// maxCrashes, maxRunsPerCrash and maxTraitsHeld limit the evidence. The oldest crash goes first.
 	maxCrashes      = 256
 	maxRunsPerCrash = 256
-	maxTraitsHeld   = 64 << 10
+	maxTraitsHeld   = 16 << 10
 )
 
 // crash is the crash of a target and the requests that it was running, as far as they may be the cause.
--- a/internal/serve/crashes/judge.go
+++ b/internal/serve/crashes/judge.go
@@ -13,10 +13,15 @@
 	// A part needs more, since it is more often there by chance.
 	crashesByContent = 3
 	crashesByPart    = 5
+	// crashesByAnsweredPart is the number for a part with which requests were answered before.
+	crashesByAnsweredPart = 8
 	// roundsByContent and roundsByPart are the numbers of crashes that are at least roundTime apart.
 	roundsByContent = 2
 	roundsByPart    = 3
 	roundTime       = 300 * time.Millisecond
+	// likelierShare is the share of the crashes at which a part that is in no answer must have been there to be
+	// a likelier cause than parts with which requests were answered before.
+	likelierShare = 0.2
 	// contentsByPart is how many different requests with the part must have been there: with fewer, their
 	// content is the cause.
 	contentsByPart = 3
@@ -38,6 +43,9 @@
 	// companionShare is the share of the crashes with one trait at which another one must have been in the
 	// same requests for the two to be convicted together.
 	companionShare = 0.8
+	// maxPartners is how many parts may explain a set's crashes together with it, each some of them. If it
+	// takes more, the set is the likelier cause.
+	maxPartners = 2
 	// maxVerdicts limits the verdicts of one review.
 	maxVerdicts = 8
 )
@@ -48,7 +56,9 @@
 type judge struct {
 	evidence evidence
 	// answered has the traits of which a process has said when a request with them was last answered.
-	answered answeredTraits
+	answered recentTraits
+	// acquitted has the traits of convictions that were lifted: earlier crashes don't count.
+	acquitted recentTraits
 	// asked is when processes were first asked about a trait, members the number of other processes.
 	asked   map[Trait]time.Time
 	members int
@@ -108,8 +118,8 @@
 func (j *judge) review(known *convictionSet, members int, now time.Time) verdicts {
 	j.members = members
 	var v verdicts
-	j.reconsider(&v, known)
-	index := known.index()
+	firm := j.reconsider(&v, known)
+	index := firm.index()
 	contents := j.tallyContents(index)
 	parts := j.tallyParts(index, j.unexplained(index))
 	j.chooseQuestions(&v, known, contents, parts, now)
@@ -118,7 +128,7 @@
 			v.convicted = append(v.convicted, Conviction{Traits: []Trait{t.trait}, Crashes: len(t.crashes)})
 		}
 	}
-	j.convictParts(&v, known, now)
+	j.convictParts(&v, firm, now)
 	return v
 }
 
@@ -132,8 +142,11 @@
 	return asked && now.Sub(at) >= limit
 }
 
-// counts reports whether a crash counts against a trait: no request with it was answered later.
-func (j *judge) counts(c *crash, t Trait) bool { return c.at.After(j.answered.last(t)) }
+// counts reports whether a crash counts against a trait: no request with it was answered later, and it
+// wasn't acquitted.
+func (j *judge) counts(c *crash, t Trait) bool {
+	return c.at.After(j.answered.last(t)) && c.at.After(j.acquitted.last(t))
+}
 
 // suspects returns the runs that may have caused a crash: those that are convicted, if there are any, else
 // all.
@@ -189,7 +202,7 @@
 	j.countParts(all, index, crashes, j.neverAnswered)
 	likelier := func(part Trait) bool {
 		t := all[part]
-		return t != nil && len(t.crashes) >= crashesToAsk && j.neverAnswered(part)
+		return t != nil && j.neverAnswered(part) && len(t.crashes) >= max(crashesToAsk, int(likelierShare*float64(len(crashes))))
 	}
 	rest := slices.DeleteFunc(slices.Clone(crashes), func(c *crash) bool {
 		return slices.ContainsFunc(suspects(c, index), func(run Traits) bool { return slices.ContainsFunc(run.Parts, likelier) })
@@ -260,45 +273,88 @@
 }
 
 // convictParts convicts as few sets of parts as explain the crashes.
-func (j *judge) convictParts(v *verdicts, known *convictionSet, now time.Time) {
-	assumed := known.clone()
+func (j *judge) convictParts(v *verdicts, firm *convictionSet, now time.Time) {
+	assumed := firm.clone()
 	for _, c := range v.convicted {
 		assumed.add(c, now)
 	}
 	for range maxVerdicts {
 		index := assumed.index()
 		open := j.unexplained(index)
-		c, found := j.widened(assumed, index, open)
-		if !found {
-			c, found = j.convictNext(index, open, now)
+		found := j.widened(assumed, index, open)
+		if len(found) == 0 {
+			found = j.convictNext(index, open, now)
 		}
-		if !found {
+		if len(found) == 0 {
 			return
 		}
-		assumed.add(c, now)
-		v.convicted = append(v.convicted, c)
+		for _, c := range found {
+			assumed.add(c, now)
+		}
+		v.convicted = append(v.convicted, found...)
 	}
 }
 
-// convictNext returns the set of parts that explains most of the open crashes.
-func (j *judge) convictNext(index *convictionIndex, open []*crash, now time.Time) (Conviction, bool) {
+// convictNext returns the set of parts that explains most of the open crashes, or several sets that
+// explain the same crashes more specifically.
+func (j *judge) convictNext(index *convictionIndex, open []*crash, now time.Time) []Conviction {
+	all := j.tallyParts(index, open)
 	var list []*tally
-	for _, t := range j.tallyParts(index, open) {
-		enough := len(t.crashes) >= crashesByPart && t.rounds() >= roundsByPart && len(t.contents) >= contentsByPart
+	for _, t := range all {
+		enough := len(t.crashes) >= j.crashesToConvict(t.trait) && t.rounds() >= roundsByPart && len(t.contents) >= contentsByPart
 		if enough && j.answersAwaited(t.trait, now) && now.Sub(j.answered.last(t.trait)) >= unansweredTime {
 			list = append(list, t)
 		}
 	}
 	if len(list) == 0 {
-		return Conviction{}, false
+		return nil
 	}
 	// Parts with which no request was ever answered are more likely than those with which some were.
 	if unanswered := slices.DeleteFunc(slices.Clone(list), func(t *tally) bool { return !j.neverAnswered(t.trait) }); len(unanswered) > 0 {
 		list = unanswered
 	}
 	set := j.addCompanions(index, list)
-	slices.Sort(set.traits)
-	return Conviction{Traits: set.traits, Crashes: len(set.crashes)}, true
+	var found []Conviction
+	for _, s := range j.splitByPartners(index, set, all) {
+		slices.Sort(s.traits)
+		answered := !slices.ContainsFunc(s.traits, j.neverAnswered)
+		found = append(found, Conviction{Traits: s.traits, Crashes: len(s.crashes), Answered: answered})
+	}
+	return found
+}
+
+// splitByPartners returns the set together with each of the parts that were there at several of its
+// crashes, if these parts explain all of them: several parts may crash targets by turns. Else it
+// returns the set alone.
+func (j *judge) splitByPartners(index *convictionIndex, set traitSet, all []*tally) []traitSet {
+	var parts []traitSet
+	explained := map[*crash]bool{}
+	for _, t := range all {
+		if len(t.crashes) < crashesToAsk || !j.neverAnswered(t.trait) || slices.Contains(set.traits, t.trait) || len(parts) == maxPartners {
+			continue
+		}
+		traits := append(slices.Clone(set.traits), t.trait)
+		together := crashesWith(index, set.crashes, traits)
+		if !slices.ContainsFunc(together, func(c *crash) bool { return !explained[c] }) {
+			continue
+		}
+		for _, c := range together {
+			explained[c] = true
+		}
+		parts = append(parts, traitSet{traits: traits, crashes: together})
+	}
+	if len(explained) < len(set.crashes) || len(set.traits) == maxConvictedTraits {
+		return []traitSet{set}
+	}
+	return parts
+}
+
+// crashesToConvict returns the number of crashes that convict a part.
+func (j *judge) crashesToConvict(part Trait) int {
+	if j.neverAnswered(part) {
+		return crashesByPart
+	}
+	return crashesByAnsweredPart
 }
 
 func (j *judge) neverAnswered(t Trait) bool { return j.answered.last(t).IsZero() }
@@ -346,8 +402,8 @@
 	return list
 }
 
-// widened returns the part of a convicted set under which targets go on crashing.
-func (j *judge) widened(known *convictionSet, index *convictionIndex, open []*crash) (Conviction, bool) {
+// widened returns the part of a convicted set under which targets go on crashing; none if there is none.
+func (j *judge) widened(known *convictionSet, index *convictionIndex, open []*crash) []Conviction {
 	for _, c := range known.active() {
 		if len(c.Traits) < 2 {
 			continue
@@ -355,11 +411,11 @@
 		for _, subset := range j.tallySubsets(c, index, open) {
 			t := subset.tally
 			if len(t.crashes) >= crashesToWiden && t.rounds() >= crashesToWiden && len(t.contents) >= crashesToWiden {
-				return Conviction{Traits: subset.traits, Crashes: c.Crashes + len(t.crashes)}, true
+				return []Conviction{{Traits: subset.traits, Crashes: c.Crashes + len(t.crashes)}}
 			}
 		}
 	}
-	return Conviction{}, false
+	return nil
 }
 
 // subsetTally counts the crashes under requests that have only some traits of a conviction.
@@ -376,10 +432,9 @@
 			continue
 		}
 		for _, run := range suspects(o, index) {
-			subset := slices.DeleteFunc(slices.Clone(c.Traits), func(t Trait) bool {
-				return !run.has(t) || !j.counts(o, t) || !j.neverAnswered(t)
-			})
-			if len(subset) > 0 {
+			subset := slices.DeleteFunc(slices.Clone(c.Traits), func(t Trait) bool { return !run.has(t) })
+			sound := slices.ContainsFunc(subset, func(t Trait) bool { return !j.neverAnswered(t) || !j.counts(o, t) })
+			if len(subset) > 0 && !sound {
 				list = countSubset(list, subset, run, o)
 			}
 		}
@@ -397,21 +452,20 @@
 	return list
 }
 
-// reconsider lifts the convictions with which requests were answered since, and convicts the rest of a
-// set of which some traits turn out to be sound.
-func (j *judge) reconsider(v *verdicts, known *convictionSet) {
+// reconsider lifts the convictions with all of whose traits requests were answered since. It returns those
+// that explain crashes: the others are in doubt, since some of their traits turned out to be sound.
+func (j *judge) reconsider(v *verdicts, known *convictionSet) *convictionSet {
+	firm := known.clone()
 	for _, c := range known.active() {
-		rest := slices.DeleteFunc(slices.Clone(c.Traits), func(t Trait) bool { return j.answered.last(t).After(c.since) })
-		if len(rest) == len(c.Traits) {
-			continue
-		}
+		rest := slices.DeleteFunc(slices.Clone(c.Traits), func(t Trait) bool {
+			return !j.neverAnswered(t) && (!c.Answered || j.answered.last(t).After(c.since))
+		})
 		if len(rest) == 0 {
 			v.lifted = append(v.lifted, c.Conviction)
-			continue
 		}
-		narrowed := Conviction{Traits: rest, Crashes: c.Crashes}
-		if old := known.byKey[narrowed.Key()]; old == nil || old.Lifted {
-			v.convicted = append(v.convicted, narrowed)
+		if len(rest) < len(c.Traits) {
+			delete(firm.byKey, c.Key())
 		}
 	}
+	return firm
 }
--- a/internal/serve/crashes/judge_test.go
+++ b/internal/serve/crashes/judge_test.go
@@ -142,6 +142,30 @@
 			},
 			refused: []parts{{"a", "dead0"}, {"a", "dead1"}}, served: []parts{{"a"}, {"a", "b"}},
 		},
+		{
+			name: "two deadly parts by turns, no request was ever answered",
+			play: func(s *scene) {
+				for i := range 12 {
+					s.crash(parts{"a", fmt.Sprint("dead", i%2)}, parts{"a"})
+					s.wait(step)
+				}
+			},
+			refused: []parts{{"a", "dead0"}, {"a", "dead1"}}, served: []parts{{"a"}, {"a", "b"}},
+		},
+		{
+			name: "two deadly parts by turns among parts that overlap, no request was ever answered",
+			play: func(s *scene) {
+				for i := range 14 {
+					list := parts{fmt.Sprint("a", i%2), fmt.Sprint("dead", i/2%2)}
+					for k := range 8 {
+						list = append(list, fmt.Sprint("c", (i/2+k)%30))
+					}
+					s.crash(list, parts{fmt.Sprint("a", i%2), fmt.Sprint("c", i%30)})
+					s.wait(step)
+				}
+			},
+			refused: []parts{{"a0", "dead0", "c5", "c6", "c7"}, {"a1", "dead1", "c5", "c6", "c7"}}, served: []parts{{"a0", "c5"}, {"a1", "c6"}, {"a1", "c7"}, {"a0", "c4"}},
+		},
 		{
 			name: "three deadly parts while no sound request is answered for long",
 			play: func(s *scene) {
@@ -288,11 +312,11 @@
 		s.now = s.now.Add(2 * sameCrashTime)
 		assert.Assert(t, s.judge.evidence.traits <= maxTraitsHeld && len(s.judge.evidence.crashes) <= maxCrashes)
 	}
-	var answered answeredTraits
-	for i := range 3 * maxAnsweredTraits {
+	var answered recentTraits
+	for i := range 3 * maxRecentTraits {
 		answered.record(PartTrait(fmt.Sprint(i)), epoch)
 	}
-	assert.Assert(t, len(answered.newer)+len(answered.older) <= 2*maxAnsweredTraits)
+	assert.Assert(t, len(answered.newer)+len(answered.older) <= 2*maxRecentTraits)
 	set := newConvictionSet()
 	for i := range 2 * maxConvictions {
 		set.add(Conviction{Traits: []Trait{PartTrait(fmt.Sprint(i))}}, epoch)
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -228,7 +228,7 @@
 	call.End(outcome, time.Now())
 	if isSuccess(answer.Status) {
 		j.recordCompleteAnswer()
-		j.reportAnswered(target, answer.Kind)
+		j.reportAnswered(target, answer.Kind == framing.Connection)
 	}
 	j.cleanUp()
 	body := io.NopCloser(strings.NewReader(buffered.String()))
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -52,8 +52,10 @@
 	resumed   bool
 	hasEnded  bool
 	failure   error
-	// firstRead is when the target's first data was received; zero before.
+	// firstRead is when the target's first data was received, zero before; survived is set once the target
+	// has written for long enough to show that the stream doesn't crash it.
 	firstRead time.Time
+	survived  bool
 	// lastRead is when data was last received, longestPause the longest time between two
 	// reads that returned data.
 	lastRead     time.Time
@@ -146,6 +148,10 @@
 			s.job.inputs.release()
 		}
 	}
+	if !s.survived && now.Sub(s.firstRead) >= writingTime {
+		s.survived = true
+		s.job.reportAnswered(s.target, false)
+	}
 	s.job.refreshOrigin(now)
 	s.pending = s.pending[:0]
 	if s.opaque {
@@ -279,7 +285,7 @@
 	}
 	s.target, s.answer, s.call = target, answer, call
 	s.partial, s.events = nil, eventScanner{}
-	s.started, s.firstRead = false, time.Time{}
+	s.started, s.firstRead, s.survived = false, time.Time{}, false
 	s.resumed = s.lastEventID != ""
 	return resumed
 }
@@ -300,7 +306,7 @@
 	whole := errors.Is(failure, io.EOF)
 	if whole {
 		s.job.recordCompleteAnswer()
-		s.job.reportAnswered(s.target, s.answer.Kind)
+		s.job.reportAnswered(s.target, s.answer.Kind == framing.Connection)
 	}
 	s.job.Metrics.streamEnded(s.job, whole)
 }
--- a/internal/serve/run/suspicion.go
+++ b/internal/serve/run/suspicion.go
@@ -9,14 +9,14 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
-	"github.com/vanillagate/vanillagate/internal/framing"
 	"github.com/vanillagate/vanillagate/internal/serve/crashes"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 )
 
 // writingTime is how long after the first bytes of its answer a request no longer counts as the cause of
-// its target's crash: a request that crashes targets does so as they begin to answer it.
-const writingTime = time.Second
+// its target's crash, and its target has proved to survive it: a request that crashes targets does so as
+// they begin to answer it.
+const writingTime = 2 * time.Second
 
 // traitsOfRequest returns the same traits however often, and through whichever process, a caller sends
 // the same request.
@@ -69,9 +69,10 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
-// reportAnswered reports the complete answer of a target.
-func (j *job) reportAnswered(target *pool.Target, kind framing.Kind) {
+// reportAnswered reports that a target has survived the request. unframed means that its answer ended with the
+// connection.
+func (j *job) reportAnswered(target *pool.Target, unframed bool) {
 	if j.Suspicion != nil {
-		j.Suspicion.Answered(j.call(target), kind == framing.Connection)
+		j.Suspicion.Answered(j.call(target), unframed)
 	}
 }
