pipeline, entry: documents that crash engines are found as well

The same class on the other front: content is customer, pipeline and input, so requests with one document in common, no two alike, cost two engines each for ever.

The calls of a stage have traits now, too: their request and their documents, by the kind of target, since a reranker survives what an engine doesn't. Package crashes moves out of serve and judges them; the ownership of a suspected request stays as it was. vgctl status lists the convictions. Stewards collect no reports.

Not kept here: convictions are lost when all processes restart at once; no register is wired.

--- a/internal/serve/crashes/convictions.go
+++ b/internal/crashes/convictions.go
@@ -52,8 +52,8 @@
 	return convictionTTL
 }
 
-// names returns the traits as texts, for logs.
-func (c Conviction) names() []string {
+// Names returns the traits as texts.
+func (c Conviction) Names() []string {
 	list := make([]string, 0, len(c.Traits))
 	for _, t := range c.Traits {
 		list = append(list, t.String())
--- a/internal/serve/crashes/detector.go
+++ b/internal/crashes/detector.go
@@ -164,23 +164,28 @@
 // Convicted returns the conviction because of which a request must not run, if there is one.
 func (d *Detector) Convicted(t Traits) (Conviction, bool) { return d.index.Load().find(t) }
 
-// Convictions returns the number of convictions in force.
-func (d *Detector) Convictions() int {
+// Convictions lists the convictions in force.
+func (d *Detector) Convictions() []Conviction {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.convictions.active())
+	var list []Conviction
+	for _, c := range d.convictions.active() {
+		list = append(list, c.Conviction)
+	}
+	return list
 }
 
 // Broke probes the target of a call whose connection broke and reports a crash if it is down.
 func (d *Detector) Broke(c Call) {
 	time.AfterFunc(probeDelay, func() {
 		if d.baseCtx.Err() == nil && d.targetDied(c.Address) {
-			d.reportCrash(c)
+			d.Crashed(c)
 		}
 	})
 }
 
-func (d *Detector) reportCrash(c Call) {
+// Crashed reports the crash of a call's target.
+func (d *Detector) Crashed(c Call) {
 	d.log.Warn("Target died under a request.", zap.String("request", c.RequestID), zap.String("target", c.Target),
 		zap.String("address", c.Address), zap.Stringer("content", c.Traits.Content), zap.Strings("parts", c.Parts[:min(len(c.Parts), maxLoggedParts)]))
 	d.reporter.add(c, time.Now())
@@ -199,7 +204,7 @@
 			return
 		}
 		if d.targetDied(c.Address) {
-			d.reportCrash(c)
+			d.Crashed(c)
 			return
 		}
 		d.recordAnswer(c.Traits, at)
@@ -350,7 +355,7 @@
 				d.judge.acquitted.record(t, now)
 			}
 		}
-		d.log.Warn(message, zap.String("conviction", c.Key()), zap.Strings("traits", c.names()), zap.Int("crashes", c.Crashes), zap.Uint64("revision", c.Revision))
+		d.log.Warn(message, zap.String("conviction", c.Key()), zap.Strings("traits", c.Names()), zap.Int("crashes", c.Crashes), zap.Uint64("revision", c.Revision))
 	}
 	d.index.Store(d.convictions.index())
 	return news
@@ -434,9 +439,10 @@
 	return !slices.ContainsFunc(wanted, func(t Trait) bool { return !slices.Contains(list, t) })
 }
 
-// collectors returns the processes that collect the crash reports.
+// collectors returns the processes that collect the crash reports, out of those that serve callers.
 func collectors(view *peer.View) []peer.Incarnation {
-	list := view.HighestRanked(collectorCount, func(id peer.Incarnation) uint64 { return routing.RendezvousScore("crashes", string(id)) })
+	serving := &peer.View{Self: view.Self, Members: slices.DeleteFunc(slices.Clone(view.Members), func(m peer.Member) bool { return m.CallerAddress == "" })}
+	list := serving.HighestRanked(collectorCount, func(id peer.Incarnation) uint64 { return routing.RendezvousScore("crashes", string(id)) })
 	slices.SortFunc(list, func(a, b peer.Incarnation) int { return cmp.Compare(a, b) })
 	return list
 }
--- a/internal/serve/crashes/detector_test.go
+++ b/internal/crashes/detector_test.go
@@ -127,7 +127,7 @@
 	for i := range n {
 		for at := first + i; ; at++ {
 			if p.nodes[at%len(p.all)].Running() {
-				p.all[at%len(p.all)].reportCrash(crashUnder(first+i, prompt(first+i, parts...)))
+				p.all[at%len(p.all)].Crashed(crashUnder(first+i, prompt(first+i, parts...)))
 				break
 			}
 		}
@@ -146,7 +146,7 @@
 		before := p.cluster.CallCount()
 		for i, d := range p.all {
 			for k := range crashesEach {
-				d.reportCrash(crashUnder(i/8, prompt(i*crashesEach+k)))
+				d.Crashed(crashUnder(i/8, prompt(i*crashesEach+k)))
 			}
 		}
 		time.Sleep(time.Second)
@@ -163,13 +163,13 @@
 		p := startProcesses(t, 4, newRegister())
 		before := p.cluster.CallCount()
 		for i := range 2 * maxReported {
-			p.all[0].reportCrash(crashUnder(i/8, prompt(i)))
+			p.all[0].Crashed(crashUnder(i/8, prompt(i)))
 		}
 		time.Sleep(2*reportJitter + 10*time.Millisecond)
 		assert.Assert(t, p.cluster.CallCount()-before <= 2, "%d calls", p.cluster.CallCount()-before)
 		before = p.cluster.CallCount()
-		p.all[0].reportCrash(crashUnder(100, prompt(1000)))
-		p.all[0].reportCrash(crashUnder(100, prompt(1001)))
+		p.all[0].Crashed(crashUnder(100, prompt(1000)))
+		p.all[0].Crashed(crashUnder(100, prompt(1001)))
 		time.Sleep(reportInterval + 2*reportJitter)
 		assert.Assert(t, p.cluster.CallCount()-before <= 2, "%d more calls", p.cluster.CallCount()-before)
 	})
@@ -187,7 +187,7 @@
 				for !p.nodes[i].Running() {
 					i++
 				}
-				p.all[i].reportCrash(crashUnder(i, prompt(1)))
+				p.all[i].Crashed(crashUnder(i, prompt(1)))
 				time.Sleep(reportInterval + reportJitter)
 				if killed && i == 1 {
 					p.killCollector()
@@ -232,7 +232,7 @@
 		for i := range crashesByPart {
 			for k := range p.all {
 				if seen := (k + i) % len(p.all); !isFirst(p.nodes[seen]) {
-					p.all[seen].reportCrash(crashUnder(i, prompt(i, "dead")))
+					p.all[seen].Crashed(crashUnder(i, prompt(i, "dead")))
 					break
 				}
 			}
@@ -254,7 +254,7 @@
 		p := startProcesses(t, 9, newRegister())
 		p.all[8].Answered(crashUnder(50, prompt(50, "shared")), false)
 		for i := range 2 * crashesByPart {
-			p.all[i%5].reportCrash(crashUnder(i, prompt(i, "shared")))
+			p.all[i%5].Crashed(crashUnder(i, prompt(i, "shared")))
 			time.Sleep(roundTime)
 			p.all[8].Answered(crashUnder(50, prompt(50, "shared")), false)
 		}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -184,7 +184,7 @@
 func (s *Server) startLoops(ctx context.Context, wait *sync.WaitGroup) {
 	loops := []func(context.Context){
 		s.keeper.Run, s.keeper.RunSnapshots, s.claims.Run, s.hangups.Run,
-		s.pollVMList, s.runProbes, s.runDemands, s.runCacheEvents, s.executions.run, s.observer.run, s.stops.run,
+		s.pollVMList, s.runProbes, s.runDemands, s.suspects.detector.Run, s.runCacheEvents, s.executions.run, s.observer.run, s.stops.run,
 	}
 	for _, loop := range loops {
 		wait.Go(func() { loop(ctx) })
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/vanillagate/vanillagate/internal/query/costs"
 	"github.com/vanillagate/vanillagate/internal/query/leases"
 	"github.com/vanillagate/vanillagate/internal/query/status"
+	"github.com/vanillagate/vanillagate/internal/suspect"
 )
 
 // methodStatus is the peer call that returns a process's status report.
@@ -55,6 +57,11 @@
 			Fingerprint: string(r.Fingerprint), Verdict: string(r.Verdict), Crashes: r.Crashes,
 		})
 	}
+	for _, c := range s.suspects.detector.Convictions() {
+		list = append(list, status.Suspect{
+			Fingerprint: strings.Join(c.Names(), "+"), Verdict: string(suspect.Convicted), Crashes: c.Crashes,
+		})
+	}
 	return list
 }
 
--- a/internal/entry/suspicion.go
+++ b/internal/entry/suspicion.go
@@ -7,6 +7,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/crashes"
+	"github.com/vanillagate/vanillagate/internal/logging"
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/suspect"
 )
@@ -16,10 +18,13 @@
 type suspicion struct {
 	server *Server
 	table  *suspect.Table
+	// detector finds what requests that are unlike each other have in common.
+	detector *crashes.Detector
 }
 
 func newSuspicion(s *Server) *suspicion {
 	sp := &suspicion{server: s, table: suspect.NewTable(string(s.opts.Network.Self().Incarnation))}
+	sp.detector = crashes.New(s.loopCtx, crashes.Options{Log: logging.WithComponent(s.opts.Log, "suspicion"), Network: s.opts.Network})
 	s.opts.Network.Subscribe(peer.TopicSuspect, sp.receive)
 	return sp
 }
@@ -78,6 +83,22 @@
 // Watch implements pipeline.Suspicion.
 func (sp *suspicion) Watch(f suspect.Fingerprint, fn func()) func() { return sp.table.Watch(f, fn) }
 
+// Convicted implements pipeline.Suspicion.
+func (sp *suspicion) Convicted(t crashes.Traits) bool {
+	_, found := sp.detector.Convicted(t)
+	return found
+}
+
+// Crashed implements pipeline.Suspicion.
+func (sp *suspicion) Crashed(c crashes.Call) {
+	if !sp.server.opts.Policy.NoSuspicion {
+		sp.detector.Crashed(c)
+	}
+}
+
+// Answered implements pipeline.Suspicion.
+func (sp *suspicion) Answered(c crashes.Call) { sp.detector.Answered(c, false) }
+
 // Quarantine implements pipeline.Suspicion.
 func (sp *suspicion) Quarantine(pool string) func(address string) bool {
 	network := sp.server.opts.Network
--- a/internal/pipeline/acquire.go
+++ b/internal/pipeline/acquire.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/vanillagate/vanillagate/internal/config"
+	"github.com/vanillagate/vanillagate/internal/crashes"
 	"github.com/vanillagate/vanillagate/internal/directory"
 	"github.com/vanillagate/vanillagate/internal/problem"
 	"github.com/vanillagate/vanillagate/internal/suspect"
@@ -28,7 +29,7 @@
 // suspect. units is the size of the call, in tokens for a generation.
 func (r *stageRun) acquire(ctx context.Context, hedge bool, units int, prefillSaved func(string) time.Duration) *attempt {
 	pool := r.executor.Targets.Pool(r.pool.Name)
-	if pool == nil {
+	if pool == nil || r.executor.Suspicion.Convicted(r.traits()) {
 		return nil
 	}
 	permission := r.awaitPermission(ctx)
@@ -121,6 +122,24 @@
 	return r.executor.Suspicion.Check(r.state.req.Fingerprint()) == suspect.Suspected
 }
 
+// traits returns what the call of this stage has in common with others that crash
+// their targets: its request, and the documents that it sends. A target of another
+// kind may survive the same.
+func (r *stageRun) traits() crashes.Traits {
+	req, kind := r.state.req, string(r.pool.Kind)
+	var parts []string
+	if r.pool.Kind == config.TargetEngine || r.pool.Kind == config.TargetReranker {
+		for _, doc := range r.docs {
+			parts = append(parts, kind+" "+doc)
+		}
+	}
+	return crashes.NewTraits(crashes.ContentTrait(kind, req.Customer, req.Pipeline.Name, req.Input), parts)
+}
+
+func (r *stageRun) callTo(address string) crashes.Call {
+	return crashes.Call{RequestID: r.state.req.ID, Traits: r.traits(), Target: address, Address: address}
+}
+
 // crashProbeTimeout bounds the check whether a target died.
 const crashProbeTimeout = 200 * time.Millisecond
 
@@ -139,6 +158,7 @@
 	fingerprint := r.state.req.Fingerprint()
 	if died {
 		r.executor.Suspicion.RecordCrash(fingerprint, address)
+		r.executor.Suspicion.Crashed(r.callTo(address))
 	}
 	return r.executor.Suspicion.Check(fingerprint) != suspect.Convicted
 }
--- a/internal/pipeline/attempts.go
+++ b/internal/pipeline/attempts.go
@@ -208,6 +208,9 @@
 	if r.executor.Suspicion.Check(r.state.req.Fingerprint()) == suspect.Convicted {
 		return convictedProblem(r.execution())
 	}
+	if r.executor.Suspicion.Convicted(r.traits()) {
+		return convictedPartProblem(r.execution())
+	}
 	if ctx.Err() != nil {
 		return r.finalProblem(ctx, "the deadline passed", &target.Failure{Kind: target.FailedTimeout})
 	}
@@ -299,6 +302,7 @@
 	}
 	if o.err == nil {
 		o.attempt.lease.Done(directory.Succeeded, took, now)
+		r.executor.Suspicion.Answered(r.callTo(o.attempt.lease.Address))
 		return
 	}
 	f := asFailure(o.err)
--- a/internal/pipeline/generate_test.go
+++ b/internal/pipeline/generate_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/vanillagate/vanillagate/internal/backing"
 	"github.com/vanillagate/vanillagate/internal/config"
+	"github.com/vanillagate/vanillagate/internal/crashes"
 	"github.com/vanillagate/vanillagate/internal/directory"
 	"github.com/vanillagate/vanillagate/internal/retry"
 	"github.com/vanillagate/vanillagate/internal/routing"
@@ -36,6 +37,9 @@
 func (noopHooks) MayContinue(suspect.Fingerprint, suspect.Permission) bool  { return true }
 func (noopHooks) Watch(suspect.Fingerprint, func()) func()                  { return func() {} }
 func (noopHooks) ReleasePermission(suspect.Fingerprint, suspect.Permission) {}
+func (noopHooks) Convicted(crashes.Traits) bool                             { return false }
+func (noopHooks) Crashed(crashes.Call)                                      {}
+func (noopHooks) Answered(crashes.Call)                                     {}
 
 // newTestExecutor returns an executor with a single engine.
 func newTestExecutor(t *testing.T, engine http.HandlerFunc) *Executor {
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/vanillagate/vanillagate/internal/config"
+	"github.com/vanillagate/vanillagate/internal/crashes"
 	"github.com/vanillagate/vanillagate/internal/directory"
 	"github.com/vanillagate/vanillagate/internal/problem"
 	"github.com/vanillagate/vanillagate/internal/retry"
@@ -109,6 +110,12 @@
 	// Quarantine returns a filter for the targets of a pool that a suspect may
 	// use.
 	Quarantine(pool string) func(address string) bool
+	// Convicted reports whether calls with some traits crash their targets, however
+	// unlike their requests are. Crashed records such a crash, Answered a call that
+	// its target survived.
+	Convicted(crashes.Traits) bool
+	Crashed(crashes.Call)
+	Answered(crashes.Call)
 }
 
 // Executor runs requests. Its fields are set once, before the first Run.
@@ -180,6 +187,11 @@
 		"Two targets died while they ran this request. It will not be tried again.", execution)
 }
 
+func convictedPartProblem(execution problem.Execution) *problem.Problem {
+	return problem.New(422, "crashes-targets", "Request crashes its targets",
+		"Several targets died while they ran requests with a document of this one. It will not be tried.", execution)
+}
+
 func (x *Executor) runStage(ctx context.Context, state *requestState, index int, soFar *Result) (StageReport, *problem.Problem) {
 	stage := state.req.Pipeline.Stages[index]
 	pool, ok := state.req.Pools[stage.Pool]
--- a/internal/serve/gauges.go
+++ b/internal/serve/gauges.go
@@ -24,7 +24,7 @@
 	g.set("retry_budget.processes", int64(s.processCount()))
 	g.set("streams.origins", int64(s.origins.Count()))
 	if s.crashes != nil {
-		g.set("crashes.convictions", int64(s.crashes.Convictions()))
+		g.set("crashes.convictions", int64(len(s.crashes.Convictions())))
 	}
 	g.set("requests.in_flight", s.inFlight.Load())
 	g.set("targets.connections_opened", s.client.Dialed())
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -10,7 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
-	"github.com/vanillagate/vanillagate/internal/serve/crashes"
+	"github.com/vanillagate/vanillagate/internal/crashes"
 	"github.com/vanillagate/vanillagate/internal/serve/engines"
 	"github.com/vanillagate/vanillagate/internal/serve/gather"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
--- a/internal/serve/run/suspicion.go
+++ b/internal/serve/run/suspicion.go
@@ -9,7 +9,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
-	"github.com/vanillagate/vanillagate/internal/serve/crashes"
+	"github.com/vanillagate/vanillagate/internal/crashes"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 )
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -17,9 +17,9 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillagate/vanillagate/internal/conns"
+	"github.com/vanillagate/vanillagate/internal/crashes"
 	"github.com/vanillagate/vanillagate/internal/logging"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/serve/crashes"
 	"github.com/vanillagate/vanillagate/internal/serve/engines"
 	"github.com/vanillagate/vanillagate/internal/serve/follow"
 	"github.com/vanillagate/vanillagate/internal/serve/gather"
--- a/internal/serve/servetest/network.go
+++ b/internal/serve/servetest/network.go
@@ -58,7 +58,7 @@
 	defer c.mu.Unlock()
 	n := &Node{
 		cluster: c, state: peer.Alive, handlers: map[string]handler{}, subscriptions: map[peer.Topic][]func(peer.Item){},
-		self: peer.Member{Incarnation: peer.Incarnation(name), PeerAddress: name, Zone: zone, State: peer.Alive},
+		self: peer.Member{Incarnation: peer.Incarnation(name), PeerAddress: name, CallerAddress: name + "-callers", Zone: zone, State: peer.Alive},
 	}
 	c.nodes = append(c.nodes, n)
 	c.version++
--- a/test/crash_test.go
+++ b/test/crash_test.go
@@ -189,3 +189,51 @@
 		assert.Equal(t, sendNow(e.address, r).output(t), wholeText("Q", 600))
 	}
 }
+
+// Guards against a document that crashes engine after engine because no two requests with it are alike.
+func TestDocumentThatCrashesEnginesIsStopped(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, clusterOptions{})
+	c.waitLinked()
+	ask := func(vm, n int, ref string) reply {
+		r := pipelineRequest(ref, 8)
+		r.body = fmt.Sprintf(`{"input":"question %d [ref:%s]","max_tokens":8}`, n, ref)
+		r.timeout = 10 * time.Second
+		return sendNow(c.entries[vm].address, r)
+	}
+	for n := range 6 {
+		assert.Equal(t, ask(n%len(c.entries), n, "Q").output(t), wholeText("Q", 8))
+	}
+	c.setFault(fault.PoolScope("llm"), fault.Fault{CrashMarker: "doc 1 for [ref:P]", RestartMS: 1000})
+	var fifth time.Time
+	before := 0
+	for n := range 16 {
+		ask(n%len(c.entries), n, "P")
+		time.Sleep(500 * time.Millisecond)
+		if fifth.IsZero() && c.engineCrashes() >= 5 {
+			fifth = time.Now()
+		}
+		if fifth.IsZero() || time.Since(fifth) < 3*time.Second {
+			before = c.engineCrashes()
+		}
+	}
+	assert.Assert(t, !fifth.IsZero())
+	after := c.engineCrashes() - before
+	t.Logf("%d engines crashed, %d of them late", before+after, after)
+	assert.Assert(t, after <= 3, "%d engines crashed late", after)
+	refused, crashed := 0, c.engineCrashes()
+	for n := range 12 {
+		got := ask(n%len(c.entries), 100+n, "P")
+		if got.status == http.StatusUnprocessableEntity {
+			assertCrashRefusal(t, got)
+			refused++
+			continue
+		}
+		assert.Equal(t, got.output(t), wholeText("P", 8)) // the document isn't among those chosen for it
+	}
+	assert.Assert(t, refused > 0)
+	assert.Equal(t, c.engineCrashes(), crashed)
+	for i := range c.entries {
+		assert.Equal(t, ask(i, 100+i, "Q").output(t), wholeText("Q", 8))
+	}
+}
