crashes: convictions in doubt aren't published again and again; collectors are chosen once a view

By reading: a content that was answered before its crashes was convicted and lifted by turns at each review, and a conviction in doubt found again each time. Both change once now; the table test checks that nothing changes in a minute without news. Questions about suspected traits come before those about convicted ones, which could crowd them out. The members are ranked once for each view instead of eight times a second.

--- a/internal/crashes/convictions.go
+++ b/internal/crashes/convictions.go
@@ -105,6 +105,12 @@
 	return c
 }
 
+// inForce reports whether the traits of a conviction are convicted.
+func (s *convictionSet) inForce(c Conviction) bool {
+	known := s.byKey[c.Key()]
+	return known != nil && !known.Lifted
+}
+
 func (s *convictionSet) clone() *convictionSet { return &convictionSet{byKey: maps.Clone(s.byKey)} }
 
 // evict removes a conviction: first those that are lifted, then those of contents, the oldest first.
--- a/internal/crashes/detector.go
+++ b/internal/crashes/detector.go
@@ -1,7 +1,6 @@
 package crashes
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -18,7 +17,6 @@
 
 	"github.com/vanillagate/vanillagate/internal/conns"
 	"github.com/vanillagate/vanillagate/internal/peer"
-	"github.com/vanillagate/vanillagate/internal/routing"
 	"github.com/vanillagate/vanillagate/internal/wait"
 )
 
@@ -28,9 +26,6 @@
 	probeDelay = 50 * time.Millisecond
 	// probeTimeout limits the probe. A target that accepts a connection is alive.
 	probeTimeout = 300 * time.Millisecond
-	// collectorCount is how many processes collect the crash reports. If one of them is gone, the other
-	// still counts the crashes.
-	collectorCount = 2
 	// reviewPeriod is how often a collector judges its evidence if nothing new comes, minReviewPause the
 	// time between two reviews.
 	reviewPeriod   = 250 * time.Millisecond
@@ -80,7 +75,8 @@
 	reporter *reporter
 	keeper   *keeper
 	// index finds convictions without a lock.
-	index atomic.Pointer[convictionIndex]
+	index      atomic.Pointer[convictionIndex]
+	collectors collectorChoice
 	// wake has an element when the evidence is to be judged.
 	wake chan struct{}
 
@@ -104,7 +100,7 @@
 		convictions: newConvictionSet(), watched: map[Trait]time.Time{},
 	}
 	d.index.Store(d.convictions.index())
-	d.reporter = &reporter{log: o.Log, network: o.Network, baseCtx: baseCtx, receive: d.receiveReports}
+	d.reporter = &reporter{log: o.Log, network: o.Network, baseCtx: baseCtx, receive: d.receiveReports, choice: &d.collectors}
 	d.keeper = newKeeper(o.Log, o.Register)
 	o.Network.Subscribe(peer.TopicConviction, d.receiveConvictions)
 	o.Network.Subscribe(peer.TopicCrashQuestion, d.receiveQuestion)
@@ -158,7 +154,8 @@
 }
 
 func (d *Detector) isCollector() bool {
-	return slices.Contains(collectors(d.network.View()), d.network.Self().Incarnation)
+	view := d.network.View()
+	return slices.Contains(d.collectors.of(view), view.Self.Incarnation)
 }
 
 // Convicted returns the conviction because of which a request must not run, if there is one.
@@ -438,11 +435,3 @@
 func containsAll(list, wanted []Trait) bool {
 	return !slices.ContainsFunc(wanted, func(t Trait) bool { return !slices.Contains(list, t) })
 }
-
-// collectors returns the processes that collect the crash reports, out of those that serve callers.
-func collectors(view *peer.View) []peer.Incarnation {
-	serving := &peer.View{Self: view.Self, Members: slices.DeleteFunc(slices.Clone(view.Members), func(m peer.Member) bool { return m.CallerAddress == "" })}
-	list := serving.HighestRanked(collectorCount, func(id peer.Incarnation) uint64 { return routing.RendezvousScore("crashes", string(id)) })
-	slices.SortFunc(list, func(a, b peer.Incarnation) int { return cmp.Compare(a, b) })
-	return list
-}
--- a/internal/crashes/judge.go
+++ b/internal/crashes/judge.go
@@ -125,10 +125,12 @@
 	j.chooseQuestions(&v, known, contents, parts, now)
 	for _, t := range contents {
 		if len(t.crashes) >= crashesByContent && t.rounds() >= roundsByContent && j.answersAwaited(t.trait, now) {
-			v.convicted = append(v.convicted, Conviction{Traits: []Trait{t.trait}, Crashes: len(t.crashes)})
+			v.convicted = append(v.convicted, Conviction{Traits: []Trait{t.trait}, Crashes: len(t.crashes), Answered: !j.neverAnswered(t.trait)})
 		}
 	}
 	j.convictParts(&v, firm, now)
+	// One that is in doubt may be found again.
+	v.convicted = slices.DeleteFunc(v.convicted, known.inForce)
 	return v
 }
 
@@ -244,29 +246,32 @@
 	return list
 }
 
-// chooseQuestions lists the traits with the most crashes, and those of convictions that answers may narrow
-// or lift.
+// chooseQuestions lists the traits with the most crashes, then those of convictions that answers may put
+// in doubt or lift.
 func (j *judge) chooseQuestions(v *verdicts, known *convictionSet, contents, parts []*tally, now time.Time) {
-	for _, c := range known.active() {
-		if len(c.Traits) > 1 && now.Sub(c.since) < evidenceTTL || now.Sub(c.since) < askTTL {
-			v.ask = append(v.ask, c.Traits...)
+	asked := map[Trait]time.Time{}
+	ask := func(t Trait) {
+		if _, found := asked[t]; found || len(asked) == maxAsked {
+			return
+		}
+		asked[t] = now
+		if at, found := j.asked[t]; found {
+			asked[t] = at
 		}
+		v.ask = append(v.ask, t)
 	}
 	for _, list := range [][]*tally{parts, contents} {
 		for _, t := range list[:min(len(list), maxAsked/2)] {
 			if len(t.crashes) >= crashesToAsk {
-				v.ask = append(v.ask, t.trait)
+				ask(t.trait)
 			}
 		}
 	}
-	slices.Sort(v.ask)
-	v.ask = slices.Compact(v.ask)
-	v.ask = v.ask[:min(len(v.ask), maxAsked)]
-	asked := map[Trait]time.Time{}
-	for _, t := range v.ask {
-		asked[t] = now
-		if at, found := j.asked[t]; found {
-			asked[t] = at
+	for _, c := range known.active() {
+		if len(c.Traits) > 1 && now.Sub(c.since) < evidenceTTL || now.Sub(c.since) < askTTL {
+			for _, t := range c.Traits {
+				ask(t)
+			}
 		}
 	}
 	j.asked = asked
--- a/internal/crashes/judge_test.go
+++ b/internal/crashes/judge_test.go
@@ -17,6 +17,7 @@
 	now     time.Time
 	content int
 	target  int
+	changes int // of convictions
 }
 
 func newScene() *scene { return &scene{known: newConvictionSet(), now: epoch} }
@@ -33,6 +34,7 @@
 		for _, c := range v.convicted {
 			s.known.add(c, s.now)
 		}
+		s.changes += len(v.lifted) + len(v.convicted)
 	}
 }
 
@@ -259,6 +261,9 @@
 			s := newScene()
 			c.play(s)
 			s.wait(2 * time.Second)
+			before := s.changes
+			s.wait(time.Minute)
+			assert.Check(t, s.changes == before, "%d changes although nothing happened", s.changes-before)
 			for _, list := range c.refused {
 				assert.Check(t, s.refused(list...), "%v is served", list)
 			}
@@ -285,6 +290,9 @@
 	}
 	s.wait(time.Second)
 	assert.Assert(t, s.refused())
+	before := s.changes
+	s.wait(time.Minute)
+	assert.Equal(t, s.changes, before)
 }
 
 // Guards against a sound part that stays refused although a request with it was answered after all.
--- a/internal/crashes/reporter.go
+++ b/internal/crashes/reporter.go
@@ -53,6 +53,7 @@
 	baseCtx context.Context
 	// receive gets the reports if this process is a collector.
 	receive func([]report)
+	choice  *collectorChoice
 
 	mu         sync.Mutex // guards the fields below; no other lock is taken while it is held
 	pending    []seenCrash
@@ -73,7 +74,8 @@
 		return
 	}
 	seen := seenCrash{target: c.Target, traits: c.Traits, at: now}
-	if slices.Contains(collectors(r.network.View()), r.network.Self().Incarnation) {
+	view := r.network.View()
+	if slices.Contains(r.choice.of(view), view.Self.Incarnation) {
 		go r.receive(reportsOf([]seenCrash{seen}, now))
 	}
 	r.pending = append(r.pending, seen)
@@ -105,7 +107,7 @@
 	if dropped > 0 {
 		r.log.Warn("Too many crashes for one report; some are left out.", zap.Int("left_out", dropped))
 	}
-	for _, id := range collectors(r.network.View()) {
+	for _, id := range r.choice.of(r.network.View()) {
 		if id != r.network.Self().Incarnation {
 			go r.send(id, list, now)
 		}
@@ -114,7 +116,7 @@
 
 // followCollectors tells collectors that are new of the crashes that their predecessors know.
 func (r *reporter) followCollectors(now time.Time) {
-	current := collectors(r.network.View())
+	current := r.choice.of(r.network.View())
 	r.mu.Lock()
 	known := r.collectors
 	r.collectors = current
