crashes: a conviction ends when its time is over, also in the register

By reading: collectors read the register once a minute, and took a row whose conviction had expired in memory for a new one, so that convictions held for ever. A collector lifts it now like any other, which removes its row and tells all processes. A conviction that another collector has lifted already isn't lifted again.

--- a/internal/crashes/convictions.go
+++ b/internal/crashes/convictions.go
@@ -135,11 +135,12 @@
 	delete(s.byKey, first)
 }
 
-// expire removes the convictions whose time is over and reports whether there were any.
+// expire removes the convictions that were lifted long ago, or that no collector has lifted although their
+// time is over. It reports whether there were any.
 func (s *convictionSet) expire(now time.Time) bool {
 	removed := false
 	for key, c := range s.byKey {
-		if now.Sub(c.since) > c.ttl() {
+		if now.Sub(c.since) > c.ttl()+evidenceTTL {
 			delete(s.byKey, key)
 			removed = true
 		}
--- a/internal/crashes/detector_test.go
+++ b/internal/crashes/detector_test.go
@@ -263,6 +263,22 @@
 	})
 }
 
+// Guards against convictions that the register brings back when their time is over.
+func TestConvictionEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		register := newRegister()
+		p := startProcesses(t, 3, register)
+		p.all[0].Answered(crashUnder(50, prompt(50, "dead")), false)
+		time.Sleep(unansweredTime)
+		p.crashSeries(0, crashesByAnsweredPart, "dead")
+		time.Sleep(answeredTTL - time.Minute)
+		p.assertConvicted(true, prompt(100, "dead"))
+		time.Sleep(2*time.Minute + 2*loadPeriod)
+		p.assertConvicted(false, prompt(100, "dead"))
+		assert.Equal(t, register.count(), 0)
+	})
+}
+
 // Guards against convictions that nothing lifts although the targets were mended.
 func TestOperatorLiftsConviction(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/crashes/judge.go
+++ b/internal/crashes/judge.go
@@ -118,7 +118,7 @@
 func (j *judge) review(known *convictionSet, members int, now time.Time) verdicts {
 	j.members = members
 	var v verdicts
-	firm := j.reconsider(&v, known)
+	firm := j.reconsider(&v, known, now)
 	index := firm.index()
 	contents := j.tallyContents(index)
 	parts := j.tallyParts(index, j.unexplained(index))
@@ -457,15 +457,16 @@
 	return list
 }
 
-// reconsider lifts the convictions with all of whose traits requests were answered since. It returns those
-// that explain crashes: the others are in doubt, since some of their traits turned out to be sound.
-func (j *judge) reconsider(v *verdicts, known *convictionSet) *convictionSet {
+// reconsider lifts the convictions whose time is over, and those with all of whose traits requests were
+// answered since. It returns those that explain crashes: the others are in doubt, since some of their
+// traits turned out to be sound.
+func (j *judge) reconsider(v *verdicts, known *convictionSet, now time.Time) *convictionSet {
 	firm := known.clone()
 	for _, c := range known.active() {
 		rest := slices.DeleteFunc(slices.Clone(c.Traits), func(t Trait) bool {
 			return !j.neverAnswered(t) && (!c.Answered || j.answered.last(t).After(c.since))
 		})
-		if len(rest) == 0 {
+		if len(rest) == 0 || now.Sub(c.since) > c.ttl() {
 			v.lifted = append(v.lifted, c.Conviction)
 		}
 		if len(rest) < len(c.Traits) {
--- a/internal/crashes/keeper.go
+++ b/internal/crashes/keeper.go
@@ -166,6 +166,7 @@
 	}
 	found, removed := d.keeper.load(ctx, now)
 	d.mu.Lock()
+	removed = slices.DeleteFunc(removed, func(c Conviction) bool { return !d.convictions.inForce(c) })
 	lifted := d.nextRevisions(verdicts{lifted: removed})
 	d.mu.Unlock()
 	d.announce(append(found, lifted...), now)
