crashes: a sound part isn't blamed in an outage of the engines

Half of all engines crashed every 0.66 s, so that nothing was answered for 2.5 s; the first part of the route's prompts was at 8 crashes without an answer, and was convicted although requests with it had been answered before. In an outage no answer says nothing.

A part with which requests were answered before needs 20 crashes now, the last of them 10 s after the last answer: the rule is about parts that crash each worker, so such a part is deadly only if the engines changed. Of four or more targets that die within 150 ms, a trait must have been at three tenths, so that lots of crashes don't count against rare parts. Two cases of the table test fail without either change.

--- a/internal/crashes/judge_test.go
+++ b/internal/crashes/judge_test.go
@@ -216,6 +216,36 @@
 			},
 			served: []parts{{"new"}, {"new", "b"}},
 		},
+		{
+			name: "half of the targets die again and again, nothing is answered meanwhile",
+			play: func(s *scene) {
+				s.answer("a")
+				for i := range 8 {
+					for k := range 12 {
+						s.crash(parts{"a", fmt.Sprint("b", i*12+k)}, parts{fmt.Sprint("c", k)})
+					}
+					s.crash(parts{"a", "new"})
+					s.wait(step)
+				}
+				s.wait(5 * time.Second)
+			},
+			served: []parts{{"a"}, {"a", "new"}, {"a", "b0"}, {"c0"}},
+		},
+		{
+			name: "deadly part while many targets die at once beside it",
+			play: func(s *scene) {
+				s.answer("a")
+				for i := range 6 {
+					for k := range 12 {
+						s.crash(parts{"a", fmt.Sprint("b", i*12+k)})
+					}
+					s.wait(step)
+					s.crash(parts{"a", "dead"})
+					s.wait(step)
+				}
+			},
+			refused: []parts{{"a", "dead"}}, served: []parts{{"a"}, {"a", "b0"}},
+		},
 		{
 			name: "targets die in series, sound requests are answered in between",
 			play: func(s *scene) {
@@ -247,7 +277,7 @@
 			play: func(s *scene) {
 				s.answer("a", "b")
 				s.wait(10 * time.Second)
-				for i := range 8 {
+				for i := range crashesByAnsweredPart {
 					s.crash(parts{"a", fmt.Sprint("c", i)})
 					s.wait(step)
 				}
