crashes, run: a VM that was suspended doesn't take a cut answer for a whole one

A VM frozen for 4 s, on waking, read an unframed answer that its engine had cut after the first event. The time in which a target had been writing was fooled likewise.

Unframed answers don't count for 5 s after this process was suspended, which a loop of its own notices before the probe. Writing time counts at most 250 ms between two reads.

--- a/internal/crashes/detector.go
+++ b/internal/crashes/detector.go
@@ -28,6 +28,11 @@
 	// time between two reviews.
 	reviewPeriod   = 250 * time.Millisecond
 	minReviewPause = 50 * time.Millisecond
+	// suspensionCheckPeriod is how often a process checks whether it was suspended, suspensionTime the delay from
+	// which it was, doubtTime how long unframed answers don't count after that.
+	suspensionCheckPeriod = 100 * time.Millisecond
+	suspensionTime        = 500 * time.Millisecond
+	doubtTime             = 5 * time.Second
 	// maxLoggedParts limits the parts of a prompt in a log line.
 	maxLoggedParts = 16
 )
@@ -76,6 +81,8 @@
 	answered recentTraits
 	watched  map[Trait]time.Time
 	judge    judge
+	// resumedAt is when this process last went on after it was suspended.
+	resumedAt time.Time
 	// askedAt is when this process, as a collector, asked last, lastAsked what.
 	askedAt   time.Time
 	lastAsked []Trait
@@ -106,6 +113,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { d.runReviews(ctx) })
 	loops.Go(func() { d.runKeeper(ctx) })
+	loops.Go(func() { d.watchSuspensions(ctx) })
 	loops.Wait()
 }
 
@@ -121,6 +129,28 @@
 	}
 }
 
+// watchSuspensions notes when this process goes on after it was suspended. It does nothing else, so that it
+// notes that before probeDelay has passed.
+func (d *Detector) watchSuspensions(ctx context.Context) {
+	last := time.Now()
+	for wait.For(ctx, suspensionCheckPeriod) {
+		now := time.Now()
+		if now.Sub(last) > suspensionCheckPeriod+suspensionTime {
+			d.mu.Lock()
+			d.resumedAt = now
+			d.mu.Unlock()
+		}
+		last = now
+	}
+}
+
+// suspendedLately reports whether this process was suspended shortly before a time, or has been since.
+func (d *Detector) suspendedLately(at time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return at.Sub(d.resumedAt) < doubtTime
+}
+
 // awaitReview waits until the evidence is to be judged; false means that the context has ended.
 func (d *Detector) awaitReview(ctx context.Context) bool {
 	timer := time.NewTimer(reviewPeriod)
@@ -178,7 +208,8 @@
 }
 
 // Answered records that a target has survived a request: the answer is complete, or has been coming for
-// long. An unframed answer may have ended because the target died, so the target is probed first.
+// long. An unframed answer may have ended because the target died, so the target is probed first. It
+// doesn't count after this process was suspended: another target may have the address by now.
 func (d *Detector) Answered(c Call, unframed bool) {
 	if !unframed {
 		d.recordAnswer(c.Traits, time.Now())
@@ -189,11 +220,12 @@
 		if d.baseCtx.Err() != nil {
 			return
 		}
-		if d.targetDied(c.Address) {
+		switch {
+		case d.targetDied(c.Address):
 			d.Crashed(c)
-			return
+		case !d.suspendedLately(at):
+			d.recordAnswer(c.Traits, at)
 		}
-		d.recordAnswer(c.Traits, at)
 	})
 }
 
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -52,10 +52,10 @@
 	resumed   bool
 	hasEnded  bool
 	failure   error
-	// firstRead is when the target's first data was received, zero before; survived is set once the target
-	// has written for long enough to show that the stream doesn't crash it.
-	firstRead time.Time
-	survived  bool
+	// written is how long the target has been writing, pauses left out; survived is set once that is long enough
+	// to show that the stream doesn't crash it.
+	written  time.Duration
+	survived bool
 	// lastRead is when data was last received, longestPause the longest time between two
 	// reads that returned data.
 	lastRead     time.Time
@@ -137,18 +137,21 @@
 func (s *stream) receive(data []byte) {
 	now := time.Now()
 	if !s.lastRead.IsZero() {
-		s.longestPause = max(s.longestPause, now.Sub(s.lastRead))
+		pause := now.Sub(s.lastRead)
+		s.longestPause = max(s.longestPause, pause)
+		if s.started {
+			s.written += min(pause, maxCountedPause)
+		}
 	}
 	s.lastRead = now
 	if !s.started {
 		s.started = true
-		s.firstRead = now
 		s.call.ResponseStarted()
 		if s.job.inputs != nil {
 			s.job.inputs.release()
 		}
 	}
-	if !s.survived && now.Sub(s.firstRead) >= writingTime {
+	if !s.survived && s.written >= writingTime {
 		s.survived = true
 		s.job.reportAnswered(s.target, false)
 	}
@@ -210,7 +213,7 @@
 	}
 	s.answer.Close()
 	s.call.End(outcome, time.Now())
-	j.reportBroken(s.target, s.firstRead, err)
+	j.reportBroken(s.target, s.written, err)
 	j.tried[s.target.ID] = true
 	for j.ctx.Err() == nil && s.resumable() && j.runs < j.route.Attempts && j.sends < maxSends {
 		if j.refuseIfConvicted() != nil || !j.takeRetry() {
@@ -285,7 +288,7 @@
 	}
 	s.target, s.answer, s.call = target, answer, call
 	s.partial, s.events = nil, eventScanner{}
-	s.started, s.firstRead, s.survived = false, time.Time{}, false
+	s.started, s.written, s.survived = false, 0, false
 	s.resumed = s.lastEventID != ""
 	return resumed
 }
--- a/internal/serve/run/suspicion.go
+++ b/internal/serve/run/suspicion.go
@@ -13,10 +13,15 @@
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 )
 
-// writingTime is how long after the first bytes of its answer a request no longer counts as the cause of
-// its target's crash, and its target has proved to survive it: a request that crashes targets does so as
-// they begin to answer it.
-const writingTime = 2 * time.Second
+const (
+	// writingTime is how long a target writes an answer until the request no longer counts as the cause of its
+	// crash, and the target has proved to survive it: a request that crashes targets does so as they begin to
+	// answer it.
+	writingTime = 2 * time.Second
+	// maxCountedPause is how much a pause between two reads adds to that. In a longer one this process may have
+	// been suspended, and the target may have died meanwhile.
+	maxCountedPause = 250 * time.Millisecond
+)
 
 // traitsOfRequest returns the same traits however often, and through whichever process, a caller sends
 // the same request.
@@ -48,19 +53,18 @@
 }
 
 // reportBroken reports to Suspicion that the connection to a target broke while it had the request.
-// firstBytes is when the first bytes of its answer came; zero if none did. To a process that is cut off,
-// all targets look as if they had crashed.
-func (j *job) reportBroken(target *pool.Target, firstBytes time.Time, err error) {
+// written is how long the target had been writing the answer. To a process that is cut off, all targets
+// look as if they had crashed.
+func (j *job) reportBroken(target *pool.Target, written time.Duration, err error) {
 	if j.Suspicion == nil || j.cutOff() {
 		return
 	}
 	if j.ctx.Err() != nil && !brokenByTarget(err) {
 		return
 	}
-	if !firstBytes.IsZero() && time.Since(firstBytes) >= writingTime {
-		return
+	if written < writingTime {
+		j.Suspicion.Broke(j.call(target))
 	}
-	j.Suspicion.Broke(j.call(target))
 }
 
 // brokenByTarget reports whether the other side ended a connection. This process ends those of callers
