test: the two soaks of the platform's VMs disturb them by one piece of code

Cause: the soak of crashing parts had copied from that of stream versions how a VM is killed, stopped or frozen, which VMs get requests, and which are in touch; its list of deadly requests was never read. Change: both use the disturber (test/disturbed_vms_test.go), with the times that they had; the contact time has one name. The order in which the soak of versions draws from its seed is the same. No check or bound changes.

--- a/test/platform_crashing_parts_test.go
+++ b/test/platform_crashing_parts_test.go
@@ -8,7 +8,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -40,6 +39,7 @@
 	t      *testing.T
 	seed   uint64
 	edges  *edgeSite
+	vms    *disturber
 	pool   *standin.EnginePool
 	random *rand.Rand // used by the goroutine that plans only
 	// deadlyParts are the parts that crash engines; alikeBody is a body that does, "" for none.
@@ -49,13 +49,9 @@
 	firstParts []string
 	calmUntil  time.Time
 
-	mu sync.Mutex // guards the fields below
-	// disturbedAt is when the last fault of each VM began or ended; running has those that get requests.
-	disturbedAt []time.Time
-	running     []bool
-	sentVia     map[string]int // VM by attempt
-	sound       []soakPrompt
-	deadlySent  []time.Time
+	mu      sync.Mutex     // guards the fields below
+	sentVia map[string]int // VM by attempt
+	sound   []soakPrompt
 }
 
 // soakPrompt is the outcome of a sound request.
@@ -70,11 +66,8 @@
 func newCrashSoak(t *testing.T, seed uint64) *crashSoak {
 	s := &crashSoak{
 		t: t, seed: seed, edges: startEdgeSite(t, crashSoakVMs), random: rand.New(rand.NewPCG(seed, 53)), sentVia: map[string]int{},
-		disturbedAt: make([]time.Time, crashSoakVMs), running: make([]bool, crashSoakVMs),
-	}
-	for i := range s.running {
-		s.running[i] = true
 	}
+	s.vms = newDisturber(s.edges, 4*time.Second)
 	for n := range s.random.IntN(3) { // none in a third of the runs
 		s.deadlyParts = append(s.deadlyParts, fmt.Sprintf("dead%d", n))
 	}
@@ -139,9 +132,6 @@
 		sent := time.Now()
 		s.mu.Lock()
 		s.sentVia[attempt] = vm
-		if !sound {
-			s.deadlySent = append(s.deadlySent, sent)
-		}
 		s.mu.Unlock()
 		prompt := standin.Prompt{ID: attempt, Path: "/" + s.routeOf(parts) + "/x", Key: standin.TeamKey, Body: body, Parts: append(slices.Clone(parts), "own"+id)}
 		got := prompt.Send(context.Background(), s.edges.vms[vm].RequestAddress(), soakPromptEvents)
@@ -167,62 +157,23 @@
 	defer s.mu.Unlock()
 	s.sound = append(s.sound, soakPrompt{
 		sent: sent, first: first, whole: got.Whole, convicted: strings.Contains(got.Body, string(run.CrashesTargets)),
-		counted: s.inTouch(vm, sent) && s.inTouch(vm, time.Now()),
+		counted: s.vms.inTouch(vm, sent) && s.vms.inTouch(vm, time.Now()),
 	})
 }
 
-// inTouch reports whether a VM has run without a fault for the contact time. The caller holds mu.
-func (s *crashSoak) inTouch(vm int, at time.Time) bool {
-	return at.Sub(s.disturbedAt[vm]) > undisturbedTime
-}
-
 // pickVM returns a VM that isn't stopped.
 func (s *crashSoak) pickVM(id string, try int) int {
-	for n := len(id) + int(id[len(id)-1]) + try; ; n++ {
-		s.mu.Lock()
-		running := s.running[n%crashSoakVMs]
-		s.mu.Unlock()
-		if running {
-			return n % crashSoakVMs
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
-func (s *crashSoak) markDisturbed(vm int, running bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.disturbedAt[vm] = time.Now()
-	s.running[vm] = running
-}
-
-// disturbVM kills, stops or freezes a VM and has it serve again.
-func (s *crashSoak) disturbVM(vm, kind int) {
-	s.markDisturbed(vm, kind == 2)
-	process := s.edges.processes[vm]
-	switch kind {
-	case 0:
-		process.kill(s.t)
-	case 1:
-		process.signal(s.t, syscall.SIGTERM)
-		process.waitExit(s.t, waitTimeout)
-	case 2:
-		process.signal(s.t, syscall.SIGSTOP)
-		time.Sleep(4 * time.Second)
-		process.signal(s.t, syscall.SIGCONT)
-		s.markDisturbed(vm, true)
-		return
-	}
-	time.Sleep(200 * time.Millisecond)
-	s.edges.start(vm)
-	s.edges.waitReady(vm)
-	s.markDisturbed(vm, true)
+	n := len(id) + int(id[len(id)-1]) + try - 1
+	return s.vms.firstRunning(func() int {
+		n++
+		return n % crashSoakVMs
+	})
 }
 
 // runFaults plays faults of VMs and engines until the time is over.
 func (s *crashSoak) runFaults(d time.Duration) {
 	restarts, engines, all := s.random.IntN(2) == 0, s.random.IntN(2) == 0, s.random.IntN(3) == 0
-	kinds := []int{s.random.IntN(3), s.random.IntN(3), s.random.IntN(3)}
+	kinds := []disturbance{disturbance(s.random.IntN(3)), disturbance(s.random.IntN(3)), disturbance(s.random.IntN(3))}
 	together := 1 + s.random.IntN(12)
 	pause := time.Duration(500+s.random.IntN(3000)) * time.Millisecond
 	s.t.Logf("seed %d: parts %v, same content %v, first parts %v, VMs disturbed %v, all at once %v, engines crash %v, %d each %v",
@@ -231,7 +182,7 @@
 	var faults sync.WaitGroup
 	faults.Go(func() {
 		for vm := 0; restarts && time.Now().Before(end); vm++ {
-			s.disturbVM(vm%crashSoakVMs, kinds[vm%len(kinds)])
+			s.vms.disturb(vm%crashSoakVMs, kinds[vm%len(kinds)])
 			time.Sleep(pause / 2)
 		}
 		if all {
@@ -251,7 +202,7 @@
 func (s *crashSoak) restartAll() {
 	var each sync.WaitGroup
 	for vm := range crashSoakVMs {
-		each.Go(func() { s.disturbVM(vm, 0) })
+		each.Go(func() { s.vms.disturb(vm, killed) })
 	}
 	each.Wait()
 }
@@ -304,20 +255,15 @@
 	n := 0
 	for _, a := range s.pool.ArrivalsAfter(part, times[crash-1].Add(undisturbedTime)) {
 		s.mu.Lock()
-		if s.wasInTouch(a) {
+		vm := s.sentVia[a.ID]
+		s.mu.Unlock()
+		if s.vms.inTouch(vm, a.At) {
 			n++
 		}
-		s.mu.Unlock()
 	}
 	return n
 }
 
-// wasInTouch reports whether the VM that sent a request was in touch. A VM that was disturbed after the arrival
-// isn't counted, either. The caller holds mu.
-func (s *crashSoak) wasInTouch(a standin.PromptArrival) bool {
-	return s.inTouch(s.sentVia[a.ID], a.At)
-}
-
 // soundShare returns the share of whole answers among the counted requests sent in a span.
 func (s *crashSoak) soundShare(first string, from, to time.Time) (share float64, sent, convicted int) {
 	s.mu.Lock()
@@ -358,8 +304,7 @@
 	}
 }
 
-// Guards against parts of prompts and contents that crash engine after engine, and sound ones that are refused for
-// it, while VMs and engines fail for other reasons.
+// Guards against deadly parts and contents that aren't stopped, and sound ones that are, beside other failures.
 func TestPlatformPartsThatCrashEnginesAreStopped(t *testing.T) {
 	t.Parallel()
 	for _, seed := range plannedSeeds(t) {
--- a/test/platform_stream_versions_test.go
+++ b/test/platform_stream_versions_test.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -27,8 +26,6 @@
 	eventInterval   = 25 * time.Millisecond
 	// enginesPerVersion is more than the two for which a version counts as served.
 	enginesPerVersion = 3
-	// soakContactTime is how long a VM must have run without a fault for its refusals to count.
-	soakContactTime = 3 * time.Second
 	// maxAttempts limits how often a caller takes one stream up.
 	maxAttempts = 8
 )
@@ -38,6 +35,7 @@
 type streamSoak struct {
 	t     *testing.T
 	edges *edgeSite
+	vms   *disturber
 	// randomMu guards random.
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -46,9 +44,6 @@
 	// engines are those that serve, by version; lastEngine numbers them.
 	engines    map[string][]*standin.Target
 	lastEngine int
-	// disturbedAt is when the last fault of each VM began or ended; running has those that aren't stopped.
-	disturbedAt []time.Time
-	running     []bool
 	// begun and takenUp count the attempts to begin a stream and to take one up, as far as they are counted. mixed has
 	// the streams that hold events of several versions.
 	begun, takenUp attemptCount
@@ -69,11 +64,8 @@
 func newStreamSoak(t *testing.T, seed uint64) *streamSoak {
 	s := &streamSoak{
 		t: t, edges: startEdgeSite(t, versionSoakVMs), random: rand.New(rand.NewPCG(seed, 50)), engines: map[string][]*standin.Target{},
-		disturbedAt: make([]time.Time, versionSoakVMs), running: make([]bool, versionSoakVMs),
-	}
-	for i := range s.running {
-		s.running[i] = true
 	}
+	s.vms = newDisturber(s.edges, 700*time.Millisecond)
 	s.edges.site.Publish(func(config map[string]any) {
 		config["services"] = append(config["services"].([]any), map[string]any{
 			"name": "writers", "max-connections": 200, "engine": map[string]any{"slot-count": 16, "kv-cache-tokens": 500000},
@@ -154,49 +146,9 @@
 	}
 }
 
-// disturbVM kills, stops or freezes a VM and has it serve again.
-func (s *streamSoak) disturbVM(vm int) {
-	kind := s.pick(3)
-	s.markDisturbed(vm, kind == 2)
-	run := s.edges.processes[vm]
-	switch kind {
-	case 0:
-		run.kill(s.t)
-	case 1:
-		run.signal(s.t, syscall.SIGTERM)
-		run.waitExit(s.t, waitTimeout)
-	case 2:
-		run.signal(s.t, syscall.SIGSTOP)
-		time.Sleep(700 * time.Millisecond)
-		run.signal(s.t, syscall.SIGCONT)
-		s.markDisturbed(vm, true)
-		return
-	}
-	time.Sleep(200 * time.Millisecond)
-	s.edges.start(vm)
-	s.edges.waitReady(vm)
-	s.markDisturbed(vm, true)
-}
-
-func (s *streamSoak) markDisturbed(vm int, running bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.disturbedAt[vm] = time.Now()
-	s.running[vm] = running
-}
-
 // pickVM returns a VM that isn't stopped.
 func (s *streamSoak) pickVM() int {
-	for {
-		vm := s.pick(versionSoakVMs)
-		s.mu.Lock()
-		running := s.running[vm]
-		s.mu.Unlock()
-		if running {
-			return vm
-		}
-		time.Sleep(time.Millisecond)
-	}
+	return s.vms.firstRunning(func() int { return s.pick(versionSoakVMs) })
 }
 
 // isCounted reports whether an attempt at a VM counts: the VM hasn't been disturbed lately, and two engines of the
@@ -204,7 +156,7 @@
 func (s *streamSoak) isCounted(vm int, version string, at time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return at.Sub(s.disturbedAt[vm]) > soakContactTime && (version == "" || len(s.engines[version]) >= 2)
+	return s.vms.inTouch(vm, at) && (version == "" || len(s.engines[version]) >= 2)
 }
 
 // soakStream is one stream as its caller has it.
@@ -298,7 +250,7 @@
 	end := time.Now().Add(d)
 	faults.Go(func() {
 		for vm := 0; time.Now().Before(end); vm = (vm + 1 + s.pick(3)) % versionSoakVMs {
-			s.disturbVM(vm)
+			s.vms.disturb(vm, disturbance(s.pick(int(disturbanceCount))))
 			time.Sleep(time.Duration(s.pick(300)) * time.Millisecond)
 		}
 	})
