run: a conviction is looked up where a request is sent

Cause: besides admission, three callers of send looked it up beside each other: before each attempt, after the choice of its target, and after the choice for a stream that goes on. Change: send does it, for attempts and resumed streams alike. What is looked up before a retry is taken from the budget stays. Behaviour is the same: nothing convicted is sent.

--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -45,9 +45,6 @@
 	if target == nil {
 		return attempt{}
 	}
-	if reply := j.refuseIfConvicted(); reply != nil { // convicted while it waited for the target
-		return attempt{target: target, reply: reply}
-	}
 	answer, call, failed := j.send(j.ctx, target, j.req.LastEventID)
 	if failed != nil {
 		return *failed
@@ -89,8 +86,12 @@
 }
 
 // send sends the request to a target and reads the header of the answer. An answer that
-// says that the request didn't run counts as a failed attempt.
+// says that the request didn't run counts as a failed attempt. A request that has been
+// convicted meanwhile isn't sent.
 func (j *job) send(ctx context.Context, target *pool.Target, lastEvent string) (*upstream.Answer, *pool.Call, *attempt) {
+	if reply := j.refuseIfConvicted(); reply != nil {
+		return nil, nil, &attempt{target: target, reply: reply}
+	}
 	now := time.Now()
 	j.sentAt = now
 	call := j.Table.Begin(target, j.req.Prompt.Input, now)
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -242,9 +242,6 @@
 		if reply := j.refuseIfCutByShutdown(); reply != nil {
 			return reply
 		}
-		if reply := j.refuseIfConvicted(); reply != nil {
-			return reply
-		}
 		result := j.attempt()
 		if result.reply != nil {
 			return result.reply
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -273,7 +273,7 @@
 		}
 	}
 	target := j.choose()
-	if target == nil || j.refuseIfConvicted() != nil {
+	if target == nil {
 		return notResumable
 	}
 	j.tried[target.ID] = true
