pipeline: the traits of a stage's calls are computed once

Cause: the documents of a stage were hashed again for each attempt, each answer and each refusal. Change: a stage computes its traits when it begins, like its documents, which don't change then.

Result: go test -race of internal/pipeline and internal/entry and the crash tests of the front pass.

--- a/internal/pipeline/acquire.go
+++ b/internal/pipeline/acquire.go
@@ -29,7 +29,7 @@
 // suspect. units is the size of the call, in tokens for a generation.
 func (r *stageRun) acquire(ctx context.Context, hedge bool, units int, prefillSaved func(string) time.Duration) *attempt {
 	pool := r.executor.Targets.Pool(r.pool.Name)
-	if pool == nil || r.executor.Suspicion.Convicted(r.traits()) {
+	if pool == nil || r.executor.Suspicion.Convicted(r.traits) {
 		return nil
 	}
 	permission := r.awaitPermission(ctx)
@@ -122,22 +122,21 @@
 	return r.executor.Suspicion.Check(r.state.req.Fingerprint()) == suspect.Suspected
 }
 
-// traits returns what the call of this stage has in common with others that crash
-// their targets: its request, and the documents that it sends. A target of another
-// kind may survive the same.
-func (r *stageRun) traits() crashes.Traits {
-	req, kind := r.state.req, string(r.pool.Kind)
+// stageTraits returns what the calls of a stage have in common with others that
+// crash their targets: their request, and the documents that they send. A target of
+// another kind may survive the same.
+func stageTraits(req *Request, kind config.TargetKind, docs []string) crashes.Traits {
 	var parts []string
-	if r.pool.Kind == config.TargetEngine || r.pool.Kind == config.TargetReranker {
-		for _, doc := range r.docs {
-			parts = append(parts, kind+" "+doc)
+	if kind == config.TargetEngine || kind == config.TargetReranker {
+		for _, doc := range docs {
+			parts = append(parts, string(kind)+" "+doc)
 		}
 	}
-	return crashes.NewTraits(crashes.ContentTrait(kind, req.Customer, req.Pipeline.Name, req.Input), parts)
+	return crashes.NewTraits(crashes.ContentTrait(string(kind), req.Customer, req.Pipeline.Name, req.Input), parts)
 }
 
 func (r *stageRun) callTo(address string) crashes.Call {
-	return crashes.Call{RequestID: r.state.req.ID, Traits: r.traits(), Target: address, Address: address}
+	return crashes.Call{RequestID: r.state.req.ID, Traits: r.traits, Target: address, Address: address}
 }
 
 // crashProbeTimeout bounds the check whether a target died.
--- a/internal/pipeline/attempts.go
+++ b/internal/pipeline/attempts.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/vanillagate/vanillagate/internal/config"
+	"github.com/vanillagate/vanillagate/internal/crashes"
 	"github.com/vanillagate/vanillagate/internal/directory"
 	"github.com/vanillagate/vanillagate/internal/problem"
 	"github.com/vanillagate/vanillagate/internal/retry"
@@ -29,6 +30,8 @@
 	// may still parse its answer after the winner's has replaced
 	// requestState.docs, so attempts use only these.
 	docs []string
+	// traits are what the stage's calls have in common with others that crash targets.
+	traits crashes.Traits
 	// earlierStageRan is set if an earlier stage of the request ran.
 	earlierStageRan bool
 
@@ -62,7 +65,7 @@
 func newStageRun(x *Executor, state *requestState, index int, pool config.Pool) *stageRun {
 	return &stageRun{
 		executor: x, state: state, stage: state.req.Pipeline.Stages[index], pool: pool, index: index, since: time.Now(),
-		earlierStageRan: index > 0, docs: state.docs,
+		earlierStageRan: index > 0, docs: state.docs, traits: stageTraits(state.req, pool.Kind, state.docs),
 	}
 }
 
@@ -208,7 +211,7 @@
 	if r.executor.Suspicion.Check(r.state.req.Fingerprint()) == suspect.Convicted {
 		return convictedProblem(r.execution())
 	}
-	if r.executor.Suspicion.Convicted(r.traits()) {
+	if r.executor.Suspicion.Convicted(r.traits) {
 		return convictedPartProblem(r.execution())
 	}
 	if ctx.Err() != nil {
