--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -133,22 +133,12 @@
 
 // CrashCount returns the number of targets that crashed while running a request.
 func (t *Table) CrashCount(f Fingerprint, now time.Time) int {
-	return len(t.CrashedTargets(f, now))
-}
-
-// CrashedTargets lists the addresses of the targets that crashed while running a request.
-func (t *Table) CrashedTargets(f Fingerprint, now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.current(f, now)
-	if r == nil {
-		return nil
-	}
-	list := make([]string, 0, len(r.crashes))
-	for _, c := range r.crashes {
-		list = append(list, c.Address)
+	if r := t.current(f, now); r != nil {
+		return len(r.crashes)
 	}
-	return list
+	return 0
 }
 
 func (t *Table) verdict(f Fingerprint, now time.Time) Verdict {
