crashes: one line before each test

Cause: three tests that moved here kept their longer comments. Change: one line each, by what they guard against; the stories are in docs/incidents.

--- a/internal/crashes/detector_test.go
+++ b/internal/crashes/detector_test.go
@@ -136,9 +136,7 @@
 	time.Sleep(3*time.Second - roundTime)
 }
 
-// A fifth of all engines crashes at once, and every request that ran on them is suspected. If
-// each suspicion were published to all processes, small VMs would process nothing else for
-// half a second and requests would be delayed.
+// Guards against messages that fill the links of small VMs when a fifth of all engines crashes at once.
 func TestMassCrashIsReportedToCollectorsOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const count, crashesEach = 100, 3
@@ -156,8 +154,7 @@
 	})
 }
 
-// One process sees many crashes at once. It must send them in one report, and later ones
-// together after the report interval.
+// Guards against a report for each crash where one process sees many at once.
 func TestCrashesOfOneProcessAreBatched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := startProcesses(t, 4, newRegister())
@@ -175,9 +172,7 @@
 	})
 }
 
-// A request crashes one target at each of three processes. Each process sees only one crash;
-// from the reports, all of them must learn that the request is convicted, even if one of its
-// collectors is killed.
+// Guards against a conviction that needs all crashes to be seen by one process, or a collector that lives.
 func TestCrashesSeenByThreeProcessesConvictEverywhere(t *testing.T) {
 	for _, killed := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
