run, prefixes, place: copy the shared parts of prompts between engines

An engine other than the affine one read the shared parts of a prompt again, so that affinity decided the engine even where it was slow or busy.

Where a service's engine object has kv-token-bytes and link-mbps, a request names an engine that holds the parts in Kv-Fetch. The package prefixes records which engines have read which parts (prefixes.find and prefixes.read, owner by rendezvous hash). Copying makes the affinity discount smaller and lets claims count the unshared tokens only. The name prompt-copies leaves it out.

--- a/internal/serve/engines/curve.go
+++ b/internal/serve/engines/curve.go
@@ -27,6 +27,9 @@
 // defaultCurve is used until responses have been observed.
 var defaultCurve = Curve{Base: 0.1, Linear: 0.01}
 
+// DefaultCurve returns the curve that is used until responses have been observed.
+func DefaultCurve() Curve { return defaultCurve }
+
 // seedTokens are the prompt lengths for which a new fit is seeded with the times of defaultCurve.
 var seedTokens = []int{0, 2000, 10_000}
 
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -64,13 +64,15 @@
 	Warmup Mechanism = "warmup"
 	// FewKept: the number of idle connections to a target is bounded by the number that it accepts.
 	FewKept Mechanism = "few-kept"
+	// PromptCopies: engines copy the shared parts of prompts from engines that have read them.
+	PromptCopies Mechanism = "prompt-copies"
 )
 
 // All returns all mechanisms.
 func All() []Mechanism {
 	return []Mechanism{
 		Sharing, Reservations, Reserve, LeastShare, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines,
-		Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept,
+		Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept, PromptCopies,
 	}
 }
 
--- a/internal/serve/place/place.go
+++ b/internal/serve/place/place.go
@@ -61,6 +61,9 @@
 	Avoid map[string]bool
 	// NoAffinity disables the preference for the affine engine.
 	NoAffinity bool
+	// Sources are the engines from which others may copy the shared parts of the prompt; see
+	// CopySource. Without any, nothing is copied.
+	Sources []pool.View
 }
 
 // Costs in prompt tokens, the unit of an engine's work.
@@ -93,7 +96,7 @@
 // when it is busy, another engine is cheaper. It returns nil if no target is left.
 func ChooseEngine(views []pool.View, c Criteria) *pool.Target {
 	affine := ""
-	if !c.NoAffinity {
+	if !c.NoAffinity && len(c.Sources) == 0 {
 		affine = affineEngine(views, c.Prompt)
 	}
 	total := 0
@@ -106,7 +109,7 @@
 		if c.Avoid[v.ID] || v.Weight == 0 {
 			continue
 		}
-		cost := engineCost(v, c.Prompt, affine == v.ID)
+		cost := engineCost(v, c.Prompt, c.discount(v, affine))
 		cost += float64(total-c.Bytes[v.Zone]) / bytesPerToken
 		if best == nil || cost < bestCost {
 			best, bestCost = v.Target, cost
@@ -127,12 +130,10 @@
 	return p.Input
 }
 
-func engineCost(v pool.View, p Prompt, affine bool) float64 {
+func engineCost(v pool.View, p Prompt, discount float64) float64 {
 	running := max(v.InFlight, v.Report.Running)
 	cost := float64(p.Input + v.Tokens + running*runningTokens + v.Report.Waiting*waitingTokens)
-	if affine {
-		cost -= AffinityWeight * float64(p.SharedTokens())
-	}
+	cost -= discount
 	if v.Cold {
 		cost += coldWeight * float64(p.Input)
 	}
--- a/internal/serve/plan/plan.go
+++ b/internal/serve/plan/plan.go
@@ -124,6 +124,21 @@
 	// the KV cache holds.
 	Slots       int
 	CacheTokens int
+	// TokenBytes is the size of one cached prompt token, LinkMbps the bandwidth in Mbit/s at which an
+	// engine copies cached tokens from another one. Engines copy none unless both are above 0.
+	TokenBytes float64 `json:",omitempty"`
+	LinkMbps   float64 `json:",omitempty"`
+}
+
+// CopyTime returns how long an engine takes to copy cached prompt tokens from another one; false if
+// engines copy none.
+func (e *Engine) CopyTime(tokens int) (time.Duration, bool) {
+	if e == nil || e.TokenBytes <= 0 || e.LinkMbps <= 0 {
+		return 0, false
+	}
+	const bitsPerByte, bitsPerMbit = 8, 1e6
+	seconds := float64(tokens) * e.TokenBytes * bitsPerByte / (e.LinkMbps * bitsPerMbit)
+	return time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second)), true
 }
 
 // Team is a customer with its API keys and priority.
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -1,7 +1,9 @@
 package pool
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -477,6 +479,16 @@
 	return nil
 }
 
+// Find returns the target of a service with an ID; nil if there is none.
+func (t *Table) Find(service, id string) *Target {
+	targets := t.targetsOf(service)
+	at, found := slices.BinarySearchFunc(targets, id, func(t *Target, id string) int { return cmp.Compare(t.ID, id) })
+	if !found {
+		return nil
+	}
+	return targets[at]
+}
+
 // Entries returns the entries of the store's list in no particular order and the revision as of
 // which they are, for peers that don't have the list.
 func (t *Table) Entries(now time.Time) (list []Entry, asOf uint64) {
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -114,6 +114,7 @@
 		return nil, nil, j.recordRefusal(target, call, answer)
 	}
 	j.runs++
+	j.countCopy(target)
 	j.Metrics.count(series("vanillagate_target_answers", "framing", string(answer.Kind)))
 	return answer, call, nil
 }
@@ -127,6 +128,7 @@
 	if j.inputs != nil {
 		info.Inputs = j.inputs.handles
 	}
+	info.CopySource = j.orderCopy(target, now)
 	r := &upstream.Request{
 		Address: target.Address, Method: j.req.Method, URI: j.req.URI, Host: j.req.Host,
 		Header: j.Codec.RequestHeader(j.req, info), Body: j.req.Body,
@@ -229,6 +231,7 @@
 	call.End(outcome, time.Now())
 	if isSuccess(answer.Status) {
 		j.recordCompleteAnswer()
+		j.reportPromptRead(target)
 		j.reportAnswered(target, answer.Kind == framing.Connection)
 	}
 	j.cleanUp()
--- a/internal/serve/run/choose.go
+++ b/internal/serve/run/choose.go
@@ -14,10 +14,12 @@
 // choose picks the target of the next attempt; nil if there is none. An engine is claimed
 // through its tracker. A target with a limited rate gets the request only within it.
 func (j *job) choose() *pool.Target {
+	j.awaitHolders()
 	if target := j.takeReserved(); target != nil {
 		return target
 	}
 	c := j.newChoice(time.Now())
+	c.sources = j.copySources(c.now)
 	j.claimState = claimState{}
 	views, all := j.candidates(c.now)
 	if target := c.pickFrom(views); target != nil || all {
@@ -48,6 +50,8 @@
 	// rule limits the request rate of the service's cold targets; the zero value sets no
 	// limit.
 	rule ratelimit.Rule
+	// sources are the engines from which the shared parts of the prompt can be copied.
+	sources []pool.View
 }
 
 func (j *job) newChoice(now time.Time) *choice {
@@ -149,6 +153,7 @@
 func (c *choice) pick(views []pool.View) *pool.Target {
 	j := c.job
 	preferences := place.Criteria{Prompt: j.req.Prompt, Zone: j.Zone, Avoid: j.tried, NoAffinity: j.LeaveOut.Has(leaveout.Affinity)}
+	preferences.Sources = c.sources
 	if j.inputs != nil {
 		preferences.Bytes = j.inputs.bytes
 	}
--- a/internal/serve/run/claim.go
+++ b/internal/serve/run/claim.go
@@ -61,7 +61,7 @@
 	}
 	earlier := j.claimState.attempts
 	if c.isEngine {
-		claim.Tokens = place.PrefillTokens(views, j.req.Prompt, target.ID)
+		claim.Tokens = c.prefillTokens(views, target)
 		j.claimState = claimState{attempts: earlier + 1, prefillTokens: claim.Tokens}
 		claim.Limit = j.waitLimit(claim.Tokens)
 	}
@@ -89,13 +89,13 @@
 }
 
 // waitLimit returns how long the prompt may wait at an engine before another one is
-// preferred. If another engine would have to read the shared parts of the prompt again, a
-// prompt with time to spare waits for up to a multiple of the time that takes.
+// preferred. If another engine would have to read the shared parts of the prompt again,
+// because it can't copy them, a prompt with time to spare waits for up to a multiple of the time that takes.
 func (j *job) waitLimit(prefillTokens int) time.Duration {
 	if j.claimState.attempts >= maxClaims {
 		return unlimitedWait
 	}
-	if prefillTokens == j.req.Prompt.Input {
+	if prefillTokens == j.req.Prompt.Input || j.copies.possible() {
 		return idleThreshold
 	}
 	now := time.Now()
@@ -119,9 +119,10 @@
 
 // recordPrefill records how long the engine took to read the prompt and answer with the
 // first event, as a sample for the estimates of all processes. Requests that waited or were
-// sent more than once are left out.
+// sent more than once are left out, and those that copied parts: how many tokens were read then
+// depends on what the source still had.
 func (j *job) recordPrefill(took time.Duration) {
-	if j.Engines != nil && j.claimState.waitKnown && j.claimState.wait < idleThreshold && j.sends == 1 {
+	if j.Engines != nil && j.claimState.waitKnown && j.claimState.wait < idleThreshold && j.sends == 1 && !j.copies.ordered() {
 		j.Engines.RecordSample(j.service, engines.Sample{Tokens: j.claimState.prefillTokens, Seconds: took.Seconds()})
 	}
 }
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -17,6 +17,7 @@
 	"github.com/vanillagate/vanillagate/internal/serve/origins"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
+	"github.com/vanillagate/vanillagate/internal/serve/prefixes"
 	"github.com/vanillagate/vanillagate/internal/serve/quota"
 	"github.com/vanillagate/vanillagate/internal/serve/ratelimit"
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
@@ -58,6 +59,8 @@
 	// Origins tells at which version a stream that a caller takes up began; nil if only this process
 	// serves callers.
 	Origins *origins.Registry
+	// Prefixes knows which engines have read the shared parts of prompts; nil if these aren't copied.
+	Prefixes *prefixes.Directory
 	// LeaveOut disables individual mechanisms, for measurements.
 	LeaveOut leaveout.Set
 	// Suspicion finds the requests that crash their targets; nil for none.
@@ -108,6 +111,8 @@
 	// zone is the zone in which the stages run whose services are divided by zone.
 	zone       string
 	claimState claimState
+	// copies is the state of copying the shared parts of the prompt; nil if they aren't copied.
+	copies *promptCopy
 	// reserved is the target that was claimed before the stages run; nil if none was.
 	reserved *pool.Target
 	// retry is the last retry taken from the budget; nil if there was none.
--- a/internal/serve/run/graph.go
+++ b/internal/serve/run/graph.go
@@ -94,6 +94,16 @@
 	return place.AffinityZone(views, j.req.Prompt)
 }
 
+// hasUnstarted reports whether a stage that is needed hasn't been started.
+func (g *stageGraph) hasUnstarted() bool {
+	for i, started := range g.started {
+		if !started && g.pieces(i) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // pieces returns how many pieces a stage has.
 func (g *stageGraph) pieces(i int) int {
 	if i >= len(g.job.req.Pieces) {
--- a/internal/serve/run/metrics.go
+++ b/internal/serve/run/metrics.go
@@ -33,11 +33,13 @@
 	h.Update(took.Microseconds())
 }
 
-func (m *Metrics) count(name string) {
+func (m *Metrics) count(name string) { m.add(name, 1) }
+
+func (m *Metrics) add(name string, n int) {
 	if m == nil {
 		return
 	}
-	metrics.GetOrRegisterCounter(name, m.Registry).Inc(1)
+	metrics.GetOrRegisterCounter(name, m.Registry).Inc(int64(n))
 }
 
 func (m *Metrics) streamEnded(j *job, whole bool) {
@@ -62,6 +64,9 @@
 		fields = append(fields, zap.Duration("stages_took", j.preparedAt.Sub(j.req.Arrived)),
 			zap.String("slowest_stage", j.slowestStage.service), zap.Duration("slowest_took", j.slowestStage.took))
 	}
+	if j.copies.ordered() {
+		fields = append(fields, zap.String("copied_from", j.copies.source))
+	}
 	if j.restartErr != nil {
 		fields = append(fields, zap.NamedError("stages_restarted", j.restartErr))
 	}
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -62,6 +62,9 @@
 	LastEventID string
 	// Rank is the request's priority.
 	Rank int
+	// CopySource is the address of the engine from which the target copies the shared parts of the
+	// prompt; empty if it copies none.
+	CopySource string
 }
 
 // AnswerInfo is what a target reports about itself and the request in the header of an
--- a/internal/serve/run/stages.go
+++ b/internal/serve/run/stages.go
@@ -103,6 +103,9 @@
 		if running == 0 {
 			break
 		}
+		if failure == nil && !g.hasUnstarted() {
+			j.startLookup() // answered before the last stages are done, so that the choice doesn't wait
+		}
 		o := <-outcomes
 		running--
 		if o.err != nil {
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -147,6 +147,7 @@
 	if !s.started {
 		s.started = true
 		s.call.ResponseStarted()
+		s.job.reportPromptRead(s.target)
 		if s.job.inputs != nil {
 			s.job.inputs.release()
 		}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -27,6 +27,7 @@
 	"github.com/vanillagate/vanillagate/internal/serve/origins"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
+	"github.com/vanillagate/vanillagate/internal/serve/prefixes"
 	"github.com/vanillagate/vanillagate/internal/serve/quota"
 	"github.com/vanillagate/vanillagate/internal/serve/ratelimit"
 	"github.com/vanillagate/vanillagate/internal/serve/reach"
@@ -90,8 +91,9 @@
 	reach       *reach.Tracker
 	budget      *quota.Budget
 	counts      *countExchange
-	rateLimiter *ratelimit.Limiter // nil if disabled by LeaveOut
-	engines     *engines.Tracker   // nil if disabled by LeaveOut
+	rateLimiter *ratelimit.Limiter  // nil if disabled by LeaveOut
+	engines     *engines.Tracker    // nil if disabled by LeaveOut
+	prefixes    *prefixes.Directory // nil if disabled by LeaveOut
 	origins     *origins.Registry
 	crashes     *crashes.Detector // nil if disabled by LeaveOut
 	executor    *run.Executor
@@ -160,6 +162,10 @@
 		s.engines = engines.New(logging.WithComponent(o.Log, "engines"), network)
 		s.executor.Engines = s.engines
 	}
+	if !o.LeaveOut.Has(leaveout.PromptCopies) {
+		s.prefixes = prefixes.New(s.baseCtx, logging.WithComponent(o.Log, "prefixes"), network)
+		s.executor.Prefixes = s.prefixes
+	}
 	if !o.LeaveOut.Has(leaveout.Warmup) {
 		s.rateLimiter = ratelimit.New(network, s.processCount, time.Now())
 		s.executor.RateLimiter = s.rateLimiter
@@ -233,6 +239,9 @@
 		if s.engines != nil {
 			s.engines.Sweep(now)
 		}
+		if s.prefixes != nil {
+			s.prefixes.Sweep(now)
+		}
 		s.origins.Sweep(now)
 	}
 }
