--- a/internal/serve/run/copy.go
+++ b/internal/serve/run/copy.go
@@ -45,7 +45,7 @@
 // known reports whether the directory has a recent entry for an engine.
 func (p *promptCopy) known(engine prefixes.Engine, now time.Time) bool {
 	for _, h := range p.holders {
-		if h.Engine == engine && h.Age+now.Sub(p.at) < refreshAge {
+		if p.answered && h.Engine == engine && h.Age+now.Sub(p.at) < refreshAge {
 			return true
 		}
 	}
@@ -88,7 +88,8 @@
 	}()
 }
 
-// awaitHolders waits for the answer of the cache directory. A request with stages has it already.
+// awaitHolders waits for the answer of the cache directory. A request with stages has it already. If
+// the directory doesn't answer, the affine engine is taken to hold the shared parts.
 func (j *job) awaitHolders() {
 	j.startLookup()
 	if j.copies == nil || j.copies.lookup == nil {
@@ -97,8 +98,13 @@
 	j.copies.lookupResult = <-j.copies.lookup
 	j.copies.lookup = nil
 	j.Metrics.count(series("vanillagate_prompt_lookups", "service", j.service))
-	if !j.copies.answered {
-		j.Metrics.count(series("vanillagate_prompt_lookups_unanswered", "service", j.service))
+	if j.copies.answered {
+		return
+	}
+	j.Metrics.count(series("vanillagate_prompt_lookups_unanswered", "service", j.service))
+	views, _ := j.candidates(time.Now())
+	if affine, found := place.Affine(views, j.req.Prompt); found {
+		j.copies.holders = []prefixes.Holder{{Engine: prefixes.Engine{ID: affine.ID, Born: affine.Born}}}
 	}
 }
 
@@ -109,41 +115,29 @@
 	if p == nil || p.lookup != nil {
 		return nil
 	}
-	p.sources = place.Usable(j.holders(now), j.tried)
-	return p.sources
-}
-
-// holders returns the views of the engines that hold the shared parts of the prompt and that get
-// requests. If the directory didn't answer, it is taken to be the affine engine.
-func (j *job) holders(now time.Time) []pool.View {
-	if !j.copies.answered {
-		views, _ := j.candidates(now)
-		if affine, found := place.Affine(views, j.req.Prompt); found {
-			return []pool.View{affine}
-		}
-		return nil
-	}
 	var targets []*pool.Target
-	for _, h := range j.copies.holders {
+	for _, h := range p.holders {
 		if target := j.Table.Find(j.service, h.ID); target != nil && target.Born == h.Born {
 			targets = append(targets, target)
 		}
 	}
-	return j.eligible(j.Table.ViewsOf(targets, now))
+	p.sources = place.Usable(j.eligible(j.Table.ViewsOf(targets, now)), j.tried)
+	return p.sources
 }
 
 // orderCopy returns the address from which a target copies the shared parts of the prompt; empty if
 // it copies none. The sources are looked at again, since some may have left since the choice.
 func (j *job) orderCopy(target *pool.Target, now time.Time) string {
-	if j.copies == nil {
+	p := j.copies
+	if p == nil {
 		return ""
 	}
-	j.copies.source = ""
+	p.source = ""
 	source := place.CopySource(j.copySources(now), target)
 	if source == nil {
 		return ""
 	}
-	j.copies.source = source.ID
+	p.source = source.ID
 	return source.Address
 }
 
@@ -159,7 +153,7 @@
 	j.Metrics.count(series("vanillagate_prompt_copies", "source", by))
 	j.Metrics.add(series("vanillagate_prompt_copied_tokens", "service", j.service), j.req.Prompt.SharedTokens())
 	j.Log.Debug("Shared parts of a prompt are copied.", requestID(j.req.ID), zap.String("target", target.ID),
-		zap.String("source", j.copies.source), zap.String("known_by", by), zap.Int("tokens", j.req.Prompt.SharedTokens()))
+		zap.String("source", j.copies.source), zap.String("known_from", by), zap.Int("tokens", j.req.Prompt.SharedTokens()))
 }
 
 // reportPromptRead tells the cache directory that an engine holds the shared parts of the prompt,
