--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -66,13 +66,15 @@
 	FewKept Mechanism = "few-kept"
 	// ResponseBounds: answers that are too large or too slow where they carry no result are given up.
 	ResponseBounds Mechanism = "response-bounds"
+	// PromptCopies: engines copy the shared parts of prompts from engines that have read them.
+	PromptCopies Mechanism = "prompt-copies"
 )
 
 // All returns all mechanisms.
 func All() []Mechanism {
 	return []Mechanism{
 		Sharing, Reservations, Reserve, LeastShare, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines,
-		Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept, ResponseBounds,
+		Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept, ResponseBounds, PromptCopies,
 	}
 }
 
