gather: a contended shard limits teams to their fair share

Cause: reservations take only ranks and due times into account, in the order of arrival. A team that sends seven times its usual load, or whose callers retry at once, gets capacity in proportion to its requests.

Change: each reservation carries the team and the piece key. For each rank the gatherer keeps the items that each team requested and got in the last 2 s. While the shard is contended and the teams are uneven, a team above its max-min share must leave free what the others are entitled to until the request's due time. A caller's retries count once. The refusal says that it is due to the share; counts by rank and team and the admitted share by team are on /metrics. It can be switched off as team-shares.

Decisions are the same with even teams, one team, no contention or no history.

go test ./internal/serve/...: ok.

--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -74,9 +74,11 @@
 	// life is cancelled at shutdown and ends the calls in progress.
 	life context.Context
 
-	mu     sync.Mutex // guards shards, everything in them and stats; acquired before Requester's and pool.Table's
+	mu     sync.Mutex // guards shards, everything in them, stats and teamSeries; acquired before Requester's and pool.Table's
 	shards map[Shard]*shard
 	stats  Stats
+	// teamSeries holds the teams that TeamShares lists by name.
+	teamSeries map[string]bool
 }
 
 // Stats counts calls and items of a gatherer.
@@ -114,7 +116,7 @@
 
 // NewGatherer creates a gatherer. Its calls end when life is cancelled.
 func NewGatherer(life context.Context, log *zap.Logger, table *pool.Table, plans *plan.Holder, client StageClient) *Gatherer {
-	return &Gatherer{log: log, table: table, plans: plans, client: client, life: life, shards: map[Shard]*shard{}, replaced: func(Shard) bool { return false }}
+	return &Gatherer{log: log, table: table, plans: plans, client: client, life: life, shards: map[Shard]*shard{}, teamSeries: map[string]bool{}, replaced: func(Shard) bool { return false }}
 }
 
 // Stats returns the counts so far.
@@ -151,6 +153,8 @@
 	// Wait is an estimate: of the time that a new item would be queued, or for a refused
 	// reservation of the time by which items would be late.
 	Wait Millis `json:"wait,omitempty"`
+	// OverShare means that a reservation was refused because its team is above its share.
+	OverShare bool `json:"over_share,omitempty"`
 }
 
 // Submit queues items for a shard. It returns at once; the results are passed to deliver. Items
@@ -203,9 +207,9 @@
 	targets, space := g.effectiveTargets(s, batch, now)
 	available := sustainedCapacity(targets, batch, space, int(s.size.mean))
 	key := groupKey{Request: call.Request, Stage: call.Stage}
-	wanted := reservation{items: call.Items, due: now.Add(call.Due.Duration()), serial: call.Serial}
+	wanted := reservation{items: call.Items, due: now.Add(call.Due.Duration()), serial: call.Serial, team: call.Team, pieceKey: call.PieceKey}
 	granted, lateness := s.reservations.reserve(now, key, call.Rank, wanted, available)
-	return Ack{Refused: !granted, Wait: ToMillis(lateness)}
+	return Ack{Refused: !granted, Wait: ToMillis(lateness), OverShare: s.reservations.shares.overShare}
 }
 
 // batch returns the batch settings of a shard's service; nil if this process doesn't know the
--- a/internal/serve/gather/messages.go
+++ b/internal/serve/gather/messages.go
@@ -28,6 +28,10 @@
 	Items   int    `json:"items"`
 	Due     Millis `json:"due"`
 	Serial  uint64 `json:"serial"`
+	// Team is missing in calls of processes of an earlier version.
+	Team string `json:"team,omitempty"`
+	// PieceKey is missing in calls of processes of an earlier version, too.
+	PieceKey string `json:"piece_key,omitempty"`
 }
 
 type resultsCall struct {
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -79,10 +79,15 @@
 	Service string
 	// Wait is the gatherer's estimate in Ack.Wait.
 	Wait time.Duration
+	// OverShare is Ack.OverShare.
+	OverShare bool
 }
 
 // Error describes the refusal.
 func (r *RefusedError) Error() string {
+	if r.OverShare {
+		return fmt.Sprintf("service %q refused the items: the team is above its share (%v too late)", r.Service, r.Wait)
+	}
 	return fmt.Sprintf("service %q refused the items: %s (%v too late)", r.Service, r.Reason, r.Wait)
 }
 
@@ -264,7 +269,7 @@
 		return &RefusedError{Reason: NoTargetInShard, Service: shard.Service}
 	}
 	if ack.Refused {
-		return &RefusedError{Reason: Late, Service: shard.Service, Wait: ack.Wait.Duration()}
+		return &RefusedError{Reason: Late, Service: shard.Service, Wait: ack.Wait.Duration(), OverShare: ack.OverShare}
 	}
 	return nil
 }
--- a/internal/serve/gather/reservations.go
+++ b/internal/serve/gather/reservations.go
@@ -18,6 +18,7 @@
 	leaveOut leaveout.Set
 	held     map[groupKey]*reservation
 	demands  map[int]*demand
+	shares   *fairShares
 }
 
 // reservation is the outstanding work of one stage of one request.
@@ -27,6 +28,10 @@
 	// unreserved means that the items were submitted without a reservation.
 	unreserved bool
 	serial     uint64
+	rank       int
+	at         time.Time // when it was made
+	// team and pieceKey are those of ReservationRequest; not set for unreserved items.
+	team, pieceKey string
 }
 
 // capacity is the throughput of a shard.
@@ -84,7 +89,7 @@
 func (d *demand) starved() bool { return d.admitted < minShare*d.requested }
 
 func newReservations(leaveOut leaveout.Set) *reservations {
-	return &reservations{leaveOut: leaveOut, held: map[groupKey]*reservation{}, demands: map[int]*demand{}}
+	return &reservations{leaveOut: leaveOut, held: map[groupKey]*reservation{}, demands: map[int]*demand{}, shares: newFairShares()}
 }
 
 func (r *reservations) demandOf(rank int, now time.Time) *demand {
@@ -108,10 +113,23 @@
 	if !starved && !r.leaveOut.Has(leaveout.Reserve) {
 		reserved = r.expectedMoreUrgent(rank, now, p.due)
 	}
-	lateness = r.lateness(now, p, reserved, c)
+	p.rank, p.at = rank, now
+	fair := !r.leaveOut.Has(leaveout.TeamShares)
+	claimed := 0.0
+	if fair {
+		r.shares.request(now, key.Stage, p)
+		claimed = r.shares.claims(now, p, c, r.held)
+	}
+	lateness = r.lateness(now, p, reserved+claimed, c)
 	if lateness > 0 {
+		if fair {
+			r.shares.refusedAt(now, key.Stage, p, claimed > 0 && r.lateness(now, p, reserved, c) <= 0)
+		}
 		return false, lateness
 	}
+	if fair {
+		r.shares.granted(p)
+	}
 	d.admitted += float64(p.items) / demandWindow.Seconds()
 	r.held[key] = &p
 	return true, 0
@@ -215,6 +233,7 @@
 func (r *reservations) drop(request string, upTo uint64) {
 	for key, p := range r.held {
 		if key.Request == request && p.serial <= upTo {
+			r.shares.withdraw(p)
 			delete(r.held, key)
 		}
 	}
--- a/internal/serve/gather/reserve.go
+++ b/internal/serve/gather/reserve.go
@@ -17,6 +17,11 @@
 	Items   int
 	Due     time.Time
 	Rank    int
+	// Team is the name of the request's team; empty on public routes. All requests without a team
+	// count as one.
+	Team string
+	// PieceKey is the same in all attempts of a caller's request; empty if unknown.
+	PieceKey string
 	// Zone is the zone in which the stage will run if the service is sharded by zone; empty
 	// means any zone.
 	Zone string
@@ -76,7 +81,7 @@
 	now := time.Now()
 	shard, gatherer := reservation.Shard, reservation.gatherer
 	call := reserveCall{
-		Shard: shard, Request: request, Stage: want.Stage, Rank: want.Rank, Items: want.Items, Due: ToMillis(want.Due.Sub(now)), Serial: serial,
+		Shard: shard, Request: request, Stage: want.Stage, Rank: want.Rank, Items: want.Items, Due: ToMillis(want.Due.Sub(now)), Serial: serial, Team: want.Team, PieceKey: want.PieceKey,
 	}
 	if gatherer == r.network.Self().Incarnation {
 		return reservationError(shard, r.own.ReserveStage(call, now))
--- a/internal/serve/gauges.go
+++ b/internal/serve/gauges.go
@@ -1,6 +1,9 @@
 package serve
 
 import (
+	"math"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -41,6 +44,7 @@
 	g.set("stages.items_repeated", int64(stages.Retried))
 	g.set("stages.results_in_vain", int64(stages.Discarded))
 	s.updateZoneGauges(g)
+	s.updateTeamGauges(g, now)
 	p := s.plans.Current()
 	if p == nil {
 		return
@@ -68,6 +72,33 @@
 	}
 }
 
+const teamAdmittedPercent = "vanillagate_team_admitted_percent"
+
+// updateTeamGauges reports what this process's shards refused because of teams' shares, and how much
+// of the recent requests of each team they admitted. A team that asks for nothing has no percentage.
+func (s *Server) updateTeamGauges(g gauges, now time.Time) {
+	requested, admitted := map[string]float64{}, map[string]float64{}
+	for _, t := range s.stages.Gatherer().TeamShares(now) {
+		if t.OverShare > 0 {
+			label := `{rank="` + strconv.Itoa(t.Rank) + `",team=` + strconv.Quote(t.Team) + `}`
+			g.set("vanillagate_team_refused_over_share"+label, int64(t.OverShare))
+		}
+		if t.Requested > 0 {
+			name := teamAdmittedPercent + `{team=` + strconv.Quote(t.Team) + `}`
+			requested[name] += t.Requested
+			admitted[name] += t.Admitted
+		}
+	}
+	s.metrics.Each(func(name string, _ any) {
+		if strings.HasPrefix(name, teamAdmittedPercent) && requested[name] == 0 {
+			s.metrics.Unregister(name)
+		}
+	})
+	for name, items := range requested {
+		g.set(name, int64(math.Round(100*admitted[name]/items)))
+	}
+}
+
 func (s *Server) updateServiceGauges(g gauges, service string, now time.Time) {
 	label := `{service="` + service + `"}`
 	count := s.table.Count(service, now)
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -23,6 +23,8 @@
 	Reserve Mechanism = "reserve"
 	// LeastShare: each kind of request gets at least a minimum share of what it asks for.
 	LeastShare Mechanism = "least-share"
+	// TeamShares: while a shard is contended, a team gets at most its share of what its rank gets.
+	TeamShares Mechanism = "team-shares"
 	// DueOrder: items are processed in the order of their due times. Without it they are processed
 	// in the order of arrival.
 	DueOrder Mechanism = "due-order"
@@ -69,7 +71,7 @@
 // All returns all mechanisms.
 func All() []Mechanism {
 	return []Mechanism{
-		Sharing, Reservations, Reserve, LeastShare, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines,
+		Sharing, Reservations, Reserve, LeastShare, TeamShares, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines,
 		Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept,
 	}
 }
--- a/internal/serve/run/graph.go
+++ b/internal/serve/run/graph.go
@@ -53,12 +53,20 @@
 		}
 		list = append(list, gather.ReservationRequest{
 			Service: s.Service, Stage: i, Items: g.pieces(i), Due: g.due(i), Rank: plan.EffectivePriority(g.job.route, g.job.team),
-			Zone: g.zoneOf(i),
+			Zone: g.zoneOf(i), Team: g.teamName(), PieceKey: g.job.req.PieceKey,
 		})
 	}
 	return list
 }
 
+// teamName returns the name of the request's team; empty on public routes.
+func (g *stageGraph) teamName() string {
+	if g.job.team == nil {
+		return ""
+	}
+	return g.job.team.Name
+}
+
 // services returns the names of the services that the stages use.
 func (g *stageGraph) services() []string {
 	var list []string
