--- a/internal/serve/gather/fair_share_test.go
+++ b/internal/serve/gather/fair_share_test.go
@@ -17,16 +17,11 @@
 
 // teamLoad is a load of several teams on one shard that processes 100 items per second.
 type teamLoad struct {
-	// rates are the teams' requests per second.
-	rates []float64
-	// items returns the size of a request.
-	items func(*rand.Rand) int
-	// retries is how often a refused caller comes back, each time after 20 ms.
-	retries int
-	// regular requests arrive at fixed intervals, others independently of each other.
-	regular bool
-	// unnamed is the part of the requests that carry no team.
-	unnamed float64
+	rates   []float64 // requests per second, by team
+	items   func(*rand.Rand) int
+	retries int     // of each refused caller, one every 20 ms
+	regular bool    // requests arrive at fixed intervals instead of independently
+	unnamed float64 // part of the requests that carry no team
 	seconds float64
 }
 
@@ -36,12 +31,10 @@
 func (o outcome) share() float64 { return float64(o.served) / float64(max(o.asked, 1)) }
 
 type played struct {
-	teams              []outcome
-	first, others, all outcome // the first team, all other teams, all teams
-	large              outcome // requests of largeItems
-	unnamed            outcome
-	overShare          int
-	decisions          []bool
+	teams                              []outcome
+	first, others, all, large, unnamed outcome
+	overShare                          int
+	decisions                          []bool
 }
 
 const largeItems = 24
@@ -104,19 +97,13 @@
 }
 
 func (p *played) count(r playedRequest, served bool) {
-	counts := []*outcome{&p.teams[r.team], &p.all, &p.others}
-	if r.team == 0 {
-		counts[2] = &p.first
-	}
-	if r.items >= largeItems {
-		counts = append(counts, &p.large)
-	}
-	if r.name == "" {
-		counts = append(counts, &p.unnamed)
-	}
-	for _, o := range counts {
-		o.asked += r.items
-		if served {
+	for o, applies := range map[*outcome]bool{
+		&p.teams[r.team]: true, &p.all: true, &p.first: r.team == 0, &p.others: r.team > 0, &p.large: r.items >= largeItems, &p.unnamed: r.name == "",
+	} {
+		if applies {
+			o.asked += r.items
+		}
+		if applies && served {
 			o.served += r.items
 		}
 	}
@@ -162,11 +149,8 @@
 				before.first.share(), after.first.share(), before.large.share(), after.large.share(), before.all.served, after.all.served)
 			assert.Assert(t, after.overShare > 0, name)
 			assert.Assert(t, after.others.share() > min(before.others.share()+0.03, 0.95), "%s: %.2f", name, after.others.share())
-			for team, o := range after.teams {
-				assert.Assert(t, o.share() >= floorShare*after.all.share(), "%s: team %d: %.2f", name, team, o.share())
-			}
-			if after.large.asked > 0 {
-				assert.Assert(t, after.large.share() >= floorShare*after.all.share(), "%s: %.2f", name, after.large.share())
+			for i, o := range append(after.teams, after.large) {
+				assert.Assert(t, o.asked == 0 || o.share() >= floorShare*after.all.share(), "%s: team %d: %.2f", name, i, o.share())
 			}
 			assert.Assert(t, float64(after.all.served) >= 0.94*float64(before.all.served), "%s: %d of %d", name, after.all.served, before.all.served)
 		}
@@ -244,18 +228,16 @@
 // Guards against shares that don't add up, and against a team that gets more than it asks for or
 // less than its floor.
 func TestMaxMinShares(t *testing.T) {
-	for _, c := range []struct {
-		demands     []float64
-		total       float64
-		floor       float64
-		want        []float64
-		description string
+	for name, c := range map[string]struct {
+		demands      []float64
+		total, floor float64
+		want         []float64
 	}{
-		{[]float64{7, 1, 1, 1}, 6, 0, []float64{3, 1, 1, 1}, "unused shares go to the others"},
-		{[]float64{7, 1, 1, 1}, 6, 0.5, []float64{3.5, 0.833, 0.833, 0.833}, "floor"},
-		{[]float64{4, 4}, 6, 0.375, []float64{3, 3}, "even"},
-		{[]float64{4}, 3, 0.375, []float64{3}, "one team"},
-		{[]float64{0, 4, 8}, 9, 0, []float64{0, 4, 5}, "a team that asks for nothing"},
+		"unused shares go to the others": {[]float64{7, 1, 1, 1}, 6, 0, []float64{3, 1, 1, 1}},
+		"floor":                          {[]float64{7, 1, 1, 1}, 6, 0.5, []float64{3.5, 0.833, 0.833, 0.833}},
+		"even":                           {[]float64{4, 4}, 6, 0.375, []float64{3, 3}},
+		"one team":                       {[]float64{4}, 3, 0.375, []float64{3}},
+		"a team that asks for nothing":   {[]float64{0, 4, 8}, 9, 0, []float64{0, 4, 5}},
 	} {
 		r := &rankShares{}
 		for _, d := range c.demands {
@@ -263,7 +245,7 @@
 		}
 		r.divide(c.total, c.floor)
 		for i, want := range c.want {
-			assert.Assert(t, math.Abs(r.teams[i].share-want) < 0.01, "%s: %v", c.description, r.teams[i].share)
+			assert.Assert(t, math.Abs(r.teams[i].share-want) < 0.01, "%s: %v", name, r.teams[i].share)
 		}
 	}
 }
--- a/internal/serve/gauges.go
+++ b/internal/serve/gauges.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/vanillagate/vanillagate/internal/serve/gather"
 )
 
 // gauges writes the state of this process to a metrics registry.
@@ -44,7 +46,7 @@
 	g.set("stages.items_repeated", int64(stages.Retried))
 	g.set("stages.results_in_vain", int64(stages.Discarded))
 	s.updateZoneGauges(g)
-	s.updateTeamGauges(g, now)
+	g.setTeams(s.stages.Gatherer().TeamShares(now))
 	p := s.plans.Current()
 	if p == nil {
 		return
@@ -74,11 +76,11 @@
 
 const teamAdmittedPercent = "vanillagate_team_admitted_percent"
 
-// updateTeamGauges reports what this process's shards refused because of teams' shares, and how much
-// of the recent requests of each team they admitted. A team that asks for nothing has no percentage.
-func (s *Server) updateTeamGauges(g gauges, now time.Time) {
+// setTeams reports what this process's shards refused because of teams' shares, and how much of the
+// recent requests of each team they admitted. A team that asks for nothing has no percentage.
+func (g gauges) setTeams(shares []gather.TeamShare) {
 	requested, admitted := map[string]float64{}, map[string]float64{}
-	for _, t := range s.stages.Gatherer().TeamShares(now) {
+	for _, t := range shares {
 		if t.OverShare > 0 {
 			label := `{rank="` + strconv.Itoa(t.Rank) + `",team=` + strconv.Quote(t.Team) + `}`
 			g.set("vanillagate_team_refused_over_share"+label, int64(t.OverShare))
@@ -89,9 +91,9 @@
 			admitted[name] += t.Admitted
 		}
 	}
-	s.metrics.Each(func(name string, _ any) {
+	g.registry.Each(func(name string, _ any) {
 		if strings.HasPrefix(name, teamAdmittedPercent) && requested[name] == 0 {
-			s.metrics.Unregister(name)
+			g.registry.Unregister(name)
 		}
 	})
 	for name, items := range requested {
--- a/internal/serve/run/due_test.go
+++ b/internal/serve/run/due_test.go
@@ -26,3 +26,16 @@
 		assert.Equal(t, newStageGraph(j).due(0), now.Add(c.due-first), "%+v", c)
 	}
 }
+
+// Guards against reservations without the team, which would all count as one team's.
+func TestReservationsCarryTeamAndPieceKey(t *testing.T) {
+	for _, team := range []*plan.Team{nil, {Name: "a"}} {
+		j := &job{
+			Executor: &Executor{Plans: &plan.Holder{}}, req: &Request{PieceKey: "piece", Pieces: []int{1}}, team: team,
+			route: &plan.Route{Stages: []plan.Stage{{Service: "s"}}},
+		}
+		want := newStageGraph(j).wants()[0]
+		assert.Equal(t, want.PieceKey, "piece")
+		assert.Equal(t, want.Team != "", team != nil)
+	}
+}
