gather: keep room for the largest requests while shares apply

Cause: large requests fit less often than small ones. Small requests of teams within their share took the room.

Change: while the rule applies and the largest tenth gets less than 0.9 of the rank's share, all smaller requests leave room for one of the largest. The answer says which of the two causes refused a reservation, and the counter has it as a label.

--- a/internal/serve/gather/fair_share.go
+++ b/internal/serve/gather/fair_share.go
@@ -20,19 +20,32 @@
 	ranks map[int]*rankShares
 	// lastRefusal is when the shard last refused work, for whatever reason.
 	lastRefusal time.Time
-	refused     map[teamRank]int
+	refused     map[shareRefusal]int
 	// returning holds when requests were refused last, in the current period of demandWindow and in
 	// the one before. Those that come back count once, as of their latest try.
 	returning, returningBefore map[callerKey]time.Time
 	periodSince                time.Time
-	// overShare reports whether the latest decision was a refusal because of a share.
-	overShare bool
+	// cause is the cause of the latest decision.
+	cause ShareCause
 }
 
-// teamRank identifies a team's requests of one rank.
-type teamRank struct {
-	team string
-	rank int
+// ShareCause says why a reservation was refused although there was capacity.
+type ShareCause string
+
+const (
+	// NoShareCause: it was granted, or there was no capacity.
+	NoShareCause ShareCause = ""
+	// TeamAboveShare: other teams are entitled to the capacity.
+	TeamAboveShare ShareCause = "team"
+	// RoomForLarge: the largest requests of the rank are refused too often.
+	RoomForLarge ShareCause = "size"
+)
+
+// shareRefusal identifies a team's requests of one rank that were refused for one cause.
+type shareRefusal struct {
+	team  string
+	rank  int
+	cause ShareCause
 }
 
 // callerKey identifies a stage of a caller's request over all its attempts.
@@ -44,9 +57,12 @@
 const (
 	// contentionTime is how long after a refusal a shard counts as contended.
 	contentionTime = time.Second
-	// floorShare is the part of its rank's admitted share that each team and the largest requests
-	// get at least: callers need half.
+	// floorShare is the part of its rank's admitted share that each team gets at least: callers need
+	// half.
 	floorShare = 0.5
+	// largeFloor is the part of their rank's admitted share below which room is kept for the largest
+	// requests. Callers need half, too, but room takes effect only when the next ones arrive.
+	largeFloor = 0.9
 	// evenFactor is how far a team's demand may be from the mean, in both directions, before the
 	// teams count as uneven. Within it a team gets at least half of an even share without any rule.
 	evenFactor = 2
@@ -110,12 +126,12 @@
 func (t *teamDemand) satisfiable() bool { return t.share == t.requested }
 
 func newFairShares() *fairShares {
-	return &fairShares{ranks: map[int]*rankShares{}, refused: map[teamRank]int{}, returning: map[callerKey]time.Time{}}
+	return &fairShares{ranks: map[int]*rankShares{}, refused: map[shareRefusal]int{}, returning: map[callerKey]time.Time{}}
 }
 
 // request records a request for a stage before the decision on it.
 func (f *fairShares) request(now time.Time, stage int, p reservation) {
-	f.overShare = false
+	f.cause = NoShareCause
 	r := f.ranks[p.rank]
 	if r == nil {
 		r = &rankShares{since: now, updated: now, index: map[string]int{}, largeFrom: math.MaxInt}
@@ -166,13 +182,13 @@
 }
 
 // refusedAt records that work was refused, because of a share or for lack of capacity.
-func (f *fairShares) refusedAt(now time.Time, stage int, p reservation, overShare bool) {
+func (f *fairShares) refusedAt(now time.Time, stage int, p reservation, cause ShareCause) {
 	if p.pieceKey != "" && len(f.returning) < maxReturning {
 		f.returning[callerKey{team: p.team, pieceKey: p.pieceKey, stage: stage}] = now
 	}
-	f.lastRefusal, f.overShare = now, overShare
-	if overShare {
-		id := teamRank{p.team, p.rank}
+	f.lastRefusal, f.cause = now, cause
+	if cause != NoShareCause {
+		id := shareRefusal{p.team, p.rank, cause}
 		if len(f.refused) >= maxTeams && f.refused[id] == 0 {
 			id.team = ""
 		}
@@ -268,29 +284,29 @@
 
 // claims returns how many items the work of a request must leave free for other teams, or for
 // large requests, that are due up to the same time. It is 0 where the decision is only one of
-// capacity: without contention or history, with even teams, and for a team within its share. held
-// lists the outstanding reservations.
-func (f *fairShares) claims(now time.Time, p reservation, c capacity, held map[groupKey]*reservation) float64 {
+// capacity: without contention or history, and with even teams. held lists the outstanding
+// reservations.
+func (f *fairShares) claims(now time.Time, p reservation, c capacity, held map[groupKey]*reservation) (float64, ShareCause) {
 	r := f.ranks[p.rank]
 	sinceRefusal := now.Sub(f.lastRefusal)
 	if f.lastRefusal.IsZero() || sinceRefusal < 0 || sinceRefusal > contentionTime || now.Sub(r.since) < demandWindow {
-		return 0
+		return 0, NoShareCause
 	}
 	requested, admitted := r.totals()
 	if admitted <= 0 || admitted >= requested || !r.uneven() {
-		return 0
+		return 0, NoShareCause
 	}
 	floor := floorShare * admitted / requested
 	r.divide(admitted, floor)
+	room := 0.0
+	if r.large.admitted*requested < largeFloor*admitted*r.large.requested && p.items < r.largeFrom {
+		room = float64(slices.Max(r.sizes[:]))
+	}
 	own := r.index[r.countedAs(p.team)]
 	if r.teams[own].admitted < r.teams[own].share {
-		return 0
-	}
-	largeStarved := r.large.admitted < floor*r.large.requested
-	if largeStarved && p.items >= r.largeFrom {
-		return 0
+		return room, RoomForLarge
 	}
-	largeHeld := r.countHeld(p, held)
+	r.countHeld(p, held)
 	// Shares are parts of what the rank got lately. Targets may have processed that faster than
 	// capacity is reserved, so the parts are scaled to what can be reserved until the due time.
 	left := max(p.due.Sub(now)-c.call, 0).Seconds() / demandWindow.Seconds()
@@ -301,15 +317,14 @@
 			total += max(t.share*left-t.held, 0)
 		}
 	}
-	if largeStarved && !largeHeld {
-		total = max(total, float64(slices.Max(r.sizes[:])))
+	if room > total {
+		return room, RoomForLarge
 	}
-	return total
+	return total, TeamAboveShare
 }
 
-// countHeld sets what each team holds that is due no later than a request, and reports whether a
-// large request is among it.
-func (r *rankShares) countHeld(p reservation, held map[groupKey]*reservation) (large bool) {
+// countHeld sets what each team holds that is due no later than a request.
+func (r *rankShares) countHeld(p reservation, held map[groupKey]*reservation) {
 	for i := range r.teams {
 		r.teams[i].held = 0
 	}
@@ -320,9 +335,7 @@
 		if i, known := r.index[r.countedAs(other.team)]; known {
 			r.teams[i].held += float64(other.items)
 		}
-		large = large || other.items >= r.largeFrom
 	}
-	return large
 }
 
 func (r *rankShares) totals() (requested, admitted float64) {
--- a/internal/serve/gather/fair_share_test.go
+++ b/internal/serve/gather/fair_share_test.go
@@ -82,7 +82,7 @@
 			work := reservation{items: r.items, due: r.arrived.Add(1500 * time.Millisecond), team: r.name, pieceKey: strconv.Itoa(r.id)}
 			granted, _ := shard.reserve(now, groupKey{Request: strconv.Itoa(r.id)}, 1, work, available)
 			result.decisions = append(result.decisions, granted)
-			if shard.shares.overShare {
+			if shard.shares.cause != NoShareCause {
 				result.overShare++
 			}
 			if !granted && r.tries < load.retries {
@@ -142,6 +142,7 @@
 		"7x, all at once":    {rates: teamsOf(16, 1.4, 7), items: shortAndLong, seconds: 40, retries: 20},
 		"seven seconds":      {rates: teamsOf(16, 1.4, 7), items: short, seconds: 7},
 		"heavy overload":     {rates: teamsOf(16, 2.5, 7), items: short, seconds: 40, retries: 20},
+		"heavy, large":       {rates: teamsOf(16, 5, 7), items: shortAndLong, seconds: 40},
 	} {
 		for seed := range uint64(5) {
 			before, after := play(load, seed, start, 1, withoutTeamShares), play(load, seed, start, 1, leaveout.Set{})
@@ -192,7 +193,7 @@
 	assert.NilError(t, json.Unmarshal([]byte(`{"cell":{"service":"s"},"request":"r","stage":0,"rank":1,"items":4,"due":900,"serial":1}`), &call))
 	g := newTestGatherer(context.Background(), &plan.Batch{Size: 1, BufferBytes: 100}, nil, "10.0.0.1:1")
 	assert.Assert(t, !g.ReserveStage(call, start).Refused)
-	assert.Equal(t, g.TeamShares(start)[0], TeamShare{Rank: 1, Requested: 4, Admitted: 4})
+	assert.DeepEqual(t, g.TeamShares(start)[0], TeamShare{Rank: 1, Requested: 4, Admitted: 4, Refused: map[ShareCause]int{}})
 }
 
 // Guards against decisions that depend on the time of day, and against shares that rest on demand
@@ -204,7 +205,8 @@
 	ask := func(now time.Time, team string, items int) float64 {
 		p := reservation{items: items, due: now.Add(time.Second), team: team, rank: 1, at: now}
 		f.request(now, 0, p)
-		return f.claims(now, p, capacity{rate: 100}, nil)
+		claimed, _ := f.claims(now, p, capacity{rate: 100}, nil)
+		return claimed
 	}
 	contend := func(now time.Time) (claimed float64) {
 		for i := range 100 {
@@ -215,7 +217,7 @@
 			}
 			claimed = ask(at, "large", 8)
 			f.granted(reservation{items: 4, team: "large", rank: 1})
-			f.refusedAt(at, 0, reservation{items: 4, team: "large", rank: 1}, false)
+			f.refusedAt(at, 0, reservation{items: 4, team: "large", rank: 1}, NoShareCause)
 		}
 		return claimed
 	}
@@ -223,6 +225,8 @@
 	assert.Equal(t, ask(start.Add(-time.Hour), "large", 8), 0.0, "the last refusal isn't a second ago")
 	assert.Assert(t, contend(start.Add(-time.Hour)) > 0)
 	assert.Assert(t, f.ranks[1].teams[0].requested < 200, "%v", f.ranks[1].teams[0])
+	f.ranks[1].advance(start.Add(-time.Hour + 2*teamTimeout))
+	assert.Equal(t, len(f.ranks[1].teams), 0, "teams that no longer ask")
 }
 
 // Guards against shares that don't add up, and against a team that gets more than it asks for or
@@ -292,7 +296,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				res.shares.request(now, 0, p)
-				if res.shares.claims(now, p, capacity{rate: 100}, res.held) == 0 {
+				if claimed, _ := res.shares.claims(now, p, capacity{rate: 100}, res.held); claimed == 0 {
 					b.Fatal("the team isn't above its share")
 				}
 			}
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -153,8 +153,8 @@
 	// Wait is an estimate: of the time that a new item would be queued, or for a refused
 	// reservation of the time by which items would be late.
 	Wait Millis `json:"wait,omitempty"`
-	// OverShare means that a reservation was refused because its team is above its share.
-	OverShare bool `json:"over_share,omitempty"`
+	// Share says whether a reservation was refused because of a share.
+	Share ShareCause `json:"share,omitempty"`
 }
 
 // Submit queues items for a shard. It returns at once; the results are passed to deliver. Items
@@ -209,7 +209,7 @@
 	key := groupKey{Request: call.Request, Stage: call.Stage}
 	wanted := reservation{items: call.Items, due: now.Add(call.Due.Duration()), serial: call.Serial, team: call.Team, pieceKey: call.PieceKey}
 	granted, lateness := s.reservations.reserve(now, key, call.Rank, wanted, available)
-	return Ack{Refused: !granted, Wait: ToMillis(lateness), OverShare: s.reservations.shares.overShare}
+	return Ack{Refused: !granted, Wait: ToMillis(lateness), Share: s.reservations.shares.cause}
 }
 
 // batch returns the batch settings of a shard's service; nil if this process doesn't know the
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -79,14 +79,17 @@
 	Service string
 	// Wait is the gatherer's estimate in Ack.Wait.
 	Wait time.Duration
-	// OverShare is Ack.OverShare.
-	OverShare bool
+	// Share is Ack.Share.
+	Share ShareCause
 }
 
 // Error describes the refusal.
 func (r *RefusedError) Error() string {
-	if r.OverShare {
+	switch r.Share {
+	case TeamAboveShare:
 		return fmt.Sprintf("service %q refused the items: the team is above its share (%v too late)", r.Service, r.Wait)
+	case RoomForLarge:
+		return fmt.Sprintf("service %q refused the items: room is kept for larger requests (%v too late)", r.Service, r.Wait)
 	}
 	return fmt.Sprintf("service %q refused the items: %s (%v too late)", r.Service, r.Reason, r.Wait)
 }
@@ -269,7 +272,7 @@
 		return &RefusedError{Reason: NoTargetInShard, Service: shard.Service}
 	}
 	if ack.Refused {
-		return &RefusedError{Reason: Late, Service: shard.Service, Wait: ack.Wait.Duration(), OverShare: ack.OverShare}
+		return &RefusedError{Reason: Late, Service: shard.Service, Wait: ack.Wait.Duration(), Share: ack.Share}
 	}
 	return nil
 }
--- a/internal/serve/gather/reservations.go
+++ b/internal/serve/gather/reservations.go
@@ -115,15 +115,18 @@
 	}
 	p.rank, p.at = rank, now
 	fair := !r.leaveOut.Has(leaveout.TeamShares)
-	claimed := 0.0
+	claimed, cause := 0.0, NoShareCause
 	if fair {
 		r.shares.request(now, key.Stage, p)
-		claimed = r.shares.claims(now, p, c, r.held)
+		claimed, cause = r.shares.claims(now, p, c, r.held)
 	}
 	lateness = r.lateness(now, p, reserved+claimed, c)
 	if lateness > 0 {
 		if fair {
-			r.shares.refusedAt(now, key.Stage, p, claimed > 0 && r.lateness(now, p, reserved, c) <= 0)
+			if claimed == 0 || r.lateness(now, p, reserved, c) > 0 {
+				cause = NoShareCause
+			}
+			r.shares.refusedAt(now, key.Stage, p, cause)
 		}
 		return false, lateness
 	}
--- a/internal/serve/gather/team_shares.go
+++ b/internal/serve/gather/team_shares.go
@@ -13,8 +13,8 @@
 	// Requested and Admitted are items, weighted by exp(-age/2s). Both are 0 for a team that hasn't
 	// asked lately.
 	Requested, Admitted float64
-	// OverShare counts the requests that were refused because the team was above its share.
-	OverShare int
+	// Refused counts the requests that were refused because of a share, by cause.
+	Refused map[ShareCause]int
 }
 
 const (
@@ -30,6 +30,10 @@
 func (g *Gatherer) TeamShares(now time.Time) []TeamShare {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	type teamRank struct {
+		team string
+		rank int
+	}
 	sums := map[teamRank]*TeamShare{}
 	of := func(team string, rank int) *TeamShare {
 		if !g.teamSeries[team] && len(g.teamSeries) >= maxTeamSeries {
@@ -39,7 +43,7 @@
 		}
 		id := teamRank{team, rank}
 		if sums[id] == nil {
-			sums[id] = &TeamShare{Team: team, Rank: rank}
+			sums[id] = &TeamShare{Team: team, Rank: rank, Refused: map[ShareCause]int{}}
 		}
 		return sums[id]
 	}
@@ -53,7 +57,7 @@
 			}
 		}
 		for id, n := range s.reservations.shares.refused {
-			of(id.team, id.rank).OverShare += n
+			of(id.team, id.rank).Refused[id.cause] += n
 		}
 	}
 	list := make([]TeamShare, 0, len(sums))
--- a/internal/serve/gauges.go
+++ b/internal/serve/gauges.go
@@ -81,9 +81,9 @@
 func (g gauges) setTeams(shares []gather.TeamShare) {
 	requested, admitted := map[string]float64{}, map[string]float64{}
 	for _, t := range shares {
-		if t.OverShare > 0 {
-			label := `{rank="` + strconv.Itoa(t.Rank) + `",team=` + strconv.Quote(t.Team) + `}`
-			g.set("vanillagate_team_refused_over_share"+label, int64(t.OverShare))
+		for cause, n := range t.Refused {
+			label := `{cause="` + string(cause) + `",rank="` + strconv.Itoa(t.Rank) + `",team=` + strconv.Quote(t.Team) + `}`
+			g.set("vanillagate_team_refused_for_share"+label, int64(n))
 		}
 		if t.Requested > 0 {
 			name := teamAdmittedPercent + `{team=` + strconv.Quote(t.Team) + `}`
--- a/internal/serve/team_gauges_test.go
+++ b/internal/serve/team_gauges_test.go
@@ -16,11 +16,11 @@
 	g := gauges{registry: registry}
 	g.setTeams([]gather.TeamShare{
 		{Team: "a", Rank: 0, Requested: 4, Admitted: 4},
-		{Team: "a", Rank: 1, Requested: 4, Admitted: 1, OverShare: 3},
+		{Team: "a", Rank: 1, Requested: 4, Admitted: 1, Refused: map[gather.ShareCause]int{gather.TeamAboveShare: 3}},
 	})
 	value := func(name string) int64 { return registry.Get(name).(metrics.Gauge).Value() }
 	assert.Equal(t, value(`vanillagate_team_admitted_percent{team="a"}`), int64(63))
-	assert.Equal(t, value(`vanillagate_team_refused_over_share{rank="1",team="a"}`), int64(3))
-	g.setTeams([]gather.TeamShare{{Team: "a", Rank: 1, OverShare: 3}})
+	assert.Equal(t, value(`vanillagate_team_refused_for_share{cause="team",rank="1",team="a"}`), int64(3))
+	g.setTeams([]gather.TeamShare{{Team: "a", Rank: 1}})
 	assert.Assert(t, registry.Get(`vanillagate_team_admitted_percent{team="a"}`) == nil)
 }
