gather: a new gatherer asks stage targets what they still hold and run

Cause: a process that begins to gather for a shard assumes that all buffers are empty. After all processes were killed they are full of results that nobody fetches; items found no room and inputs were lost.

What the buffer holds beyond own results counts as others' until handle-s, less freed results; others' calls count as calls in progress.

--- a/internal/serve/gather/buffers.go
+++ b/internal/serve/gather/buffers.go
@@ -16,14 +16,29 @@
 // frees them; they expire.
 const foreign = "foreign"
 
+// residual stands for results that a target stated to hold when this process began to gather.
+const residual = "residual"
+
 // markFull records that a target reported no space although by this account it should have had
 // some. The difference is attributed to foreign results.
 func (b *buffer) markFull(size int, expires time.Time) {
-	b.put(foreign, max(size-b.bytes+b.foreign(), 0), expires)
+	b.put(foreign, max(size-b.bytes+b.results[foreign].bytes, 0), expires)
 }
 
-// foreign returns the space attributed to foreign results.
-func (b *buffer) foreign() int { return b.results[foreign].bytes }
+// foreign returns the space attributed to results that this process doesn't know.
+func (b *buffer) foreign() int { return b.results[foreign].bytes + b.results[residual].bytes }
+
+// freed records that a result was freed at the target. One that isn't known here is part of the
+// residual results; their mean size is given.
+func (b *buffer) freed(handle string, mean int) {
+	if _, known := b.results[handle]; known {
+		b.drop(handle)
+		return
+	}
+	if r, found := b.results[residual]; found {
+		b.put(residual, max(r.bytes-mean, 0), r.expires)
+	}
+}
 
 // storedResult is the space of one result, and when the target drops it.
 type storedResult struct {
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -39,6 +39,9 @@
 	OneZone Mechanism = "one-zone"
 	// Affinity: requests with the same shared prompt go to the engine that has already read it.
 	Affinity Mechanism = "affinity"
+	// ResidualState: a process that begins to gather for a shard asks the targets what they still
+	// hold and run.
+	ResidualState Mechanism = "residual-state"
 	// SlowTargets: slow stage targets are skipped.
 	SlowTargets Mechanism = "slow-targets"
 	// EarlyRelease: inputs are released as soon as they have been fetched.
@@ -71,7 +74,7 @@
 // All returns all mechanisms.
 func All() []Mechanism {
 	return []Mechanism{
-		Sharing, Reservations, Reserve, LeastShare, TeamShares, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines,
+		Sharing, Reservations, Reserve, LeastShare, TeamShares, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, ResidualState, SlowTargets, EarlyRelease, LearntEngines,
 		Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept,
 	}
 }
