--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -74,9 +74,11 @@
 	// life is cancelled at shutdown and ends the calls in progress.
 	life context.Context
 
-	mu     sync.Mutex // guards shards, everything in them and stats; acquired before Requester's and pool.Table's
+	mu     sync.Mutex // guards shards, everything in them, stats and teamSeries; acquired before Requester's and pool.Table's
 	shards map[Shard]*shard
 	stats  Stats
+	// teamSeries holds the teams that TeamShares lists by name.
+	teamSeries map[string]bool
 }
 
 // Stats counts calls and items of a gatherer.
@@ -88,6 +90,10 @@
 	Retried int
 	// Discarded counts results that arrived when no request waited for them any more.
 	Discarded int
+	// StatesRead and StatesUnanswered count targets that were asked for their state when this
+	// process began to gather. ResidualBusy counts those with calls of others, ResidualBytes the
+	// space of others' results.
+	StatesRead, StatesUnanswered, ResidualBusy, ResidualBytes int
 }
 
 // shard is the state of one shard.
@@ -95,6 +101,7 @@
 	Shard
 	// since is when this process began to gather for the shard.
 	since             time.Time
+	statesRead        bool // the targets were asked for their state
 	queue             *queue
 	inputTracker      inputTracker
 	reservations      *reservations
@@ -109,12 +116,17 @@
 	flushScheduled    bool
 }
 
-// activeCall is a call in progress; ends is when it is expected to end.
-type activeCall struct{ ends time.Time }
+// activeCall is a call in progress, of this process or of a previous gatherer.
+type activeCall struct {
+	// ends is when it is expected to end.
+	ends time.Time
+	// bytes is the expected size of its results; 0 for a call of a previous gatherer.
+	bytes int
+}
 
 // NewGatherer creates a gatherer. Its calls end when life is cancelled.
 func NewGatherer(life context.Context, log *zap.Logger, table *pool.Table, plans *plan.Holder, client StageClient) *Gatherer {
-	return &Gatherer{log: log, table: table, plans: plans, client: client, life: life, shards: map[Shard]*shard{}, replaced: func(Shard) bool { return false }}
+	return &Gatherer{log: log, table: table, plans: plans, client: client, life: life, shards: map[Shard]*shard{}, teamSeries: map[string]bool{}, replaced: func(Shard) bool { return false }}
 }
 
 // Stats returns the counts so far.
@@ -151,6 +163,8 @@
 	// Wait is an estimate: of the time that a new item would be queued, or for a refused
 	// reservation of the time by which items would be late.
 	Wait Millis `json:"wait,omitempty"`
+	// Share says whether a reservation was refused because of a share.
+	Share ShareCause `json:"share,omitempty"`
 }
 
 // Submit queues items for a shard. It returns at once; the results are passed to deliver. Items
@@ -167,6 +181,7 @@
 		return Ack{NoTargetInShard: true}
 	}
 	s := g.stateOf(id)
+	g.readStates(s, batch, now)
 	wait := g.wait(s, batch, now)
 	for _, item := range items {
 		if wait+batch.CallTime+batch.ItemTime > item.Expires.Duration() {
@@ -200,12 +215,13 @@
 		return Ack{UnknownService: true}
 	}
 	s := g.stateOf(call.Shard)
+	g.readStates(s, batch, now)
 	targets, space := g.effectiveTargets(s, batch, now)
 	available := sustainedCapacity(targets, batch, space, int(s.size.mean))
 	key := groupKey{Request: call.Request, Stage: call.Stage}
-	wanted := reservation{items: call.Items, due: now.Add(call.Due.Duration()), serial: call.Serial}
+	wanted := reservation{items: call.Items, due: now.Add(call.Due.Duration()), serial: call.Serial, team: call.Team, pieceKey: call.PieceKey}
 	granted, lateness := s.reservations.reserve(now, key, call.Rank, wanted, available)
-	return Ack{Refused: !granted, Wait: ToMillis(lateness)}
+	return Ack{Refused: !granted, Wait: ToMillis(lateness), Share: s.reservations.shares.cause}
 }
 
 // batch returns the batch settings of a shard's service; nil if this process doesn't know the
@@ -331,6 +347,6 @@
 	defer g.mu.Unlock()
 	b := g.bufferOf(s, target.Address, time.Now())
 	for _, handle := range handles {
-		b.drop(handle)
+		b.freed(handle, int(s.size.mean))
 	}
 }
--- a/internal/serve/gauges.go
+++ b/internal/serve/gauges.go
@@ -1,9 +1,14 @@
 package serve
 
 import (
+	"math"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/vanillagate/vanillagate/internal/serve/gather"
 )
 
 // gauges writes the state of this process to a metrics registry.
@@ -43,7 +48,12 @@
 	g.set("stages.items_late", int64(stages.Late))
 	g.set("stages.items_repeated", int64(stages.Retried))
 	g.set("stages.results_in_vain", int64(stages.Discarded))
+	g.set("stages.states_read", int64(stages.StatesRead))
+	g.set("stages.states_unanswered", int64(stages.StatesUnanswered))
+	g.set("stages.residual_busy", int64(stages.ResidualBusy))
+	g.set("stages.residual_bytes", int64(stages.ResidualBytes))
 	s.updateZoneGauges(g)
+	g.setTeams(s.stages.Gatherer().TeamShares(now))
 	p := s.plans.Current()
 	if p == nil {
 		return
@@ -71,6 +81,33 @@
 	}
 }
 
+const teamAdmittedPercent = "vanillagate_team_admitted_percent"
+
+// setTeams reports what this process's shards refused because of teams' shares, and how much of the
+// recent requests of each team they admitted. A team that asks for nothing has no percentage.
+func (g gauges) setTeams(shares []gather.TeamShare) {
+	requested, admitted := map[string]float64{}, map[string]float64{}
+	for _, t := range shares {
+		for cause, n := range t.Refused {
+			label := `{cause="` + string(cause) + `",rank="` + strconv.Itoa(t.Rank) + `",team=` + strconv.Quote(t.Team) + `}`
+			g.set("vanillagate_team_refused_for_share"+label, int64(n))
+		}
+		if t.Requested > 0 {
+			name := teamAdmittedPercent + `{team=` + strconv.Quote(t.Team) + `}`
+			requested[name] += t.Requested
+			admitted[name] += t.Admitted
+		}
+	}
+	g.registry.Each(func(name string, _ any) {
+		if strings.HasPrefix(name, teamAdmittedPercent) && requested[name] == 0 {
+			g.registry.Unregister(name)
+		}
+	})
+	for name, items := range requested {
+		g.set(name, int64(math.Round(100*admitted[name]/items)))
+	}
+}
+
 func (s *Server) updateServiceGauges(g gauges, service string, now time.Time) {
 	label := `{service="` + service + `"}`
 	count := s.table.Count(service, now)
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -23,6 +23,8 @@
 	Reserve Mechanism = "reserve"
 	// LeastShare: each kind of request gets at least a minimum share of what it asks for.
 	LeastShare Mechanism = "least-share"
+	// TeamShares: while a shard is contended, a team gets at most its share of what its rank gets.
+	TeamShares Mechanism = "team-shares"
 	// DueOrder: items are processed in the order of their due times. Without it they are processed
 	// in the order of arrival.
 	DueOrder Mechanism = "due-order"
@@ -37,6 +39,9 @@
 	OneZone Mechanism = "one-zone"
 	// Affinity: requests with the same shared prompt go to the engine that has already read it.
 	Affinity Mechanism = "affinity"
+	// ResidualState: a process that begins to gather for a shard asks the targets what they still
+	// hold and run.
+	ResidualState Mechanism = "residual-state"
 	// SlowTargets: slow stage targets are skipped.
 	SlowTargets Mechanism = "slow-targets"
 	// EarlyRelease: inputs are released as soon as they have been fetched.
@@ -73,8 +78,7 @@
 // All returns all mechanisms.
 func All() []Mechanism {
 	return []Mechanism{
-		Sharing, Reservations, Reserve, LeastShare, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines,
-		Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept, ResponseBounds, PromptCopies,
+		Sharing, Reservations, Reserve, LeastShare, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines, Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept, ResponseBounds, PromptCopies, TeamShares, ResidualState,
 	}
 }
 
