gather: a refused request gets a place for its next attempt

A shard that refuses a request with a piece key now holds capacity for its next attempt, at the time when the backlog allows it, and tells that time as Retry-After. The place counts as reserved work against requests of its rank and less urgent ones. Requests of several stages get places at all their shards for the same time; where a service is divided, the places are at the shards that the identity selects, since the attempts' own shards differ.

--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -151,6 +151,10 @@
 	// Wait is an estimate: of the time that a new item would be queued, or for a refused
 	// reservation of the time by which items would be late.
 	Wait Millis `json:"wait,omitempty"`
+	// Place is the time until the place that is held for a refused request; 0 if there is none.
+	Place Millis `json:"place,omitempty"`
+	// Hopeless means that a refused request can't be done by its deadline if it comes back.
+	Hopeless bool `json:"hopeless,omitempty"`
 }
 
 // Submit queues items for a shard. It returns at once; the results are passed to deliver. Items
@@ -204,6 +208,9 @@
 	available := sustainedCapacity(targets, batch, space, int(s.size.mean))
 	key := groupKey{Request: call.Request, Stage: call.Stage}
 	wanted := reservation{items: call.Items, due: now.Add(call.Due.Duration()), serial: call.Serial}
+	if call.Caller != "" && !g.leaveOut.Has(leaveout.ReturnPlaces) {
+		return g.reserveReturning(s, call, wanted, available, now)
+	}
 	granted, lateness := s.reservations.reserve(now, key, call.Rank, wanted, available)
 	return Ack{Refused: !granted, Wait: ToMillis(lateness)}
 }
--- a/internal/serve/gather/messages.go
+++ b/internal/serve/gather/messages.go
@@ -12,6 +12,7 @@
 	methodFree    = "gather.free"
 	methodCheck   = "gather.check"
 	methodReserve = "gather.ask"
+	methodPlace   = "gather.place"
 )
 
 type submitCall struct {
@@ -28,6 +29,29 @@
 	Items   int    `json:"items"`
 	Due     Millis `json:"due"`
 	Serial  uint64 `json:"serial"`
+	Team    string `json:"team,omitempty"`
+	Returning
+}
+
+// Returning is what a reservation states of a request that may come back if it is refused. A
+// process of an earlier version sends and reads none of it.
+type Returning struct {
+	// Caller is the request's identity across attempts; empty if it has none.
+	Caller string `json:"caller,omitempty"`
+	// Latest is the time left until the stage must be finished to meet the request's deadline,
+	// Left the time left until that deadline.
+	Latest Millis `json:"latest,omitempty"`
+	Left   Millis `json:"left,omitempty"`
+	// PlaceOnly means that the request may only use a place that it has, or get one.
+	PlaceOnly bool `json:"place_only,omitempty"`
+}
+
+// placeCall asks for a place at the time of the request's places at other shards, or releases the
+// one that the request has. It replaces the reservation of the same attempt.
+type placeCall struct {
+	reserveCall
+	// At is the time until the place; 0 releases it.
+	At Millis `json:"at"`
 }
 
 type resultsCall struct {
--- a/internal/serve/gather/requester.go
+++ b/internal/serve/gather/requester.go
@@ -79,11 +79,23 @@
 	Service string
 	// Wait is the gatherer's estimate in Ack.Wait.
 	Wait time.Duration
+	// Place is the time until the places that are held for the request; 0 if there are none.
+	Place time.Duration
+	// Hopeless means that the request can't be done by its deadline if it comes back.
+	Hopeless bool
 }
 
 // Error describes the refusal.
 func (r *RefusedError) Error() string {
-	return fmt.Sprintf("service %q refused the items: %s (%v too late)", r.Service, r.Reason, r.Wait)
+	text := fmt.Sprintf("service %q refused the items: %s (%v too late)", r.Service, r.Reason, r.Wait)
+	switch {
+	case r.Place > 0:
+		return fmt.Sprintf("%s; place held in %v", text, r.Place)
+	case r.Hopeless:
+		return text + "; no capacity before the deadline"
+	default:
+		return text
+	}
 }
 
 // Reach tells which processes are cut off from which services.
@@ -138,6 +150,10 @@
 	peer.HandleCall(o.Network, methodReserve, func(c reserveCall) (any, error) {
 		return r.own.ReserveStage(c, time.Now()), nil
 	})
+	peer.HandleCall(o.Network, methodPlace, func(c placeCall) (any, error) {
+		r.own.PlaceStage(c, time.Now())
+		return struct{}{}, nil
+	})
 	peer.HandleCall(o.Network, methodCheck, func(c checkCall) (any, error) {
 		return r.own.MissingItems(c.Shard, c.Keys), nil
 	})
@@ -163,6 +179,9 @@
 	Expires time.Time
 	// Zone is the preferred zone; empty means any zone.
 	Zone string
+	// Shard is the shard at which a place was claimed; if it is the zero value, the shard is
+	// chosen by the request.
+	Shard Shard
 }
 
 // StageResults holds the results of one stage of a request.
@@ -180,6 +199,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if work.Shard != (Shard{}) && !excluded[work.Shard] {
+			shard = work.Shard
+		}
 		done, err := r.runOnShard(ctx, shard, work)
 		var refused *RefusedError
 		if !errors.As(err, &refused) {
@@ -264,7 +286,9 @@
 		return &RefusedError{Reason: NoTargetInShard, Service: shard.Service}
 	}
 	if ack.Refused {
-		return &RefusedError{Reason: Late, Service: shard.Service, Wait: ack.Wait.Duration()}
+		return &RefusedError{
+			Reason: Late, Service: shard.Service, Wait: ack.Wait.Duration(), Place: ack.Place.Duration(), Hopeless: ack.Hopeless,
+		}
 	}
 	return nil
 }
--- a/internal/serve/gather/reservations.go
+++ b/internal/serve/gather/reservations.go
@@ -18,6 +18,7 @@
 	leaveOut leaveout.Set
 	held     map[groupKey]*reservation
 	demands  map[int]*demand
+	places   returnPlaces
 }
 
 // reservation is the outstanding work of one stage of one request.
@@ -108,7 +109,7 @@
 	if !starved && !r.leaveOut.Has(leaveout.Reserve) {
 		reserved = r.expectedMoreUrgent(rank, now, p.due)
 	}
-	lateness = r.lateness(now, p, reserved, c)
+	lateness = r.lateness(now, p, reserved, c, r.places.upToRank(now, rank))
 	if lateness > 0 {
 		return false, lateness
 	}
@@ -132,23 +133,29 @@
 }
 
 // lateness returns by how much the latest item would miss its due time if the work were
-// added; 0 or less means that all items are in time.
-func (r *reservations) lateness(now time.Time, p reservation, reserved float64, c capacity) time.Duration {
+// added; 0 or less means that all items are in time. places count like held reservations.
+func (r *reservations) lateness(now time.Time, p reservation, reserved float64, c capacity, places []*reservation) time.Duration {
 	r.dropExpired(now)
 	rate := reservableShare * c.rate
 	if rate <= 0 {
 		return c.call
 	}
-	if float64(r.outstanding())/rate <= c.idleBacklog.Seconds() {
+	if float64(r.outstanding()+itemsOf(places))/rate <= c.idleBacklog.Seconds() {
 		return 0
 	}
+	return latenessAmong(r.byDue(places), now, p, reserved, c)
+}
+
+// latenessAmong is lateness among work in the order of its due times, on a shard that is busy.
+func latenessAmong(list []*reservation, now time.Time, p reservation, reserved float64, c capacity) time.Duration {
+	rate := reservableShare * c.rate
 	late := func(work float64, due time.Time) time.Duration {
 		return seconds(work/rate) - (due.Sub(now) - c.call)
 	}
 	// work counts the items that are due up to the reservation at hand, in the order of due
 	// times.
 	work, worst, seen := 0.0, time.Duration(math.MinInt64), false
-	for _, other := range r.byDue() {
+	for _, other := range list {
 		if !seen && other.due.After(p.due) {
 			seen = true
 			work += float64(p.items)
@@ -165,9 +172,10 @@
 	return worst
 }
 
-// byDue lists the reservations in the order of their due times.
-func (r *reservations) byDue() []*reservation {
-	list := make([]*reservation, 0, len(r.held))
+// byDue lists the reservations and the given places in the order of their due times.
+func (r *reservations) byDue(places []*reservation) []*reservation {
+	list := make([]*reservation, 0, len(r.held)+len(places))
+	list = append(list, places...)
 	for _, p := range r.held {
 		list = append(list, p)
 	}
@@ -177,6 +185,14 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+func itemsOf(list []*reservation) int {
+	total := 0
+	for _, p := range list {
+		total += p.items
+	}
+	return total
+}
+
 // outstanding counts the items that are reserved and not yet started.
 func (r *reservations) outstanding() int {
 	total := 0
--- a/internal/serve/gather/reserve.go
+++ b/internal/serve/gather/reserve.go
@@ -20,6 +20,16 @@
 	// Zone is the zone in which the stage will run if the service is sharded by zone; empty
 	// means any zone.
 	Zone string
+	// Team is the name of the caller's team; empty on public routes.
+	Team string
+	// Caller is the request's identity across attempts, see CallerIdentity; empty if it has none.
+	Caller string
+	// Latest is when the stage must be finished to meet the request's deadline, which is at
+	// Deadline. Both are used only with a Caller.
+	Latest   time.Time
+	Deadline time.Time
+	// placeOnly is returningWork.placeOnly.
+	placeOnly bool
 }
 
 // Reservation is capacity that a shard has reserved for a request.
@@ -38,7 +48,7 @@
 	if r.leaveOut.Has(leaveout.Reservations) {
 		return nil, nil
 	}
-	answers := make(chan error, len(wants))
+	wants = r.withoutCaller(wants)
 	reserved := make([]Reservation, len(wants))
 	for i, want := range wants {
 		shard, err := r.chooseShard(want.Service, want.Zone, request)
@@ -47,21 +57,37 @@
 		}
 		reserved[i] = Reservation{Shard: shard, gatherer: r.gatherers(shard)[0]}
 	}
+	return r.reserveAll(ctx, request, reserved, wants)
+}
+
+// reserveAll asks for all reservations. If one is refused, it cancels the others.
+func (r *Requester) reserveAll(ctx context.Context, request string, reserved []Reservation, wants []ReservationRequest) ([]Reservation, error) {
+	type answer struct {
+		stage int
+		err   error
+	}
+	answers := make(chan answer, len(wants))
 	serial := r.serial.Add(1)
 	for i, want := range wants {
-		go func() { answers <- r.reserveStage(ctx, request, reserved[i], want, serial) }()
+		go func() { answers <- answer{i, r.reserveStage(ctx, request, reserved[i], want, serial)} }()
 	}
 	var refused error
+	errs := make([]error, len(wants))
 	for range wants {
-		if err := <-answers; err != nil {
-			refused = err
+		a := <-answers
+		errs[a.stage] = a.err
+		if a.err != nil {
+			refused = a.err
 		}
 	}
-	if refused != nil {
-		r.CancelReservations(request, reserved)
-		return nil, refused
+	if refused == nil {
+		return reserved, nil
+	}
+	r.CancelReservations(request, reserved)
+	if wants[0].Caller != "" && !r.leaveOut.Has(leaveout.ReturnPlaces) {
+		refused = r.settlePlaces(request, reserved, wants, serial, errs)
 	}
-	return reserved, nil
+	return nil, refused
 }
 
 // CancelReservations releases the capacity that is reserved for a request. Without it a request
@@ -75,11 +101,9 @@
 func (r *Requester) reserveStage(ctx context.Context, request string, reservation Reservation, want ReservationRequest, serial uint64) error {
 	now := time.Now()
 	shard, gatherer := reservation.Shard, reservation.gatherer
-	call := reserveCall{
-		Shard: shard, Request: request, Stage: want.Stage, Rank: want.Rank, Items: want.Items, Due: ToMillis(want.Due.Sub(now)), Serial: serial,
-	}
+	call := newReserveCall(request, shard, want, serial, now)
 	if gatherer == r.network.Self().Incarnation {
-		return reservationError(shard, r.own.ReserveStage(call, now))
+		return reservationError(call, r.own.ReserveStage(call, now))
 	}
 	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
 	defer cancel()
@@ -88,18 +112,22 @@
 		if ctx.Err() == nil || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 			r.failOver(gatherer, err)
 		}
-		return nil
+		return reservationError(call, Ack{UnknownService: true})
 	}
-	return reservationError(shard, ack)
+	return reservationError(call, ack)
 }
 
 // reservationError returns the refusal in a shard's answer, if it is one. A process that
-// doesn't know the service can neither grant nor refuse.
-func reservationError(shard Shard, ack Ack) error {
+// doesn't know the service, or doesn't answer, can neither grant nor refuse; a request that has
+// been refused elsewhere stays refused.
+func reservationError(call reserveCall, ack Ack) error {
+	if ack.UnknownService && call.PlaceOnly {
+		return &RefusedError{Reason: Late, Service: call.Shard.Service}
+	}
 	if ack.UnknownService {
 		return nil
 	}
-	return refusal(shard, ack)
+	return refusal(call.Shard, ack)
 }
 
 const (
--- /dev/null
+++ b/internal/serve/gather/return_places_test.go
@@ -0,0 +1,241 @@
+package gather
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
+)
+
+// placeCapacity processes 100 items a second, of which 70 can be reserved.
+var placeCapacity = capacity{rate: 100, call: callTime, idleBacklog: testTiming.idleBacklog}
+
+// returningFor returns work that is due a second from now, with the given time until its
+// deadline.
+func returningFor(now time.Time, caller string, rank, items int, left time.Duration) returningWork {
+	return returningWork{
+		reservation: reservation{items: items, due: now.Add(time.Second)}, caller: caller, team: "t", rank: rank,
+		latest: now.Add(left), deadline: now.Add(left),
+	}
+}
+
+// fullShard returns a shard whose reservable capacity is used up for work due within a second.
+func fullShard() *reservations {
+	r := newReservations(leaveout.Set{})
+	r.held[groupKey{Request: "full"}] = &reservation{items: 53, due: start.Add(time.Second)}
+	return r
+}
+
+// advance processes the work of fullShard for some time, at the rate that can be reserved.
+func (r *reservations) advance(elapsed time.Duration) {
+	r.held[groupKey{Request: "full"}].items -= int(70 * elapsed.Seconds())
+}
+
+// ask requests a reservation for an attempt of a caller.
+func (r *reservations) ask(now time.Time, attempt string, w returningWork) returnDecision {
+	return r.reserveReturning(now, groupKey{Request: attempt}, w, placeCapacity)
+}
+
+func TestPlaceIsGrantedOnlyIfItHelps(t *testing.T) {
+	for name, c := range map[string]struct {
+		left     time.Duration
+		fill     int
+		place    bool
+		hopeless bool
+	}{
+		"time left":                         {left: 4 * time.Second, fill: 53, place: true},
+		"beyond the caller's patience":      {left: 4 * time.Second, fill: 170},
+		"backlog until after the deadline":  {left: 1200 * time.Millisecond, fill: 200, hopeless: true},
+		"too little time left at the place": {left: time.Second, fill: 53, hopeless: true},
+	} {
+		r := fullShard()
+		r.held[groupKey{Request: "full"}].items = c.fill
+		d := r.ask(start, "a", returningFor(start, "c", 1, 10, c.left))
+		assert.Assert(t, !d.granted, name)
+		assert.Equal(t, d.place > 0, c.place, "%s: %+v", name, d)
+		assert.Equal(t, d.hopeless, c.hopeless, "%s: %+v", name, d)
+		assert.Assert(t, d.place <= c.left/3, "%s: %+v", name, d)
+		assert.Equal(t, r.places.counts.NoRoom > 0, !c.place && !c.hopeless, name)
+	}
+}
+
+// Guards against places that callers can't use: they come back some milliseconds early, or late
+// over a new connection.
+func TestPlaceIsClaimedWithinItsValidity(t *testing.T) {
+	for offset, claimed := range map[time.Duration]bool{
+		-60 * time.Millisecond: false, -40 * time.Millisecond: true, 0: true, 490 * time.Millisecond: true, 510 * time.Millisecond: false,
+	} {
+		r := fullShard()
+		d := r.ask(start, "a", returningFor(start, "c", 1, 10, 4*time.Second))
+		now := start.Add(d.place + offset)
+		r.advance(d.place + offset)
+		again := r.ask(now, "b", returningFor(now, "c", 1, 10, 3*time.Second))
+		assert.Equal(t, again.claimed, claimed, "%v", offset)
+		assert.Equal(t, r.places.counts.Claimed == 1, claimed && again.granted, "%v", offset)
+		if claimed {
+			assert.Assert(t, again.granted, "%v", offset)
+			assert.Equal(t, len(r.places.places), 0, "%v", offset)
+		}
+		assert.Equal(t, r.places.counts.Lapsed == 1, offset > placeValidity, "%v", offset)
+	}
+}
+
+// A caller that comes back at once must neither lose its place nor get ahead by it.
+func TestEarlyReturnKeepsItsPlace(t *testing.T) {
+	r := fullShard()
+	d := r.ask(start, "a", returningFor(start, "c", 1, 10, 4*time.Second))
+	now := start.Add(10 * time.Millisecond)
+	again := r.ask(now, "b", returningFor(now, "c", 1, 10, 4*time.Second))
+	assert.Assert(t, !again.granted)
+	assert.Equal(t, again.place, d.place-10*time.Millisecond)
+	assert.Equal(t, r.places.counts.Granted, 1)
+}
+
+// Guards against places that keep out first-time callers of a more urgent rank, and against
+// first-time callers of the same rank that take the capacity of a place.
+func TestPlacesCountOnlyForRanksThatAreNotMoreUrgent(t *testing.T) {
+	for rank, granted := range map[int]bool{0: true, 1: false, 2: false} {
+		r := newReservations(leaveout.Set{})
+		r.held[groupKey{Request: "some"}] = &reservation{items: 20, due: start.Add(time.Second)}
+		r.places.put(placeKey{caller: "c"}, &returnPlace{reservation: reservation{items: 30, due: start.Add(time.Second)}, rank: 1, at: start, granted: start, lead: time.Second, latest: start.Add(time.Hour)})
+		got, _ := r.reserve(start, groupKey{Request: "new"}, rank, reservation{items: 10, due: start.Add(time.Second)}, placeCapacity)
+		assert.Equal(t, got, granted, "rank %d", rank)
+	}
+}
+
+// Guards against a place that has the shard accept more than it can do: the capacity went away
+// after the refusal, by a slow target or by more urgent requests.
+func TestPlaceDoesNotExceedCapacity(t *testing.T) {
+	r := fullShard()
+	d := r.ask(start, "a", returningFor(start, "c", 1, 10, 4*time.Second))
+	now := start.Add(d.place)
+	r.held[groupKey{Request: "urgent"}] = &reservation{items: 60, due: now.Add(900 * time.Millisecond)}
+	again := r.ask(now, "b", returningFor(now, "c", 1, 10, 3*time.Second))
+	assert.Assert(t, again.claimed && !again.granted, "%+v", again)
+	assert.Equal(t, r.places.counts.RefusedAgain, 1)
+}
+
+// Guards against places without bound: of a shard, of one team, and of one caller.
+func TestPlacesAreBounded(t *testing.T) {
+	r := fullShard()
+	ask := func(i int, caller, team string) returnDecision {
+		w := returningFor(start, caller, 1, 1, 12*time.Second)
+		w.team = team
+		return r.ask(start, fmt.Sprintf("a-%d", i), w)
+	}
+	ask(0, "first", "small")
+	until := time.Duration(0)
+	for i := range 1000 {
+		until = max(until, ask(i, fmt.Sprint(i), "large").place)
+	}
+	items := 0
+	for _, place := range r.places.places {
+		items += place.items
+	}
+	assert.Assert(t, len(r.places.places) <= maxPlaces)
+	assert.Assert(t, float64(items) <= placesShare*reservableShare*placeCapacity.rate*until.Seconds()+1, "%d items until %v", items, until)
+	large := items - 1 // one is the small team's
+	for i := range 20 {
+		ask(i, fmt.Sprintf("small-%d", i), "small")
+	}
+	assert.Assert(t, float64(large) <= placesShare*reservableShare*placeCapacity.rate*4/2, "the large team has the places of both: %d", large)
+	assert.Assert(t, len(r.places.places) > large+15, "the small team gets no places: %d after %d", len(r.places.places), large)
+
+	r = fullShard()
+	other := returningFor(start, "c", 1, 10, 4*time.Second)
+	assert.Assert(t, r.ask(start, "a", other).place > 0)
+	other.items = 12
+	assert.Equal(t, r.ask(start, "b", other).place, time.Duration(0), "another request with the same identity")
+	assert.Equal(t, len(r.places.places), 1)
+}
+
+// Guards against callers that were refused together and come back together.
+func TestPlacesSpreadCallers(t *testing.T) {
+	r := fullShard()
+	last := time.Duration(0)
+	for i := range 10 {
+		d := r.ask(start, fmt.Sprint(i), returningFor(start, fmt.Sprint(i), 1, 5, 8*time.Second))
+		if i > 0 && d.place > 0 {
+			assert.Assert(t, d.place-last >= seconds(5/(placesShare*70))-time.Millisecond, "%v after %v", d.place, last)
+		}
+		last = d.place
+	}
+	assert.Assert(t, last > time.Second)
+}
+
+// Without a refusal, and without an identity, decisions are those without places.
+func TestNoPlacesWithoutRefusals(t *testing.T) {
+	with, without := newReservations(leaveout.Set{}), newReservations(leaveout.Set{})
+	for i := range 200 {
+		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
+		key, rank := groupKey{Request: fmt.Sprint(i)}, i%3
+		w := returningFor(now, fmt.Sprint(i), rank, 1+i%4, 4*time.Second)
+		want, wantLateness := without.reserve(now, key, rank, w.reservation, placeCapacity)
+		if i%2 == 0 {
+			d := with.reserveReturning(now, key, w, placeCapacity)
+			assert.Equal(t, d, returnDecision{granted: want, lateness: wantLateness})
+		} else {
+			got, lateness := with.reserve(now, key, rank, w.reservation, placeCapacity)
+			assert.Equal(t, got, want)
+			assert.Equal(t, lateness, wantLateness)
+		}
+		startItems(with, now, 2)
+		startItems(without, now, 2)
+	}
+	assert.Equal(t, with.places.counts, PlaceCounts{})
+}
+
+// The time of day is put back or forward between two calls. Places must neither stay for as long
+// nor be promised for another time.
+func TestPlacesAfterAStepOfTheClock(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, time.Hour} {
+		r := fullShard()
+		assert.Assert(t, r.ask(start, "a", returningFor(start, "c", 1, 10, 4*time.Second)).place > 0)
+		now := start.Add(step)
+		r.held = map[groupKey]*reservation{{Request: "full"}: {items: 53, due: now.Add(time.Second)}}
+		d := r.ask(now, "b", returningFor(now, "d", 1, 10, 4*time.Second))
+		assert.Assert(t, d.place > 0 && d.place < 2*time.Second, "%+v", d)
+		assert.Equal(t, len(r.places.places), 1)
+		assert.Equal(t, r.places.counts.Lapsed, 1)
+	}
+}
+
+// Guards against places at other shards that exceed their capacity or come at another time.
+func TestPlaceForOtherStage(t *testing.T) {
+	r := newReservations(leaveout.Set{})
+	at := start.Add(400 * time.Millisecond)
+	assert.Assert(t, r.placeFor(start, at, 1, returningFor(start, "c", 1, 10, 4*time.Second), placeCapacity))
+	assert.Assert(t, r.placeFor(start, at.Add(time.Millisecond), 1, returningFor(start, "c", 1, 10, 4*time.Second), placeCapacity))
+	assert.Equal(t, len(r.places.places), 1, "the place is moved")
+	assert.Assert(t, !r.placeFor(start, at, 1, returningFor(start, "d", 1, 20, 4*time.Second), placeCapacity), "bound on places")
+	assert.Assert(t, !r.placeFor(start, start.Add(2*time.Second), 1, returningFor(start, "d", 1, 1, 4*time.Second), placeCapacity), "patience")
+	r.held[groupKey{Request: "full"}] = &reservation{items: 90, due: start.Add(time.Second)}
+	assert.Assert(t, !r.placeFor(start, at, 1, returningFor(start, "d", 1, 1, 4*time.Second), placeCapacity), "capacity")
+}
+
+// Measures a reservation that is refused and gets a place, at a shard with 300 outstanding
+// reservations and as many places as the bounds allow.
+func BenchmarkReserveReturning(b *testing.B) {
+	for _, targets := range []int{90, 10_000} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			available := placeCapacity // a shard has as many targets in any service
+			r := newReservations(leaveout.Set{})
+			for i := range 300 {
+				r.addItem(groupKey{Request: "r", Stage: i}, start.Add(time.Duration(i)*3*time.Millisecond), 0)
+			}
+			for i := range maxPlaces - 1 {
+				r.places.put(placeKey{caller: fmt.Sprint(i)}, &returnPlace{
+					reservation: reservation{items: 1, due: start.Add(time.Duration(i) * 10 * time.Millisecond)}, rank: 1, team: fmt.Sprint(i % 16), at: start, granted: start, lead: time.Duration(i) * 10 * time.Millisecond, latest: start.Add(time.Hour),
+				})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				r.reserveReturning(start, groupKey{Request: "s"}, returningFor(start, "c", 1, 4, 30*time.Second), available)
+				delete(r.places.places, placeKey{caller: "c"})
+			}
+		})
+	}
+}
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -64,13 +64,15 @@
 	Warmup Mechanism = "warmup"
 	// FewKept: the number of idle connections to a target is bounded by the number that it accepts.
 	FewKept Mechanism = "few-kept"
+	// ReturnPlaces: a shard holds capacity for requests that it refused, for when they come back.
+	ReturnPlaces Mechanism = "return-places"
 )
 
 // All returns all mechanisms.
 func All() []Mechanism {
 	return []Mechanism{
 		Sharing, Reservations, Reserve, LeastShare, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines,
-		Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept,
+		Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept, ReturnPlaces,
 	}
 }
 
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -106,8 +106,10 @@
 	runs  int
 	sends int
 	// zone is the zone in which the stages run whose services are divided by zone.
-	zone       string
-	claimState claimState
+	zone string
+	// placeShards are the shards at which the stages run if places were claimed there.
+	placeShards map[int]gather.Shard
+	claimState  claimState
 	// reserved is the target that was claimed before the stages run; nil if none was.
 	reserved *pool.Target
 	// retry is the last retry taken from the budget; nil if there was none.
@@ -287,6 +289,19 @@
 	return wait + time.Duration(rand.Float64()*float64(wait)/3)
 }
 
+// retryAfterRefusal returns when a caller should retry whose stages can't be finished in time: when
+// its places are, which spread callers by themselves; 0 if a retry can't succeed either.
+func retryAfterRefusal(refused *gather.RefusedError) time.Duration {
+	switch {
+	case refused.Place > 0:
+		return refused.Place
+	case refused.Hopeless:
+		return 0
+	default:
+		return retryAfter(refused.Wait)
+	}
+}
+
 // startingRetryAfter returns when a caller should retry at a process that has just started.
 func (j *job) startingRetryAfter() time.Duration {
 	if j.TimeToReady == nil {
@@ -305,7 +320,7 @@
 	}
 	switch refused.Reason {
 	case gather.Late:
-		return j.errorReply(fasthttp.StatusBadGateway, StagesLate, retryAfter(refused.Wait))
+		return j.errorReply(fasthttp.StatusBadGateway, StagesLate, retryAfterRefusal(refused))
 	case gather.NoTarget:
 		return j.errorReply(fasthttp.StatusBadGateway, NoTarget, retryAfter(0))
 	default:
--- a/internal/serve/run/graph.go
+++ b/internal/serve/run/graph.go
@@ -47,13 +47,17 @@
 // wants returns what the request needs of each stage.
 func (g *stageGraph) wants() []gather.ReservationRequest {
 	var list []gather.ReservationRequest
+	j := g.job
+	team := j.teamName()
+	caller := gather.CallerIdentity(team, j.req.PieceKey)
 	for i, s := range g.stages {
 		if g.pieces(i) == 0 {
 			continue
 		}
+		due := g.due(i)
 		list = append(list, gather.ReservationRequest{
-			Service: s.Service, Stage: i, Items: g.pieces(i), Due: g.due(i), Rank: plan.EffectivePriority(g.job.route, g.job.team),
-			Zone: g.zoneOf(i),
+			Service: s.Service, Stage: i, Items: g.pieces(i), Due: due, Rank: plan.EffectivePriority(j.route, j.team),
+			Zone: g.zoneOf(i), Team: team, Caller: caller, Latest: due.Add(j.deadline.Sub(j.dueTime())), Deadline: j.deadline,
 		})
 	}
 	return list
@@ -181,7 +185,7 @@
 		item.InputAllocator, item.LastReader = g.lastReader(i)
 		items = append(items, item)
 	}
-	return gather.StageWork{Service: s.Service, Items: items, Due: g.due(i), Expires: j.deadline, Zone: g.zoneOf(i)}
+	return gather.StageWork{Service: s.Service, Items: items, Due: g.due(i), Expires: j.deadline, Zone: g.zoneOf(i), Shard: j.placeShards[i]}
 }
 
 // bestZone returns the preferred zone of a stage and about how many bytes of transfer
@@ -232,15 +236,19 @@
 	return allocator, allocator != (gather.Allocator{})
 }
 
+// dueTime returns when the answer is due: by the objective, and not after the deadline.
+func (j *job) dueTime() time.Time {
+	due := j.req.Arrived.Add(j.route.Objective)
+	if j.deadline.Before(due) {
+		return j.deadline
+	}
+	return due
+}
+
 // due returns when a stage must be finished for the answer to be in time. A caller that
 // retries may have less time left than the objective.
 func (g *stageGraph) due(i int) time.Time {
-	first := g.job.expectedFirstEvent()
-	due := g.job.req.Arrived.Add(g.job.route.Objective)
-	if g.job.deadline.Before(due) {
-		due = g.job.deadline
-	}
-	due = due.Add(-first)
+	due := g.job.dueTime().Add(-g.job.expectedFirstEvent())
 	for followers := g.followers(i); len(followers) > 0; followers = g.followers(i) {
 		next := followers[0]
 		due = due.Add(-g.callTime(next))
--- a/internal/serve/run/stages.go
+++ b/internal/serve/run/stages.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/vanillagate/vanillagate/internal/serve/gather"
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 )
 
 // inputs are the results of a request's stages that are sent to the target.
@@ -58,6 +59,52 @@
 // reserveStages asks whether the stages can be finished in time, and determines their zone.
 func (j *job) reserveStages() ([]gather.Reservation, error) {
 	g := newStageGraph(j)
+	j.placeShards = nil
+	reserved, err := j.reserveByID(g)
+	if err != nil {
+		return j.reserveReturning(g, err)
+	}
+	return reserved, nil
+}
+
+// reserveReturning claims or requests places at the shards that all attempts of the caller use,
+// if the shards that this attempt uses have refused the request. refused is their error, which
+// stands if there are no places. Undivided services have one shard, which has been asked already.
+func (j *job) reserveReturning(g *stageGraph, refused error) ([]gather.Reservation, error) {
+	var late *gather.RefusedError
+	caller := gather.CallerIdentity(j.teamName(), j.req.PieceKey)
+	if caller == "" || j.LeaveOut.Has(leaveout.ReturnPlaces) || !errors.As(refused, &late) || late.Reason != gather.Late ||
+		!j.Stages.Divided(g.services()) {
+		return nil, refused
+	}
+	if zones := j.Stages.Zones(g.services(), caller); len(zones) > 0 {
+		j.zone = zones[0]
+	}
+	wants := g.wants()
+	reserved, err := j.Stages.ReserveReturning(j.ctx, j.req.ID, wants)
+	if err != nil {
+		if errors.As(err, &late) && late.Place > 0 {
+			return nil, err
+		}
+		return nil, refused
+	}
+	j.placeShards = map[int]gather.Shard{}
+	for i, want := range wants {
+		j.placeShards[want.Stage] = reserved[i].Shard
+	}
+	return reserved, nil
+}
+
+// teamName returns the name of the caller's team; empty on public routes.
+func (j *job) teamName() string {
+	if j.team == nil {
+		return ""
+	}
+	return j.team.Name
+}
+
+// reserveByID reserves capacity at the shards that are chosen by the request's ID.
+func (j *job) reserveByID(g *stageGraph) ([]gather.Reservation, error) {
 	zones := j.Stages.Zones(g.services(), j.req.ID)
 	if len(zones) == 0 {
 		return j.Stages.ReserveStages(j.ctx, j.req.ID, g.wants())
