gather: places keep what is kept for new work of their rank

A starved rank was kept out of places by the demand of more urgent ranks, although its new work isn't, and the search for a time ended after three steps, before it had converged.

--- a/internal/serve/gather/reservations.go
+++ b/internal/serve/gather/reservations.go
@@ -104,12 +104,7 @@
 func (r *reservations) reserve(now time.Time, key groupKey, rank int, p reservation, c capacity) (granted bool, lateness time.Duration) {
 	d := r.demandOf(rank, now)
 	d.record(p.items, p.due.Sub(now))
-	reserved := 0.0
-	starved := d.starved() && !r.leaveOut.Has(leaveout.LeastShare)
-	if !starved && !r.leaveOut.Has(leaveout.Reserve) {
-		reserved = r.expectedMoreUrgent(rank, now, p.due)
-	}
-	lateness = r.lateness(now, p, reserved, c, r.places.upToRank(now, rank))
+	lateness = r.lateness(now, p, r.reservedFor(rank, now, p.due), c, r.places.upToRank(now, rank))
 	if lateness > 0 {
 		return false, lateness
 	}
@@ -118,6 +113,16 @@
 	return true, 0
 }
 
+// reservedFor returns how many items are kept for more urgent ranks beside work that is due by the
+// given time: none for a rank that is starved.
+func (r *reservations) reservedFor(rank int, now, due time.Time) float64 {
+	starved := r.demandOf(rank, now).starved() && !r.leaveOut.Has(leaveout.LeastShare)
+	if starved || r.leaveOut.Has(leaveout.Reserve) {
+		return 0
+	}
+	return r.expectedMoreUrgent(rank, now, due)
+}
+
 // expectedMoreUrgent estimates how many items of more urgent ranks will still be requested that
 // are due by the given time.
 func (r *reservations) expectedMoreUrgent(rank int, now, due time.Time) float64 {
--- a/internal/serve/gather/return_places.go
+++ b/internal/serve/gather/return_places.go
@@ -26,8 +26,8 @@
 	// A place after that would not be used.
 	patienceShare = 1.0 / 3
 	// placeSearchSteps bounds the times tried for one place; each is a decision on all
-	// reservations of the shard. The second try already uses the lateness of the first.
-	placeSearchSteps = 3
+	// reservations of the shard, and the next starts from its lateness.
+	placeSearchSteps = 8
 	// placeSearchStep is the least delay between two times tried.
 	placeSearchStep = 20 * time.Millisecond
 )
@@ -240,7 +240,7 @@
 	if d.claimed || !w.placeOnly {
 		d.granted, d.lateness = r.reserve(now, key, w.rank, w.reservation, c)
 	} else {
-		d.lateness = r.lateness(now, w.reservation, r.expectedMoreUrgent(w.rank, now, w.due), c, p.upToRank(now, w.rank))
+		d.lateness = r.lateness(now, w.reservation, r.reservedFor(w.rank, now, w.due), c, p.upToRank(now, w.rank))
 	}
 	switch {
 	case d.granted && d.claimed:
@@ -322,7 +322,7 @@
 	if !place.update(now) {
 		return nil, 0
 	}
-	late := latenessAmong(work, now, place.reservation, r.expectedMoreUrgent(w.rank, now, place.due), c)
+	late := latenessAmong(work, now, place.reservation, r.reservedFor(w.rank, now, place.due), c)
 	return place, late
 }
 
