--- a/internal/serve/gather/return_places_test.go
+++ b/internal/serve/gather/return_places_test.go
@@ -1,12 +1,16 @@
 package gather
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 )
 
@@ -239,3 +243,60 @@
 		})
 	}
 }
+
+// A request that has no place at one of its shards can't use those at the others, which would only
+// keep capacity from other requests.
+func TestPlacesOfOneRequestHaveTheSameTime(t *testing.T) {
+	early := &RefusedError{Reason: Late, Place: 200 * time.Millisecond}
+	late := &RefusedError{Reason: Late, Place: 300 * time.Millisecond}
+	none := &RefusedError{Reason: Late, Wait: time.Second}
+	for name, c := range map[string]struct {
+		errs []error
+		sent map[int]Millis
+		want *RefusedError
+	}{
+		"latest":  {[]error{early, late, nil}, map[int]Millis{0: 300, 2: 300}, late},
+		"no room": {[]error{early, none, nil}, map[int]Millis{0: 0}, none},
+		"none":    {[]error{none, nil, nil}, map[int]Millis{}, none},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			network := &placeNetwork{fixedNetwork: fixedNetwork{self: peer.Member{Incarnation: "self"}}, sent: make(chan placeCall, 3)}
+			r := newTestRequester(network)
+			wants := []ReservationRequest{{Stage: 0, Caller: "c"}, {Stage: 1, Caller: "c"}, {Stage: 2, Caller: "c"}}
+			got := r.settlePlaces("r", []Reservation{{gatherer: "a"}, {gatherer: "b"}, {gatherer: "c"}}, wants, 1, c.errs)
+			assert.Equal(t, got, error(c.want), name)
+			synctest.Wait()
+			sent := map[int]Millis{}
+			for len(network.sent) > 0 {
+				call := <-network.sent
+				sent[call.Stage] = call.At
+			}
+			assert.DeepEqual(t, sent, c.sent)
+		})
+	}
+}
+
+// placeNetwork records the messages about places.
+type placeNetwork struct {
+	fixedNetwork
+	sent chan placeCall
+}
+
+func (n *placeNetwork) Call(_ context.Context, _ peer.Incarnation, method string, params, _ any) error {
+	if method == methodPlace {
+		n.sent <- params.(placeCall)
+	}
+	return nil
+}
+
+// A process of an earlier version ignores what it doesn't know; requests without an identity state
+// none of it.
+func TestReservationWithoutIdentityStatesNoPlace(t *testing.T) {
+	assert.Equal(t, CallerIdentity("t", ""), "")
+	assert.Assert(t, CallerIdentity("t", "k") != CallerIdentity("u", "k"))
+	now := time.Now()
+	call := newReserveCall("r", Shard{Service: "s"}, ReservationRequest{Due: now, Latest: now.Add(time.Second), Deadline: now.Add(time.Second)}, 1, now)
+	text, err := json.Marshal(call)
+	assert.NilError(t, err)
+	assert.Equal(t, string(text), `{"cell":{"service":"s"},"request":"r","stage":0,"rank":0,"items":0,"due":0,"serial":1}`)
+}
