run: a burst with callers that come back once, with and without places

Callers of three ranks ask for twice the stages' capacity for 4 s, at 4, 80 and 300 VMs, and come back once after the time told or a third of their remaining time. The most urgent rank isn't refused for places, and what all callers of a rank get together doesn't fall. Requests without a piece key get no places.

Tried and left out: choosing the shards by the caller's identity while a divided service is contended.

--- a/internal/serve/run/refusal_test.go
+++ b/internal/serve/run/refusal_test.go
@@ -32,6 +32,24 @@
 	assert.Equal(t, j.refuseForStages(context.Canceled).Status, fasthttp.StatusGatewayTimeout)
 }
 
+// A caller that is told another time than that of its place loses the place, and one whose deadline
+// comes first would come back in vain. Other callers are told a time with a random part.
+func TestRetryAfterIsTheTimeOfThePlace(t *testing.T) {
+	for name, c := range map[string]struct {
+		refused  gather.RefusedError
+		min, max time.Duration
+	}{
+		"place":    {gather.RefusedError{Place: 50 * time.Millisecond, Wait: time.Second}, 50 * time.Millisecond, 50 * time.Millisecond},
+		"hopeless": {gather.RefusedError{Hopeless: true, Wait: time.Second}, 0, 0},
+		"neither":  {gather.RefusedError{Wait: 900 * time.Millisecond}, 900 * time.Millisecond, 1200 * time.Millisecond},
+	} {
+		c.refused.Reason = gather.Late
+		reply := (&job{ctx: context.Background()}).refuseForStages(&c.refused)
+		assert.Equal(t, reply.Status, fasthttp.StatusServiceUnavailable)
+		assert.Assert(t, reply.RetryAfter >= c.min && reply.RetryAfter <= c.max, "%s: %v", name, reply.RetryAfter)
+	}
+}
+
 // A process that has just started has the configuration but no targets yet. It can't serve,
 // and must tell callers when it probably can, since they retry only once.
 func TestProcessWithoutTargetsSetsRetryAfter(t *testing.T) {
--- a/internal/serve/run/return_places_test.go
+++ b/internal/serve/run/return_places_test.go
@@ -61,18 +61,15 @@
 // playReturns plays half of the load that can be reserved, then twice of it for returnBurst, then
 // half of it again. A refused caller comes back once, at any VM, after the time told or after a
 // third of its remaining time if that is shorter, and up to 30 ms later.
-func playReturns(seed uint64, s site, p policy, leaveAlone func([]*servetest.Node)) (byRank []returnTally, counts gather.PlaceCounts) {
+func playReturns(seed uint64, s site, p policy) (byRank []returnTally, counts gather.PlaceCounts) {
 	runCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	pools := &servetest.FakeTargets{Services: map[string]*plan.Batch{}}
 	for _, service := range s.services {
 		pools.Services[service.Name] = service.Batch
 	}
-	executors, nodes := s.start(runCtx, p, pools)
+	executors, _ := s.start(runCtx, p, pools)
 	time.Sleep(time.Second)
-	if leaveAlone != nil {
-		go leaveAlone(nodes)
-	}
 	byRank = make([]returnTally, len(s.kinds))
 	var mu sync.Mutex
 	var all sync.WaitGroup
@@ -87,9 +84,13 @@
 				}
 				time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 				first, second := random.IntN(len(executors)), random.IntN(len(executors))
+				id, pieceKey := fmt.Sprintf("%s-%d", k.name, n), fmt.Sprint(rank, n)
+				if s.withoutPieceKey {
+					pieceKey = ""
+				}
 				late := time.Duration(random.IntN(30)) * time.Millisecond
 				all.Go(func() {
-					got := attemptTwice(runCtx, []*Executor{executors[first], executors[second]}, k, fmt.Sprintf("%s-%d", k.name, n), late)
+					got := attemptTwice(runCtx, []*Executor{executors[first], executors[second]}, k, id, pieceKey, late)
 					mu.Lock()
 					defer mu.Unlock()
 					byRank[rank].add(got)
@@ -107,6 +108,7 @@
 		counts.NoRoom += c.NoRoom
 		counts.RefusedAgain += c.RefusedAgain
 	}
+	time.Sleep(time.Second) // lets messages in transit arrive
 	return byRank, counts
 }
 
@@ -121,10 +123,10 @@
 }
 
 // attemptTwice sends a request, and a second time if it is refused.
-func attemptTwice(runCtx context.Context, at []*Executor, k requestKind, id string, late time.Duration) returnTally {
+func attemptTwice(runCtx context.Context, at []*Executor, k requestKind, id, pieceKey string, late time.Duration) returnTally {
 	got := returnTally{asked: 1}
 	deadline := time.Now().Add(callerTime)
-	reply, inTime := attemptOnce(runCtx, at[0], k, id+"-1", id, deadline)
+	reply, inTime := attemptOnce(runCtx, at[0], k, id+"-1", pieceKey, deadline)
 	if reply == nil {
 		got.served, got.late = count(inTime), count(!inTime)
 		return got
@@ -135,7 +137,7 @@
 	}
 	time.Sleep(min(reply.RetryAfter, time.Until(deadline)/3) + late)
 	got.returned = 1
-	reply, inTime = attemptOnce(runCtx, at[1], k, id+"-2", id, deadline)
+	reply, inTime = attemptOnce(runCtx, at[1], k, id+"-2", pieceKey, deadline)
 	if reply != nil {
 		got.again = 1
 		return got
@@ -168,34 +170,51 @@
 	return nil, time.Since(start) <= route.Objective
 }
 
-// In a burst of twice the capacity, refused callers come back once. Without places they compete
-// with first-time callers and most are refused again.
-func TestReturningCallersGetTheirPlaces(t *testing.T) {
-	for _, c := range []struct{ vms, targets int }{{4, 4}, {80, 20}, {300, 60}} {
-		var with, without [3]returnTally
-		seeds := uint64(3)
-		if c.vms > 100 {
-			seeds = 1
-		}
-		for seed := range seeds {
-			for _, p := range []policy{{}, disabling(leaveout.ReturnPlaces)} {
-				sums := &with
-				if p.leaveOut.Has(leaveout.ReturnPlaces) {
-					sums = &without
+// playBoth sums up what callers of each rank get with and without places, over some seeds.
+func playBoth(t *testing.T, vms, targets, seeds int) (with, without [3]returnTally) {
+	t.Helper()
+	for seed := range seeds {
+		for p, sums := range map[leaveout.Mechanism]*[3]returnTally{"": &with, leaveout.ReturnPlaces: &without} {
+			synctest.Test(t, func(t *testing.T) {
+				got, counts := playReturns(uint64(seed), returningSite(vms, targets), disabling(p))
+				for rank := range got {
+					sums[rank].add(got[rank])
 				}
-				synctest.Test(t, func(t *testing.T) {
-					got, counts := playReturns(seed, returningSite(c.vms, c.targets), p, nil)
-					for rank := range got {
-						sums[rank].add(got[rank])
-					}
-					t.Logf("%d VMs, seed %d: %+v", c.vms, seed, counts)
-				})
-			}
+				assert.Equal(t, counts == gather.PlaceCounts{}, p == leaveout.ReturnPlaces, "%+v", counts)
+			})
+		}
+	}
+	for rank := range with {
+		for name, sum := range map[string]returnTally{"with": with[rank], "without": without[rank]} {
+			t.Logf("%d VMs, rank %d, %s places: first %.3f, returning %.3f, total %.3f, %+v", vms, rank, name, sum.first(), sum.returning(), sum.total(), sum)
 		}
+	}
+	return with, without
+}
+
+// In a burst of twice the capacity, refused callers come back once. Without places they compete with
+// first-time callers, and half of them or more are refused again. Places must give them more, at the
+// expense of first-time callers of their own and of less urgent ranks only.
+func TestReturningCallersGetTheirPlaces(t *testing.T) {
+	for _, c := range []struct{ vms, targets, seeds int }{{4, 4, 8}, {80, 20, 4}, {300, 60, 2}} {
+		with, without := playBoth(t, c.vms, c.targets, c.seeds)
+		assert.Check(t, with[1].returning() > without[1].returning()+0.05, "%d VMs: few returning callers are served", c.vms)
+		assert.Check(t, with[0].first() > without[0].first()-0.015, "%d VMs: places keep out the most urgent callers", c.vms)
 		for rank := range with {
-			t.Logf("%d VMs, rank %d: with    first %.3f returning %.3f total %.3f %+v", c.vms, rank, with[rank].first(), with[rank].returning(), with[rank].total(), with[rank])
-			t.Logf("%d VMs, rank %d: without first %.3f returning %.3f total %.3f %+v", c.vms, rank, without[rank].first(), without[rank].returning(), without[rank].total(), without[rank])
+			assert.Check(t, with[rank].first() > without[rank].first()-0.05, "%d VMs, rank %d: first-time callers", c.vms, rank)
+			assert.Check(t, with[rank].total() > without[rank].total()-0.03, "%d VMs, rank %d: all callers", c.vms, rank)
+			assert.Check(t, with[rank].late <= without[rank].late+with[rank].asked/100, "%d VMs, rank %d: places make answers late", c.vms, rank)
 		}
 	}
-	assert.Assert(t, true)
+}
+
+// Requests without a piece key have no identity, so there must be no places for them.
+func TestRequestsWithoutPieceKeyGetNoPlaces(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		load := returningSite(4, 4)
+		load.withoutPieceKey = true
+		got, counts := playReturns(1, load, policy{})
+		assert.Equal(t, counts, gather.PlaceCounts{})
+		assert.Assert(t, got[1].returned > 0)
+	})
 }
--- a/internal/serve/run/simulation_test.go
+++ b/internal/serve/run/simulation_test.go
@@ -68,6 +68,8 @@
 	writeDelay time.Duration
 	// unconfigured is how many processes don't know any of the services yet.
 	unconfigured int
+	// withoutPieceKey means that requests state no piece key.
+	withoutPieceKey bool
 	// length is the duration of the load; 0 means loadTime.
 	length time.Duration
 	// withNodes runs concurrently with the load and gets the processes' network nodes.
