gather: far places don't block near ones

A place far away, of a caller with much time, moved all later places behind it, so that callers with less time got none. A place now takes the first gap that fits.

--- a/internal/serve/gather/return_places.go
+++ b/internal/serve/gather/return_places.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -181,17 +182,30 @@
 	}
 }
 
-// firstFree returns the earliest time at which the places granted before leave room for another
-// one at the given rate of places, in items per second. Places are in the order of the refusals,
-// and spaced by their work, so that callers don't come back together.
-func (p *returnPlaces) firstFree(now time.Time, rate float64) time.Time {
-	first := now
+// byTime lists the places in the order of their times.
+func (p *returnPlaces) byTime() []*returnPlace {
+	list := make([]*returnPlace, 0, len(p.places))
 	for _, place := range p.places {
-		if end := place.at.Add(seconds(float64(place.items) / rate)); end.After(first) {
-			first = end
+		list = append(list, place)
+	}
+	slices.SortFunc(list, func(a, b *returnPlace) int { return a.at.Compare(b.at) })
+	return list
+}
+
+// firstGap returns the first time from a given one on at which places in the order of their times
+// leave room for another one of some items, at the given rate of places in items per second. Each
+// place takes the time of its work at that rate, so that callers don't come back together.
+func firstGap(places []*returnPlace, from time.Time, items int, rate float64) time.Time {
+	takes := seconds(float64(items) / rate)
+	for _, place := range places {
+		if !place.at.Before(from.Add(takes)) {
+			break
+		}
+		if end := place.at.Add(seconds(float64(place.items) / rate)); end.After(from) {
+			from = end
 		}
 	}
-	return first
+	return from
 }
 
 // withinBounds reports whether the bounds leave a team room for another place. capacity is the
@@ -271,16 +285,16 @@
 	if rate <= 0 {
 		return 0, false
 	}
-	if r.backlogUntil(w.latest, w.items, rate) > w.latest.Sub(now)-c.call {
+	// The whole rate counts here: a request that may still be done isn't told to stay away.
+	if r.backlogUntil(w.latest, w.items, c.rate) > w.latest.Sub(now)-c.call {
 		return 0, true
 	}
 	limit := now.Add(seconds(patienceShare * w.deadline.Sub(now).Seconds()))
-	at := r.places.firstFree(now, placesShare*rate)
-	if earliest := now.Add(max(lateness, placeEarly)); at.Before(earliest) {
-		at = earliest
-	}
+	at := now.Add(max(lateness, placeEarly))
+	others := r.places.byTime()
 	work := r.byDue(r.places.upToRank(now, math.MaxInt))
 	for range placeSearchSteps {
+		at = firstGap(others, at, w.items, placesShare*rate)
 		if at.After(limit) {
 			break
 		}
