--- a/internal/serve/gather/return_places.go
+++ b/internal/serve/gather/return_places.go
@@ -106,7 +106,8 @@
 	RefusedAgain int
 }
 
-func (c *PlaceCounts) add(other PlaceCounts) {
+// Add adds other counts.
+func (c *PlaceCounts) Add(other PlaceCounts) {
 	c.Granted += other.Granted
 	c.Claimed += other.Claimed
 	c.Lapsed += other.Lapsed
--- a/internal/serve/gather/return_places_test.go
+++ b/internal/serve/gather/return_places_test.go
@@ -1,17 +1,15 @@
 package gather
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
-	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
 )
 
 // placeCapacity processes 100 items a second, of which 70 can be reserved.
@@ -128,7 +126,8 @@
 	assert.Equal(t, r.places.counts.RefusedAgain, 1)
 }
 
-// Guards against places without bound: of a shard, of one team, and of one caller.
+// Guards against places without bound, of a shard, one team or one caller, and against callers that
+// come back together.
 func TestPlacesAreBounded(t *testing.T) {
 	r := fullShard()
 	ask := func(i int, caller, team string) returnDecision {
@@ -141,11 +140,12 @@
 	for i := range 1000 {
 		until = max(until, ask(i, fmt.Sprint(i), "large").place)
 	}
-	items := 0
-	for _, place := range r.places.places {
-		items += place.items
+	items := len(r.places.places)
+	assert.Assert(t, items <= maxPlaces)
+	list := r.places.byTime()
+	for i, place := range list[1:] {
+		assert.Assert(t, place.at.Sub(list[i].at) >= seconds(1/(placesShare*reservableShare*placeCapacity.rate)), "places %d and %d", i, i+1)
 	}
-	assert.Assert(t, len(r.places.places) <= maxPlaces)
 	assert.Assert(t, float64(items) <= placesShare*reservableShare*placeCapacity.rate*until.Seconds()+1, "%d items until %v", items, until)
 	large := items - 1 // one is the small team's
 	for i := range 20 {
@@ -162,20 +162,6 @@
 	assert.Equal(t, len(r.places.places), 1)
 }
 
-// Guards against callers that were refused together and come back together.
-func TestPlacesSpreadCallers(t *testing.T) {
-	r := fullShard()
-	last := time.Duration(0)
-	for i := range 10 {
-		d := r.ask(start, fmt.Sprint(i), returningFor(start, fmt.Sprint(i), 1, 5, 8*time.Second))
-		if i > 0 && d.place > 0 {
-			assert.Assert(t, d.place-last >= seconds(5/(placesShare*70))-time.Millisecond, "%v after %v", d.place, last)
-		}
-		last = d.place
-	}
-	assert.Assert(t, last > time.Second)
-}
-
 // Without a refusal, and without an identity, decisions are those without places.
 func TestNoPlacesWithoutRefusals(t *testing.T) {
 	with, without := newReservations(leaveout.Set{}), newReservations(leaveout.Set{})
@@ -266,46 +252,45 @@
 // A request that has no place at one of its shards can't use those at the others, which would only
 // keep capacity from other requests.
 func TestPlacesOfOneRequestHaveTheSameTime(t *testing.T) {
-	early := &RefusedError{Reason: Late, Place: 200 * time.Millisecond}
-	late := &RefusedError{Reason: Late, Place: 300 * time.Millisecond}
-	none := &RefusedError{Reason: Late, Wait: time.Second}
+	early, late := &RefusedError{Place: 200 * time.Millisecond}, &RefusedError{Place: 300 * time.Millisecond}
+	none := &RefusedError{Wait: time.Second}
 	for name, c := range map[string]struct {
 		errs []error
-		sent map[int]Millis
-		want *RefusedError
+		at   time.Duration
+		send []bool
+		want error
 	}{
-		"latest":  {[]error{early, late, nil}, map[int]Millis{0: 300, 2: 300}, late},
-		"no room": {[]error{early, none, nil}, map[int]Millis{0: 0}, none},
-		"none":    {[]error{none, nil, nil}, map[int]Millis{}, none},
+		"latest":  {[]error{early, late, nil}, late.Place, []bool{true, false, true}, late},
+		"no room": {[]error{early, none, nil}, 0, []bool{true, false, false}, none},
+		"none":    {[]error{none, nil, nil}, 0, []bool{false, false, false}, none},
 	} {
-		synctest.Test(t, func(t *testing.T) {
-			network := &placeNetwork{fixedNetwork: fixedNetwork{self: peer.Member{Incarnation: "self"}}, sent: make(chan placeCall, 3)}
-			r := newTestRequester(network)
-			wants := []ReservationRequest{{Stage: 0, Caller: "c"}, {Stage: 1, Caller: "c"}, {Stage: 2, Caller: "c"}}
-			got := r.settlePlaces("r", []Reservation{{gatherer: "a"}, {gatherer: "b"}, {gatherer: "c"}}, wants, 1, c.errs)
-			assert.Equal(t, got, error(c.want), name)
-			synctest.Wait()
-			sent := map[int]Millis{}
-			for len(network.sent) > 0 {
-				call := <-network.sent
-				sent[call.Stage] = call.At
-			}
-			assert.DeepEqual(t, sent, c.sent)
-		})
+		at, send, refused := agreeOnPlaces(c.errs)
+		assert.Equal(t, at, c.at, name)
+		assert.DeepEqual(t, send, c.send)
+		assert.Equal(t, refused, c.want, name)
 	}
 }
 
-// placeNetwork records the messages about places.
-type placeNetwork struct {
-	fixedNetwork
-	sent chan placeCall
-}
-
-func (n *placeNetwork) Call(_ context.Context, _ peer.Incarnation, method string, params, _ any) error {
-	if method == methodPlace {
-		n.sent <- params.(placeCall)
+// The message that asks for a place beside one at another shard is lost, or arrives after the caller
+// has come back. The caller is treated as new, and a place that nobody claims must lapse.
+func TestPlaceMessageIsLostOrLate(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		g := newTestGatherer(t.Context(), &plan.Batch{Size: 8, CallTime: callTime, BufferBytes: 1000}, nil, "10.0.0.1:1")
+		call := placeCall{At: 300, reserveCall: reserveCall{
+			Shard: Shard{Service: "s"}, Request: "a", Items: 4, Due: 1000, Serial: 1, Returning: Returning{Caller: "c", Latest: 4000, Left: 4000},
+		}}
+		again := call.reserveCall
+		again.Request = "b"
+		assert.Assert(t, !g.ReserveStage(again, start).Refused)
+		if late {
+			g.PlaceStage(call, start.Add(100*time.Millisecond))
+		}
+		held, _ := g.Places(start.Add(200 * time.Millisecond))
+		assert.Equal(t, held == 1, late)
+		held, counts := g.Places(start.Add(time.Second))
+		assert.Equal(t, held, 0)
+		assert.Equal(t, counts.Lapsed == 1, late)
 	}
-	return nil
 }
 
 // A process of an earlier version ignores what it doesn't know; requests without an identity state
--- a/internal/serve/gather/returning.go
+++ b/internal/serve/gather/returning.go
@@ -84,7 +84,7 @@
 		p := &s.reservations.places
 		p.expire(now)
 		held += len(p.places)
-		counts.add(p.counts)
+		counts.Add(p.counts)
 	}
 	return held, counts
 }
@@ -126,40 +126,51 @@
 	return r.reserveAll(ctx, request, reserved, wants)
 }
 
-// settlePlaces gives the places of a refused request the same time at all shards: the latest of
-// those that the refusals state. If a shard has no place, those at the others are released. It
-// returns the refusal with that time, or without one.
+// settlePlaces gives the places of a refused request the same time at all shards, and returns the
+// refusal with that time. errs are the shards' answers, in the order of the wants.
 func (r *Requester) settlePlaces(request string, reserved []Reservation, wants []ReservationRequest, serial uint64, errs []error) error {
-	refusals := make([]*RefusedError, len(errs))
+	at, send, refused := agreeOnPlaces(errs)
+	for i, want := range wants {
+		if send[i] {
+			call := newReserveCall(request, reserved[i].Shard, want, serial, time.Now())
+			r.sendPlace(reserved[i].gatherer, placeCall{reserveCall: call, At: ToMillis(at)})
+		}
+	}
+	return refused
+}
+
+// agreeOnPlaces returns the time until the places of a request that some shards have refused: the
+// latest of those that the refusals state, or 0 if one of these shards has no place. send says
+// which shards have to be told, since they have no place or one at another time.
+func agreeOnPlaces(errs []error) (at time.Duration, send []bool, refused error) {
 	var latest, without *RefusedError
+	places := make([]time.Duration, len(errs))
 	for i, err := range errs {
-		if err == nil || !errors.As(err, &refusals[i]) {
-			continue
-		}
-		switch e := refusals[i]; {
-		case e.Place <= 0:
-			if without == nil || e.Hopeless {
-				without = e
+		var e *RefusedError
+		switch {
+		case !errors.As(err, &e):
+		case e.Place > 0:
+			places[i] = e.Place
+			if latest == nil || e.Place > latest.Place {
+				latest = e
 			}
-		case latest == nil || e.Place > latest.Place:
-			latest = e
+		case without == nil || e.Hopeless:
+			without = e
 		}
 	}
-	for i, want := range wants {
-		at := time.Duration(0)
-		if without == nil {
-			at = latest.Place
-		}
-		held := refusals[i] != nil && refusals[i].Place > 0
-		if latest == nil || (without != nil && !held) || (without == nil && held && refusals[i].Place == at) {
-			continue
-		}
-		r.sendPlace(reserved[i].gatherer, placeCall{reserveCall: newReserveCall(request, reserved[i].Shard, want, serial, time.Now()), At: ToMillis(at)})
+	switch {
+	case without != nil:
+		refused = without
+	case latest != nil:
+		at, refused = latest.Place, latest
+	default:
+		refused = errors.Join(errs...)
 	}
-	if without != nil {
-		return without
+	send = make([]bool, len(errs))
+	for i := range errs {
+		send[i] = places[i] != at
 	}
-	return latest
+	return at, send, refused
 }
 
 // sendPlace delivers a placeCall. No answer is awaited: without the place, the request competes
--- a/internal/serve/run/simulation_test.go
+++ b/internal/serve/run/simulation_test.go
@@ -68,8 +68,11 @@
 	writeDelay time.Duration
 	// unconfigured is how many processes don't know any of the services yet.
 	unconfigured int
-	// withoutPieceKey means that requests state no piece key.
-	withoutPieceKey bool
+	// patience is how long callers wait for an answer; 0 means the route's timeout. comeBack means
+	// that refused callers come back once. pieceKey returns a request's piece key; nil means "k".
+	patience time.Duration
+	comeBack bool
+	pieceKey func(id string) string
 	// length is the duration of the load; 0 means loadTime.
 	length time.Duration
 	// withNodes runs concurrently with the load and gets the processes' network nodes.
@@ -85,7 +88,8 @@
 func disabling(names ...leaveout.Mechanism) policy { return policy{leaveOut: leaveout.Of(names...)} }
 
 // tally counts the outcomes of the requests of one kind.
-type tally struct{ asked, inTime, late, refused int }
+// returned counts the callers that came back, returnedInTime those answered in time then.
+type tally struct{ asked, inTime, late, refused, returned, returnedInTime int }
 
 func (t tally) share() float64 { return float64(t.inTime) / float64(max(t.asked, 1)) }
 
@@ -94,6 +98,8 @@
 	kinds map[string]tally
 	pools *servetest.FakeTargets
 	held  int
+	// places counts the places for returning callers.
+	places gather.PlaceCounts
 	// refused has the requests that got no answer from an engine.
 	refused map[string]bool
 }
@@ -186,12 +192,31 @@
 					continue // its callers use other processes
 				}
 				pieces, id := k.pieces(random), fmt.Sprintf("%s-%d", k.name, n)
+				key, later, delay := "k", at, time.Duration(0)
+				if s.pieceKey != nil {
+					key = s.pieceKey(id)
+				}
+				if s.comeBack {
+					later, delay = executors[random.IntN(len(executors))], time.Duration(random.IntN(30))*time.Millisecond
+				}
 				all.Go(func() {
-					got := ask(runCtx, at, k, id, pieces)
+					deadline := time.Now().Add(cmp.Or(s.patience, k.route.Timeout))
+					got, retryAfter := attemptBefore(runCtx, at, k, id, key, pieces, deadline)
+					returned := s.comeBack && got == refused && retryAfter > 0
+					if returned {
+						time.Sleep(min(retryAfter, time.Until(deadline)/3) + delay)
+						got, _ = attemptBefore(runCtx, later, k, id+"-again", key, pieces, deadline)
+					}
 					mu.Lock()
 					defer mu.Unlock()
 					sum := out.kinds[k.name]
 					sum.asked++
+					if returned {
+						sum.returned++
+					}
+					if returned && got == inTime {
+						sum.returnedInTime++
+					}
 					switch got {
 					case inTime:
 						sum.inTime++
@@ -209,6 +234,10 @@
 	all.Wait()
 	time.Sleep(time.Second)
 	out.held = pools.HeldBytes()
+	for _, e := range executors {
+		_, counts := e.Stages.Gatherer().Places(time.Now())
+		out.places.Add(counts)
+	}
 	return out
 }
 
@@ -222,26 +251,33 @@
 
 // ask runs the stages of one request and waits for the engine.
 func ask(runCtx context.Context, e *Executor, k requestKind, id string, pieces []int) outcome {
+	got, _ := attemptBefore(runCtx, e, k, id, "k", pieces, time.Now().Add(k.route.Timeout))
+	return got
+}
+
+// attemptBefore is ask with a piece key and a deadline. It also returns when a caller that is
+// refused should come back.
+func attemptBefore(runCtx context.Context, e *Executor, k requestKind, id, pieceKey string, pieces []int, deadline time.Time) (outcome, time.Duration) {
 	start := time.Now()
 	route := k.route
 	j := &job{
-		Executor: e, route: &route, service: "engines", deadline: start.Add(route.Timeout), tried: map[string]bool{},
+		Executor: e, route: &route, service: "engines", deadline: deadline, tried: map[string]bool{},
 		req: &Request{
-			ID: id, Pieces: pieces, PieceKey: "k", Arrived: start, Prompt: place.Prompt{Input: k.prompt},
+			ID: id, Pieces: pieces, PieceKey: pieceKey, Arrived: start, Prompt: place.Prompt{Input: k.prompt},
 		},
 	}
 	j.ctx, j.cancel = context.WithDeadlineCause(runCtx, j.deadline, ErrTimeout)
 	defer j.cleanUp()
-	if j.prepare() != nil {
-		return refused
+	if reply := j.prepare(); reply != nil {
+		return refused, reply.RetryAfter
 	}
 	engine := cmp.Or(k.engine, engineTime)
 	time.Sleep(engine)
 	e.firstEventModel.record(j.service, j.req.Prompt, engine)
 	if time.Since(start) <= route.Objective {
-		return inTime
+		return inTime, 0
 	}
-	return late
+	return late, 0
 }
 
 func (s site) duration() time.Duration {
@@ -381,7 +417,10 @@
 func addTallies(sums map[string]tally, p simulated) {
 	for name, k := range p.kinds {
 		sum := sums[name]
-		sums[name] = tally{sum.asked + k.asked, sum.inTime + k.inTime, sum.late + k.late, sum.refused + k.refused}
+		sums[name] = tally{
+			sum.asked + k.asked, sum.inTime + k.inTime, sum.late + k.late, sum.refused + k.refused,
+			sum.returned + k.returned, sum.returnedInTime + k.returnedInTime,
+		}
 	}
 }
 
