--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -73,12 +73,14 @@
 	ResponseBounds Mechanism = "response-bounds"
 	// PromptCopies: engines copy the shared parts of prompts from engines that have read them.
 	PromptCopies Mechanism = "prompt-copies"
+	// ReturnPlaces: a shard holds capacity for requests that it refused, for when they come back.
+	ReturnPlaces Mechanism = "return-places"
 )
 
 // All returns all mechanisms.
 func All() []Mechanism {
 	return []Mechanism{
-		Sharing, Reservations, Reserve, LeastShare, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines, Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept, ResponseBounds, PromptCopies, TeamShares, ResidualState,
+		Sharing, Reservations, Reserve, LeastShare, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines, Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept, ResponseBounds, PromptCopies, TeamShares, ResidualState, ReturnPlaces,
 	}
 }
 
