--- a/internal/serve/prefixes/directory.go
+++ b/internal/serve/prefixes/directory.go
@@ -157,11 +157,19 @@
 }
 
 // call calls an owner and reports whether it answered. One that didn't isn't sent anything for
-// unresponsivePause.
+// unresponsivePause. The call has a goroutine of its own, since peer.Node may block for up to 2.5 s in
+// a write whatever the time limit. answer must not be read if call returns false.
 func (d *Directory) call(ctx context.Context, owner peer.Incarnation, method string, params, answer any) bool {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := d.network.Call(limited, owner, method, params, answer)
+	done := make(chan error, 1)
+	go func() { done <- d.network.Call(limited, owner, method, params, answer) }()
+	var err error
+	select {
+	case err = <-done:
+	case <-limited.Done():
+		err = limited.Err()
+	}
 	if err == nil {
 		return true
 	}
--- a/internal/serve/prefixes/prefixes_test.go
+++ b/internal/serve/prefixes/prefixes_test.go
@@ -104,6 +104,14 @@
 
 func (p partialNetwork) View() *peer.View { return p.view }
 
+// stuckNetwork is the network of a process that can't write to its peers.
+type stuckNetwork struct{ *servetest.Node }
+
+func (stuckNetwork) Call(context.Context, peer.Incarnation, string, any, any) error {
+	time.Sleep(10 * callTimeout) // whatever the time limit
+	return context.DeadlineExceeded
+}
+
 // Each case guards against a failure that gives wrong answers, delays requests again and again, or
 // leaves keys without an owner. None may cost more than entries.
 func TestDirectory(t *testing.T) {
@@ -129,6 +137,13 @@
 			time.Sleep(unresponsivePause)
 			s.find(0, "")
 		},
+		"blocked write": func(s *testSite) {
+			s.directories[0].network = stuckNetwork{s.nodes[0]}
+			begun := time.Now()
+			s.find(0, "none")
+			s.find(0, "none")
+			assert.Equal(s, time.Since(begun), callTimeout)
+		},
 		"lost message": func(s *testSite) {
 			s.nodes[1].Freeze()
 			begun := time.Now()
--- a/internal/serve/run/copy.go
+++ b/internal/serve/run/copy.go
@@ -16,8 +16,8 @@
 // gets one message in 20 s for it instead of one for each request.
 const refreshAge = 20 * time.Second
 
-// promptCopy is the state of copying the shared parts of one request's prompt. All methods may be
-// called on nil, which means that nothing is copied.
+// promptCopy is the state of copying the shared parts of one request's prompt. possible and ordered
+// may be called on nil, which means that nothing is copied.
 type promptCopy struct {
 	key prefixes.Key
 	// lookup brings the answer of the cache directory; nil once it was received.
