engines: the pace of each engine is learnt and used

Cause: engines of one service had one curve, and the fourth number of the load header was dropped. A slow engine got long prompts like any other, and these could not be in time.

Change: X-Worker-Load's percent goes into pool.Report. Processes send the first event of each engine answer to the engine's tracker (engines.observe, the answer is discarded). The tracker keeps the pace of each incarnation, announces usual paces of uneven engines by gossip, and takes the pace at present into account in the schedule and in claims. The curve is fitted by pace, so that it is that of a nominal engine. place.ChooseEngine multiplies an engine's cost by its pace; claim limits and due times of stages use it. It can be left out as engine-pace.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -35,6 +35,8 @@
 	TopicReach Topic = "reach"
 	// TopicRate carries the request rates that targets have stated.
 	TopicRate Topic = "rate"
+	// TopicEnginePace carries the usual paces of the engines that a process tracks.
+	TopicEnginePace Topic = "engine_pace"
 	// TopicInForce carries the configuration revision in force at each process.
 	TopicInForce Topic = "in_force"
 )
--- a/internal/serve/engines/curve.go
+++ b/internal/serve/engines/curve.go
@@ -34,36 +34,66 @@
 // doesn't change, but the number of requests that run at the same time does.
 const fitWindow = 2000
 
-// fit fits a Curve by least squares. It stores only sums of powers.
+// levelWindow is the approximate number of responses that determine the level of recent times, and
+// minLevelSamples how many are needed.
+const levelWindow, minLevelSamples = 64, 30
+
+// fit fits the Curve of a nominal engine by least squares. An engine takes its pace times as long for
+// the linear and the quadratic part. fit stores only sums of products.
 type fit struct {
-	x [5]float64 // sums of x^0 to x^4
-	y [3]float64 // sums of y*x^0 to y*x^2
+	x [3][3]float64 // sums of products of the curve's terms, which are 1, pace*x and pace*x^2
+	y [3]float64    // sums of y times these terms
+	// fitted is the latest result of curve, level the average of recent times relative to it. At
+	// times when all engines are slow, none of them is slower than the others.
+	fitted Curve
+	level  timeRatio
 }
 
 func newFit() *fit {
-	f := &fit{}
+	f := &fit{fitted: defaultCurve}
 	for _, tokens := range seedTokens {
-		f.add(tokens, defaultCurve.FirstEvent(tokens))
+		f.add(tokens, defaultCurve.FirstEvent(tokens), 1)
 	}
+	f.level = timeRatio{}
 	return f
 }
 
-// add adds one response: the tokens read and the seconds to its first event.
-func (f *fit) add(tokens int, seconds float64) {
+// add adds one response: the tokens read, the seconds to its first event, and the engine's pace, 1 if
+// it is unknown.
+func (f *fit) add(tokens int, seconds, pace float64) {
 	const decay = 1 - 1.0/fitWindow
-	power := 1.0
+	x := float64(tokens) / tokenUnit
+	powers := [5]float64{1}
+	for i := 1; i < len(powers); i++ {
+		powers[i] = powers[i-1] * x
+	}
+	factors := [3]float64{1, pace, pace}
 	for i := range f.x {
-		f.x[i] = decay*f.x[i] + power
-		if i < len(f.y) {
-			f.y[i] = decay*f.y[i] + power*seconds
+		for j := range f.x[i] {
+			f.x[i][j] = decay*f.x[i][j] + powers[i+j]*factors[i]*factors[j]
 		}
-		power *= float64(tokens) / tokenUnit
+		f.y[i] = decay*f.y[i] + powers[i]*factors[i]*seconds
+	}
+	f.level.add(seconds, f.fitted.Base+pace*f.fitted.PrefillTime(tokens), levelWindow)
+}
+
+// expect returns the time to the first event at an engine of the average recent speed, in seconds; 0
+// if too few responses are known.
+func (f *fit) expect(tokens int) float64 {
+	if f.level.count < minLevelSamples {
+		return 0
 	}
+	return f.fitted.FirstEvent(tokens) * f.level.mean()
 }
 
 // curve returns the best fit without negative coefficients, so that a longer prompt never takes
 // less time.
 func (f *fit) curve() Curve {
+	f.fitted = f.best()
+	return f.fitted
+}
+
+func (f *fit) best() Curve {
 	best, bestGain := defaultCurve, math.Inf(-1)
 	for _, powers := range [][]int{{0, 1, 2}, {0, 1}, {0, 2}, {0}} {
 		coefficients, gain, ok := f.solve(powers)
@@ -81,7 +111,7 @@
 	rows := make([][]float64, n)
 	for i, p := range powers {
 		for _, q := range powers {
-			rows[i] = append(rows[i], f.x[p+q])
+			rows[i] = append(rows[i], f.x[p][q])
 		}
 		rows[i] = append(rows[i], f.y[p])
 	}
--- a/internal/serve/engines/curve_test.go
+++ b/internal/serve/engines/curve_test.go
@@ -17,7 +17,7 @@
 	f := newFit()
 	for range 600 {
 		tokens := int(min(math.Exp(6+1.5*random.NormFloat64()), 55_000))
-		f.add(tokens, truth.FirstEvent(tokens)*(0.95+0.1*random.Float64()))
+		f.add(tokens, truth.FirstEvent(tokens)*(0.95+0.1*random.Float64()), 1)
 	}
 	for _, tokens := range []int{100, 5000, 20_000, 40_000, 55_000} {
 		got, want := f.curve().FirstEvent(tokens), truth.FirstEvent(tokens)
@@ -31,7 +31,7 @@
 	for range 200 {
 		f := newFit()
 		for range 20 {
-			f.add(random.IntN(50_000), random.Float64())
+			f.add(random.IntN(50_000), random.Float64(), 1)
 		}
 		c := f.curve()
 		assert.Assert(t, c.Base >= 0 && c.Linear >= 0 && c.Square >= 0, "%+v", c)
--- /dev/null
+++ b/internal/serve/engines/observe.go
@@ -0,0 +1,194 @@
+package engines
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/peer"
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+)
+
+const methodObserve = "engines.observe"
+
+// maxPendingObservations is the number of observations that are being sent at once. Further ones are
+// dropped: a link that is blocked would else keep a goroutine for each first event.
+const maxPendingObservations = 64
+
+// observeCall is the wire format of an Observation. The answer is empty and isn't awaited.
+type observeCall struct {
+	Service string  `json:"service"`
+	Target  string  `json:"engine"`
+	Born    int64   `json:"born,omitempty"`
+	Tokens  int     `json:"t,omitempty"`
+	Seconds float64 `json:"s,omitempty"`
+	Percent int     `json:"p,omitempty"`
+}
+
+// paceTracking is the part of a Tracker that learns and announces the paces of engines.
+type paceTracking struct {
+	// disabled means that all engines count as nominal. It is set before the network starts.
+	disabled bool
+	pending  atomic.Int64
+	// refusals is the number of claims that this tracker refused only because of an engine's pace.
+	refusals atomic.Int64
+
+	mu        sync.RWMutex // guards announced; no other lock is taken while it is held
+	announced announcedPaces
+}
+
+// DisablePace treats all engines as nominal, for measurements. Call it before the network starts.
+func (t *Tracker) DisablePace() { t.paceTracking.disabled = true }
+
+// ClaimsRefusedByPace returns how many claims this process refused as a tracker because the engine
+// was slower than usual.
+func (t *Tracker) ClaimsRefusedByPace() int64 { return t.paceTracking.refusals.Load() }
+
+// Observe sends an observation to the engine's tracker. It doesn't wait, and an observation that is
+// lost isn't sent again.
+func (t *Tracker) Observe(o Observation) {
+	if t.paceTracking.disabled {
+		return
+	}
+	now := time.Now()
+	tracker, answering := t.trackerOf(o.Target, now)
+	switch {
+	case !answering:
+		return
+	case tracker == t.network.Self().Incarnation:
+		t.handleObserve(observeCall(o), now)
+		return
+	case t.paceTracking.pending.Add(1) > maxPendingObservations:
+		t.paceTracking.pending.Add(-1)
+		return
+	}
+	go func() {
+		defer t.paceTracking.pending.Add(-1)
+		ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+		defer cancel()
+		// A process of an earlier release doesn't know the method. The engine then counts as nominal.
+		_ = t.network.Call(ctx, tracker, methodObserve, observeCall(o), nil)
+	}()
+}
+
+// handleObserve handles an observation of this or another process.
+func (t *Tracker) handleObserve(call observeCall, now time.Time) {
+	if t.paceTracking.disabled {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	expected := 0.0
+	if f := t.fits[call.Service]; f != nil && call.Percent == 0 && call.Seconds > 0 {
+		expected = f.expect(call.Tokens)
+	}
+	state := t.engineStates.observe(Observation(call), expected, now)
+	if state == nil {
+		return
+	}
+	if usual := state.pace.usual(); paceChanged(state.logged, usual) {
+		t.log.Info("Engine's usual pace changed.", zap.String("service", state.service), zap.String("target", call.Target),
+			zap.Int64("born", state.born), zap.Float64("pace", roundPace(usual)), zap.Float64("before", roundPace(state.logged)),
+			zap.Bool("stated", state.pace.last > 0))
+		state.logged = usual
+	}
+}
+
+// announce publishes the usual paces of the engines that this process tracks, if they have changed or
+// the last announcement is old.
+func (t *Tracker) announce(now time.Time) {
+	t.mu.Lock()
+	uneven := t.engineStates.uneven()
+	t.mu.Unlock()
+	self := t.network.Self().Incarnation
+	var own []paceEntry
+	for _, e := range uneven {
+		// An engine's tracker changes with the members. Its new one announces it then.
+		if tracker, _ := t.trackerOf(e.Target, now); tracker == self {
+			own = append(own, e)
+		}
+	}
+	members := 1 + len(t.network.View().Members)
+	t.mu.Lock()
+	due := t.announcement.update(own, members, now)
+	version := t.announcement.version
+	t.mu.Unlock()
+	if !due {
+		return
+	}
+	ttl := announceTTL(members)
+	if err := t.network.Publish(peer.TopicEnginePace, string(self), version, ttl, paceItem{Engines: own}); err != nil {
+		t.log.Warn("Failed to announce the paces of engines.", zap.Int("engines", len(own)), zap.Error(err))
+	}
+	t.receivePaces(self, own, now.Add(ttl)) // own items aren't delivered
+}
+
+// handlePaceItem stores the paces that another tracker has announced.
+func (t *Tracker) handlePaceItem(item peer.Item) {
+	var body paceItem
+	if err := json.Unmarshal(item.Body, &body); err != nil {
+		t.log.Warn("A peer's announcement of engines' paces can't be decoded.", zap.String("member", string(item.Origin)), zap.Error(err))
+		return
+	}
+	t.receivePaces(item.Origin, body.Engines, time.Now().Add(item.TTL))
+}
+
+func (t *Tracker) receivePaces(origin peer.Incarnation, entries []paceEntry, expires time.Time) {
+	p := &t.paceTracking
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.announced.receive(origin, entries, expires)
+}
+
+func (t *Tracker) sweepPaces(now time.Time) {
+	p := &t.paceTracking
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.announced.sweep(now)
+}
+
+// UsualPace returns the announced usual pace of an engine, 1 if it counts as nominal.
+func (t *Tracker) UsualPace(target *pool.Target) float64 {
+	p := &t.paceTracking
+	if p.disabled {
+		return 1
+	}
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.announced.usual(target.ID, target.Born)
+}
+
+// SetPaces sets the paces of engines' views: the usual ones or those at present. It reports whether
+// any of them differs from 1.
+func (t *Tracker) SetPaces(views []pool.View, usualOnly bool, now time.Time) (uneven bool) {
+	p := &t.paceTracking
+	if p.disabled {
+		return false
+	}
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for i := range views {
+		v := &views[i]
+		v.Pace = 1
+		if len(p.announced.byTarget) > 0 {
+			v.Pace = p.announced.usual(v.ID, v.Born)
+		}
+		if stated, known := StatedPace(v.Report.Percent); known && !usualOnly {
+			v.Pace = paceNow(v.Pace, stated, now.Sub(v.Report.At))
+		}
+		uneven = uneven || v.Pace != 1
+	}
+	return uneven
+}
+
+// Uneven reports whether an engine of any service is announced as fast or slow.
+func (t *Tracker) Uneven() bool {
+	p := &t.paceTracking
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return len(p.announced.byTarget) > 0
+}
--- a/internal/serve/engines/tracker.go
+++ b/internal/serve/engines/tracker.go
@@ -8,7 +8,8 @@
 // A tracker also hands out the requests that an engine with a limited rate takes, cold or in need, and, for
 // these, of targets of other services.
 //
-// Trackers also learn from the responses that all processes observe how long engines take.
+// Trackers also learn from the responses that all processes observe how long engines take, and how the
+// engines differ in that; see docs/design/engine-pace.md.
 package engines
 
 import (
@@ -37,11 +38,12 @@
 	maxSamples = 8
 )
 
-// Sample is an observed response: the tokens that its engine had to read, and the seconds to its
-// first event.
+// Sample is an observed response: the tokens that its engine had to read, the seconds to its first
+// event, and the engine's pace in percent, 0 if it stated none.
 type Sample struct {
 	Tokens  int     `json:"t"`
 	Seconds float64 `json:"s"`
+	Percent int     `json:"p,omitempty"`
 }
 
 // Claim asks whether a prompt may be sent to an engine.
@@ -49,6 +51,8 @@
 	Service string
 	// Target is the ID of the engine, or of a target of another service that limits its rate.
 	Target string
+	// Born is the incarnation of the engine, 0 if it is unknown.
+	Born int64
 	// Tokens is the number of tokens that an engine will have to read.
 	Tokens int
 	// Limit is the longest acceptable wait at the engine.
@@ -66,6 +70,8 @@
 	Taken bool
 	// Wait is how long the engine will be busy with earlier prompts.
 	Wait time.Duration
+	// Pace is the engine's pace at present; 0 if the tracker doesn't know it.
+	Pace float64
 	// OverRate is set if the claim was refused because the target already got as many requests as it
 	// takes. Wait is then the time until it takes the next one of the first rank.
 	OverRate bool
@@ -75,6 +81,7 @@
 type claimCall struct {
 	Service string   `json:"service"`
 	Target  string   `json:"engine"`
+	Born    int64    `json:"born,omitempty"`
 	Tokens  int      `json:"tokens"`
 	Limit   int64    `json:"limit"`
 	Cold    float64  `json:"cold,omitempty"`
@@ -88,8 +95,9 @@
 	Taken bool  `json:"taken,omitempty"`
 	Wait  int64 `json:"wait,omitempty"`
 	// OverRate is Answer.OverRate.
-	OverRate bool  `json:"cold,omitempty"`
-	Curve    Curve `json:"curve"`
+	OverRate bool    `json:"cold,omitempty"`
+	Curve    Curve   `json:"curve"`
+	Pace     float64 `json:"pace,omitempty"`
 }
 
 // Tracker asks the trackers of engines, and acts as the tracker for some of them. It is safe for
@@ -99,7 +107,11 @@
 	network  peer.Network
 	eligible derived.Value[*peer.View, []candidate]
 
+	paceTracking paceTracking
+
 	mu              sync.Mutex // guards the fields below; no other lock is taken while it is held
+	engineStates    engineStates
+	announcement    announcement
 	prefillSchedule *prefillSchedule
 	rateBuckets     rateBuckets
 	fits            map[string]*fit // by service
@@ -124,8 +136,14 @@
 	t := &Tracker{
 		log: log, network: network, prefillSchedule: newPrefillSchedule(), rateBuckets: rateBuckets{}, fits: map[string]*fit{},
 		samples: map[string][]Sample{}, curves: map[string]receivedCurve{}, unresponsive: map[peer.Incarnation]time.Time{},
+		engineStates: engineStates{}, paceTracking: paceTracking{announced: newAnnouncedPaces()},
 	}
 	peer.HandleCall(network, methodClaim, func(c claimCall) (any, error) { return t.handleClaim(c, time.Now()), nil })
+	peer.HandleCall(network, methodObserve, func(c observeCall) (any, error) {
+		t.handleObserve(c, time.Now())
+		return nil, nil
+	})
+	network.Subscribe(peer.TopicEnginePace, t.handlePaceItem)
 	return t
 }
 
@@ -156,7 +174,7 @@
 		return Answer{}, false
 	}
 	call := claimCall{
-		Service: c.Service, Target: c.Target, Tokens: c.Tokens, Limit: c.Limit.Milliseconds(),
+		Service: c.Service, Target: c.Target, Born: c.Born, Tokens: c.Tokens, Limit: c.Limit.Milliseconds(),
 		Cold: c.Rate.Cold, Stated: c.Rate.Stated, Rank: c.Rank, Samples: t.takeSamples(c.Service),
 	}
 	answer, err := t.callTracker(ctx, tracker, call)
@@ -169,7 +187,9 @@
 	t.mu.Lock()
 	t.curves[c.Service] = receivedCurve{curve: answer.Curve, at: now}
 	t.mu.Unlock()
-	return Answer{Taken: answer.Taken, Wait: time.Duration(answer.Wait) * time.Millisecond, OverRate: answer.OverRate}, true
+	return Answer{
+		Taken: answer.Taken, Wait: time.Duration(answer.Wait) * time.Millisecond, Pace: answer.Pace, OverRate: answer.OverRate,
+	}, true
 }
 
 // markUnresponsive stops claims to a tracker that didn't answer for unresponsivePause.
@@ -235,7 +255,11 @@
 		t.fits[call.Service] = f
 	}
 	for _, s := range call.Samples {
-		f.add(s.Tokens, s.Seconds)
+		pace := 1.0
+		if !t.paceTracking.disabled {
+			pace, _ = StatedPace(s.Percent)
+		}
+		f.add(s.Tokens, s.Seconds, pace)
 	}
 	curve := f.curve()
 	rate := ratelimit.Rate{Cold: call.Cold, Stated: call.Stated}
@@ -244,8 +268,17 @@
 		answer.OverRate, answer.Wait = true, wait.Milliseconds()
 		return answer
 	}
-	prefill := time.Duration(curve.PrefillTime(call.Tokens) * float64(time.Second))
-	wait, taken := t.prefillSchedule.reserve(call.Target, prefill, time.Duration(call.Limit)*time.Millisecond, now)
+	usual, pace, known := t.engineStates.paces(call.Target, call.Born, now)
+	if known {
+		answer.Pace = roundPace(pace)
+	}
+	nominal := curve.PrefillTime(call.Tokens) * float64(time.Second)
+	limit := time.Duration(call.Limit) * time.Millisecond
+	slowdown := time.Duration(max(pace-usual, 0) * nominal)
+	wait, taken := t.prefillSchedule.reserve(call.Target, time.Duration(pace*nominal), limit-slowdown, now)
+	if !taken && wait <= limit {
+		t.paceTracking.refusals.Add(1)
+	}
 	if taken && rate.Limited() {
 		t.rateBuckets.takeToken(call.Target)
 	}
@@ -255,8 +288,17 @@
 
 // Sweep removes expired state. Call it about once a second.
 func (t *Tracker) Sweep(now time.Time) {
+	t.sweepClaims(now)
+	t.sweepPaces(now)
+	if !t.paceTracking.disabled {
+		t.announce(now)
+	}
+}
+
+func (t *Tracker) sweepClaims(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.engineStates.sweep(now)
 	t.prefillSchedule.sweep(now)
 	t.rateBuckets.sweep(now)
 	for id, until := range t.unresponsive {
--- a/internal/serve/gauges.go
+++ b/internal/serve/gauges.go
@@ -41,12 +41,37 @@
 	g.set("stages.items_repeated", int64(stages.Retried))
 	g.set("stages.results_in_vain", int64(stages.Discarded))
 	s.updateZoneGauges(g)
+	if s.engines != nil {
+		g.set("engines.claims_refused_by_pace", s.engines.ClaimsRefusedByPace())
+	}
 	p := s.plans.Current()
 	if p == nil {
 		return
 	}
 	for i := range p.Services {
 		s.updateServiceGauges(g, p.Services[i].Name, now)
+		if s.engines != nil && p.Services[i].Engine != nil {
+			s.updatePaceGauges(g, p.Services[i].Name)
+		}
+	}
+}
+
+// updatePaceGauges reports how many engines of a service are fast, nominal and slow by their announced
+// usual paces.
+func (s *Server) updatePaceGauges(g gauges, service string) {
+	counts := map[string]int64{"fast": 0, "nominal": 0, "slow": 0}
+	for _, target := range s.table.ReadySet(service).Targets {
+		switch pace := s.engines.UsualPace(target); {
+		case pace < 1:
+			counts["fast"]++
+		case pace > 1:
+			counts["slow"]++
+		default:
+			counts["nominal"]++
+		}
+	}
+	for pace, n := range counts {
+		g.set(`vanillagate_service_engines{service="`+service+`",pace="`+pace+`"}`, n)
 	}
 }
 
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -60,6 +60,9 @@
 	// EngineAccounts: before a process sends a prompt to an engine, it asks the engine's tracker
 	// what the engine reads for other processes.
 	EngineAccounts Mechanism = "engine-accounts"
+	// EnginePace: engines that are faster or slower than others are chosen and claimed by their pace.
+	// Without it all engines count as alike.
+	EnginePace Mechanism = "engine-pace"
 	// Warmup: the request rate to a target that is cold or has stated a rate is bounded across all processes.
 	Warmup Mechanism = "warmup"
 	// FewKept: the number of idle connections to a target is bounded by the number that it accepts.
@@ -70,7 +73,7 @@
 func All() []Mechanism {
 	return []Mechanism{
 		Sharing, Reservations, Reserve, LeastShare, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines,
-		Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept,
+		Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, EnginePace, Warmup, FewKept,
 	}
 }
 
--- a/internal/serve/pool/target.go
+++ b/internal/serve/pool/target.go
@@ -55,6 +55,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Percent is how long work takes on the target's machine, in percent of the nominal time; 0 if it
+	// is unknown.
+	Percent int
 	At      time.Time
 }
 
@@ -80,6 +83,9 @@
 	RateLimit float64
 	// Cold is set by the caller that decides whether the target counts as cold.
 	Cold bool
+	// Pace is the time that an engine's work takes relative to a nominal engine; 0 if it is unknown.
+	// It is set by the caller.
+	Pace float64
 }
 
 // Call is a call in progress. The caller must call End; further calls of End are ignored.
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -105,8 +105,10 @@
 	j.sends++
 	j.retry.Sent(time.Now()) // a target may answer before the body is written
 	info := j.Codec.ReadAnswer(&answer.Header)
+	j.engineAnswer = engineAnswer{target: target}
 	if info.Report != nil {
 		target.SetReport(*info.Report)
+		j.engineAnswer.percent = info.Report.Percent
 	}
 	target.SetRejectionLimit(info.RejectionLimit, time.Now())
 	target.SetRateLimit(info.RateLimit, now, time.Now())
--- a/internal/serve/run/choose.go
+++ b/internal/serve/run/choose.go
@@ -48,6 +48,10 @@
 	// rule limits the request rate of the service's cold targets; the zero value sets no
 	// limit.
 	rule ratelimit.Rule
+	// uneven means that engines differ in their paces, waits what the trackers answered that were asked
+	// in vain.
+	uneven bool
+	waits  map[*pool.Target]time.Duration
 }
 
 func (j *job) newChoice(now time.Time) *choice {
@@ -71,6 +75,7 @@
 func (c *choice) pickFrom(views []pool.View) *pool.Target {
 	views = slices.DeleteFunc(views, func(v pool.View) bool { return v.ShareInUse })
 	views = c.excludeLimited(views)
+	c.setPaces(views)
 	for refused := 0; ; {
 		target := c.pick(views)
 		if target == nil {
@@ -147,13 +152,17 @@
 }
 
 func (c *choice) pick(views []pool.View) *pool.Target {
+	if c.isEngine {
+		return place.ChooseEngine(views, c.criteria())
+	}
+	return place.ChooseTarget(views, c.criteria(), rand.Float64())
+}
+
+func (c *choice) criteria() place.Criteria {
 	j := c.job
-	preferences := place.Criteria{Prompt: j.req.Prompt, Zone: j.Zone, Avoid: j.tried, NoAffinity: j.LeaveOut.Has(leaveout.Affinity)}
+	criteria := place.Criteria{Prompt: j.req.Prompt, Zone: j.Zone, Avoid: j.tried, NoAffinity: j.LeaveOut.Has(leaveout.Affinity)}
 	if j.inputs != nil {
-		preferences.Bytes = j.inputs.bytes
-	}
-	if c.isEngine {
-		return place.ChooseEngine(views, preferences)
+		criteria.Bytes = j.inputs.bytes
 	}
-	return place.ChooseTarget(views, preferences, rand.Float64())
+	return criteria
 }
--- a/internal/serve/run/claim.go
+++ b/internal/serve/run/claim.go
@@ -35,6 +35,8 @@
 	prefillTokens int
 	wait          time.Duration
 	waitKnown     bool
+	// pace is the engine's pace; 0 if it is unknown.
+	pace float64
 }
 
 // claimResult is the result of claiming an engine for a prompt.
@@ -56,14 +58,14 @@
 func (c *choice) claim(views []pool.View, target *pool.Target, rate ratelimit.Rate) claimResult {
 	j := c.job
 	claim := engines.Claim{
-		Service: j.service, Target: target.ID, Limit: unlimitedWait, Rate: rate,
+		Service: j.service, Target: target.ID, Born: target.Born, Limit: unlimitedWait, Rate: rate,
 		Rank: plan.EffectivePriority(j.route, j.team),
 	}
 	earlier := j.claimState.attempts
 	if c.isEngine {
 		claim.Tokens = place.PrefillTokens(views, j.req.Prompt, target.ID)
-		j.claimState = claimState{attempts: earlier + 1, prefillTokens: claim.Tokens}
-		claim.Limit = j.waitLimit(claim.Tokens)
+		j.claimState = claimState{attempts: earlier + 1, prefillTokens: claim.Tokens, pace: paceOf(views, target)}
+		claim.Limit = max(j.waitLimit(claim.Tokens), c.paceLimit(views, target, claim.Tokens))
 	}
 	answer, answered := j.Engines.Claim(j.ctx, claim)
 	switch {
@@ -77,12 +79,14 @@
 		return claimOverRate
 	case answer.Taken:
 		j.claimState.wait, j.claimState.waitKnown = answer.Wait, c.isEngine
+		if answer.Pace > 0 {
+			j.claimState.pace = answer.Pace
+		}
 		return claimAccepted
 	}
-	// The added tokens outweigh any affinity, so that the next choice is another engine.
 	for i := range views {
 		if views[i].Target == target {
-			views[i].Tokens += place.AffinityWeight*j.req.Prompt.SharedTokens() + j.tokensReadIn(answer.Wait)
+			c.recordBusy(&views[i], answer)
 		}
 	}
 	return claimBusy
@@ -121,16 +125,24 @@
 // first event, as a sample for the estimates of all processes. Requests that waited or were
 // sent more than once are left out.
 func (j *job) recordPrefill(took time.Duration) {
-	if j.Engines != nil && j.claimState.waitKnown && j.claimState.wait < idleThreshold && j.sends == 1 {
-		j.Engines.RecordSample(j.service, engines.Sample{Tokens: j.claimState.prefillTokens, Seconds: took.Seconds()})
+	if j.Engines != nil && j.prefillTimeCounts() {
+		j.Engines.RecordSample(j.service, engines.Sample{
+			Tokens: j.claimState.prefillTokens, Seconds: took.Seconds(), Percent: j.engineAnswer.percent,
+		})
 	}
 }
 
+// prefillTimeCounts reports whether the time to the first event tells how long the engine
+// reads the prompt.
+func (j *job) prefillTimeCounts() bool {
+	return j.claimState.waitKnown && j.claimState.wait < idleThreshold && j.sends == 1
+}
+
 // expectedFirstEvent estimates how long an engine takes to the first event of the answer.
 func (j *job) expectedFirstEvent() time.Duration {
 	if j.Engines != nil {
 		if curve, known := j.Engines.Curve(j.service, time.Now()); known {
-			return clampFirstEvent(curve.FirstEvent(j.req.Prompt.UnsharedTokens()))
+			return clampFirstEvent(curve.Base + j.duePace()*curve.PrefillTime(j.req.Prompt.UnsharedTokens()))
 		}
 	}
 	return j.firstEventModel.expect(j.service, j.req.Prompt)
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -108,6 +108,10 @@
 	// zone is the zone in which the stages run whose services are divided by zone.
 	zone       string
 	claimState claimState
+	// engineAnswer is what the latest answer tells of its engine, stagePace the pace by which stages are
+	// due, 0 until it is determined.
+	engineAnswer engineAnswer
+	stagePace    float64
 	// reserved is the target that was claimed before the stages run; nil if none was.
 	reserved *pool.Target
 	// retry is the last retry taken from the budget; nil if there was none.
--- a/internal/serve/run/metrics.go
+++ b/internal/serve/run/metrics.go
@@ -56,6 +56,7 @@
 		zap.Duration("after", took), zap.Duration("objective", j.route.Objective),
 		zap.Duration("target_took", time.Since(j.sentAt)), zap.Int("arrivals", j.sends),
 		zap.Duration("claimed_wait", j.claimState.wait), zap.Int("claims", j.claimState.attempts),
+		zap.Float64("engine_pace", j.claimState.pace), zap.Int("stated_percent", j.engineAnswer.percent),
 		zap.Int("prompt_tokens", j.req.Prompt.Input), zap.Int("own_tokens", j.req.Prompt.UnsharedTokens()),
 	}
 	if !j.preparedAt.IsZero() {
@@ -83,6 +84,7 @@
 			e.firstEventModel.record(j.service, j.req.Prompt, time.Since(j.sentAt))
 			j.recordPrefill(time.Since(j.sentAt))
 		}
+		j.observeFirstEvent(reply.Status, time.Since(j.sentAt))
 		if j.route.Objective > 0 && took > j.route.Objective {
 			e.logLate(j, took)
 		}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -158,6 +158,9 @@
 	newRateNotices(s.log, network, s.table)
 	if !o.LeaveOut.Has(leaveout.EngineAccounts) {
 		s.engines = engines.New(logging.WithComponent(o.Log, "engines"), network)
+		if o.LeaveOut.Has(leaveout.EnginePace) {
+			s.engines.DisablePace()
+		}
 		s.executor.Engines = s.engines
 	}
 	if !o.LeaveOut.Has(leaveout.Warmup) {
