--- a/internal/serve/engines/announcement.go
+++ b/internal/serve/engines/announcement.go
@@ -22,7 +22,9 @@
 func roundPace(pace float64) float64 { return math.Round(pace*100) / 100 }
 
 // MarshalJSON implements json.Marshaler.
-func (e paceEntry) MarshalJSON() ([]byte, error) { return json.Marshal([]any{e.Target, e.Born, e.Pace}) }
+func (e paceEntry) MarshalJSON() ([]byte, error) {
+	return json.Marshal([]any{e.Target, e.Born, e.Pace})
+}
 
 var errShortEntry = errors.New("entry with too few elements")
 
--- a/internal/serve/engines/observe.go
+++ b/internal/serve/engines/observe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,8 +38,10 @@
 	// refusals is the number of claims that this tracker refused only because of an engine's pace.
 	refusals atomic.Int64
 
-	mu        sync.RWMutex // guards announced; no other lock is taken while it is held
+	mu        sync.RWMutex // guards the fields below; no other lock is taken while it is held
 	announced announcedPaces
+	// busyUntil is until when engines read prompts according to their trackers' latest answers.
+	busyUntil map[string]time.Time
 }
 
 // DisablePace treats all engines as nominal, for measurements. Call it before the network starts.
@@ -149,6 +152,41 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.announced.sweep(now)
+	maps.DeleteFunc(p.busyUntil, func(_ string, until time.Time) bool { return now.After(until) })
+}
+
+// recordWait stores what a tracker answered of an engine's wait, to which a granted claim adds its own
+// prompt.
+func (p *paceTracking) recordWait(c Claim, answer claimAnswer, now time.Time) {
+	if p.disabled || answer.OverRate {
+		return
+	}
+	wait := time.Duration(answer.Wait) * time.Millisecond
+	if answer.Taken {
+		pace := answer.Pace
+		if pace == 0 {
+			pace = 1
+		}
+		wait += time.Duration(pace * answer.Curve.PrefillTime(c.Tokens) * float64(time.Second))
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busyUntil[c.Target] = now.Add(wait)
+}
+
+// AddWaits adds to the views the tokens that engines have to read for other processes, as far as trackers
+// have told this one lately. secondsPerToken is the time that a nominal engine takes for a token.
+// Without it, all processes prefer the same few fast engines, however busy these are.
+func (t *Tracker) AddWaits(views []pool.View, secondsPerToken float64, now time.Time) {
+	p := &t.paceTracking
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for i := range views {
+		v := &views[i]
+		if wait := p.busyUntil[v.ID].Sub(now); wait > 0 {
+			v.Tokens = max(v.Tokens, int(wait.Seconds()/(secondsPerToken*v.Pace)))
+		}
+	}
 }
 
 // UsualPace returns the announced usual pace of an engine, 1 if it counts as nominal.
--- a/internal/serve/engines/tracker.go
+++ b/internal/serve/engines/tracker.go
@@ -136,7 +136,7 @@
 	t := &Tracker{
 		log: log, network: network, prefillSchedule: newPrefillSchedule(), rateBuckets: rateBuckets{}, fits: map[string]*fit{},
 		samples: map[string][]Sample{}, curves: map[string]receivedCurve{}, unresponsive: map[peer.Incarnation]time.Time{},
-		engineStates: engineStates{}, paceTracking: paceTracking{announced: newAnnouncedPaces()},
+		engineStates: engineStates{}, paceTracking: paceTracking{announced: newAnnouncedPaces(), busyUntil: map[string]time.Time{}},
 	}
 	peer.HandleCall(network, methodClaim, func(c claimCall) (any, error) { return t.handleClaim(c, time.Now()), nil })
 	peer.HandleCall(network, methodObserve, func(c observeCall) (any, error) {
@@ -187,6 +187,7 @@
 	t.mu.Lock()
 	t.curves[c.Service] = receivedCurve{curve: answer.Curve, at: now}
 	t.mu.Unlock()
+	t.paceTracking.recordWait(c, answer, now)
 	return Answer{
 		Taken: answer.Taken, Wait: time.Duration(answer.Wait) * time.Millisecond, Pace: answer.Pace, OverRate: answer.OverRate,
 	}, true
--- a/internal/serve/place/place.go
+++ b/internal/serve/place/place.go
@@ -130,9 +130,7 @@
 func engineCost(v pool.View, p Prompt, affine bool) float64 {
 	running := max(v.InFlight, v.Report.Running)
 	cost := float64(p.Input + v.Tokens + running*runningTokens + v.Report.Waiting*waitingTokens)
-	if v.Pace > 0 {
-		cost *= v.Pace // work for a slow engine, so that long prompts go to fast ones
-	}
+	cost = pacedCost(cost, v.Pace)
 	if affine {
 		cost -= AffinityWeight * float64(p.SharedTokens())
 	}
--- a/internal/serve/run/claim.go
+++ b/internal/serve/run/claim.go
@@ -89,6 +89,7 @@
 			c.recordBusy(&views[i], answer)
 		}
 	}
+	c.ignoreFastPaces(views)
 	return claimBusy
 }
 
--- a/internal/serve/run/pace.go
+++ b/internal/serve/run/pace.go
@@ -55,6 +55,10 @@
 	if c.isEngine && c.job.Engines != nil {
 		c.uneven = c.job.Engines.SetPaces(views, false, c.now)
 	}
+	if c.uneven {
+		curve, _ := c.job.Engines.Curve(c.job.service, c.now)
+		c.job.Engines.AddWaits(views, secondsPerToken(curve), c.now)
+	}
 }
 
 // paceLimit returns the wait up to which the target is preferred to the next best engine because that is
@@ -139,3 +143,18 @@
 		j.Engines.Observe(o)
 	}
 }
+
+// ignoreFastPaces lets fast engines that weren't asked count as nominal before the last claim, whose wait is
+// unlimited. When the asked ones are busy, so are probably the other fast ones: all processes prefer
+// them. Where 4 of 90 engines were fast, long prompts queued there for seconds.
+func (c *choice) ignoreFastPaces(views []pool.View) {
+	if !c.uneven || c.job.claimState.attempts != maxClaims-1 {
+		return
+	}
+	for i := range views {
+		v := &views[i]
+		if _, asked := c.waits[v.Target]; !asked && v.Pace < 1 {
+			v.Pace = 1
+		}
+	}
+}
