--- a/internal/serve/engines/pace.go
+++ b/internal/serve/engines/pace.go
@@ -27,8 +27,9 @@
 	// a machine changes about as often.
 	statedPaceLifetime = 600 * time.Millisecond
 	// timedWindow is the approximate number of times that an engine's moving average covers,
-	// minTimes how many are needed.
-	timedWindow, minTimes = 20, 3
+	// minTimes how many are needed. Contention lasts for several answers: with a window of 20, an
+	// engine that had none for two seconds counted as fast.
+	timedWindow, minTimes = 100, 3
 	// minTimeSpread is the least assumed standard deviation of times relative to the expected ones:
 	// a few times can be alike by chance.
 	minTimeSpread = 0.1
--- a/internal/serve/run/pace.go
+++ b/internal/serve/run/pace.go
@@ -50,6 +50,16 @@
 	return 1
 }
 
+// tokensOf returns the number of tokens that an engine has to read before the prompt, as far as known.
+func tokensOf(views []pool.View, target *pool.Target) int {
+	for i := range views {
+		if views[i].Target == target {
+			return views[i].Tokens
+		}
+	}
+	return 0
+}
+
 // setPaces sets the engines' paces at present.
 func (c *choice) setPaces(views []pool.View) {
 	if c.isEngine && c.job.Engines != nil {
@@ -79,6 +89,8 @@
 	nextBest := engineEstimate{pace: paceOf(views, next), tokens: place.PrefillTokens(views, j.req.Prompt, next.ID)}
 	if wait, asked := c.waits[next]; asked {
 		nextBest.wait = wait
+	} else {
+		nextBest.wait = seconds(nextBest.pace * secondsPerToken(curve) * float64(tokensOf(views, next)))
 	}
 	// The tracker compares the limit with the wait plus what the pace at present adds to the usual one.
 	chosen := engineEstimate{pace: j.Engines.UsualPace(target), tokens: tokens}
@@ -137,7 +149,7 @@
 	}
 	o := engines.Observation{Service: j.service, Target: target.ID, Born: target.Born, Percent: j.engineAnswer.percent}
 	if j.prefillTimeCounts() && j.route.Kind == plan.Stream && isSuccess(status) {
-		o.Tokens, o.Seconds = j.claimState.prefillTokens, took.Seconds()
+		o.Tokens, o.Seconds = j.claimState.prefillTokens, took.Round(100*time.Microsecond).Seconds() // short on the wire
 	}
 	if o.Percent > 0 || o.Seconds > 0 {
 		j.Engines.Observe(o)
