--- a/internal/serve/engines/announcement.go
+++ b/internal/serve/engines/announcement.go
@@ -1,10 +1,12 @@
 package engines
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/vanillagate/vanillagate/internal/peer"
@@ -61,6 +63,9 @@
 	// intervals. Usual paces rarely change: at 985 processes, repetitions cost each of them about
 	// 1.5 KB a second.
 	announceRefresh = 15
+	// maxAnnounced is the number of engines that a tracker announces at most, those whose paces differ
+	// most. It keeps the item well below peer.MaxItemBytes.
+	maxAnnounced = 1000
 	// announceLifetime is the lifetime of an announcement in refresh intervals.
 	announceLifetime = 3
 )
@@ -74,6 +79,17 @@
 	return announceLifetime * announceRefresh * announceInterval(members)
 }
 
+// mostUneven returns at most maxAnnounced entries.
+func mostUneven(entries []paceEntry) []paceEntry {
+	if len(entries) <= maxAnnounced {
+		return entries
+	}
+	slices.SortFunc(entries, func(a, b paceEntry) int {
+		return cmp.Or(cmp.Compare(math.Abs(math.Log(b.Pace)), math.Abs(math.Log(a.Pace))), cmp.Compare(a.Target, b.Target))
+	})
+	return entries[:maxAnnounced]
+}
+
 // announcement is the latest version of a tracker's announcement. The zero value announces nothing.
 type announcement struct {
 	entries map[string]paceEntry
--- a/internal/serve/engines/observe.go
+++ b/internal/serve/engines/observe.go
@@ -115,6 +115,7 @@
 			own = append(own, e)
 		}
 	}
+	own = mostUneven(own)
 	members := 1 + len(t.network.View().Members)
 	t.mu.Lock()
 	due := t.announcement.update(own, members, now)
--- a/internal/serve/engines/pace_test.go
+++ b/internal/serve/engines/pace_test.go
@@ -200,6 +200,18 @@
 	}
 }
 
+// One tracker may have all engines of a large system. An item that is too large isn't sent at all.
+func TestAnnouncementFitsAnItem(t *testing.T) {
+	var entries []paceEntry
+	for i := range 3000 {
+		entries = append(entries, paceEntry{Target: fmt.Sprint("target-in-a-large-pool-", i), Born: 1764850000000, Pace: 1.2 + float64(i%2)})
+	}
+	entries = mostUneven(entries)
+	data, err := json.Marshal(paceItem{Engines: entries})
+	assert.NilError(t, err)
+	assert.Assert(t, len(entries) == maxAnnounced && len(data) < peer.MaxItemBytes && entries[0].Pace == 2.2)
+}
+
 // A later release appends elements to entries, and two trackers announce one engine for a moment.
 func TestNewestAnnouncementCounts(t *testing.T) {
 	var body paceItem
