--- a/internal/serve/run/pace.go
+++ b/internal/serve/run/pace.go
@@ -139,21 +139,26 @@
 	return paceOf(views, c.pick(views))
 }
 
-// observeFirstEvent reports the first event of an engine's answer to the engine's tracker. The time to
-// it doesn't count if the request waited, was sent more than once or isn't answered with a stream.
+// observeFirstEvent reports the first event of an engine's answer to the engine's tracker.
 func (j *job) observeFirstEvent(status int, took time.Duration) {
-	target := j.engineAnswer.target
 	service := j.Plans.Service(j.service)
-	if j.Engines == nil || target == nil || service == nil || service.Engine == nil {
+	if j.Engines == nil || j.engineAnswer.target == nil || service == nil || service.Engine == nil {
 		return
 	}
+	if o := j.observation(status, took); o.Percent > 0 || o.Seconds > 0 {
+		j.Engines.Observe(o)
+	}
+}
+
+// observation returns what the first event tells of the engine. The time to it doesn't count if the
+// request waited, was sent more than once or isn't answered with a stream.
+func (j *job) observation(status int, took time.Duration) engines.Observation {
+	target := j.engineAnswer.target
 	o := engines.Observation{Service: j.service, Target: target.ID, Born: target.Born, Percent: j.engineAnswer.percent}
 	if j.prefillTimeCounts() && j.route.Kind == plan.Stream && isSuccess(status) {
 		o.Tokens, o.Seconds = j.claimState.prefillTokens, took.Round(100*time.Microsecond).Seconds() // short on the wire
 	}
-	if o.Percent > 0 || o.Seconds > 0 {
-		j.Engines.Observe(o)
-	}
+	return o
 }
 
 // ignoreFastPaces lets fast engines that weren't asked count as nominal before the last claim, whose wait is
