run: the test of claim limits knows the curve first

Without a curve all limits are 0, and the test failed.

Change: the limits are checked after the choice, which fetches the curve.

--- a/internal/serve/run/pace_test.go
+++ b/internal/serve/run/pace_test.go
@@ -64,11 +64,6 @@
 	}{{true, false, 0.55}, {false, false, 1}, {true, true, 1}} {
 		synctest.Test(t, func(t *testing.T) {
 			j := unevenJob(12, c.uneven, c.leftOut)
-			choice := j.newChoice(time.Now())
-			views, _ := j.candidates(choice.now)
-			choice.setPaces(views)
-			limited := slices.ContainsFunc(views, func(v pool.View) bool { return choice.paceLimit(views, v.Target, 50_000) != 0 })
-			assert.Equal(t, limited, c.pace != 1)
 			target := j.choose()
 			assert.Equal(t, j.Engines.UsualPace(target), c.pace)
 			curve, known := j.Engines.Curve("s", time.Now())
@@ -77,6 +72,11 @@
 			assert.Equal(t, j.expectedFirstEvent(), want, "of the chosen engine")
 			j.claimState = claimState{}
 			assert.Equal(t, j.expectedFirstEvent(), want, "of the engine that would be chosen")
+			choice := j.newChoice(time.Now())
+			views, _ := j.candidates(choice.now)
+			choice.setPaces(views)
+			limited := slices.ContainsFunc(views, func(v pool.View) bool { return choice.paceLimit(views, v.Target, 50_000) != 0 })
+			assert.Equal(t, limited, c.pace != 1)
 		})
 	}
 }
