--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -65,6 +65,9 @@
 	// EngineAccounts: before a process sends a prompt to an engine, it asks the engine's tracker
 	// what the engine reads for other processes.
 	EngineAccounts Mechanism = "engine-accounts"
+	// EnginePace: engines that are faster or slower than others are chosen and claimed by their pace.
+	// Without it all engines count as alike.
+	EnginePace Mechanism = "engine-pace"
 	// Warmup: the request rate to a target that is cold or has stated a rate is bounded across all processes.
 	Warmup Mechanism = "warmup"
 	// FewKept: the number of idle connections to a target is bounded by the number that it accepts.
@@ -80,7 +83,7 @@
 // All returns all mechanisms.
 func All() []Mechanism {
 	return []Mechanism{
-		Sharing, Reservations, Reserve, LeastShare, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines, Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept, ResponseBounds, PromptCopies, TeamShares, ResidualState, ReturnPlaces,
+		Sharing, Reservations, Reserve, LeastShare, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines, Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept, ResponseBounds, PromptCopies, TeamShares, ResidualState, ReturnPlaces, EnginePace,
 	}
 }
 
--- a/internal/serve/place/place.go
+++ b/internal/serve/place/place.go
@@ -133,6 +133,7 @@
 func engineCost(v pool.View, p Prompt, discount float64) float64 {
 	running := max(v.InFlight, v.Report.Running)
 	cost := float64(p.Input + v.Tokens + running*runningTokens + v.Report.Waiting*waitingTokens)
+	cost = pacedCost(cost, v.Pace)
 	cost -= discount
 	if v.Cold {
 		cost += coldWeight * float64(p.Input)
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -115,6 +115,10 @@
 	claimState  claimState
 	// copies is the state of copying the shared parts of the prompt; nil if they aren't copied.
 	copies *promptCopy
+	// engineAnswer is what the latest answer tells of its engine, stagePace the pace by which stages are
+	// due, 0 until it is determined.
+	engineAnswer engineAnswer
+	stagePace    float64
 	// reserved is the target that was claimed before the stages run; nil if none was.
 	reserved *pool.Target
 	// retry is the last retry taken from the budget; nil if there was none.
