gather: space of residual results shrinks in half of handle-s

A trial showed that this takes capacity away: readers free live results through other processes, of which the new gatherer isn't told, and results of an outage are old already.

Change: the space shrinks evenly to nothing in half of handle-s.

go test ./internal/serve/gather -run 'Residual|Buffer|Free': ok.

--- a/internal/serve/gather/residual.go
+++ b/internal/serve/gather/residual.go
@@ -29,6 +29,11 @@
 // the first calls here have shown whether the buffer has space.
 const stateTimeout = 200 * time.Millisecond
 
+// residualKeep returns how long residual results take space. Results that nobody fetches expire one
+// after the other, and others are freed by their readers, of which a new gatherer isn't told. If the
+// whole space counted for all of Batch.Keep, capacity would be missing after the death of one process.
+func residualKeep(b *plan.Batch) time.Duration { return b.Keep / 2 }
+
 // ownUse is what this process has at a target by its own account.
 type ownUse struct {
 	bytes int
@@ -140,9 +145,7 @@
 	own := before.max(g.ownUseOf(s, target, now))
 	bytes, took := state.residualBytes(batch.BufferBytes, own), state.residualTime(own, batch.MaxCallTime())
 	if bytes > 0 {
-		b := g.bufferOf(s, target.Address, now)
-		b.drop(foreign) // what was found full before is part of it
-		b.put(residual, bytes, now.Add(batch.Keep))
+		g.bufferOf(s, target.Address, now).addResidual(bytes, now, now.Add(residualKeep(batch)))
 	}
 	if took == 0 {
 		return bytes, took
