serve: bounds on answers that are no result

Cause: a faulty target could send bytes that are no answer until its connection was closed. A 500 without end and an event stream without an event were passed on to the caller (1 GB; 557 MB in 4 s); slow bytes in a head, an error, a refusal or a stream held a request until its deadline.

The connection is closed and the target counts as failed, but not as crashed; the request goes elsewhere where it may, else it ends as truncated or with 502. Blocks of a stream without a known field are withheld until an event follows. Counted by kind (vanillagate_answers_exceeding) and logged; switched off by response-bounds.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -39,6 +39,9 @@
 	Length int
 	// OnTrailer is called with each trailer line, without its line end. It may be nil.
 	OnTrailer func(line string)
+	// WrapTrailer is called to read the lines after a chunked body with read, and returns its error or
+	// another one. It may be nil.
+	WrapTrailer func(read func() error) error
 
 	conn     *bufio.Reader
 	data     io.Reader
@@ -72,7 +75,7 @@
 		return n, io.ErrUnexpectedEOF
 	}
 	if b.Kind == Chunks && !b.complete {
-		if err := b.readTrailer(); err != nil {
+		if err := b.wrapTrailer(b.readTrailer); err != nil {
 			return n, err
 		}
 	}
@@ -83,6 +86,13 @@
 // Complete reports whether the body was read to its end.
 func (b *Body) Complete() bool { return b.complete }
 
+func (b *Body) wrapTrailer(read func() error) error {
+	if b.WrapTrailer == nil {
+		return read()
+	}
+	return b.WrapTrailer(read)
+}
+
 // readTrailer reads the lines after the last chunk. Without the final empty line the body was
 // truncated, however the connection ended.
 func (b *Body) readTrailer() error {
--- a/internal/serve/gather/call.go
+++ b/internal/serve/gather/call.go
@@ -71,7 +71,10 @@
 
 // outcomeOf classifies a call for the table of targets.
 func outcomeOf(results []Result, err error) pool.Outcome {
+	var exceeded *upstream.BoundError
 	switch {
+	case errors.As(err, &exceeded): // also of an answer that says that the call didn't run
+		return pool.Failed
 	case errors.Is(err, ErrFull):
 		return pool.Full
 	case upstream.NotSent(err):
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -64,13 +64,15 @@
 	Warmup Mechanism = "warmup"
 	// FewKept: the number of idle connections to a target is bounded by the number that it accepts.
 	FewKept Mechanism = "few-kept"
+	// ResponseBounds: answers that are too large or too slow where they carry no result are given up.
+	ResponseBounds Mechanism = "response-bounds"
 )
 
 // All returns all mechanisms.
 func All() []Mechanism {
 	return []Mechanism{
 		Sharing, Reservations, Reserve, LeastShare, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines,
-		Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept,
+		Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept, ResponseBounds,
 	}
 }
 
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -128,7 +128,7 @@
 		info.Inputs = j.inputs.handles
 	}
 	r := &upstream.Request{
-		Address: target.Address, Method: j.req.Method, URI: j.req.URI, Host: j.req.Host,
+		Address: target.Address, Target: target.ID, Method: j.req.Method, URI: j.req.URI, Host: j.req.Host,
 		Header: j.Codec.RequestHeader(j.req, info), Body: j.req.Body,
 		MaxIdleTime:    j.maxIdleTime(),
 		MatchesRequest: j.matchesRequest,
@@ -186,9 +186,12 @@
 // recordRefusal records an attempt that the target refused without running the request.
 func (j *job) recordRefusal(target *pool.Target, call *pool.Call, answer *upstream.Answer) *attempt {
 	status := answer.Status
-	drain(answer)
+	outcome := pool.Full
+	if j.exceedsBound(drain(answer)) {
+		outcome = pool.Failed
+	}
 	answer.Close()
-	call.End(pool.Full, time.Now())
+	call.End(outcome, time.Now())
 	if status == fasthttp.StatusMisdirectedRequest {
 		j.Client.CloseIdle(target.Address)
 	}
@@ -196,18 +199,33 @@
 	return &attempt{target: target, mayHaveArrived: true, inputsLost: status == fasthttp.StatusConflict && j.inputs != nil}
 }
 
-// drain reads the rest of a short answer so that its connection can be reused.
-func drain(answer *upstream.Answer) {
-	// If the answer is truncated, Close drops the connection.
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxBuffered))
+// drain reads the rest of a short answer so that its connection can be reused. If it fails, Close drops
+// the connection.
+func drain(answer *upstream.Answer) error {
+	return answer.ReadBounded(io.Discard, upstream.RefusalBodyBound)
+}
+
+// bounded reports whether the bounds on answers are enabled.
+func (j *job) bounded() bool { return !j.LeaveOut.Has(leaveout.ResponseBounds) }
+
+// exceedsBound reports whether an error means that an answer exceeded a bound.
+func (j *job) exceedsBound(err error) bool {
+	var exceeded *upstream.BoundError
+	return j.bounded() && errors.As(err, &exceeded)
 }
 
 // readWhole reads the whole answer before the caller gets any of it, so that another target
-// can be asked if it breaks off.
+// can be asked if it breaks off. Only successes may be too large for that.
 func (j *job) readWhole(target *pool.Target, answer *upstream.Answer, call *pool.Call) attempt {
 	buffered := &strings.Builder{}
-	_, err := io.Copy(buffered, io.LimitReader(answer, maxBuffered))
-	if err == nil && buffered.Len() == maxBuffered {
+	var err error
+	unlimited := isSuccess(answer.Status) || !j.bounded()
+	if unlimited {
+		_, err = io.Copy(buffered, io.LimitReader(answer, maxBuffered))
+	} else {
+		err = answer.ReadBounded(buffered, upstream.ErrorBodyBound)
+	}
+	if unlimited && err == nil && buffered.Len() == maxBuffered {
 		return attempt{target: target, mayHaveArrived: true, reply: j.relay(answer, call, buffered.String())}
 	}
 	answer.Close()
@@ -248,7 +266,11 @@
 func (j *job) relay(answer *upstream.Answer, call *pool.Call, buffered string) *Reply {
 	body := &relayedBody{Reader: io.MultiReader(strings.NewReader(buffered), answer), close: func() {
 		answer.Close()
-		call.End(pool.Answered, time.Now())
+		outcome := pool.Answered
+		if answer.HasExceeded() {
+			outcome = pool.Failed
+		}
+		call.End(outcome, time.Now())
 		j.cleanUp()
 	}}
 	return passOn(answer, body, answer.Length)
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -41,6 +41,9 @@
 	opaque  bool
 	events  eventScanner
 	partial []byte // incomplete event
+	// withheld are events without a known field, which are passed on with the next event or at the end.
+	withheld []byte
+	wait     eventWait
 	// splitEvent is set while the caller has a part of an event that was too large to hold back.
 	splitEvent  bool
 	lastEventID string // id of the last event returned
@@ -105,6 +108,10 @@
 	n, err := s.answer.Read(s.buffer[:])
 	if n > 0 {
 		s.receive(s.buffer[:n])
+		if exceeded := s.exceeded(); exceeded != nil {
+			s.failOver(exceeded)
+			return
+		}
 	}
 	if err == nil {
 		return
@@ -113,12 +120,26 @@
 		err = s.incomplete()
 	}
 	if err == nil {
+		s.release()
 		s.end(io.EOF, pool.Answered)
 		return
 	}
 	s.failOver(err)
 }
 
+// exceeded returns an error if what has been received since the last event exceeds its bounds.
+func (s *stream) exceeded() error {
+	if s.opaque || !s.job.bounded() {
+		return nil
+	}
+	err := s.wait.check(s.partial, s.lastRead, eventPatience(s.job.route))
+	if err == nil {
+		return nil
+	}
+	s.job.Client.ReportExceeded(s.target.ID, s.target.Address, err)
+	return err
+}
+
 // incomplete returns why a stream is incomplete although its framing has ended; nil if it isn't.
 // A target that crashes may close its connection, or end its chunks, like one that is done.
 func (s *stream) incomplete() error {
@@ -166,20 +187,38 @@
 		s.partial = append(s.partial, data[:n]...)
 		data = data[n:]
 		if ended {
-			s.emit(s.partial)
+			known := s.wait.ended(s.partial)
+			if known || !s.job.bounded() {
+				s.emit(s.partial)
+			} else {
+				// No event for the caller: the stream may turn out to be none.
+				s.withheld = append(s.withheld, s.partial...)
+			}
 			s.partial, s.splitEvent = s.partial[:0], false
 		}
 	}
 	if !s.events.inside() || len(s.partial) > maxHeldBytes {
 		s.splitEvent = s.events.inside()
-		if s.splitEvent {
+		s.wait.skipped(s.partial, s.splitEvent)
+		if s.splitEvent || len(s.withheld) > maxHeldBytes {
 			s.setOrigin()
+			s.release()
+		}
+		if len(s.withheld) > 0 {
+			s.withheld = append(s.withheld, s.partial...) // behind what came before
+		} else {
+			s.pending = append(s.pending, s.partial...)
 		}
-		s.pending = append(s.pending, s.partial...)
 		s.partial = s.partial[:0]
 	}
 }
 
+// release adds what has been withheld to the output.
+func (s *stream) release() {
+	s.pending = append(s.pending, s.withheld...)
+	s.withheld = s.withheld[:0]
+}
+
 // emit adds an event to the output, unless the caller already has it.
 func (s *stream) emit(event []byte) {
 	id := eventID(event)
@@ -192,6 +231,7 @@
 		s.hasEventWithoutID = true
 	}
 	s.setOrigin()
+	s.release()
 	s.pending = append(s.pending, event...)
 }
 
@@ -232,7 +272,7 @@
 	j.Log.Warn("Stream broke.", requestID(j.req.ID), zap.String("target", from), zap.String("version", s.target.Version), zap.String("framing", string(framedBy)),
 		zap.String("after_event", s.lastEventID), zap.Duration("after", time.Since(j.req.Arrived)), zap.Error(err),
 		zap.NamedError("cause", context.Cause(j.ctx)))
-	s.partial = nil
+	s.partial, s.withheld = nil, nil
 	s.end(truncationError(j.ctx, err), outcome)
 }
 
@@ -287,7 +327,7 @@
 		return targetFailed
 	}
 	s.target, s.answer, s.call = target, answer, call
-	s.partial, s.events = nil, eventScanner{}
+	s.partial, s.withheld, s.events, s.wait = nil, nil, eventScanner{}, eventWait{}
 	s.started, s.written, s.survived = false, 0, false
 	s.resumed = s.lastEventID != ""
 	return resumed
--- a/internal/serve/run/suspicion.go
+++ b/internal/serve/run/suspicion.go
@@ -54,9 +54,9 @@
 
 // reportBroken reports to Suspicion that the connection to a target broke while it had the request.
 // written is how long the target had been writing the answer. To a process that is cut off, all targets
-// look as if they had crashed.
+// look as if they had crashed. A connection that was closed because of a bound says nothing about a crash.
 func (j *job) reportBroken(target *pool.Target, written time.Duration, err error) {
-	if j.Suspicion == nil || j.cutOff() {
+	if j.Suspicion == nil || j.cutOff() || j.exceedsBound(err) {
 		return
 	}
 	if j.ctx.Err() != nil && !brokenByTarget(err) {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -143,6 +144,7 @@
 		OnChange: func() { s.stages.Gatherer().Redispatch() },
 	})
 	s.client.OnSlowConnect = s.reach.ConnectSlow
+	s.client.OnExceeded, s.client.Unbounded = s.answerExceeded, o.LeaveOut.Has(leaveout.ResponseBounds)
 	s.stages = gather.New(gather.Options{
 		Log: logging.WithComponent(o.Log, "stages"), Network: network, Table: s.table, Reach: s.reach, LeaveOut: o.LeaveOut,
 		Gatherer: gather.NewGatherer(s.baseCtx, logging.WithComponent(o.Log, "gather"), s.table, s.plans, o.NewStageClient(s.client)),
@@ -173,6 +175,13 @@
 	return s, nil
 }
 
+// answerExceeded records that a part of a target's answer exceeded its bound.
+func (s *Server) answerExceeded(target, address string, err *upstream.BoundError) {
+	metrics.GetOrRegisterCounter("vanillagate_answers_exceeding{kind="+strconv.Quote(string(err.Part))+"}", s.metrics).Inc(1)
+	s.log.Warn("Answer exceeded a bound.", zap.String("target", target), zap.String("address", address),
+		zap.String("kind", string(err.Part)), zap.Int("bytes", err.Bytes), zap.Bool("timed_out", err.TimedOut))
+}
+
 // seeds returns the peer addresses of the seed processes, which new processes contact first.
 func (s *Server) seeds(read func(context.Context) ([]string, error)) []string {
 	list, err := read(s.baseCtx)
--- a/internal/serve/upstream/answer.go
+++ b/internal/serve/upstream/answer.go
@@ -21,13 +21,18 @@
 	// Body is nil until the header of the request's own answer has been read.
 	*framing.Body
 
-	client       *Client
+	client *Client
+	// target is Request.Target.
+	target       string
 	address      string
 	conn         *conns.Conn
 	stopCtxWatch func() bool
+	// ctxEnded reports whether the context of the request has ended.
+	ctxEnded func() bool
 	// closeAfterAnswer is Request.CloseAfterAnswer.
 	closeAfterAnswer bool
 	closed           bool
+	hasExceeded      bool
 	// written is closed when writing the request body has ended; writeFailed is set if it
 	// failed.
 	written     chan struct{}
@@ -41,15 +46,22 @@
 func (a *Answer) readHeader(r *Request) error {
 	a.Header.DisableNormalizing()
 	a.Header.SetNoDefaultContentType(true)
+	var interim interimAnswers
+	read := 0
 	for skipped := 0; skipped <= maxUnrelatedAnswers; {
-		if err := a.Header.Read(a.conn.R); err != nil {
+		if err := a.readHead(read); err != nil {
 			return err
 		}
 		a.Status = a.Header.StatusCode()
 		if a.Status < fasthttp.StatusOK {
-			continue // an interim (1xx) answer
+			read += len(a.Header.Header())
+			if interim.add(time.Now()) && !a.client.Unbounded {
+				return a.exceeded(Interim, read, interim.count <= maxInterimAnswers)
+			}
+			continue
 		}
 		a.Body = framing.NewBody(a.conn.R, &a.Header, r.Method)
+		a.WrapTrailer = a.readTrailer
 		if r.MatchesRequest == nil || r.MatchesRequest(&a.Header) {
 			return nil
 		}
@@ -66,7 +78,7 @@
 	if a.Kind == framing.Connection {
 		return errNoMoreAnswers
 	}
-	_, err := io.Copy(io.Discard, a)
+	err := a.ReadBounded(io.Discard, earlierBound)
 	a.Body = nil
 	return err
 }
@@ -80,6 +92,9 @@
 	}
 	a.closed = true
 	inTime := a.stopCtxWatch()
+	if a.Body != nil && a.Complete() && a.conn.R.Buffered() > 0 && inTime {
+		_ = a.exceeded(Surplus, a.conn.R.Buffered(), false) // the answer itself is complete
+	}
 	if a.reusable() && inTime && a.conn.R.Buffered() == 0 && a.requestWritten() {
 		a.conn.IdleTimeout = idleTime(&a.Header)
 		a.client.idle.Put(a.address, a.conn, time.Now())
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -23,7 +23,9 @@
 type Request struct {
 	// Address is the target's IP:port.
 	Address string
-	Method  string
+	// Target is the target's ID, which OnExceeded gets; empty if it has none.
+	Target string
+	Method string
 	// URI is the path and query exactly as the caller sent them.
 	URI    string
 	Host   string
@@ -90,6 +92,10 @@
 	// OnSlowConnect is called with an address that hasn't accepted a connection for
 	// SlowConnectTime. It may be nil.
 	OnSlowConnect func(address string)
+	// OnExceeded is called when a part of a target's answer has exceeded its bound. It may be nil.
+	OnExceeded func(target, address string, err *BoundError)
+	// Unbounded disables the bounds on time and those on the size of interim answers.
+	Unbounded bool
 
 	idle   conns.Pool
 	dialed atomic.Int64
@@ -120,7 +126,10 @@
 		return nil, &Failure{Err: err}
 	}
 	conn.MaxIdleConns = r.MaxIdleConns
-	a := &Answer{client: c, address: r.Address, conn: conn, closeAfterAnswer: r.CloseAfterAnswer, written: make(chan struct{})}
+	a := &Answer{
+		client: c, target: r.Target, address: r.Address, conn: conn, closeAfterAnswer: r.CloseAfterAnswer, written: make(chan struct{}),
+		ctxEnded: func() bool { return ctx.Err() != nil },
+	}
 	a.stopCtxWatch = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if err := ctx.Err(); err != nil {
 		a.Close()
--- a/internal/serve/upstream/upstream_test.go
+++ b/internal/serve/upstream/upstream_test.go
@@ -364,7 +364,10 @@
 			defer func() { _ = server.Close() }()
 			_, _ = io.WriteString(server, answer)
 		}()
-		a := &Answer{client: &Client{}, address: "x", conn: wrapConn(client), written: make(chan struct{}), stopCtxWatch: func() bool { return true }}
+		a := &Answer{
+			client: &Client{}, address: "x", conn: wrapConn(client), written: make(chan struct{}), stopCtxWatch: func() bool { return true },
+			ctxEnded: func() bool { return false },
+		}
 		close(a.written)
 		if err := a.readHeader(&Request{Method: "GET"}); err != nil {
 			return
