engines, place, run: rejections are shared, and rejecting engines avoided

Cause: each process found out by itself which engines reject requests. A request was sent to four engines at most, then refused although a rejection ran nothing and time was left, and the work of its stages was lost.

Change: processes report rejections to the engine's tracker, which keeps the share of rejected ones among the latest requests, announces it beside the paces, and refuses claims at engines that reject half or more but for one in 2 s. An engine's cost is divided by the share that it accepts; those that reject half or more are the last resort. Rejected requests go to up to 8 engines. Where engines reject half or more on average, one is claimed before the stages, requests are refused if none is left, and requests behind the first rank leave a short retry budget to it.

--- a/internal/serve/engines/announcement.go
+++ b/internal/serve/engines/announcement.go
@@ -79,6 +79,8 @@
 	entries map[string]paceEntry
 	version uint64
 	at      time.Time
+	// rejecting is set if it names engines that reject requests.
+	rejecting bool
 }
 
 // update reports whether a new version with the given entries is due, and records it as published.
--- a/internal/serve/engines/engine_states.go
+++ b/internal/serve/engines/engine_states.go
@@ -18,6 +18,8 @@
 	// Percent is the time that the engine's work takes relative to a nominal engine, as the answer
 	// states it; 0 if it states none.
 	Percent int
+	// Rejected means that the engine didn't run the request.
+	Rejected bool
 }
 
 // maxStateAge is how long the state of an engine is kept that no process observes. It is bounded so
@@ -36,6 +38,11 @@
 	pace       paceEstimate
 	// logged is the usual pace that was logged last.
 	logged float64
+	// rejections is the share of requests that it rejects, mostlyRejects what was logged of it last.
+	rejections    rejectionShare
+	mostlyRejects bool
+	// triedAt is when a claim was last granted although the engine rejects most requests.
+	triedAt time.Time
 }
 
 // observe adds an observation. expected is the time to the first event of a nominal engine in
--- a/internal/serve/engines/observe.go
+++ b/internal/serve/engines/observe.go
@@ -28,6 +28,8 @@
 	Tokens  int     `json:"t,omitempty"`
 	Seconds float64 `json:"s,omitempty"`
 	Percent int     `json:"p,omitempty"`
+	// Rejected is Observation.Rejected.
+	Rejected bool `json:"r,omitempty"`
 }
 
 // paceTracking is the part of a Tracker that learns and announces the paces of engines.
@@ -55,6 +57,9 @@
 // lost isn't sent again.
 func (t *Tracker) Observe(o Observation) {
 	if t.paceTracking.disabled {
+		o.Tokens, o.Seconds, o.Percent = 0, 0, 0
+	}
+	if t.paceTracking.disabled && t.rejectionTracking.disabled {
 		return
 	}
 	now := time.Now()
@@ -80,7 +85,7 @@
 
 // handleObserve handles an observation of this or another process.
 func (t *Tracker) handleObserve(call observeCall, now time.Time) {
-	if t.paceTracking.disabled {
+	if t.paceTracking.disabled && t.rejectionTracking.disabled {
 		return
 	}
 	t.mu.Lock()
@@ -93,6 +98,7 @@
 	if state == nil {
 		return
 	}
+	t.observeOutcome(state, call, now)
 	if usual := state.pace.usual(); paceChanged(state.logged, usual) {
 		t.log.Info("Engine's usual pace changed.", zap.String("service", state.service), zap.String("target", call.Target),
 			zap.Int64("born", state.born), zap.Float64("pace", roundPace(usual)), zap.Float64("before", roundPace(state.logged)),
@@ -105,10 +111,10 @@
 // the last announcement is old.
 func (t *Tracker) announce(now time.Time) {
 	t.mu.Lock()
-	uneven := t.engineStates.uneven()
+	uneven := t.engineStates.announced(now)
 	t.mu.Unlock()
 	self := t.network.Self().Incarnation
-	var own []paceEntry
+	var own []announcedEngine
 	for _, e := range uneven {
 		// An engine's tracker changes with the members. Its new one announces it then.
 		if tracker, _ := t.trackerOf(e.Target, now); tracker == self {
@@ -117,27 +123,27 @@
 	}
 	members := 1 + len(t.network.View().Members)
 	t.mu.Lock()
-	due := t.announcement.update(own, members, now)
+	due := t.announcement.updateWithRejections(own, members, now)
 	version := t.announcement.version
 	t.mu.Unlock()
 	if !due {
 		return
 	}
 	ttl := announceTTL(members)
-	if err := t.network.Publish(peer.TopicEnginePace, string(self), version, ttl, paceItem{Engines: own}); err != nil {
+	if err := t.network.Publish(peer.TopicEnginePace, string(self), version, ttl, announcementItem{Engines: own}); err != nil {
 		t.log.Warn("Failed to announce the paces of engines.", zap.Int("engines", len(own)), zap.Error(err))
 	}
-	t.receivePaces(self, own, now.Add(ttl)) // own items aren't delivered
+	t.receiveAnnouncement(self, own, now, ttl) // own items aren't delivered
 }
 
 // handlePaceItem stores the paces that another tracker has announced.
 func (t *Tracker) handlePaceItem(item peer.Item) {
-	var body paceItem
+	var body announcementItem
 	if err := json.Unmarshal(item.Body, &body); err != nil {
 		t.log.Warn("A peer's announcement of engines' paces can't be decoded.", zap.String("member", string(item.Origin)), zap.Error(err))
 		return
 	}
-	t.receivePaces(item.Origin, body.Engines, time.Now().Add(item.TTL))
+	t.receiveAnnouncement(item.Origin, body.Engines, time.Now(), item.TTL)
 }
 
 func (t *Tracker) receivePaces(origin peer.Incarnation, entries []paceEntry, expires time.Time) {
@@ -148,6 +154,7 @@
 }
 
 func (t *Tracker) sweepPaces(now time.Time) {
+	t.rejectionTracking.sweep(announceInterval(1+len(t.network.View().Members)), now)
 	p := &t.paceTracking
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -158,7 +165,7 @@
 // recordWait stores what a tracker answered of an engine's wait, to which a granted claim adds its own
 // prompt.
 func (p *paceTracking) recordWait(c Claim, answer claimAnswer, now time.Time) {
-	if p.disabled || answer.OverRate {
+	if p.disabled || answer.OverRate || answer.Rejecting > 0 {
 		return
 	}
 	wait := time.Duration(answer.Wait) * time.Millisecond
--- a/internal/serve/engines/tracker.go
+++ b/internal/serve/engines/tracker.go
@@ -62,6 +62,9 @@
 	// Rank is the request's priority; 0 is the most urgent. Less urgent ones leave a part of a limited
 	// rate to those before them.
 	Rank int
+	// LastResort means that no other engine is left, so that the claim isn't refused because the engine
+	// rejects requests.
+	LastResort bool
 }
 
 // Answer is the tracker's answer to a Claim.
@@ -75,6 +78,8 @@
 	// OverRate is set if the claim was refused because the target already got as many requests as it
 	// takes. Wait is then the time until it takes the next one of the first rank.
 	OverRate bool
+	// Rejecting is set if the claim was refused because the engine rejects this share of its requests.
+	Rejecting float64
 }
 
 // claimCall is the wire format of a Claim. Times are in milliseconds.
@@ -88,6 +93,8 @@
 	Rank    int      `json:"rank,omitempty"`
 	Stated  float64  `json:"stated,omitempty"`
 	Samples []Sample `json:"samples,omitempty"`
+	// LastResort is Claim.LastResort.
+	LastResort bool `json:"last,omitempty"`
 }
 
 // claimAnswer is the wire format of an Answer.
@@ -98,6 +105,8 @@
 	OverRate bool    `json:"cold,omitempty"`
 	Curve    Curve   `json:"curve"`
 	Pace     float64 `json:"pace,omitempty"`
+	// Rejecting is Answer.Rejecting.
+	Rejecting float64 `json:"rejecting,omitempty"`
 }
 
 // Tracker asks the trackers of engines, and acts as the tracker for some of them. It is safe for
@@ -107,7 +116,8 @@
 	network  peer.Network
 	eligible derived.Value[*peer.View, []candidate]
 
-	paceTracking paceTracking
+	paceTracking      paceTracking
+	rejectionTracking rejectionTracking
 
 	mu              sync.Mutex // guards the fields below; no other lock is taken while it is held
 	engineStates    engineStates
@@ -137,6 +147,7 @@
 		log: log, network: network, prefillSchedule: newPrefillSchedule(), rateBuckets: rateBuckets{}, fits: map[string]*fit{},
 		samples: map[string][]Sample{}, curves: map[string]receivedCurve{}, unresponsive: map[peer.Incarnation]time.Time{},
 		engineStates: engineStates{}, paceTracking: paceTracking{announced: newAnnouncedPaces(), busyUntil: map[string]time.Time{}},
+		rejectionTracking: rejectionTracking{announced: map[string]announcedRejection{}, rejectedAt: map[string]time.Time{}},
 	}
 	peer.HandleCall(network, methodClaim, func(c claimCall) (any, error) { return t.handleClaim(c, time.Now()), nil })
 	peer.HandleCall(network, methodObserve, func(c observeCall) (any, error) {
@@ -176,6 +187,7 @@
 	call := claimCall{
 		Service: c.Service, Target: c.Target, Born: c.Born, Tokens: c.Tokens, Limit: c.Limit.Milliseconds(),
 		Cold: c.Rate.Cold, Stated: c.Rate.Stated, Rank: c.Rank, Samples: t.takeSamples(c.Service),
+		LastResort: c.LastResort,
 	}
 	answer, err := t.callTracker(ctx, tracker, call)
 	if err != nil {
@@ -190,6 +202,7 @@
 	t.paceTracking.recordWait(c, answer, now)
 	return Answer{
 		Taken: answer.Taken, Wait: time.Duration(answer.Wait) * time.Millisecond, Pace: answer.Pace, OverRate: answer.OverRate,
+		Rejecting: answer.Rejecting,
 	}, true
 }
 
@@ -265,12 +278,15 @@
 	curve := f.curve()
 	rate := ratelimit.Rate{Cold: call.Cold, Stated: call.Stated}
 	answer := claimAnswer{Curve: curve}
+	if answer.Rejecting = t.refusesForRejections(call, now); answer.Rejecting > 0 {
+		return answer
+	}
 	if has, wait := t.rateBuckets.hasToken(call.Target, rate.Tracked(), call.Rank, now); !has {
 		answer.OverRate, answer.Wait = true, wait.Milliseconds()
 		return answer
 	}
 	usual, pace, known := t.engineStates.paces(call.Target, call.Born, now)
-	if known {
+	if known && !t.paceTracking.disabled {
 		answer.Pace = roundPace(pace)
 	}
 	nominal := curve.PrefillTime(call.Tokens) * float64(time.Second)
@@ -291,7 +307,7 @@
 func (t *Tracker) Sweep(now time.Time) {
 	t.sweepClaims(now)
 	t.sweepPaces(now)
-	if !t.paceTracking.disabled {
+	if !t.paceTracking.disabled || !t.rejectionTracking.disabled {
 		t.announce(now)
 	}
 }
--- a/internal/serve/gauges.go
+++ b/internal/serve/gauges.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/vanillagate/vanillagate/internal/serve/engines"
+
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -52,8 +54,20 @@
 		s.updateServiceGauges(g, p.Services[i].Name, now)
 		if s.engines != nil && p.Services[i].Engine != nil {
 			s.updatePaceGauges(g, p.Services[i].Name)
+			s.updateRejectionGauge(g, p.Services[i].Name, now)
+		}
+	}
+}
+
+// updateRejectionGauge reports how many engines of a service are known to reject half or more of their requests.
+func (s *Server) updateRejectionGauge(g gauges, service string, now time.Time) {
+	n := int64(0)
+	for _, target := range s.table.ReadySet(service).Targets {
+		if s.engines.Rejecting(target, now) >= engines.MostlyRejecting {
+			n++
 		}
 	}
+	g.set(`vanillagate_service_engines_rejecting{service="`+service+`"}`, n)
 }
 
 // updatePaceGauges reports how many engines of a service are fast, nominal and slow by their announced
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -63,6 +63,9 @@
 	// EnginePace: engines that are faster or slower than others are chosen and claimed by their pace.
 	// Without it all engines count as alike.
 	EnginePace Mechanism = "engine-pace"
+	// EngineRejections: engines that reject many requests are avoided, and rejected requests go to more
+	// engines. Without it each process finds out by itself which engines reject.
+	EngineRejections Mechanism = "engine-rejections"
 	// Warmup: the request rate to a target that is cold or has stated a rate is bounded across all processes.
 	Warmup Mechanism = "warmup"
 	// FewKept: the number of idle connections to a target is bounded by the number that it accepts.
@@ -75,7 +78,7 @@
 func All() []Mechanism {
 	return []Mechanism{
 		Sharing, Reservations, Reserve, LeastShare, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines,
-		Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, EnginePace, Warmup, FewKept, ResponseBounds,
+		Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, EnginePace, EngineRejections, Warmup, FewKept, ResponseBounds,
 	}
 }
 
--- a/internal/serve/place/place.go
+++ b/internal/serve/place/place.go
@@ -102,14 +102,19 @@
 	}
 	var best *pool.Target
 	bestCost := 0.0
+	bestRejects := false
 	for _, v := range views {
 		if c.Avoid[v.ID] || v.Weight == 0 {
 			continue
 		}
+		rejects := lastResort(v)
+		if best != nil && rejects && !bestRejects {
+			continue
+		}
 		cost := engineCost(v, c.Prompt, affine == v.ID)
 		cost += float64(total-c.Bytes[v.Zone]) / bytesPerToken
-		if best == nil || cost < bestCost {
-			best, bestCost = v.Target, cost
+		if best == nil || cost < bestCost || bestRejects && !rejects {
+			best, bestCost, bestRejects = v.Target, cost, rejects
 		}
 	}
 	if best == nil {
@@ -130,7 +135,7 @@
 func engineCost(v pool.View, p Prompt, affine bool) float64 {
 	running := max(v.InFlight, v.Report.Running)
 	cost := float64(p.Input + v.Tokens + running*runningTokens + v.Report.Waiting*waitingTokens)
-	cost = pacedCost(cost, v.Pace)
+	cost = acceptedCost(pacedCost(cost, v.Pace), v.Rejecting)
 	if affine {
 		cost -= AffinityWeight * float64(p.SharedTokens())
 	}
--- a/internal/serve/pool/target.go
+++ b/internal/serve/pool/target.go
@@ -86,6 +86,9 @@
 	// Pace is the time that an engine's work takes relative to a nominal engine; 0 if it is unknown.
 	// It is set by the caller.
 	Pace float64
+	// Rejecting is the share of requests that an engine rejects; 0 if it is low or unknown. It is set by
+	// the caller.
+	Rejecting float64
 }
 
 // Call is a call in progress. The caller must call End; further calls of End are ignored.
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -197,6 +197,7 @@
 	if status == fasthttp.StatusMisdirectedRequest {
 		j.Client.CloseIdle(target.Address)
 	}
+	j.recordRejection(target, status)
 	j.Log.Info("Target refused.", requestID(j.req.ID), zap.String("target", target.ID), zap.Int("status", status))
 	return &attempt{target: target, mayHaveArrived: true, inputsLost: status == fasthttp.StatusConflict && j.inputs != nil}
 }
--- a/internal/serve/run/choose.go
+++ b/internal/serve/run/choose.go
@@ -20,6 +20,9 @@
 	c := j.newChoice(time.Now())
 	j.claimState = claimState{}
 	views, all := j.candidates(c.now)
+	if !all && c.onlyRejecting(views) {
+		views, all = j.eligible(j.Table.Views(j.service, c.now)), true
+	}
 	if target := c.pickFrom(views); target != nil || all {
 		return target
 	}
@@ -76,6 +79,7 @@
 	views = slices.DeleteFunc(views, func(v pool.View) bool { return v.ShareInUse })
 	views = c.excludeLimited(views)
 	c.setPaces(views)
+	c.setRejections(views)
 	for refused := 0; ; {
 		target := c.pick(views)
 		if target == nil {
--- a/internal/serve/run/claim.go
+++ b/internal/serve/run/claim.go
@@ -59,7 +59,7 @@
 	j := c.job
 	claim := engines.Claim{
 		Service: j.service, Target: target.ID, Born: target.Born, Limit: unlimitedWait, Rate: rate,
-		Rank: plan.EffectivePriority(j.route, j.team),
+		Rank: plan.EffectivePriority(j.route, j.team), LastResort: mostlyRejects(views, target),
 	}
 	earlier := j.claimState.attempts
 	if c.isEngine {
@@ -77,6 +77,10 @@
 			j.RateLimiter.Defer(target.ID, c.now.Add(answer.Wait))
 		}
 		return claimOverRate
+	case answer.Rejecting > 0:
+		j.claimState.attempts = earlier
+		markRejecting(views, target, answer.Rejecting)
+		return claimBusy
 	case answer.Taken:
 		j.claimState.wait, j.claimState.waitKnown = answer.Wait, c.isEngine
 		if answer.Pace > 0 {
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -105,6 +105,8 @@
 	tried map[string]bool
 	runs  int
 	sends int
+	// rejected counts the sends that engines rejected without running the request.
+	rejected int
 	// zone is the zone in which the stages run whose services are divided by zone.
 	zone       string
 	claimState claimState
@@ -341,10 +343,10 @@
 	if failed.mayHaveRun && (!j.route.Repeatable() || j.runs >= j.route.Attempts) {
 		return j.giveUp(LostAnswer, fasthttp.StatusBadGateway)
 	}
-	if j.sends >= maxSends {
+	if j.sends >= j.maxSends() {
 		return j.giveUp(TargetsFull, fasthttp.StatusBadGateway)
 	}
-	if failed.mayHaveArrived && !j.takeRetry() {
+	if failed.mayHaveArrived && (j.leavesRetry() || !j.takeRetry()) {
 		return j.giveUp(OverBudget, fasthttp.StatusBadGateway)
 	}
 	if failed.inputsLost {
--- a/internal/serve/run/pace.go
+++ b/internal/serve/run/pace.go
@@ -139,7 +139,7 @@
 	if j.prefillTimeCounts() && j.route.Kind == plan.Stream && isSuccess(status) {
 		o.Tokens, o.Seconds = j.claimState.prefillTokens, took.Seconds()
 	}
-	if o.Percent > 0 || o.Seconds > 0 {
+	if o.Percent > 0 || o.Seconds > 0 || j.Engines.ReportsAccepts(target, time.Now()) {
 		j.Engines.Observe(o)
 	}
 }
--- a/internal/serve/run/rate_limit.go
+++ b/internal/serve/run/rate_limit.go
@@ -9,17 +9,23 @@
 )
 
 // reserveTarget claims the target before the stages run, if all targets of the service have stated a
-// request rate: results of stages would be wasted on a request that no target takes. It returns the
-// refusal if none takes the request now, else nil.
+// request rate, or engines reject most requests: results of stages would be wasted on a request that no
+// target takes. It returns the refusal if none takes the request now, else nil.
 func (j *job) reserveTarget() *Reply {
-	if j.RateLimiter == nil || !j.Table.AllRateLimited(j.service, time.Now()) {
-		return nil
+	rateLimited := j.RateLimiter != nil && j.Table.AllRateLimited(j.service, time.Now())
+	rejecting, refusal := j.admitDespiteRejections()
+	if refusal != nil || !rateLimited && !rejecting {
+		return refusal
 	}
 	j.reserved = j.choose()
-	if j.reserved == nil {
+	switch {
+	case j.reserved != nil:
+		return nil
+	case rateLimited:
 		return j.refuseForRate()
+	default:
+		return j.refuseWithoutTarget()
 	}
-	return nil
 }
 
 // takeReserved returns the target that was claimed before the stages, if it still accepts requests.
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -106,6 +106,7 @@
 	StagesLate      Reason = "stages can't be done in time"
 	StagesFailed    Reason = "stages failed"
 	TargetsFull     Reason = "targets refused"
+	EnginesReject   Reason = "engines reject requests"
 	UnknownVersion  Reason = "version that began the stream isn't known"
 	VersionGone     Reason = "no target of the version that began the stream"
 	RateLimited     Reason = "targets take no more requests for now"
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -163,6 +163,9 @@
 		if o.LeaveOut.Has(leaveout.EnginePace) {
 			s.engines.DisablePace()
 		}
+		if o.LeaveOut.Has(leaveout.EngineRejections) {
+			s.engines.DisableRejections()
+		}
 		s.executor.Engines = s.engines
 	}
 	if !o.LeaveOut.Has(leaveout.Warmup) {
