--- a/internal/serve/run/pace.go
+++ b/internal/serve/run/pace.go
@@ -145,7 +145,8 @@
 	if j.Engines == nil || j.engineAnswer.target == nil || service == nil || service.Engine == nil {
 		return
 	}
-	if o := j.observation(status, took); o.Percent > 0 || o.Seconds > 0 {
+	o := j.observation(status, took)
+	if o.Percent > 0 || o.Seconds > 0 || j.Engines.ReportsAccepts(j.engineAnswer.target, time.Now()) {
 		j.Engines.Observe(o)
 	}
 }
