--- a/internal/serve/engines/announcement.go
+++ b/internal/serve/engines/announcement.go
@@ -79,13 +79,14 @@
 	return announceLifetime * announceRefresh * announceInterval(members)
 }
 
-// mostUneven returns at most maxAnnounced entries.
-func mostUneven(entries []paceEntry) []paceEntry {
+// mostUneven returns at most maxAnnounced entries: those of engines that reject the most requests, then
+// those whose paces differ the most from a nominal one.
+func mostUneven(entries []announcedEngine) []announcedEngine {
 	if len(entries) <= maxAnnounced {
 		return entries
 	}
-	slices.SortFunc(entries, func(a, b paceEntry) int {
-		return cmp.Or(cmp.Compare(math.Abs(math.Log(b.Pace)), math.Abs(math.Log(a.Pace))), cmp.Compare(a.Target, b.Target))
+	slices.SortFunc(entries, func(a, b announcedEngine) int {
+		return cmp.Or(cmp.Compare(b.Rejected, a.Rejected), cmp.Compare(math.Abs(math.Log(b.Pace)), math.Abs(math.Log(a.Pace))), cmp.Compare(a.Target, b.Target))
 	})
 	return entries[:maxAnnounced]
 }
--- a/internal/serve/engines/pace_test.go
+++ b/internal/serve/engines/pace_test.go
@@ -176,14 +176,17 @@
 
 // One tracker may have all engines of a large system. An item that is too large isn't sent at all.
 func TestAnnouncementFitsAnItem(t *testing.T) {
-	var entries []paceEntry
+	var entries []announcedEngine
 	for i := range 3000 {
-		entries = append(entries, paceEntry{Target: fmt.Sprint("target-in-a-large-pool-", i), Born: 1764850000000, Pace: 1.2 + float64(i%2)})
+		pace := paceEntry{Target: fmt.Sprint("target-in-a-large-pool-", i), Born: 1764850000000, Pace: 1.2 + float64(i%2)}
+		entries = append(entries, announcedEngine{pace, 0.25})
 	}
+	entries[2999].Rejected = 0.75
 	entries = mostUneven(entries)
-	data, err := json.Marshal(paceItem{Engines: entries})
+	data, err := json.Marshal(announcementItem{Engines: entries})
 	assert.NilError(t, err)
-	assert.Assert(t, len(entries) == maxAnnounced && len(data) < peer.MaxItemBytes && entries[0].Pace == 2.2)
+	assert.Assert(t, len(entries) == maxAnnounced && len(data) < peer.MaxItemBytes)
+	assert.Assert(t, entries[0].Rejected == 0.75 && entries[1].Pace == 2.2)
 }
 
 // A later release appends elements to entries, and two trackers announce one engine for a moment.
--- a/internal/serve/place/rejections_test.go
+++ b/internal/serve/place/rejections_test.go
@@ -53,7 +53,7 @@
 		want := 0
 		affine := affineEngine(views, c.Prompt)
 		for i := range views {
-			if engineCost(views[i], c.Prompt, views[i].ID == affine) < engineCost(views[want], c.Prompt, views[want].ID == affine) {
+			if engineCost(views[i], c.Prompt, c.discount(views[i], affine)) < engineCost(views[want], c.Prompt, c.discount(views[want], affine)) {
 				want = i
 			}
 		}
