--- a/internal/serve/place/copy.go
+++ b/internal/serve/place/copy.go
@@ -8,8 +8,8 @@
 
 const (
 	// minCopyTokens is the number of shared tokens from which on they are copied. An engine of
-	// average speed reads fewer of them within 11 ms, so that a copy gains little.
-	minCopyTokens = 1000
+	// average speed reads fewer of them within 3 ms, in which it could set up a copy.
+	minCopyTokens = 256
 	// copyGain is how many times longer reading the shared tokens must take than copying them. The
 	// bandwidth is that of an idle link, and the source may have evicted the tokens.
 	copyGain = 4
--- a/internal/serve/place/copy_test.go
+++ b/internal/serve/place/copy_test.go
@@ -16,7 +16,7 @@
 		tokens     int
 		copy, read time.Duration
 		want       bool
-	}{{5000, 3, 54, true}, {5000, 14, 54, false}, {5000, 10, 40, false}, {999, 1, 11, false}, {1000, 1, 11, true}, {5000, 0, 0, false}} {
+	}{{5000, 3, 54, true}, {5000, 14, 54, false}, {5000, 10, 40, false}, {255, 0, 3, false}, {256, 0, 3, true}, {5000, 0, 0, false}} {
 		assert.Equal(t, CopyPays(c.tokens, c.copy*time.Millisecond, c.read*time.Millisecond), c.want, "%+v", c)
 	}
 }
