run: times of requests that copy parts don't count as an engine's pace

A source may have evicted the parts, and the engine then reads them itself. Its time was compared with that of the unshared tokens, so engines that state no percent counted as slow. Samples of the curve already left such times out.

--- a/internal/serve/run/claim.go
+++ b/internal/serve/run/claim.go
@@ -122,11 +122,9 @@
 }
 
 // recordPrefill records how long the engine took to read the prompt and answer with the
-// first event, as a sample for the estimates of all processes. Requests that waited or were
-// sent more than once are left out, and those that copied parts: how many tokens were read then
-// depends on what the source still had.
+// first event, as a sample for the estimates of all processes.
 func (j *job) recordPrefill(took time.Duration) {
-	if j.Engines != nil && j.prefillTimeCounts() && !j.copies.ordered() {
+	if j.Engines != nil && j.prefillTimeCounts() {
 		j.Engines.RecordSample(j.service, engines.Sample{
 			Tokens: j.claimState.prefillTokens, Seconds: took.Seconds(), Percent: j.engineAnswer.percent,
 		})
@@ -134,9 +132,10 @@
 }
 
 // prefillTimeCounts reports whether the time to the first event tells how long the engine
-// reads the prompt.
+// reads the prompt. It doesn't if the request waited, was sent more than once, or copied parts: how many
+// tokens were read then depends on what the source still had.
 func (j *job) prefillTimeCounts() bool {
-	return j.claimState.waitKnown && j.claimState.wait < idleThreshold && j.sends == 1
+	return j.claimState.waitKnown && j.claimState.wait < idleThreshold && j.sends == 1 && !j.copies.ordered()
 }
 
 // expectedFirstEvent estimates how long an engine takes to the first event of the answer.
--- a/internal/serve/run/pace.go
+++ b/internal/serve/run/pace.go
@@ -150,8 +150,8 @@
 	}
 }
 
-// observation returns what the first event tells of the engine. The time to it doesn't count if the
-// request waited, was sent more than once or isn't answered with a stream.
+// observation returns what the first event tells of the engine. The time to it doesn't count if it
+// includes more than reading the prompt or the answer isn't a stream.
 func (j *job) observation(status int, took time.Duration) engines.Observation {
 	target := j.engineAnswer.target
 	o := engines.Observation{Service: j.service, Target: target.ID, Born: target.Born, Percent: j.engineAnswer.percent}
--- a/internal/serve/run/pace_test.go
+++ b/internal/serve/run/pace_test.go
@@ -101,6 +101,16 @@
 	}
 }
 
+// Guards against an engine that counts as slow because its source no longer had the parts that it was to
+// copy, so that it read them itself.
+func TestTimesOfCopiesAreNotObserved(t *testing.T) {
+	j := &job{
+		sends: 1, route: &plan.Route{Kind: plan.Stream}, claimState: claimState{waitKnown: true, prefillTokens: 900},
+		copies: &promptCopy{source: "other"}, engineAnswer: engineAnswer{target: &pool.Target{ID: "e", Born: 7}, percent: 120},
+	}
+	assert.Equal(t, j.observation(200, 100*time.Millisecond), engines.Observation{Target: "e", Born: 7, Percent: 120})
+}
+
 // BenchmarkChoiceAmongEngines measures one choice without claims. The cost must not grow from the number
 // of candidates on.
 func BenchmarkChoiceAmongEngines(b *testing.B) {
