engines, run: the last claim of a request is granted whatever the wait

A caller that stated very many tokens made what a slow pace adds exceed the limit of one hour. The claim was refused each time, and the choice of an engine never ended.

--- a/internal/serve/engines/tracker.go
+++ b/internal/serve/engines/tracker.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -36,6 +37,8 @@
 	maxCurveAge = 20 * time.Second
 	// maxSamples is the number of samples kept per service to be sent with the next claim.
 	maxSamples = 8
+	// UnlimitedWait is the limit of a claim that is granted whatever the wait.
+	UnlimitedWait = time.Hour
 )
 
 // Sample is an observed response: the tokens that its engine had to read, the seconds to its first
@@ -275,8 +278,11 @@
 	}
 	nominal := curve.PrefillTime(call.Tokens) * float64(time.Second)
 	limit := time.Duration(call.Limit) * time.Millisecond
-	slowdown := time.Duration(max(pace-usual, 0) * nominal)
-	wait, taken := t.prefillSchedule.reserve(call.Target, time.Duration(pace*nominal), limit-slowdown, now)
+	accepted := time.Duration(math.MaxInt64)
+	if limit < UnlimitedWait {
+		accepted = limit - time.Duration(max(pace-usual, 0)*nominal)
+	}
+	wait, taken := t.prefillSchedule.reserve(call.Target, time.Duration(pace*nominal), accepted, now)
 	if !taken && wait <= limit {
 		t.paceTracking.refusals.Add(1)
 	}
--- a/internal/serve/run/claim.go
+++ b/internal/serve/run/claim.go
@@ -21,8 +21,6 @@
 	// that has read its shared parts, as a multiple of the time it takes to read them
 	// again.
 	rereadWaitFactor = 8
-	// unlimitedWait is longer than any prompt takes.
-	unlimitedWait = time.Hour
 )
 
 // claimState records the claims of a request's prompt at engines; attempts is their number.
@@ -57,7 +55,7 @@
 func (c *choice) claim(views []pool.View, target *pool.Target, rate ratelimit.Rate) claimResult {
 	j := c.job
 	claim := engines.Claim{
-		Service: j.service, Target: target.ID, Born: target.Born, Limit: unlimitedWait, Rate: rate,
+		Service: j.service, Target: target.ID, Born: target.Born, Limit: engines.UnlimitedWait, Rate: rate,
 		Rank: plan.EffectivePriority(j.route, j.team),
 	}
 	earlier := j.claimState.attempts
@@ -97,7 +95,7 @@
 // because it can't copy them, a prompt with time to spare waits for up to a multiple of the time that takes.
 func (j *job) waitLimit(prefillTokens int) time.Duration {
 	if j.claimState.attempts >= maxClaims {
-		return unlimitedWait
+		return engines.UnlimitedWait
 	}
 	if prefillTokens == j.req.Prompt.Input || j.copies.possible() {
 		return idleThreshold
--- a/internal/serve/run/pace_test.go
+++ b/internal/serve/run/pace_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -111,6 +112,22 @@
 	assert.Equal(t, j.observation(200, 100*time.Millisecond), engines.Observation{Target: "e", Born: 7, Percent: 120})
 }
 
+// Guards against a choice that never ends: a caller that states many tokens makes engines that are slower
+// than usual seem to take longer than the longest limit of a claim.
+func TestLastClaimIsUnlimited(t *testing.T) {
+	for _, tokens := range []int{200_000_000, math.MaxInt} {
+		synctest.Test(t, func(t *testing.T) {
+			j := unevenJob(12, false, false)
+			for _, target := range j.Table.Views("s", time.Now()) {
+				j.Engines.Observe(engines.Observation{Service: "s", Target: target.ID, Born: 7, Percent: 300})
+			}
+			j.req.Prompt = place.Prompt{Input: tokens, Parts: []place.Part{{ID: "own", Tokens: tokens}}}
+			assert.Assert(t, j.choose() != nil)
+			assert.Assert(t, j.claimState.attempts <= maxClaims)
+		})
+	}
+}
+
 // BenchmarkChoiceAmongEngines measures one choice without claims. The cost must not grow from the number
 // of candidates on.
 func BenchmarkChoiceAmongEngines(b *testing.B) {
