test: the soak of crashing parts plays paces and copies

Engines state a percent in half of the seeds, and copy the shared parts of prompts in half of them. Both are drawn from a second stream, so that the seeds play the same as before otherwise. The soak logs how many requests named a source.

--- a/test/platform_crashing_parts_test.go
+++ b/test/platform_crashing_parts_test.go
@@ -31,6 +31,8 @@
 	minSoundPrompts = 20
 	// calmPromptTime is how long only sound requests are sent, and nothing fails.
 	calmPromptTime = 5 * time.Second
+	// copiedPartTokens makes shared parts long enough to be copied between engines.
+	copiedPartTokens = 2000
 )
 
 // crashSoak is a run in which some parts of prompts, and some contents, crash engines, while VMs and engines
@@ -42,6 +44,8 @@
 	vms    *disturber
 	pool   *standin.EnginePool
 	random *rand.Rand // used by the goroutine that plans only
+	// statesPace means that engines state a percent, copies that they copy shared parts of prompts.
+	statesPace, copies bool
 	// deadlyParts are the parts that crash engines; alikeBody is a body that does, "" for none.
 	deadlyParts []string
 	alikeBody   string
@@ -68,6 +72,9 @@
 		t: t, seed: seed, edges: startEdgeSite(t, crashSoakVMs), random: rand.New(rand.NewPCG(seed, 53)), sentVia: map[string]int{},
 	}
 	s.vms = newDisturber(s.edges, 4*time.Second)
+	// Draws of a second stream, so that what the seed plays is otherwise the same as without them.
+	later := rand.New(rand.NewPCG(seed, 63))
+	s.statesPace, s.copies = later.IntN(2) == 0, later.IntN(2) == 0
 	for n := range s.random.IntN(3) { // none in a third of the runs
 		s.deadlyParts = append(s.deadlyParts, fmt.Sprintf("dead%d", n))
 	}
@@ -79,6 +86,9 @@
 	template := &standin.Target{
 		Service: "writers", Zone: "zone-a", Slots: 16, Events: soakPromptEvents, EventInterval: soakPromptInterval, Unframed: s.random.IntN(4) == 0,
 	}
+	if s.statesPace {
+		template.Percent = drawPercent(later)
+	}
 	pool, err := standin.StartEnginePool(s.edges.site.Store, "127.0.0.1", 24, template, s.crashes)
 	assert.NilError(t, err)
 	t.Cleanup(pool.Stop)
@@ -87,11 +97,25 @@
 	return s
 }
 
+// drawPercent returns a function that draws the percent for an answer. It may be called concurrently.
+func drawPercent(random *rand.Rand) func() int {
+	var mu sync.Mutex
+	return func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return []int{55, 120, 137, 300}[random.IntN(4)]
+	}
+}
+
 // publishRoutes adds a route for each first part.
 func (s *crashSoak) publishRoutes() {
+	engine := map[string]any{"slot-count": 16, "kv-cache-tokens": 500000}
+	if s.copies {
+		engine["kv-token-bytes"], engine["link-mbps"] = 35_136, 1_100_000
+	}
 	s.edges.site.Publish(func(config map[string]any) {
 		config["services"] = append(config["services"].([]any), map[string]any{
-			"name": "writers", "max-connections": 400, "engine": map[string]any{"slot-count": 16, "kv-cache-tokens": 500000},
+			"name": "writers", "max-connections": 400, "engine": engine,
 		})
 		for i, part := range s.firstParts {
 			config["routes"] = append(config["routes"].([]any), map[string]any{
@@ -134,6 +158,9 @@
 		s.sentVia[attempt] = vm
 		s.mu.Unlock()
 		prompt := standin.Prompt{ID: attempt, Path: "/" + s.routeOf(parts) + "/x", Key: standin.TeamKey, Body: body, Parts: append(slices.Clone(parts), "own"+id)}
+		if s.copies {
+			prompt.PartTokens = copiedPartTokens
+		}
 		got := prompt.Send(context.Background(), s.edges.vms[vm].RequestAddress(), soakPromptEvents)
 		if sound && try == 0 {
 			s.record(vm, sent, parts[0], got)
@@ -291,6 +318,9 @@
 		s.t.Logf("seed %d: part %s: %d engines crashed, %d requests late", s.seed, part, len(s.pool.CrashesWith(part)), n)
 		assert.Check(s.t, n <= lateAllowed, "seed %d: %d requests with part %s late", s.seed, n, part)
 	}
+	all := s.pool.ArrivalsAfter(s.firstParts[0], time.Time{})
+	copied := slices.DeleteFunc(slices.Clone(all), func(a standin.PromptArrival) bool { return a.Source == "" })
+	s.t.Logf("seed %d: engines state paces %v, copy parts %v: %d of %d requests named a source", s.seed, s.statesPace, s.copies, len(copied), len(all))
 	n := s.late("alike", crashesOfContent)
 	assert.Check(s.t, n <= lateAllowed, "seed %d: %d requests with the same content late", s.seed, n)
 	for _, first := range s.firstParts {
