--- a/internal/serve/upstream/bounded.go
+++ b/internal/serve/upstream/bounded.go
@@ -97,11 +97,19 @@
 	}
 	passed := func() bool { return false }
 	if a.Length != 0 {
+		if bound.FromHead {
+			passed = a.limitTime(bound.Time)
+		}
 		_, err := a.conn.R.Peek(1)
 		if err != nil && !errors.Is(err, io.EOF) {
+			if passed() {
+				return a.exceeded(bound.Part, 0, true)
+			}
 			return err // a second read of a connection that was reset would look like its end
 		}
-		passed = a.limitTime(bound.Time)
+		if !bound.FromHead {
+			passed = a.limitTime(bound.Time)
+		}
 	}
 	n, err := io.Copy(w, io.LimitReader(a, int64(bound.Bytes)+1))
 	switch timedOut := passed(); {
--- a/internal/serve/upstream/bounds.go
+++ b/internal/serve/upstream/bounds.go
@@ -51,13 +51,15 @@
 	Part  Part
 	Bytes int
 	Time  time.Duration
+	// FromHead counts the time from the end of the head instead of the first byte.
+	FromHead bool
 }
 
 // Bounds of bodies that carry no result.
 var (
-	ErrorBodyBound   = Bound{ErrorBody, ShortBodyBytes, PartTime}
-	RefusalBodyBound = Bound{RefusalBody, ShortBodyBytes, refusalTime}
-	earlierBound     = Bound{EarlierAnswer, ShortBodyBytes, PartTime}
+	ErrorBodyBound   = Bound{Part: ErrorBody, Bytes: ShortBodyBytes, Time: PartTime}
+	RefusalBodyBound = Bound{Part: RefusalBody, Bytes: ShortBodyBytes, Time: refusalTime, FromHead: true}
+	earlierBound     = Bound{Part: EarlierAnswer, Bytes: ShortBodyBytes, Time: PartTime}
 )
 
 // exceededBy reports whether a body of a size exceeds the bound. announced is the length that its header
--- a/internal/serve/upstream/bounds_test.go
+++ b/internal/serve/upstream/bounds_test.go
@@ -108,3 +108,22 @@
 	var body strings.Builder
 	assert.Assert(t, a.ReadBounded(&body, ErrorBodyBound) != nil)
 }
+
+// Guards against a request that waits for the body of a refusal, which it doesn't need, until its deadline.
+func TestSilentRefusalBodyIsGivenUp(t *testing.T) {
+	t.Parallel()
+	address := startTarget(t, func(conn net.Conn) {
+		readRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nContent-Length: 5\r\n\r\n")
+		time.Sleep(3 * time.Second)
+	})
+	var c Client
+	a, err := c.Send(context.Background(), newRequest(address))
+	assert.NilError(t, err)
+	defer a.Close()
+	start := time.Now()
+	var exceeded *BoundError
+	assert.Assert(t, errors.As(a.ReadBounded(io.Discard, RefusalBodyBound), &exceeded))
+	assert.Equal(t, *exceeded, BoundError{Part: RefusalBody, TimedOut: true})
+	assert.Assert(t, time.Since(start) < 2*time.Second)
+}
