run: an engine that can't copy the shared parts is claimed for the whole prompt

Where engines of one software version hold the parts, the affine engine of another version was claimed as if it had read them, although the choice gives it no discount.

--- a/internal/serve/run/copy.go
+++ b/internal/serve/run/copy.go
@@ -171,8 +171,11 @@
 // prefillTokens returns how many tokens of the prompt an engine has to read.
 func (c *choice) prefillTokens(views []pool.View, target *pool.Target) int {
 	p := c.job.req.Prompt
-	if place.Holds(c.sources, target.ID) || place.CopySource(c.sources, target) != nil {
+	switch {
+	case len(c.sources) == 0:
+		return place.PrefillTokens(views, p, target.ID)
+	case place.Holds(c.sources, target.ID), place.CopySource(c.sources, target) != nil:
 		return p.UnsharedTokens()
 	}
-	return place.PrefillTokens(views, p, target.ID)
+	return p.Input
 }
--- a/internal/serve/run/copy_test.go
+++ b/internal/serve/run/copy_test.go
@@ -169,6 +169,23 @@
 	}
 }
 
+// Guards against a claim that is too short: the affine engine can't copy from engines of another software
+// version, and holds nothing if these have read the parts.
+func TestEngineThatCannotCopyReadsTheWholePrompt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := newCopySite(1, 12, copying).job(0, "p")
+		views, _ := j.candidates(time.Now())
+		affine, found := place.Affine(views, j.req.Prompt)
+		assert.Assert(t, found)
+		holder := &pool.Target{ID: "holder", Version: "other"}
+		c := &choice{job: j, sources: []pool.View{{Target: holder, Weight: 1}}}
+		assert.Equal(t, c.prefillTokens(views, affine.Target), 12_000)
+		assert.Equal(t, c.prefillTokens(views, holder), 7000)
+		c.sources = nil
+		assert.Equal(t, c.prefillTokens(views, affine.Target), 7000)
+	})
+}
+
 // Guards against other choices, claims or messages where the configuration has no size of a token or
 // no link.
 func TestChoicesAreUnchangedWithoutConfiguration(t *testing.T) {
