engines: a prompt counts as being read for 30 s at most

Callers may state any number of tokens. The tracker's schedule, and the waits that other processes remember of it, then held an engine for hours; the pace made that up to eight times longer.

--- a/internal/serve/engines/curve.go
+++ b/internal/serve/engines/curve.go
@@ -1,6 +1,9 @@
 package engines
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // tokenUnit is the number of tokens that one unit of x stands for in the fit. It keeps the sums of
 // powers at similar magnitudes.
@@ -21,6 +24,11 @@
 	return c.Linear*x + c.Square*x*x
 }
 
+// pacedPrefill returns the time that an engine of a pace takes for reading the prompt, at most maxPrefill.
+func (c Curve) pacedPrefill(pace float64, tokens int) time.Duration {
+	return time.Duration(min(pace*c.PrefillTime(tokens), maxPrefill.Seconds()) * float64(time.Second))
+}
+
 // FirstEvent returns the time that an idle engine takes to the first event, in seconds.
 func (c Curve) FirstEvent(tokens int) float64 { return c.Base + c.PrefillTime(tokens) }
 
--- a/internal/serve/engines/observe.go
+++ b/internal/serve/engines/observe.go
@@ -168,7 +168,7 @@
 		if pace == 0 {
 			pace = 1
 		}
-		wait += time.Duration(pace * answer.Curve.PrefillTime(c.Tokens) * float64(time.Second))
+		wait += answer.Curve.pacedPrefill(pace, c.Tokens)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/serve/engines/pace_test.go
+++ b/internal/serve/engines/pace_test.go
@@ -147,6 +147,28 @@
 	})
 }
 
+// Guards against a caller that states too many tokens: its prompt would keep others from an engine for
+// hours, and other processes from all that they know to be busy.
+func TestStatedTokensBlockAnEngineForALimitedTime(t *testing.T) {
+	for _, tokens := range []int{200_000_000, math.MaxInt} {
+		synctest.Test(t, func(t *testing.T) {
+			all, _ := newTrackers(2)
+			claim := Claim{Service: "s", Target: "e", Born: 7, Tokens: tokens, Limit: UnlimitedWait}
+			answer, _ := all[0].Claim(context.Background(), claim)
+			assert.Assert(t, answer.Taken)
+			claim.Tokens, claim.Limit = 1000, time.Second
+			answer, _ = all[1].Claim(context.Background(), claim)
+			assert.Assert(t, !answer.Taken && answer.Wait <= maxPrefill, "%+v", answer)
+			time.Sleep(maxPrefill)
+			views := []pool.View{{Target: &pool.Target{ID: "e"}, Pace: 1}}
+			all[0].AddWaits(views, 1e-5, time.Now())
+			assert.Equal(t, views[0].Tokens, 0)
+			answer, _ = all[1].Claim(context.Background(), claim)
+			assert.Assert(t, answer.Taken && answer.Wait == 0, "%+v", answer)
+		})
+	}
+}
+
 // The least time between two versions of an announcement bounds the messages of large systems.
 func TestAnnouncementIsDue(t *testing.T) {
 	start := time.Unix(1000, 0)
--- a/internal/serve/engines/tracker.go
+++ b/internal/serve/engines/tracker.go
@@ -37,6 +37,9 @@
 	maxCurveAge = 20 * time.Second
 	// maxSamples is the number of samples kept per service to be sent with the next claim.
 	maxSamples = 8
+	// maxPrefill is the longest time that a prompt counts as being read. The longest prompts take some 10 s
+	// at the slowest engine; callers may state any number of tokens.
+	maxPrefill = 30 * time.Second
 	// UnlimitedWait is the limit of a claim that is granted whatever the wait.
 	UnlimitedWait = time.Hour
 )
@@ -276,13 +279,12 @@
 	if known {
 		answer.Pace = roundPace(pace)
 	}
-	nominal := curve.PrefillTime(call.Tokens) * float64(time.Second)
 	limit := time.Duration(call.Limit) * time.Millisecond
 	accepted := time.Duration(math.MaxInt64)
 	if limit < UnlimitedWait {
-		accepted = limit - time.Duration(max(pace-usual, 0)*nominal)
+		accepted = limit - curve.pacedPrefill(max(pace-usual, 0), call.Tokens)
 	}
-	wait, taken := t.prefillSchedule.reserve(call.Target, time.Duration(pace*nominal), accepted, now)
+	wait, taken := t.prefillSchedule.reserve(call.Target, curve.pacedPrefill(pace, call.Tokens), accepted, now)
 	if !taken && wait <= limit {
 		t.paceTracking.refusals.Add(1)
 	}
