--- a/internal/serve/prefixes/directory.go
+++ b/internal/serve/prefixes/directory.go
@@ -9,6 +9,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,6 +29,9 @@
 	callTimeout = 40 * time.Millisecond
 	// unresponsivePause is how long an owner that didn't answer is sent nothing.
 	unresponsivePause = time.Second
+	// maxPendingReads is the number of messages to owners that are being sent at once. Further ones are
+	// dropped: a link that is blocked would else keep goroutines for each first event.
+	maxPendingReads = 64
 )
 
 // Key identifies the shared parts of a prompt at a service. Its length doesn't depend on theirs.
@@ -84,6 +88,8 @@
 	log      *zap.Logger
 	network  peer.Network
 	eligible derived.Value[*peer.View, []candidate]
+	// pendingReads is the number of messages that are being sent.
+	pendingReads atomic.Int64
 
 	mu           sync.Mutex // guards the fields below; no other lock is taken while it is held
 	records      *records
@@ -151,8 +157,13 @@
 	case !available:
 	case owner == d.network.Self().Incarnation:
 		d.add(key, engine, time.Now())
+	case d.pendingReads.Add(1) > maxPendingReads:
+		d.pendingReads.Add(-1)
 	default:
-		go d.call(d.baseCtx, owner, methodRead, readCall{Key: key, Engine: engine}, nil)
+		go func() {
+			defer d.pendingReads.Add(-1)
+			d.call(d.baseCtx, owner, methodRead, readCall{Key: key, Engine: engine}, nil)
+		}()
 	}
 }
 
--- a/internal/serve/prefixes/prefixes_test.go
+++ b/internal/serve/prefixes/prefixes_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -112,6 +113,38 @@
 	return context.DeadlineExceeded
 }
 
+// countingNetwork is a stuckNetwork that counts the calls.
+type countingNetwork struct {
+	stuckNetwork
+	calls *atomic.Int64
+}
+
+func (n countingNetwork) Call(ctx context.Context, to peer.Incarnation, method string, params, result any) error {
+	n.calls.Add(1)
+	return n.stuckNetwork.Call(ctx, to, method, params, result)
+}
+
+// Guards against a goroutine for each first event while a link is blocked.
+func TestPendingReadsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &testSite{T: t, cluster: &servetest.Cluster{Delay: time.Millisecond}}
+		for _, cpu := range []int{10, 100} {
+			s.add(cpu)
+		}
+		network := countingNetwork{stuckNetwork{s.nodes[0]}, &atomic.Int64{}}
+		s.directories[0].network = network
+		for i := range 1000 {
+			s.directories[0].Read(KeyOf("s", fmt.Sprint(i)), Engine{ID: "a"})
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, network.calls.Load(), int64(maxPendingReads))
+		time.Sleep(unresponsivePause)
+		s.directories[0].network = s.nodes[0]
+		s.read(0, "a")
+		s.find(1, "a1")
+	})
+}
+
 // Each case guards against a failure that gives wrong answers, delays requests again and again, or
 // leaves keys without an owner. None may cost more than entries.
 func TestDirectory(t *testing.T) {
