--- a/internal/serve/engines/engine_states.go
+++ b/internal/serve/engines/engine_states.go
@@ -24,6 +24,10 @@
 // that an engine that gets no requests because it was slow is tried again.
 const maxStateAge = 5 * time.Minute
 
+// paceLogInterval is the least time between two log lines on an engine's usual pace, which may vary about
+// the limit of evenBand with each answer.
+const paceLogInterval = 10 * time.Second
+
 // engineStates holds what a tracker knows of its engines, by target ID. It reads no clock and isn't
 // safe for concurrent use.
 type engineStates map[string]*engineState
@@ -34,8 +38,9 @@
 	born       int64
 	observedAt time.Time
 	pace       paceEstimate
-	// logged is the usual pace that was logged last.
-	logged float64
+	// logged is the usual pace that was logged last, loggedAt when that was.
+	logged   float64
+	loggedAt time.Time
 }
 
 // observe adds an observation. expected is the time to the first event of a nominal engine in
--- a/internal/serve/engines/observe.go
+++ b/internal/serve/engines/observe.go
@@ -93,11 +93,11 @@
 	if state == nil {
 		return
 	}
-	if usual := state.pace.usual(); paceChanged(state.logged, usual) {
+	if usual := state.pace.usual(); paceChanged(state.logged, usual) && now.Sub(state.loggedAt) >= paceLogInterval {
 		t.log.Info("Engine's usual pace changed.", zap.String("service", state.service), zap.String("target", call.Target),
 			zap.Int64("born", state.born), zap.Float64("pace", roundPace(usual)), zap.Float64("before", roundPace(state.logged)),
 			zap.Bool("stated", state.pace.last > 0))
-		state.logged = usual
+		state.logged, state.loggedAt = usual, now
 	}
 }
 
--- a/internal/serve/engines/pace_test.go
+++ b/internal/serve/engines/pace_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillagate/vanillagate/internal/peer"
@@ -147,6 +148,27 @@
 	})
 }
 
+// Guards against a log line for each answer of an engine whose pace varies about the limit from which on it
+// counts as slow.
+func TestPaceAtTheLimitIsLoggedRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, logs := observer.New(zap.InfoLevel)
+		tracker := New(zap.New(core), (&servetest.Cluster{}).Add("vm", "z"))
+		for range 2 * minLevelSamples {
+			tracker.RecordSample("s", Sample{Tokens: 2000, Seconds: defaultCurve.FirstEvent(2000)})
+			tracker.Claim(context.Background(), Claim{Service: "s", Target: "other"})
+		}
+		begun := time.Now()
+		for i := range 1000 {
+			ratio := 1 + evenBand + 0.15*float64(2*(i%2)-1)
+			tracker.Observe(Observation{Service: "s", Target: "e", Tokens: 2000, Seconds: ratio * defaultCurve.FirstEvent(2000)})
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Assert(t, logs.Len() > 0)
+		assert.Assert(t, logs.Len() <= 1+int(time.Since(begun)/paceLogInterval), "%d lines", logs.Len())
+	})
+}
+
 // Guards against a caller that states too many tokens: its prompt would keep others from an engine for
 // hours, and other processes from all that they know to be busy.
 func TestStatedTokensBlockAnEngineForALimitedTime(t *testing.T) {
