--- a/internal/serve/engines/observe.go
+++ b/internal/serve/engines/observe.go
@@ -99,11 +99,11 @@
 		return
 	}
 	t.observeOutcome(state, call, now)
-	if usual := state.pace.usual(); paceChanged(state.logged, usual) {
+	if usual := state.pace.usual(); paceChanged(state.logged, usual) && now.Sub(state.loggedAt) >= paceLogInterval {
 		t.log.Info("Engine's usual pace changed.", zap.String("service", state.service), zap.String("target", call.Target),
 			zap.Int64("born", state.born), zap.Float64("pace", roundPace(usual)), zap.Float64("before", roundPace(state.logged)),
 			zap.Bool("stated", state.pace.last > 0))
-		state.logged = usual
+		state.logged, state.loggedAt = usual, now
 	}
 }
 
@@ -175,7 +175,7 @@
 		if pace == 0 {
 			pace = 1
 		}
-		wait += time.Duration(pace * answer.Curve.PrefillTime(c.Tokens) * float64(time.Second))
+		wait += answer.Curve.pacedPrefill(pace, c.Tokens)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/serve/engines/pace_test.go
+++ b/internal/serve/engines/pace_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillagate/vanillagate/internal/peer"
@@ -147,6 +148,49 @@
 	})
 }
 
+// Guards against a log line for each answer of an engine whose pace varies about the limit from which on it
+// counts as slow.
+func TestPaceAtTheLimitIsLoggedRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, logs := observer.New(zap.InfoLevel)
+		tracker := New(zap.New(core), (&servetest.Cluster{}).Add("vm", "z"))
+		for range 2 * minLevelSamples {
+			tracker.RecordSample("s", Sample{Tokens: 2000, Seconds: defaultCurve.FirstEvent(2000)})
+			tracker.Claim(context.Background(), Claim{Service: "s", Target: "other"})
+		}
+		begun := time.Now()
+		for i := range 1000 {
+			ratio := 1 + evenBand + 0.15*float64(2*(i%2)-1)
+			tracker.Observe(Observation{Service: "s", Target: "e", Tokens: 2000, Seconds: ratio * defaultCurve.FirstEvent(2000)})
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Assert(t, logs.Len() > 0)
+		assert.Assert(t, logs.Len() <= 1+int(time.Since(begun)/paceLogInterval), "%d lines", logs.Len())
+	})
+}
+
+// Guards against a caller that states too many tokens: its prompt would keep others from an engine for
+// hours, and other processes from all that they know to be busy.
+func TestStatedTokensBlockAnEngineForALimitedTime(t *testing.T) {
+	for _, tokens := range []int{200_000_000, math.MaxInt} {
+		synctest.Test(t, func(t *testing.T) {
+			all, _ := newTrackers(2)
+			claim := Claim{Service: "s", Target: "e", Born: 7, Tokens: tokens, Limit: UnlimitedWait}
+			answer, _ := all[0].Claim(context.Background(), claim)
+			assert.Assert(t, answer.Taken)
+			claim.Tokens, claim.Limit = 1000, time.Second
+			answer, _ = all[1].Claim(context.Background(), claim)
+			assert.Assert(t, !answer.Taken && answer.Wait <= maxPrefill, "%+v", answer)
+			time.Sleep(maxPrefill)
+			views := []pool.View{{Target: &pool.Target{ID: "e"}, Pace: 1}}
+			all[0].AddWaits(views, 1e-5, time.Now())
+			assert.Equal(t, views[0].Tokens, 0)
+			answer, _ = all[1].Claim(context.Background(), claim)
+			assert.Assert(t, answer.Taken && answer.Wait == 0, "%+v", answer)
+		})
+	}
+}
+
 // The least time between two versions of an announcement bounds the messages of large systems.
 func TestAnnouncementIsDue(t *testing.T) {
 	start := time.Unix(1000, 0)
--- a/internal/serve/run/claim.go
+++ b/internal/serve/run/claim.go
@@ -21,8 +21,6 @@
 	// that has read its shared parts, as a multiple of the time it takes to read them
 	// again.
 	rereadWaitFactor = 8
-	// unlimitedWait is longer than any prompt takes.
-	unlimitedWait = time.Hour
 )
 
 // claimState records the claims of a request's prompt at engines; attempts is their number.
@@ -57,7 +55,7 @@
 func (c *choice) claim(views []pool.View, target *pool.Target, rate ratelimit.Rate) claimResult {
 	j := c.job
 	claim := engines.Claim{
-		Service: j.service, Target: target.ID, Born: target.Born, Limit: unlimitedWait, Rate: rate,
+		Service: j.service, Target: target.ID, Born: target.Born, Limit: engines.UnlimitedWait, Rate: rate,
 		Rank: plan.EffectivePriority(j.route, j.team), LastResort: mostlyRejects(views, target),
 	}
 	earlier := j.claimState.attempts
@@ -101,7 +99,7 @@
 // because it can't copy them, a prompt with time to spare waits for up to a multiple of the time that takes.
 func (j *job) waitLimit(prefillTokens int) time.Duration {
 	if j.claimState.attempts >= maxClaims {
-		return unlimitedWait
+		return engines.UnlimitedWait
 	}
 	if prefillTokens == j.req.Prompt.Input || j.copies.possible() {
 		return idleThreshold
@@ -126,11 +124,9 @@
 }
 
 // recordPrefill records how long the engine took to read the prompt and answer with the
-// first event, as a sample for the estimates of all processes. Requests that waited or were
-// sent more than once are left out, and those that copied parts: how many tokens were read then
-// depends on what the source still had.
+// first event, as a sample for the estimates of all processes.
 func (j *job) recordPrefill(took time.Duration) {
-	if j.Engines != nil && j.prefillTimeCounts() && !j.copies.ordered() {
+	if j.Engines != nil && j.prefillTimeCounts() {
 		j.Engines.RecordSample(j.service, engines.Sample{
 			Tokens: j.claimState.prefillTokens, Seconds: took.Seconds(), Percent: j.engineAnswer.percent,
 		})
@@ -138,9 +134,10 @@
 }
 
 // prefillTimeCounts reports whether the time to the first event tells how long the engine
-// reads the prompt.
+// reads the prompt. It doesn't if the request waited, was sent more than once, or copied parts: how many
+// tokens were read then depends on what the source still had.
 func (j *job) prefillTimeCounts() bool {
-	return j.claimState.waitKnown && j.claimState.wait < idleThreshold && j.sends == 1
+	return j.claimState.waitKnown && j.claimState.wait < idleThreshold && j.sends == 1 && !j.copies.ordered()
 }
 
 // expectedFirstEvent estimates how long an engine takes to the first event of the answer.
--- a/internal/serve/run/pace_test.go
+++ b/internal/serve/run/pace_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -101,6 +102,32 @@
 	}
 }
 
+// Guards against an engine that counts as slow because its source no longer had the parts that it was to
+// copy, so that it read them itself.
+func TestTimesOfCopiesAreNotObserved(t *testing.T) {
+	j := &job{
+		sends: 1, route: &plan.Route{Kind: plan.Stream}, claimState: claimState{waitKnown: true, prefillTokens: 900},
+		copies: &promptCopy{source: "other"}, engineAnswer: engineAnswer{target: &pool.Target{ID: "e", Born: 7}, percent: 120},
+	}
+	assert.Equal(t, j.observation(200, 100*time.Millisecond), engines.Observation{Target: "e", Born: 7, Percent: 120})
+}
+
+// Guards against a choice that never ends: a caller that states many tokens makes engines that are slower
+// than usual seem to take longer than the longest limit of a claim.
+func TestLastClaimIsUnlimited(t *testing.T) {
+	for _, tokens := range []int{200_000_000, math.MaxInt} {
+		synctest.Test(t, func(t *testing.T) {
+			j := unevenJob(12, false, false)
+			for _, target := range j.Table.Views("s", time.Now()) {
+				j.Engines.Observe(engines.Observation{Service: "s", Target: target.ID, Born: 7, Percent: 300})
+			}
+			j.req.Prompt = place.Prompt{Input: tokens, Parts: []place.Part{{ID: "own", Tokens: tokens}}}
+			assert.Assert(t, j.choose() != nil)
+			assert.Assert(t, j.claimState.attempts <= maxClaims)
+		})
+	}
+}
+
 // BenchmarkChoiceAmongEngines measures one choice without claims. The cost must not grow from the number
 // of candidates on.
 func BenchmarkChoiceAmongEngines(b *testing.B) {
