--- a/internal/serve/gather/residual.go
+++ b/internal/serve/gather/residual.go
@@ -15,8 +15,10 @@
 type TargetState struct {
 	// Waiting and Busy are the numbers of calls that wait and that run.
 	Waiting, Busy int
-	// FreeBytes is the free space of the result buffer.
-	FreeBytes int
+	// FreeBytes is the free space of the result buffer. FreeUnknown means that the target doesn't
+	// state it.
+	FreeBytes   int
+	FreeUnknown bool
 }
 
 // StateClient is a StageClient of targets that can state their state.
@@ -41,8 +43,12 @@
 	return ownUse{bytes: max(u.bytes, other.bytes), calls: max(u.calls, other.calls)}
 }
 
-// residualBytes returns the space that others' results take in a buffer of the given size.
+// residualBytes returns the space that others' results take in a buffer of the given size; 0 if the
+// target doesn't state its free space.
 func (t TargetState) residualBytes(size int, own ownUse) int {
+	if t.FreeUnknown {
+		return 0
+	}
 	return max(size-max(t.FreeBytes, 0)-own.bytes, 0)
 }
 
--- a/internal/serve/gather/residual_test.go
+++ b/internal/serve/gather/residual_test.go
@@ -26,6 +26,7 @@
 		"own use":         {TargetState{Busy: 1, FreeBytes: 300}, ownUse{bytes: 500, calls: 1}, 200, 0},
 		"more than it is": {TargetState{FreeBytes: 2000}, ownUse{bytes: 100}, 0, 0},
 		"below zero":      {TargetState{Waiting: -1, Busy: -2, FreeBytes: -5}, ownUse{}, 1000, 0},
+		"unknown space":   {TargetState{Busy: 1, FreeUnknown: true}, ownUse{}, 0, 500 * time.Millisecond},
 		"too many calls":  {TargetState{Waiting: 1 << 40, FreeBytes: 1000}, ownUse{}, 0, 4500 * time.Millisecond},
 	} {
 		assert.Equal(t, c.state.residualBytes(1000, c.own), c.bytes, name)
