gather: a place counts against its team's share when it is granted, not when it is claimed

A caller that came back for its place was refused again if its team was above its share. Granting a place did not take account of what other teams are entitled to.

--- a/internal/serve/gather/fair_share.go
+++ b/internal/serve/gather/fair_share.go
@@ -289,7 +289,7 @@
 func (f *fairShares) claims(now time.Time, p reservation, c capacity, held map[groupKey]*reservation) (float64, ShareCause) {
 	r := f.ranks[p.rank]
 	sinceRefusal := now.Sub(f.lastRefusal)
-	if f.lastRefusal.IsZero() || sinceRefusal < 0 || sinceRefusal > contentionTime || now.Sub(r.since) < demandWindow {
+	if r == nil || f.lastRefusal.IsZero() || sinceRefusal < 0 || sinceRefusal > contentionTime || now.Sub(r.since) < demandWindow {
 		return 0, NoShareCause
 	}
 	requested, admitted := r.totals()
@@ -302,8 +302,8 @@
 	if r.large.admitted*requested < largeFloor*admitted*r.large.requested && p.items < r.largeFrom {
 		room = float64(slices.Max(r.sizes[:]))
 	}
-	own := r.index[r.countedAs(p.team)]
-	if r.teams[own].admitted < r.teams[own].share {
+	own, known := r.index[r.countedAs(p.team)]
+	if !known || r.teams[own].admitted < r.teams[own].share {
 		return room, RoomForLarge
 	}
 	r.countHeld(p, held)
--- a/internal/serve/gather/reservations.go
+++ b/internal/serve/gather/reservations.go
@@ -33,6 +33,9 @@
 	at         time.Time // when it was made
 	// team and pieceKey are those of ReservationRequest; not set for unreserved items.
 	team, pieceKey string
+	// claimsPlace means that the work comes back for its place. Its team's share was checked when the
+	// place was granted, and isn't checked again.
+	claimsPlace bool
 }
 
 // capacity is the throughput of a shard.
@@ -115,7 +118,9 @@
 	claimed, cause := 0.0, NoShareCause
 	if fair {
 		r.shares.request(now, key.Stage, p)
-		claimed, cause = r.shares.claims(now, p, c, r.held)
+		if !p.claimsPlace {
+			claimed, cause = r.shares.claims(now, p, c, r.held)
+		}
 	}
 	lateness = r.lateness(now, p, reserved+claimed, c, places)
 	if lateness > 0 {
--- a/internal/serve/gather/return_places.go
+++ b/internal/serve/gather/return_places.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 )
 
 // This file decides on places for returning callers. The load it addresses: a burst above the
@@ -252,6 +254,7 @@
 		delete(p.places, at) // the work's own place doesn't count against it
 	}
 	d := returnDecision{claimed: own != nil && !now.Before(own.at.Add(-placeEarly))}
+	w.claimsPlace = d.claimed
 	if d.claimed || !w.placeOnly {
 		d.granted, d.lateness = r.reserve(now, key, w.rank, w.reservation, c)
 	} else {
@@ -325,7 +328,8 @@
 }
 
 // placeAt returns a place at a time and by how much it would make work late; work has all
-// reservations and places in the order of their due times. It returns nil if the work can't be
+// reservations and places in the order of their due times. What other teams are entitled to until
+// then counts as reserved, so that a team above its share can't exceed it by places. It returns nil if the work can't be
 // done in time from then on.
 func (r *reservations) placeAt(now, at time.Time, w *returningWork, c capacity, work []*reservation) (*returnPlace, time.Duration) {
 	place := &returnPlace{
@@ -337,7 +341,12 @@
 	if !place.update(now) {
 		return nil, 0
 	}
-	late := latenessAmong(work, now, place.reservation, r.reservedFor(w.rank, now, place.due), c)
+	reserved := r.reservedFor(w.rank, now, place.due)
+	if !r.leaveOut.Has(leaveout.TeamShares) {
+		claimed, _ := r.shares.claims(now, reservation{items: w.items, due: place.due, rank: w.rank, team: w.team}, c, r.held)
+		reserved += claimed
+	}
+	late := latenessAmong(work, now, place.reservation, reserved, c)
 	return place, late
 }
 
--- a/internal/serve/gather/return_places_test.go
+++ b/internal/serve/gather/return_places_test.go
@@ -304,3 +304,63 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(text), `{"cell":{"service":"s"},"request":"r","stage":0,"rank":0,"items":0,"due":0,"serial":1}`)
 }
+
+// unevenShard returns a busy shard that is contended by two teams, of which the large one asks for
+// seven times as much as the small one, and the time after that.
+func unevenShard() (*reservations, time.Time) {
+	r, now := newReservations(leaveout.Set{}), start
+	for i := range 300 {
+		now = now.Add(10 * time.Millisecond)
+		p := reservation{items: 7, team: "large", rank: 1, due: now.Add(time.Second)}
+		if i%2 == 0 {
+			p.items, p.team = 1, "small"
+		}
+		r.shares.request(now, 0, p)
+		if i%4 < 2 {
+			r.shares.granted(p)
+		}
+	}
+	r.shares.refusedAt(now, 0, reservation{items: 7, team: "large", rank: 1}, NoShareCause)
+	r.held[groupKey{Request: "full"}] = &reservation{items: 35, due: now.Add(time.Second)}
+	return r, now
+}
+
+// Guards against a caller that comes back for its place and is refused because its team is above its
+// share, although the place was granted within that share.
+func TestPlaceIsClaimedByTeamAboveItsShare(t *testing.T) {
+	r, now := unevenShard()
+	w := returningFor(now, "c", 1, 7, 4*time.Second)
+	w.team, w.reservation.team = "large", "large"
+
+	first := r.ask(now, "first", w)
+	assert.Assert(t, !first.granted && r.shares.cause == TeamAboveShare, "%+v", first)
+	assert.Assert(t, first.place > 0, "%+v", first)
+	r.held[groupKey{Request: "full"}].due = now.Add(first.place + time.Second)
+	now = now.Add(first.place)
+	w.due = now.Add(time.Second)
+	again := r.ask(now, "again", w)
+	assert.Assert(t, again.claimed && again.granted, "%+v, %s", again, r.shares.cause)
+	w.caller = "d"
+	assert.Assert(t, !r.ask(now, "new", w).granted, "a first-time caller of the team")
+	assert.Equal(t, r.shares.cause, TeamAboveShare)
+}
+
+// Guards against places by which a team above its share gets the capacity that others are entitled
+// to, and against a decision that relies on demand of a rank or team that hasn't asked here.
+func TestPlacesLeaveOtherTeamsTheirShares(t *testing.T) {
+	for name, c := range map[string]struct {
+		team string
+		rank int
+		want bool
+	}{
+		"above its share":  {"large", 1, false},
+		"within its share": {"small", 1, true},
+		"no demand":        {"new", 1, true},
+		"rank not asked":   {"large", 0, true},
+	} {
+		r, now := unevenShard()
+		w := returningFor(now, "c", c.rank, 7, 4*time.Second)
+		w.team = c.team
+		assert.Equal(t, r.placeFor(now, now.Add(placeEarly), 0, w, placeCapacity), c.want, name)
+	}
+}
