--- a/internal/serve/gather/return_places.go
+++ b/internal/serve/gather/return_places.go
@@ -258,6 +258,7 @@
 	if d.claimed || !w.placeOnly {
 		d.granted, d.lateness = r.reserve(now, key, w.rank, w.reservation, c)
 	} else {
+		r.shares.cause = NoShareCause
 		d.lateness = r.lateness(now, w.reservation, r.reservedFor(w.rank, now, w.due), c, p.upToRank(now, w.rank))
 	}
 	switch {
--- a/internal/serve/gather/return_places_test.go
+++ b/internal/serve/gather/return_places_test.go
@@ -345,6 +345,18 @@
 	assert.Equal(t, r.shares.cause, TeamAboveShare)
 }
 
+// Guards against a refusal that states the cause of an earlier decision: a request that may only use
+// a place is not checked against its team's share.
+func TestRefusalWithoutPlaceStatesNoShare(t *testing.T) {
+	r := fullShard()
+	r.shares.cause = TeamAboveShare // of another request
+	w := returningFor(start, "c", 1, 10, 4*time.Second)
+	w.placeOnly = true
+	d := r.ask(start, "a", w)
+	assert.Assert(t, !d.granted && d.place > 0, "%+v", d)
+	assert.Equal(t, r.shares.cause, NoShareCause)
+}
+
 // Guards against places by which a team above its share gets the capacity that others are entitled
 // to, and against a decision that relies on demand of a rank or team that hasn't asked here.
 func TestPlacesLeaveOtherTeamsTheirShares(t *testing.T) {
