--- a/internal/serve/gather/reservations.go
+++ b/internal/serve/gather/reservations.go
@@ -84,7 +84,7 @@
 }
 
 func (d *demand) decay(now time.Time) {
-	keep := math.Exp(-float64(now.Sub(d.updated)) / float64(demandWindow))
+	keep := keptAfter(now.Sub(d.updated))
 	d.requested *= keep
 	d.admitted *= keep
 	d.updated = now
--- a/internal/serve/gather/return_places_test.go
+++ b/internal/serve/gather/return_places_test.go
@@ -376,3 +376,14 @@
 		assert.Equal(t, r.placeFor(now, now.Add(placeEarly), 0, w, placeCapacity), c.want, name)
 	}
 }
+
+// Guards against demand that grows without limit when the time runs backwards, and then keeps out less
+// urgent requests.
+func TestDemandWhenTheTimeRunsBackwards(t *testing.T) {
+	r := newReservations(leaveout.Of(leaveout.LeastShare))
+	r.demandOf(0, start).record(10, 0)
+	now := start.Add(-10 * time.Second)
+	r.held[groupKey{Request: "some"}] = &reservation{items: 20, due: now.Add(time.Second)}
+	granted, lateness := r.reserve(now, groupKey{Request: "new"}, 1, reservation{items: 1, due: now.Add(time.Second)}, placeCapacity)
+	assert.Assert(t, granted, "%v", lateness)
+}
