gather: places for later work don't make an idle shard refuse

Work that would be late is accepted while targets are free. Places up to a third of a caller's remaining time ahead counted as backlog, so that an idle shard refused it after a burst.

--- a/internal/serve/gather/reservations.go
+++ b/internal/serve/gather/reservations.go
@@ -172,7 +172,8 @@
 	if rate <= 0 {
 		return c.call
 	}
-	if float64(r.outstanding()+itemsOf(places))/rate <= c.idleBacklog.Seconds() {
+	// Places for later work leave the targets idle until then.
+	if float64(r.outstanding()+itemsUntil(places, p.due))/rate <= c.idleBacklog.Seconds() {
 		return 0
 	}
 	return latenessAmong(r.byDue(places), now, p, reserved, c)
@@ -217,10 +218,13 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-func itemsOf(list []*reservation) int {
+// itemsUntil counts the items that are due up to the given time.
+func itemsUntil(list []*reservation, due time.Time) int {
 	total := 0
 	for _, p := range list {
-		total += p.items
+		if !p.due.After(due) {
+			total += p.items
+		}
 	}
 	return total
 }
--- a/internal/serve/gather/return_places_test.go
+++ b/internal/serve/gather/return_places_test.go
@@ -387,3 +387,14 @@
 	granted, lateness := r.reserve(now, groupKey{Request: "new"}, 1, reservation{items: 1, due: now.Add(time.Second)}, placeCapacity)
 	assert.Assert(t, granted, "%v", lateness)
 }
+
+// Guards against a refusal by an idle shard because of places for later times: without places it accepts
+// work that is due within the time of a call, since its targets are free.
+func TestLaterPlacesDoNotMakeAnIdleShardBusy(t *testing.T) {
+	r := newReservations(leaveout.Set{})
+	r.places.put(placeKey{caller: "far"}, &returnPlace{
+		reservation: reservation{items: 20}, rank: 1, at: start.Add(3 * time.Second), granted: start, lead: time.Second, latest: start.Add(30 * time.Second),
+	})
+	granted, lateness := r.reserve(start, groupKey{Request: "new"}, 1, reservation{items: 1, due: start.Add(callTime / 2)}, placeCapacity)
+	assert.Assert(t, granted, "%v", lateness)
+}
