--- a/internal/serve/gather/messages.go
+++ b/internal/serve/gather/messages.go
@@ -31,7 +31,8 @@
 	Serial  uint64 `json:"serial"`
 	// Team is missing in calls of processes of an earlier version.
 	Team string `json:"team,omitempty"`
-	// PieceKey is missing in calls of processes of an earlier version, too.
+	// PieceKey is CallerIdentity of the team and the request's key, which may be long. Unlike Caller,
+	// it is also set where the request gets no place. Calls of an earlier version have none, either.
 	PieceKey string `json:"piece_key,omitempty"`
 	Returning
 }
--- a/internal/serve/gather/reservations.go
+++ b/internal/serve/gather/reservations.go
@@ -31,7 +31,7 @@
 	serial     uint64
 	rank       int
 	at         time.Time // when it was made
-	// team and pieceKey are those of ReservationRequest; not set for unreserved items.
+	// team and pieceKey are those of reserveCall; not set for unreserved items.
 	team, pieceKey string
 	// claimsPlace means that the work comes back for its place. Its team's share was checked when the
 	// place was granted, and isn't checked again.
--- a/internal/serve/gather/return_places_test.go
+++ b/internal/serve/gather/return_places_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -398,3 +399,14 @@
 	granted, lateness := r.reserve(start, groupKey{Request: "new"}, 1, reservation{items: 1, due: start.Add(callTime / 2)}, placeCapacity)
 	assert.Assert(t, granted, "%v", lateness)
 }
+
+// Guards against memory and messages that grow with the length of the keys that callers choose: a
+// shard remembers thousands of refused requests.
+func TestReservationStatesHashOfPieceKey(t *testing.T) {
+	long := strings.Repeat("k", 10_000)
+	now := time.Now()
+	call := newReserveCall("r", Shard{Service: "s"}, ReservationRequest{Team: "t", PieceKey: long}, 1, now)
+	assert.Assert(t, call.PieceKey != "" && len(call.PieceKey) < 20, "%d bytes", len(call.PieceKey))
+	other := newReserveCall("r", Shard{Service: "s"}, ReservationRequest{Team: "t", PieceKey: long + "l"}, 1, now)
+	assert.Assert(t, other.PieceKey != call.PieceKey)
+}
--- a/internal/serve/gather/returning.go
+++ b/internal/serve/gather/returning.go
@@ -193,7 +193,7 @@
 func newReserveCall(request string, shard Shard, want ReservationRequest, serial uint64, now time.Time) reserveCall {
 	call := reserveCall{
 		Shard: shard, Request: request, Stage: want.Stage, Rank: want.Rank, Items: want.Items, Due: ToMillis(want.Due.Sub(now)), Serial: serial,
-		Team: want.Team, PieceKey: want.PieceKey,
+		Team: want.Team, PieceKey: CallerIdentity(want.Team, want.PieceKey),
 	}
 	if want.Caller != "" {
 		call.Returning = Returning{
