--- a/internal/serve/run/due_test.go
+++ b/internal/serve/run/due_test.go
@@ -39,3 +39,15 @@
 		assert.Equal(t, want.Team != "", team != nil)
 	}
 }
+
+// Guards against places for a request that may have run: its refusal has no Retry-After, and its
+// caller doesn't come back for them.
+func TestRequestThatMayHaveRunAsksForNoPlace(t *testing.T) {
+	for runs, identified := range map[int]bool{0: true, 1: false} {
+		j := &job{
+			Executor: &Executor{Plans: &plan.Holder{}}, req: &Request{PieceKey: "piece", Pieces: []int{1}}, runs: runs,
+			route: &plan.Route{Stages: []plan.Stage{{Service: "s"}}},
+		}
+		assert.Equal(t, newStageGraph(j).wants()[0].Caller != "", identified, "%d runs", runs)
+	}
+}
--- a/internal/serve/run/graph.go
+++ b/internal/serve/run/graph.go
@@ -49,7 +49,7 @@
 	var list []gather.ReservationRequest
 	j := g.job
 	team := j.teamName()
-	caller := gather.CallerIdentity(team, j.req.PieceKey)
+	caller := j.callerIdentity()
 	for i, s := range g.stages {
 		if g.pieces(i) == 0 {
 			continue
--- a/internal/serve/run/stages.go
+++ b/internal/serve/run/stages.go
@@ -72,7 +72,7 @@
 // stands if there are no places. Undivided services have one shard, which has been asked already.
 func (j *job) reserveReturning(g *stageGraph, refused error) ([]gather.Reservation, error) {
 	var late *gather.RefusedError
-	caller := gather.CallerIdentity(j.teamName(), j.req.PieceKey)
+	caller := j.callerIdentity()
 	if caller == "" || j.LeaveOut.Has(leaveout.ReturnPlaces) || !errors.As(refused, &late) || late.Reason != gather.Late ||
 		!j.Stages.Divided(g.services()) {
 		return nil, refused
@@ -95,6 +95,15 @@
 	return reserved, nil
 }
 
+// callerIdentity returns the request's identity for places; empty if it gets none. A request that may
+// have run isn't told to come back.
+func (j *job) callerIdentity() string {
+	if j.runs > 0 {
+		return ""
+	}
+	return gather.CallerIdentity(j.teamName(), j.req.PieceKey)
+}
+
 // teamName returns the name of the caller's team; empty on public routes.
 func (j *job) teamName() string {
 	if j.team == nil {
