--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -223,7 +223,7 @@
 	targets, space := g.effectiveTargets(s, batch, now)
 	available := sustainedCapacity(targets, batch, space, int(s.size.mean))
 	key := groupKey{Request: call.Request, Stage: call.Stage}
-	wanted := reservation{items: call.Items, due: now.Add(call.Due.Duration()), serial: call.Serial, team: call.Team, pieceKey: call.PieceKey}
+	wanted := call.reservation(now)
 	if call.Caller != "" && !g.leaveOut.Has(leaveout.ReturnPlaces) {
 		return g.reserveReturning(s, call, wanted, available, now)
 	}
--- a/internal/serve/gather/return_places.go
+++ b/internal/serve/gather/return_places.go
@@ -44,10 +44,8 @@
 // returningWork is the work of one stage of a request that has an identity across attempts.
 type returningWork struct {
 	reservation
-	// caller is the result of CallerIdentity, team the caller's team.
+	// caller is the result of CallerIdentity.
 	caller string
-	team   string
-	rank   int
 	// latest is when the stage must be finished for the answer to meet the request's deadline,
 	// which is at deadline. due is by the objective and not after latest.
 	latest   time.Time
@@ -59,8 +57,6 @@
 // returnPlace is the capacity held for one stage of a returning request.
 type returnPlace struct {
 	reservation
-	team string
-	rank int
 	// at is when the caller is told to come back, granted when the place was granted.
 	at      time.Time
 	granted time.Time
@@ -334,7 +330,7 @@
 // done in time from then on.
 func (r *reservations) placeAt(now, at time.Time, w *returningWork, c capacity, work []*reservation) (*returnPlace, time.Duration) {
 	place := &returnPlace{
-		reservation: reservation{items: w.items}, team: w.team, rank: w.rank, at: at, granted: now,
+		reservation: reservation{items: w.items, team: w.team, rank: w.rank}, at: at, granted: now,
 		// A caller that comes back early has work that is due earlier by as much.
 		lead: w.due.Sub(now) - placeEarly, latest: w.latest,
 		need: c.call + seconds(float64(w.items)/(reservableShare*c.rate)),
@@ -344,7 +340,7 @@
 	}
 	reserved := r.reservedFor(w.rank, now, place.due)
 	if !r.leaveOut.Has(leaveout.TeamShares) {
-		claimed, _ := r.shares.claims(now, reservation{items: w.items, due: place.due, rank: w.rank, team: w.team}, c, r.held)
+		claimed, _ := r.shares.claims(now, place.reservation, c, r.held)
 		reserved += claimed
 	}
 	late := latenessAmong(work, now, place.reservation, reserved, c)
--- a/internal/serve/gather/return_places_test.go
+++ b/internal/serve/gather/return_places_test.go
@@ -20,7 +20,7 @@
 // deadline.
 func returningFor(now time.Time, caller string, rank, items int, left time.Duration) returningWork {
 	return returningWork{
-		reservation: reservation{items: items, due: now.Add(time.Second)}, caller: caller, team: "t", rank: rank,
+		reservation: reservation{items: items, due: now.Add(time.Second), team: "t", rank: rank}, caller: caller,
 		latest: now.Add(left), deadline: now.Add(left),
 	}
 }
@@ -109,7 +109,7 @@
 	for rank, granted := range map[int]bool{0: true, 1: false, 2: false} {
 		r := newReservations(leaveout.Set{})
 		r.held[groupKey{Request: "some"}] = &reservation{items: 20, due: start.Add(time.Second)}
-		r.places.put(placeKey{caller: "c"}, &returnPlace{reservation: reservation{items: 30, due: start.Add(time.Second)}, rank: 1, at: start, granted: start, lead: time.Second, latest: start.Add(time.Hour)})
+		r.places.put(placeKey{caller: "c"}, &returnPlace{reservation: reservation{items: 30, due: start.Add(time.Second), rank: 1}, at: start, granted: start, lead: time.Second, latest: start.Add(time.Hour)})
 		got, _ := r.reserve(start, groupKey{Request: "new"}, rank, reservation{items: 10, due: start.Add(time.Second)}, placeCapacity)
 		assert.Equal(t, got, granted, "rank %d", rank)
 	}
@@ -218,7 +218,7 @@
 func TestFarPlaceLeavesRoomForNearOnes(t *testing.T) {
 	r := fullShard()
 	r.places.put(placeKey{caller: "far"}, &returnPlace{
-		reservation: reservation{items: 10}, rank: 1, at: start.Add(9 * time.Second), granted: start, lead: time.Second, latest: start.Add(30 * time.Second),
+		reservation: reservation{items: 10, rank: 1}, at: start.Add(9 * time.Second), granted: start, lead: time.Second, latest: start.Add(30 * time.Second),
 	})
 	d := r.ask(start, "a", returningFor(start, "c", 1, 10, 4*time.Second))
 	assert.Assert(t, d.place > 0 && d.place < time.Second, "%+v", d)
@@ -236,7 +236,7 @@
 			}
 			for i := range places {
 				r.places.put(placeKey{caller: fmt.Sprint(i)}, &returnPlace{
-					reservation: reservation{items: 1}, rank: 1, team: fmt.Sprint(i % 16), at: start.Add(time.Duration(i) * time.Millisecond),
+					reservation: reservation{items: 1, rank: 1, team: fmt.Sprint(i % 16)}, at: start.Add(time.Duration(i) * time.Millisecond),
 					granted: start, lead: time.Second, latest: start.Add(time.Hour),
 				})
 			}
@@ -331,7 +331,7 @@
 func TestPlaceIsClaimedByTeamAboveItsShare(t *testing.T) {
 	r, now := unevenShard()
 	w := returningFor(now, "c", 1, 7, 4*time.Second)
-	w.team, w.reservation.team = "large", "large"
+	w.team = "large"
 
 	first := r.ask(now, "first", w)
 	assert.Assert(t, !first.granted && r.shares.cause == TeamAboveShare, "%+v", first)
@@ -394,7 +394,7 @@
 func TestLaterPlacesDoNotMakeAnIdleShardBusy(t *testing.T) {
 	r := newReservations(leaveout.Set{})
 	r.places.put(placeKey{caller: "far"}, &returnPlace{
-		reservation: reservation{items: 20}, rank: 1, at: start.Add(3 * time.Second), granted: start, lead: time.Second, latest: start.Add(30 * time.Second),
+		reservation: reservation{items: 20, rank: 1}, at: start.Add(3 * time.Second), granted: start, lead: time.Second, latest: start.Add(30 * time.Second),
 	})
 	granted, lateness := r.reserve(start, groupKey{Request: "new"}, 1, reservation{items: 1, due: start.Add(callTime / 2)}, placeCapacity)
 	assert.Assert(t, granted, "%v", lateness)
--- a/internal/serve/gather/returning.go
+++ b/internal/serve/gather/returning.go
@@ -44,10 +44,17 @@
 	return Ack{Refused: !d.granted, Wait: ToMillis(d.lateness), Place: ToMillis(d.place), Hopeless: d.hopeless, Share: s.reservations.shares.cause}
 }
 
-// returningWork returns the work for which a reservation or a place is requested.
+// reservation returns the work for which a reservation or a place is requested.
+func (c *reserveCall) reservation(now time.Time) reservation {
+	return reservation{
+		items: c.Items, due: now.Add(c.Due.Duration()), serial: c.Serial, rank: c.Rank, team: c.Team, pieceKey: c.PieceKey,
+	}
+}
+
+// returningWork adds what is known of the request's return to the work for which a reservation or a place is requested.
 func (c *reserveCall) returningWork(wanted reservation, now time.Time) returningWork {
 	return returningWork{
-		reservation: wanted, caller: c.Caller, team: c.Team, rank: c.Rank, placeOnly: c.PlaceOnly,
+		reservation: wanted, caller: c.Caller, placeOnly: c.PlaceOnly,
 		latest: now.Add(c.Latest.Duration()), deadline: now.Add(c.Left.Duration()),
 	}
 }
@@ -69,7 +76,7 @@
 	}
 	targets, space := g.effectiveTargets(s, batch, now)
 	available := sustainedCapacity(targets, batch, space, int(s.size.mean))
-	work := call.returningWork(reservation{items: call.Items, due: now.Add(call.Due.Duration()), serial: call.Serial}, now)
+	work := call.returningWork(call.reservation(now), now)
 	if !s.reservations.placeFor(now, now.Add(call.At.Duration()), call.Stage, work, available) {
 		g.log.Debug("No place beside those at other shards.", zap.String("request", call.Request), zap.String("caller", call.Caller),
 			zap.String("service", s.Service), zap.Int("stage", call.Stage), zap.Duration("place_in", call.At.Duration()))
