--- a/internal/serve/gather/return_places_test.go
+++ b/internal/serve/gather/return_places_test.go
@@ -410,3 +410,34 @@
 	other := newReserveCall("r", Shard{Service: "s"}, ReservationRequest{Team: "t", PieceKey: long + "l"}, 1, now)
 	assert.Assert(t, other.PieceKey != call.PieceKey)
 }
+
+// Measures a refusal with the search for a place at a contended shard with 300 outstanding
+// reservations, for a team above its share. Each time tried takes account of all teams' shares.
+func BenchmarkPlaceForTeamAboveItsShare(b *testing.B) {
+	for _, teams := range []int{16, 240} {
+		b.Run(fmt.Sprint(teams, " teams"), func(b *testing.B) {
+			r, now := newReservations(leaveout.Set{}), start
+			for i := range 40 * teams {
+				now = now.Add(3 * time.Second / time.Duration(40*teams))
+				p := reservation{items: 4, team: fmt.Sprint(max(i%(2*teams)-teams, 0)), rank: 1}
+				r.shares.request(now, 0, p)
+				if i%2 == 0 {
+					r.shares.granted(p)
+				}
+			}
+			for i := range 300 {
+				r.held[groupKey{Request: fmt.Sprint(i)}] = &reservation{items: 1, team: fmt.Sprint(i % teams), rank: 1, due: now.Add(time.Duration(i) * 10 * time.Millisecond)}
+			}
+			w := returningFor(now, "c", 1, 4, 12*time.Second)
+			w.team = "0"
+			b.ReportAllocs()
+			for b.Loop() {
+				r.shares.lastRefusal = now
+				if d := r.ask(now, "a", w); d.granted {
+					b.Fatal("the request isn't refused")
+				}
+				clear(r.places.places)
+			}
+		})
+	}
+}
