--- a/internal/serve/gather/reservations.go
+++ b/internal/serve/gather/reservations.go
@@ -28,14 +28,14 @@
 	due   time.Time
 	// unreserved means that the items were submitted without a reservation.
 	unreserved bool
-	serial     uint64
-	rank       int
-	at         time.Time // when it was made
-	// team and pieceKey are those of reserveCall; not set for unreserved items.
-	team, pieceKey string
 	// claimsPlace means that the work comes back for its place. Its team's share was checked when the
 	// place was granted, and isn't checked again.
 	claimsPlace bool
+	serial      uint64
+	rank        int
+	at          time.Time // when it was made
+	// team and pieceKey are those of reserveCall; not set for unreserved items.
+	team, pieceKey string
 }
 
 // capacity is the throughput of a shard.
