--- a/internal/serve/gather/reservations.go
+++ b/internal/serve/gather/reservations.go
@@ -28,10 +28,13 @@
 	due   time.Time
 	// unreserved means that the items were submitted without a reservation.
 	unreserved bool
-	serial     uint64
-	rank       int
-	at         time.Time // when it was made
-	// team and pieceKey are those of ReservationRequest; not set for unreserved items.
+	// claimsPlace means that the work comes back for its place. Its team's share was checked when the
+	// place was granted, and isn't checked again.
+	claimsPlace bool
+	serial      uint64
+	rank        int
+	at          time.Time // when it was made
+	// team and pieceKey are those of reserveCall; not set for unreserved items.
 	team, pieceKey string
 }
 
@@ -81,7 +84,7 @@
 }
 
 func (d *demand) decay(now time.Time) {
-	keep := math.Exp(-float64(now.Sub(d.updated)) / float64(demandWindow))
+	keep := keptAfter(now.Sub(d.updated))
 	d.requested *= keep
 	d.admitted *= keep
 	d.updated = now
@@ -115,7 +118,9 @@
 	claimed, cause := 0.0, NoShareCause
 	if fair {
 		r.shares.request(now, key.Stage, p)
-		claimed, cause = r.shares.claims(now, p, c, r.held)
+		if !p.claimsPlace {
+			claimed, cause = r.shares.claims(now, p, c, r.held)
+		}
 	}
 	lateness = r.lateness(now, p, reserved+claimed, c, places)
 	if lateness > 0 {
@@ -167,13 +172,15 @@
 	if rate <= 0 {
 		return c.call
 	}
-	if float64(r.outstanding()+itemsOf(places))/rate <= c.idleBacklog.Seconds() {
+	// Places for later work leave the targets idle until then.
+	if float64(r.outstanding()+itemsUntil(places, p.due))/rate <= c.idleBacklog.Seconds() {
 		return 0
 	}
-	return latenessAmong(r.byDue(places), now, p, reserved, c)
+	return latenessAmong(r.byDue(places, p.due), now, p, reserved, c)
 }
 
-// latenessAmong is lateness among work in the order of its due times, on a shard that is busy.
+// latenessAmong is lateness among work as listed by byDue for a time not after the due time of the
+// reservation at hand, on a shard that is busy.
 func latenessAmong(list []*reservation, now time.Time, p reservation, reserved float64, c capacity) time.Duration {
 	rate := reservableShare * c.rate
 	late := func(work float64, due time.Time) time.Duration {
@@ -199,23 +206,37 @@
 	return worst
 }
 
-// byDue lists the reservations and the given places in the order of their due times.
-func (r *reservations) byDue(places []*reservation) []*reservation {
-	list := make([]*reservation, 0, len(r.held)+len(places))
-	list = append(list, places...)
-	for _, p := range r.held {
+// byDue lists the reservations and the given places: in any order those that are due up to the given
+// time, then the later ones in the order of their due times. Sorting takes most of the time of a
+// decision, and the work before a request counts only as a sum.
+func (r *reservations) byDue(places []*reservation, from time.Time) []*reservation {
+	list, earlier := make([]*reservation, 0, len(r.held)+len(places)), 0
+	add := func(p *reservation) {
 		list = append(list, p)
+		if !p.due.After(from) {
+			list[earlier], list[len(list)-1] = p, list[earlier]
+			earlier++
+		}
+	}
+	for _, p := range places {
+		add(p)
 	}
-	slices.SortFunc(list, func(a, b *reservation) int { return a.due.Compare(b.due) })
+	for _, p := range r.held {
+		add(p)
+	}
+	slices.SortFunc(list[earlier:], func(a, b *reservation) int { return a.due.Compare(b.due) })
 	return list
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-func itemsOf(list []*reservation) int {
+// itemsUntil counts the items that are due up to the given time.
+func itemsUntil(list []*reservation, due time.Time) int {
 	total := 0
 	for _, p := range list {
-		total += p.items
+		if !p.due.After(due) {
+			total += p.items
+		}
 	}
 	return total
 }
--- a/internal/serve/gather/return_places.go
+++ b/internal/serve/gather/return_places.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 )
 
 // This file decides on places for returning callers. The load it addresses: a burst above the
@@ -42,10 +44,8 @@
 // returningWork is the work of one stage of a request that has an identity across attempts.
 type returningWork struct {
 	reservation
-	// caller is the result of CallerIdentity, team the caller's team.
+	// caller is the result of CallerIdentity.
 	caller string
-	team   string
-	rank   int
 	// latest is when the stage must be finished for the answer to meet the request's deadline,
 	// which is at deadline. due is by the objective and not after latest.
 	latest   time.Time
@@ -54,11 +54,19 @@
 	placeOnly bool
 }
 
+// earliestPlaceDue returns a time before which no place for the work is due: a place is due as long
+// after the caller's return as the work is now, less placeEarly, but not after latest.
+func (w *returningWork) earliestPlaceDue() time.Time {
+	due := w.due.Add(-placeEarly)
+	if due.After(w.latest) {
+		return w.latest
+	}
+	return due
+}
+
 // returnPlace is the capacity held for one stage of a returning request.
 type returnPlace struct {
 	reservation
-	team string
-	rank int
 	// at is when the caller is told to come back, granted when the place was granted.
 	at      time.Time
 	granted time.Time
@@ -252,9 +260,11 @@
 		delete(p.places, at) // the work's own place doesn't count against it
 	}
 	d := returnDecision{claimed: own != nil && !now.Before(own.at.Add(-placeEarly))}
+	w.claimsPlace = d.claimed
 	if d.claimed || !w.placeOnly {
 		d.granted, d.lateness = r.reserve(now, key, w.rank, w.reservation, c)
 	} else {
+		r.shares.cause = NoShareCause
 		d.lateness = r.lateness(now, w.reservation, r.reservedFor(w.rank, now, w.due), c, p.upToRank(now, w.rank))
 	}
 	switch {
@@ -293,7 +303,7 @@
 	limit := now.Add(seconds(patienceShare * w.deadline.Sub(now).Seconds()))
 	at := now.Add(max(lateness, placeEarly))
 	others := r.places.byTime()
-	work := r.byDue(r.places.upToRank(now, math.MaxInt))
+	work := r.byDue(r.places.upToRank(now, math.MaxInt), w.earliestPlaceDue())
 	for range placeSearchSteps {
 		at = firstGap(others, at, w.items, placesShare*rate)
 		if at.After(limit) {
@@ -324,12 +334,13 @@
 	return seconds(float64(items) / rate)
 }
 
-// placeAt returns a place at a time and by how much it would make work late; work has all
-// reservations and places in the order of their due times. It returns nil if the work can't be
-// done in time from then on.
+// placeAt returns a place at a time and by how much it would make work late; work is
+// the result of byDue for all places and w.earliestPlaceDue. What other teams are entitled to until
+// then counts as reserved, so that a team above its share can't exceed it by places. It returns nil
+// if the work can't be done in time from then on.
 func (r *reservations) placeAt(now, at time.Time, w *returningWork, c capacity, work []*reservation) (*returnPlace, time.Duration) {
 	place := &returnPlace{
-		reservation: reservation{items: w.items}, team: w.team, rank: w.rank, at: at, granted: now,
+		reservation: reservation{items: w.items, team: w.team, rank: w.rank}, at: at, granted: now,
 		// A caller that comes back early has work that is due earlier by as much.
 		lead: w.due.Sub(now) - placeEarly, latest: w.latest,
 		need: c.call + seconds(float64(w.items)/(reservableShare*c.rate)),
@@ -337,7 +348,12 @@
 	if !place.update(now) {
 		return nil, 0
 	}
-	late := latenessAmong(work, now, place.reservation, r.reservedFor(w.rank, now, place.due), c)
+	reserved := r.reservedFor(w.rank, now, place.due)
+	if !r.leaveOut.Has(leaveout.TeamShares) {
+		claimed, _ := r.shares.claims(now, place.reservation, c, r.held)
+		reserved += claimed
+	}
+	late := latenessAmong(work, now, place.reservation, reserved, c)
 	return place, late
 }
 
@@ -373,7 +389,7 @@
 		p.counts.NoRoom++
 		return false
 	}
-	place, late := r.placeAt(now, at, &w, c, r.byDue(p.upToRank(now, math.MaxInt)))
+	place, late := r.placeAt(now, at, &w, c, r.byDue(p.upToRank(now, math.MaxInt), w.earliestPlaceDue()))
 	if place == nil || late > 0 || !p.roomAround(at, w.items, placesShare*rate) {
 		p.counts.NoRoom++
 		return false
--- a/internal/serve/gather/return_places_test.go
+++ b/internal/serve/gather/return_places_test.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,7 +22,7 @@
 // deadline.
 func returningFor(now time.Time, caller string, rank, items int, left time.Duration) returningWork {
 	return returningWork{
-		reservation: reservation{items: items, due: now.Add(time.Second)}, caller: caller, team: "t", rank: rank,
+		reservation: reservation{items: items, due: now.Add(time.Second), team: "t", rank: rank}, caller: caller,
 		latest: now.Add(left), deadline: now.Add(left),
 	}
 }
@@ -108,7 +111,7 @@
 	for rank, granted := range map[int]bool{0: true, 1: false, 2: false} {
 		r := newReservations(leaveout.Set{})
 		r.held[groupKey{Request: "some"}] = &reservation{items: 20, due: start.Add(time.Second)}
-		r.places.put(placeKey{caller: "c"}, &returnPlace{reservation: reservation{items: 30, due: start.Add(time.Second)}, rank: 1, at: start, granted: start, lead: time.Second, latest: start.Add(time.Hour)})
+		r.places.put(placeKey{caller: "c"}, &returnPlace{reservation: reservation{items: 30, due: start.Add(time.Second), rank: 1}, at: start, granted: start, lead: time.Second, latest: start.Add(time.Hour)})
 		got, _ := r.reserve(start, groupKey{Request: "new"}, rank, reservation{items: 10, due: start.Add(time.Second)}, placeCapacity)
 		assert.Equal(t, got, granted, "rank %d", rank)
 	}
@@ -217,7 +220,7 @@
 func TestFarPlaceLeavesRoomForNearOnes(t *testing.T) {
 	r := fullShard()
 	r.places.put(placeKey{caller: "far"}, &returnPlace{
-		reservation: reservation{items: 10}, rank: 1, at: start.Add(9 * time.Second), granted: start, lead: time.Second, latest: start.Add(30 * time.Second),
+		reservation: reservation{items: 10, rank: 1}, at: start.Add(9 * time.Second), granted: start, lead: time.Second, latest: start.Add(30 * time.Second),
 	})
 	d := r.ask(start, "a", returningFor(start, "c", 1, 10, 4*time.Second))
 	assert.Assert(t, d.place > 0 && d.place < time.Second, "%+v", d)
@@ -235,7 +238,7 @@
 			}
 			for i := range places {
 				r.places.put(placeKey{caller: fmt.Sprint(i)}, &returnPlace{
-					reservation: reservation{items: 1}, rank: 1, team: fmt.Sprint(i % 16), at: start.Add(time.Duration(i) * time.Millisecond),
+					reservation: reservation{items: 1, rank: 1, team: fmt.Sprint(i % 16)}, at: start.Add(time.Duration(i) * time.Millisecond),
 					granted: start, lead: time.Second, latest: start.Add(time.Hour),
 				})
 			}
@@ -304,3 +307,164 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(text), `{"cell":{"service":"s"},"request":"r","stage":0,"rank":0,"items":0,"due":0,"serial":1}`)
 }
+
+// unevenShard returns a busy shard that is contended by two teams, of which the large one asks for
+// seven times as much as the small one, and the time after that.
+func unevenShard() (*reservations, time.Time) {
+	r, now := newReservations(leaveout.Set{}), start
+	for i := range 300 {
+		now = now.Add(10 * time.Millisecond)
+		p := reservation{items: 7, team: "large", rank: 1, due: now.Add(time.Second)}
+		if i%2 == 0 {
+			p.items, p.team = 1, "small"
+		}
+		r.shares.request(now, 0, p)
+		if i%4 < 2 {
+			r.shares.granted(p)
+		}
+	}
+	r.shares.refusedAt(now, 0, reservation{items: 7, team: "large", rank: 1}, NoShareCause)
+	r.held[groupKey{Request: "full"}] = &reservation{items: 35, due: now.Add(time.Second)}
+	return r, now
+}
+
+// Guards against a caller that comes back for its place and is refused because its team is above its
+// share, although the place was granted within that share.
+func TestPlaceIsClaimedByTeamAboveItsShare(t *testing.T) {
+	r, now := unevenShard()
+	w := returningFor(now, "c", 1, 7, 4*time.Second)
+	w.team = "large"
+
+	first := r.ask(now, "first", w)
+	assert.Assert(t, !first.granted && r.shares.cause == TeamAboveShare, "%+v", first)
+	assert.Assert(t, first.place > 0, "%+v", first)
+	r.held[groupKey{Request: "full"}].due = now.Add(first.place + time.Second)
+	now = now.Add(first.place)
+	w.due = now.Add(time.Second)
+	again := r.ask(now, "again", w)
+	assert.Assert(t, again.claimed && again.granted, "%+v, %s", again, r.shares.cause)
+	w.caller = "d"
+	assert.Assert(t, !r.ask(now, "new", w).granted, "a first-time caller of the team")
+	assert.Equal(t, r.shares.cause, TeamAboveShare)
+}
+
+// Guards against a refusal that states the cause of an earlier decision: a request that may only use
+// a place is not checked against its team's share.
+func TestRefusalWithoutPlaceStatesNoShare(t *testing.T) {
+	r := fullShard()
+	r.shares.cause = TeamAboveShare // of another request
+	w := returningFor(start, "c", 1, 10, 4*time.Second)
+	w.placeOnly = true
+	d := r.ask(start, "a", w)
+	assert.Assert(t, !d.granted && d.place > 0, "%+v", d)
+	assert.Equal(t, r.shares.cause, NoShareCause)
+}
+
+// Guards against places by which a team above its share gets the capacity that others are entitled
+// to, and against a decision that relies on demand of a rank or team that hasn't asked here.
+func TestPlacesLeaveOtherTeamsTheirShares(t *testing.T) {
+	for name, c := range map[string]struct {
+		team string
+		rank int
+		want bool
+	}{
+		"above its share":  {"large", 1, false},
+		"within its share": {"small", 1, true},
+		"no demand":        {"new", 1, true},
+		"rank not asked":   {"large", 0, true},
+	} {
+		r, now := unevenShard()
+		w := returningFor(now, "c", c.rank, 7, 4*time.Second)
+		w.team = c.team
+		assert.Equal(t, r.placeFor(now, now.Add(placeEarly), 0, w, placeCapacity), c.want, name)
+	}
+}
+
+// Guards against demand that grows without limit when the time runs backwards, and then keeps out less
+// urgent requests.
+func TestDemandWhenTheTimeRunsBackwards(t *testing.T) {
+	r := newReservations(leaveout.Of(leaveout.LeastShare))
+	r.demandOf(0, start).record(10, 0)
+	now := start.Add(-10 * time.Second)
+	r.held[groupKey{Request: "some"}] = &reservation{items: 20, due: now.Add(time.Second)}
+	granted, lateness := r.reserve(now, groupKey{Request: "new"}, 1, reservation{items: 1, due: now.Add(time.Second)}, placeCapacity)
+	assert.Assert(t, granted, "%v", lateness)
+}
+
+// Guards against a refusal by an idle shard because of places for later times: without places it accepts
+// work that is due within the time of a call, since its targets are free.
+func TestLaterPlacesDoNotMakeAnIdleShardBusy(t *testing.T) {
+	r := newReservations(leaveout.Set{})
+	r.places.put(placeKey{caller: "far"}, &returnPlace{
+		reservation: reservation{items: 20, rank: 1}, at: start.Add(3 * time.Second), granted: start, lead: time.Second, latest: start.Add(30 * time.Second),
+	})
+	granted, lateness := r.reserve(start, groupKey{Request: "new"}, 1, reservation{items: 1, due: start.Add(callTime / 2)}, placeCapacity)
+	assert.Assert(t, granted, "%v", lateness)
+}
+
+// Guards against memory and messages that grow with the length of the keys that callers choose: a
+// shard remembers thousands of refused requests.
+func TestReservationStatesHashOfPieceKey(t *testing.T) {
+	long := strings.Repeat("k", 10_000)
+	now := time.Now()
+	call := newReserveCall("r", Shard{Service: "s"}, ReservationRequest{Team: "t", PieceKey: long}, 1, now)
+	assert.Assert(t, call.PieceKey != "" && len(call.PieceKey) < 20, "%d bytes", len(call.PieceKey))
+	other := newReserveCall("r", Shard{Service: "s"}, ReservationRequest{Team: "t", PieceKey: long + "l"}, 1, now)
+	assert.Assert(t, other.PieceKey != call.PieceKey)
+}
+
+// Guards against a decision that depends on the order of the work that is due before it.
+func TestLatenessIsThatAmongSortedWork(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	work := func() reservation {
+		return reservation{items: 1 + random.IntN(20), due: start.Add(time.Duration(random.IntN(20)) * 100 * time.Millisecond)}
+	}
+	for range 500 {
+		r := newReservations(leaveout.Set{})
+		var places []*reservation
+		for i := range random.IntN(12) {
+			held, place := work(), work()
+			r.held[groupKey{Stage: i}] = &held
+			places = append(places, &place)
+		}
+		sorted := r.byDue(places, time.Time{})
+		assert.Assert(t, slices.IsSortedFunc(sorted, func(a, b *reservation) int { return a.due.Compare(b.due) }))
+		p := work()
+		want := latenessAmong(sorted, start, p, 3, placeCapacity)
+		for _, earlier := range []time.Duration{0, 100 * time.Millisecond, time.Hour} {
+			got := latenessAmong(r.byDue(places, p.due.Add(-earlier)), start, p, 3, placeCapacity)
+			assert.Equal(t, got, want)
+		}
+	}
+}
+
+// Measures a refusal with the search for a place at a contended shard with 300 outstanding
+// reservations, for a team above its share. Each time tried takes account of all teams' shares.
+func BenchmarkPlaceForTeamAboveItsShare(b *testing.B) {
+	for _, teams := range []int{16, 240} {
+		b.Run(fmt.Sprint(teams, " teams"), func(b *testing.B) {
+			r, now := newReservations(leaveout.Set{}), start
+			for i := range 40 * teams {
+				now = now.Add(3 * time.Second / time.Duration(40*teams))
+				p := reservation{items: 4, team: fmt.Sprint(max(i%(2*teams)-teams, 0)), rank: 1}
+				r.shares.request(now, 0, p)
+				if i%2 == 0 {
+					r.shares.granted(p)
+				}
+			}
+			for i := range 300 {
+				r.held[groupKey{Request: fmt.Sprint(i)}] = &reservation{items: 1, team: fmt.Sprint(i % teams), rank: 1, due: now.Add(time.Duration(i) * 10 * time.Millisecond)}
+			}
+			w := returningFor(now, "c", 1, 4, 12*time.Second)
+			w.team = "0"
+			b.ReportAllocs()
+			for b.Loop() {
+				r.shares.lastRefusal = now
+				if d := r.ask(now, "a", w); d.granted {
+					b.Fatal("the request isn't refused")
+				}
+				clear(r.places.places)
+			}
+		})
+	}
+}
