upstream: a refusal that falls silent doesn't hold its request

Cause: the time of a refusal's body counted from its first byte. A target that sends the head of a refusal without a length and then nothing held the request until its deadline, as before the bounds.

Change: it counts from the head. The body is read only to keep the connection.

--- a/internal/serve/upstream/bounded.go
+++ b/internal/serve/upstream/bounded.go
@@ -96,7 +96,11 @@
 		return a.exceeded(bound.Part, 0, false)
 	}
 	passed := func() bool { return false }
-	if a.Length != 0 {
+	switch {
+	case a.Length == 0:
+	case bound.FromHead:
+		passed = a.limitTime(bound.Time)
+	default:
 		_, err := a.conn.R.Peek(1)
 		if err != nil && !errors.Is(err, io.EOF) {
 			return err // a second read of a connection that was reset would look like its end
--- a/internal/serve/upstream/bounds.go
+++ b/internal/serve/upstream/bounds.go
@@ -46,18 +46,20 @@
 	refusalTime = 500 * time.Millisecond
 )
 
-// Bound limits the bytes of a body and the time from its first byte to its end.
+// Bound limits the bytes of a body and the time from its first byte to its end, or from its head to its end
+// with FromHead.
 type Bound struct {
-	Part  Part
-	Bytes int
-	Time  time.Duration
+	Part     Part
+	Bytes    int
+	Time     time.Duration
+	FromHead bool
 }
 
 // Bounds of bodies that carry no result.
 var (
-	ErrorBodyBound   = Bound{ErrorBody, ShortBodyBytes, PartTime}
-	RefusalBodyBound = Bound{RefusalBody, ShortBodyBytes, refusalTime}
-	earlierBound     = Bound{EarlierAnswer, ShortBodyBytes, PartTime}
+	ErrorBodyBound   = Bound{Part: ErrorBody, Bytes: ShortBodyBytes, Time: PartTime}
+	RefusalBodyBound = Bound{Part: RefusalBody, Bytes: ShortBodyBytes, Time: refusalTime, FromHead: true}
+	earlierBound     = Bound{Part: EarlierAnswer, Bytes: ShortBodyBytes, Time: PartTime}
 )
 
 // exceededBy reports whether a body of a size exceeds the bound. announced is the length that its header
--- a/internal/serve/upstream/bounds_test.go
+++ b/internal/serve/upstream/bounds_test.go
@@ -108,3 +108,24 @@
 	var body strings.Builder
 	assert.Assert(t, a.ReadBounded(&body, ErrorBodyBound) != nil)
 }
+
+// Guards against a refusal that falls silent behind its head and holds the request until its deadline.
+func TestSilentRefusalIsGivenUp(t *testing.T) {
+	t.Parallel()
+	closed := make(chan struct{})
+	address := startTarget(t, func(conn net.Conn) {
+		readRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\n\r\n")
+		_, _ = conn.Read(make([]byte, 1))
+		close(closed)
+	})
+	var c Client
+	a, err := c.Send(context.Background(), newRequest(address))
+	assert.NilError(t, err)
+	start := time.Now()
+	var exceeded *BoundError
+	assert.Assert(t, errors.As(a.ReadBounded(io.Discard, RefusalBodyBound), &exceeded))
+	assert.Assert(t, exceeded.TimedOut && time.Since(start) < PartTime)
+	a.Close()
+	<-closed
+}
