--- a/internal/serve/engines/observe.go
+++ b/internal/serve/engines/observe.go
@@ -121,6 +121,7 @@
 			own = append(own, e)
 		}
 	}
+	own = mostAnnounced(own)
 	members := 1 + len(t.network.View().Members)
 	t.mu.Lock()
 	due := t.announcement.updateWithRejections(own, members, now)
--- a/internal/serve/engines/rejection_tracking.go
+++ b/internal/serve/engines/rejection_tracking.go
@@ -1,6 +1,7 @@
 package engines
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -201,6 +202,23 @@
 	return list
 }
 
+// mostAnnounced returns at most maxAnnounced entries: first the engines that reject requests, then those that
+// mostUneven returns.
+func mostAnnounced(entries []announcedEngine) []announcedEngine {
+	if len(entries) <= maxAnnounced {
+		return entries
+	}
+	slices.SortFunc(entries, func(a, b announcedEngine) int { return cmp.Compare(b.Rejected, a.Rejected) })
+	kept := entries[:maxAnnounced]
+	if i := slices.IndexFunc(kept, func(e announcedEngine) bool { return e.Rejected == 0 }); i >= 0 {
+		rest := mostUneven(pacesOf(entries[i:]))
+		for n := range kept[i:] {
+			kept[i+n] = announcedEngine{paceEntry: rest[n]}
+		}
+	}
+	return kept
+}
+
 // announcedRejection returns the share of rejected requests, 0 if it is too low to be announced.
 func (s *engineState) announcedRejection(now time.Time) float64 {
 	if share := roundPace(s.rejections.share(now)); share >= minAnnouncedRejection {
--- a/internal/serve/engines/rejections_test.go
+++ b/internal/serve/engines/rejections_test.go
@@ -99,6 +99,22 @@
 	}
 }
 
+// Guards against an announcement that is too large to be published where very many engines reject requests.
+func TestAnnouncementIsBounded(t *testing.T) {
+	var all []announcedEngine
+	for i := range 3 * maxAnnounced {
+		e := announcedEngine{paceEntry{Target: fmt.Sprint("e", i), Born: 7, Pace: 1.2 + float64(i)/1e4}, 0}
+		if i%6 == 0 {
+			e.Pace, e.Rejected = 1, 0.5
+		}
+		all = append(all, e)
+	}
+	kept := mostAnnounced(all)
+	assert.Equal(t, len(kept), maxAnnounced)
+	assert.Equal(t, kept[maxAnnounced/2-1].Rejected, 0.5)
+	assert.Equal(t, kept[maxAnnounced/2].Target, fmt.Sprint("e", 3*maxAnnounced-1))
+}
+
 // reject reports rejections of an engine from all processes until its tracker has announced them.
 func reject(all []*Tracker, target *pool.Target, n int) {
 	for i := range n {
--- a/internal/serve/run/pace.go
+++ b/internal/serve/run/pace.go
@@ -50,6 +50,16 @@
 	return 1
 }
 
+// tokensOf returns the number of tokens that an engine has to read before the prompt, as far as known.
+func tokensOf(views []pool.View, target *pool.Target) int {
+	for i := range views {
+		if views[i].Target == target {
+			return views[i].Tokens
+		}
+	}
+	return 0
+}
+
 // setPaces sets the engines' paces at present.
 func (c *choice) setPaces(views []pool.View) {
 	if c.isEngine && c.job.Engines != nil {
@@ -79,6 +89,8 @@
 	nextBest := engineEstimate{pace: paceOf(views, next), tokens: place.PrefillTokens(views, j.req.Prompt, next.ID)}
 	if wait, asked := c.waits[next]; asked {
 		nextBest.wait = wait
+	} else {
+		nextBest.wait = seconds(nextBest.pace * secondsPerToken(curve) * float64(tokensOf(views, next)))
 	}
 	// The tracker compares the limit with the wait plus what the pace at present adds to the usual one.
 	chosen := engineEstimate{pace: j.Engines.UsualPace(target), tokens: tokens}
@@ -127,21 +139,26 @@
 	return paceOf(views, c.pick(views))
 }
 
-// observeFirstEvent reports the first event of an engine's answer to the engine's tracker. The time to
-// it doesn't count if the request waited, was sent more than once or isn't answered with a stream.
+// observeFirstEvent reports the first event of an engine's answer to the engine's tracker.
 func (j *job) observeFirstEvent(status int, took time.Duration) {
-	target := j.engineAnswer.target
 	service := j.Plans.Service(j.service)
-	if j.Engines == nil || target == nil || service == nil || service.Engine == nil {
+	if j.Engines == nil || j.engineAnswer.target == nil || service == nil || service.Engine == nil {
 		return
 	}
+	if o := j.observation(status, took); o.Percent > 0 || o.Seconds > 0 || j.Engines.ReportsAccepts(j.engineAnswer.target, time.Now()) {
+		j.Engines.Observe(o)
+	}
+}
+
+// observation returns what the first event tells of the engine. The time to it doesn't count if the
+// request waited, was sent more than once or isn't answered with a stream.
+func (j *job) observation(status int, took time.Duration) engines.Observation {
+	target := j.engineAnswer.target
 	o := engines.Observation{Service: j.service, Target: target.ID, Born: target.Born, Percent: j.engineAnswer.percent}
 	if j.prefillTimeCounts() && j.route.Kind == plan.Stream && isSuccess(status) {
-		o.Tokens, o.Seconds = j.claimState.prefillTokens, took.Seconds()
-	}
-	if o.Percent > 0 || o.Seconds > 0 || j.Engines.ReportsAccepts(target, time.Now()) {
-		j.Engines.Observe(o)
+		o.Tokens, o.Seconds = j.claimState.prefillTokens, took.Round(100*time.Microsecond).Seconds() // short on the wire
 	}
+	return o
 }
 
 // ignoreFastPaces lets fast engines that weren't asked count as nominal before the last claim, whose wait is
