--- a/internal/serve/engines/engine_states.go
+++ b/internal/serve/engines/engine_states.go
@@ -41,8 +41,8 @@
 	observedAt time.Time
 	pace       paceEstimate
 	// logged is the usual pace that was logged last, loggedAt when that was.
-	logged   float64
-	loggedAt time.Time
+	logged        float64
+	loggedAt      time.Time
 	rejections    rejectionShare
 	mostlyRejects bool
 	// triedAt is when a claim was last granted although the engine rejects most requests.
--- a/internal/serve/gather/buffers.go
+++ b/internal/serve/gather/buffers.go
@@ -1,17 +1,12 @@
 package gather
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // buffer tracks the space that results take at one target. At the target a result takes space
 // from the start of the call that creates it until it is freed or expires.
 type buffer struct {
 	bytes   int // total of results
 	results map[string]storedResult
-	// residualAt is when the space of residual results was last reckoned.
-	residualAt time.Time
 	// releasedEarly holds results that were released while their reader could still fail.
 	releasedEarly map[string]bool
 }
@@ -21,47 +16,14 @@
 // frees them; they expire.
 const foreign = "foreign"
 
-// residual stands for results that a target stated to hold when this process began to gather.
-const residual = "residual"
-
 // markFull records that a target reported no space although by this account it should have had
 // some. The difference is attributed to foreign results.
 func (b *buffer) markFull(size int, expires time.Time) {
-	b.put(foreign, max(size-b.bytes+b.results[foreign].bytes, 0), expires)
-}
-
-// foreign returns the space attributed to results that this process doesn't know.
-func (b *buffer) foreign() int { return b.results[foreign].bytes + b.results[residual].bytes }
-
-// addResidual records the space of residual results, which shrinks evenly until they have expired.
-func (b *buffer) addResidual(bytes int, now, expires time.Time) {
-	b.drop(foreign) // what was found full before is part of it
-	b.put(residual, bytes, expires)
-	b.residualAt = now
-}
-
-// shrinkResidual reckons the space that residual results still take.
-func (b *buffer) shrinkResidual(now time.Time) {
-	r, found := b.results[residual]
-	if !found || !now.After(b.residualAt) || now.After(r.expires) {
-		return
-	}
-	left := float64(r.expires.Sub(now)) / float64(r.expires.Sub(b.residualAt))
-	b.put(residual, int(math.Round(left*float64(r.bytes))), r.expires)
-	b.residualAt = now
+	b.put(foreign, max(size-b.bytes+b.foreign(), 0), expires)
 }
 
-// freed records that a result was freed at the target. One that isn't known here is part of the
-// residual results; their mean size is given.
-func (b *buffer) freed(handle string, mean int) {
-	if _, known := b.results[handle]; known {
-		b.drop(handle)
-		return
-	}
-	if r, found := b.results[residual]; found {
-		b.put(residual, max(r.bytes-mean, 0), r.expires)
-	}
-}
+// foreign returns the space attributed to foreign results.
+func (b *buffer) foreign() int { return b.results[foreign].bytes }
 
 // storedResult is the space of one result, and when the target drops it.
 type storedResult struct {
@@ -111,7 +73,6 @@
 
 // dropExpired forgets results that have expired at the target.
 func (b *buffer) dropExpired(now time.Time) {
-	b.shrinkResidual(now)
 	for handle, result := range b.results {
 		if now.After(result.expires) {
 			b.drop(handle)
--- a/internal/serve/gather/dispatch.go
+++ b/internal/serve/gather/dispatch.go
@@ -173,8 +173,7 @@
 // startCall starts one call with the taken items. The caller holds mu.
 func (g *Gatherer) startCall(s *shard, batch *plan.Batch, target *pool.Target, taken []*queuedItem, now time.Time) {
 	expected := batch.CallTime + time.Duration(len(taken))*batch.ItemTime
-	call := &activeCall{ends: now.Add(expected)}
-	s.activeCalls[target.ID] = call
+	s.activeCalls[target.ID] = &activeCall{ends: now.Add(expected)}
 	if rate := target.RateLimit(); rate > 0 {
 		s.pause(target.ID, now.Add(minCallInterval(rate)))
 	}
@@ -183,7 +182,6 @@
 		item.tries++
 		s.reservations.itemStarted(item.Key)
 		s.size.add(item.Bytes)
-		call.bytes += item.Bytes
 		item.Expires = ToMillis(item.expires.Sub(now))
 		items = append(items, item.Item)
 		s.runningItems[item.Key] = true
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -90,10 +90,6 @@
 	Retried int
 	// Discarded counts results that arrived when no request waited for them any more.
 	Discarded int
-	// StatesRead and StatesUnanswered count targets that were asked for their state when this
-	// process began to gather. ResidualBusy counts those with calls of others, ResidualBytes the
-	// space of others' results.
-	StatesRead, StatesUnanswered, ResidualBusy, ResidualBytes int
 }
 
 // shard is the state of one shard.
@@ -101,7 +97,6 @@
 	Shard
 	// since is when this process began to gather for the shard.
 	since             time.Time
-	statesRead        bool // the targets were asked for their state
 	queue             *queue
 	inputTracker      inputTracker
 	reservations      *reservations
@@ -116,13 +111,8 @@
 	flushScheduled    bool
 }
 
-// activeCall is a call in progress, of this process or of a previous gatherer.
-type activeCall struct {
-	// ends is when it is expected to end.
-	ends time.Time
-	// bytes is the expected size of its results; 0 for a call of a previous gatherer.
-	bytes int
-}
+// activeCall is a call in progress; ends is when it is expected to end.
+type activeCall struct{ ends time.Time }
 
 // NewGatherer creates a gatherer. Its calls end when life is cancelled.
 func NewGatherer(life context.Context, log *zap.Logger, table *pool.Table, plans *plan.Holder, client StageClient) *Gatherer {
@@ -185,7 +175,6 @@
 		return Ack{NoTargetInShard: true}
 	}
 	s := g.stateOf(id)
-	g.readStates(s, batch, now)
 	wait := g.wait(s, batch, now)
 	for _, item := range items {
 		if wait+batch.CallTime+batch.ItemTime > item.Expires.Duration() {
@@ -219,7 +208,6 @@
 		return Ack{UnknownService: true}
 	}
 	s := g.stateOf(call.Shard)
-	g.readStates(s, batch, now)
 	targets, space := g.effectiveTargets(s, batch, now)
 	available := sustainedCapacity(targets, batch, space, int(s.size.mean))
 	key := groupKey{Request: call.Request, Stage: call.Stage}
@@ -354,6 +342,6 @@
 	defer g.mu.Unlock()
 	b := g.bufferOf(s, target.Address, time.Now())
 	for _, handle := range handles {
-		b.freed(handle, int(s.size.mean))
+		b.drop(handle)
 	}
 }
--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -39,9 +39,6 @@
 	OneZone Mechanism = "one-zone"
 	// Affinity: requests with the same shared prompt go to the engine that has already read it.
 	Affinity Mechanism = "affinity"
-	// ResidualState: a process that begins to gather for a shard asks the targets what they still
-	// hold and run.
-	ResidualState Mechanism = "residual-state"
 	// SlowTargets: slow stage targets are skipped.
 	SlowTargets Mechanism = "slow-targets"
 	// EarlyRelease: inputs are released as soon as they have been fetched.
@@ -86,7 +83,9 @@
 // All returns all mechanisms.
 func All() []Mechanism {
 	return []Mechanism{
-		Sharing, Reservations, Reserve, LeastShare, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, SlowTargets, EarlyRelease, LearntEngines, Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, Warmup, FewKept, ResponseBounds, PromptCopies, TeamShares, ResidualState, ReturnPlaces, EnginePace, EngineRejections,
+		Sharing, Reservations, Reserve, LeastShare, TeamShares, ReturnPlaces, DueOrder, ShortCalls, SpareTarget, OwnZone, OneZone, Affinity, PromptCopies,
+		SlowTargets, EarlyRelease, LearntEngines, Failover, Allocators, StrongOnly, LeavingAlone, Watchers, Containment, EngineAccounts, EnginePace,
+		EngineRejections, Warmup, FewKept, ResponseBounds,
 	}
 }
 
