--- a/internal/serve/run/copy_test.go
+++ b/internal/serve/run/copy_test.go
@@ -101,6 +101,7 @@
 
 // Guards against engines that read the parts of popular prompts again, in pools of any size.
 func TestCopiesReplaceReadingAgain(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		engines, processes, requests int
 		rate                         float64
--- a/internal/serve/run/rejections_test.go
+++ b/internal/serve/run/rejections_test.go
@@ -199,6 +199,7 @@
 // Guards against requests that are refused although most engines accept them, because each process sends them
 // to several engines that reject them.
 func TestCallersOfEachRankAreServedBesideRejectingEngines(t *testing.T) {
+	t.Parallel()
 	without, with := playRejections(t, 11, 1, 60)
 	for rank := range 3 {
 		t.Logf("rank %d: %.3f served without, %.3f with", rank, without.share(rank), with.share(rank))
@@ -212,6 +213,7 @@
 
 // Guards against urgent requests that are served less often than others where all engines reject most requests.
 func TestUrgentRequestsGoFirstWhereAllEnginesReject(t *testing.T) {
+	t.Parallel()
 	without, with := playRejections(t, rejectingEngines, 1, 60)
 	for rank := range 3 {
 		t.Logf("rank %d: %.3f served without, %.3f with", rank, without.share(rank), with.share(rank))
--- a/internal/serve/run/return_places_test.go
+++ b/internal/serve/run/return_places_test.go
@@ -46,6 +46,7 @@
 // first-time callers, and half of them or more are refused again. Places must give them more, at the
 // expense of first-time callers of their own and of less urgent ranks only.
 func TestReturningCallersGetTheirPlaces(t *testing.T) {
+	t.Parallel()
 	both := map[string]tally{} // rank 1 over all sizes
 	for _, c := range []struct{ vms, targets, seeds int }{{4, 4, 6}, {80, 20, 2}, {300, 60, 1}} {
 		sums := map[leaveout.Mechanism]map[string]tally{"": {}, leaveout.ReturnPlaces: {}}
--- a/internal/serve/run/uneven_engines_test.go
+++ b/internal/serve/run/uneven_engines_test.go
@@ -241,18 +241,21 @@
 		{unevenLoad{processes: 30, engines: 90, fastOf: 4, load: 11, length: 8 * time.Second, calm: true}, 1.5},
 		{unevenLoad{processes: 40, engines: 1000, fastOf: 4, load: 4.7, length: 4 * time.Second, stated: true}, 0.9},
 	} {
-		without, with := &unevenPool{unevenLoad: c.unevenLoad, disabled: true}, &unevenPool{unevenLoad: c.unevenLoad}
-		for _, p := range []*unevenPool{without, with} {
-			synctest.Test(t, func(*testing.T) { p.run(1) })
-		}
 		name := fmt.Sprintf("%d engines, 1 fast of %d, stated %v", c.engines, c.fastOf, c.stated)
-		for _, kind := range []string{"long", "question", "tag"} {
-			t.Logf("%s: of %d %s prompts %.4f late without paces, %.4f with; first event after %v, %v", name, len(with.kinds[kind]), kind,
-				without.late(kind), with.late(kind), without.mean(kind).Round(time.Millisecond), with.mean(kind).Round(time.Millisecond))
-			assert.Check(t, with.late(kind) <= without.late(kind)+0.005, "%s, %s", name, kind)
-			assert.Check(t, with.mean(kind) < without.mean(kind)*102/100, "%s, %s", name, kind)
-		}
-		assert.Check(t, with.late("long") < c.late*without.late("long"), name)
-		assert.Check(t, with.slowShort*10 > without.slowShort*8, "%s: %d short prompts at slow engines, %d before", name, with.slowShort, without.slowShort)
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			without, with := &unevenPool{unevenLoad: c.unevenLoad, disabled: true}, &unevenPool{unevenLoad: c.unevenLoad}
+			for _, p := range []*unevenPool{without, with} {
+				synctest.Test(t, func(*testing.T) { p.run(1) })
+			}
+			for _, kind := range []string{"long", "question", "tag"} {
+				t.Logf("%s: of %d %s prompts %.4f late without paces, %.4f with; first event after %v, %v", name, len(with.kinds[kind]), kind,
+					without.late(kind), with.late(kind), without.mean(kind).Round(time.Millisecond), with.mean(kind).Round(time.Millisecond))
+				assert.Check(t, with.late(kind) <= without.late(kind)+0.005, "%s, %s", name, kind)
+				assert.Check(t, with.mean(kind) < without.mean(kind)*102/100, "%s, %s", name, kind)
+			}
+			assert.Check(t, with.late("long") < c.late*without.late("long"), name)
+			assert.Check(t, with.slowShort*10 > without.slowShort*8, "%s: %d short prompts at slow engines, %d before", name, with.slowShort, without.slowShort)
+		})
 	}
 }
