--- a/internal/serve/leaveout/leaveout.go
+++ b/internal/serve/leaveout/leaveout.go
@@ -98,6 +98,9 @@
 // Has reports whether a mechanism is disabled.
 func (s Set) Has(m Mechanism) bool { return slices.Contains(s.mechanisms, m) }
 
+// With returns the set with one more mechanism.
+func (s Set) With(m Mechanism) Set { return Of(append(slices.Clone(s.mechanisms), m)...) }
+
 // Parse parses mechanism names separated by commas. The empty text is the empty set.
 func Parse(text string) (Set, error) {
 	var s Set
