run, gather: one place decides where a request states its identity

Cause: the identity was removed from reservations twice, in gather for divided services and in run for undivided ones, so that no first ask states it anyway.

Change: reserveByID leaves it out in both cases; gather's withoutCaller goes. What is sent is the same. The tests of gather and those of places in run pass.

--- a/internal/serve/gather/reserve.go
+++ b/internal/serve/gather/reserve.go
@@ -51,7 +51,6 @@
 	if r.leaveOut.Has(leaveout.Reservations) {
 		return nil, nil
 	}
-	wants = r.withoutCaller(wants)
 	reserved := make([]Reservation, len(wants))
 	for i, want := range wants {
 		shard, err := r.chooseShard(want.Service, want.Zone, request)
--- a/internal/serve/gather/returning.go
+++ b/internal/serve/gather/returning.go
@@ -101,20 +101,6 @@
 	return slices.ContainsFunc(services, func(service string) bool { return r.shardingOf(service).divided() })
 }
 
-// withoutCaller returns the wants without the request's identity if one of their services is
-// divided. The shard is then chosen by the attempt, and a place there would not be found again;
-// see ReserveReturning.
-func (r *Requester) withoutCaller(wants []ReservationRequest) []ReservationRequest {
-	if !slices.ContainsFunc(wants, func(w ReservationRequest) bool { return w.Caller != "" && r.shardingOf(w.Service).divided() }) {
-		return wants
-	}
-	wants = slices.Clone(wants)
-	for i := range wants {
-		wants[i].Caller = ""
-	}
-	return wants
-}
-
 // ReserveReturning claims the places of a request that was refused at the shards chosen by its
 // ID, or has places held for its next attempt. It asks the shards chosen by the request's
 // identity, which are the same for all attempts. The error is a *RefusedError if the request has
--- a/internal/serve/run/stages.go
+++ b/internal/serve/run/stages.go
@@ -52,16 +52,6 @@
 	return results, err
 }
 
-// withoutIdentity removes the request's identity from what it wants of undivided services. Their few
-// targets are asked again by each attempt, and what places keep free there was served worse: on a
-// deployment with five targets a service 0.79 of the credit was served with places, 0.82 without.
-func withoutIdentity(wants []gather.ReservationRequest) []gather.ReservationRequest {
-	for i := range wants {
-		wants[i].Caller = ""
-	}
-	return wants
-}
-
 // maxZonesAsked is in how many zones capacity for the stages is requested before the
 // request is refused: the less busy of two hashed choices is nearly the least busy of all.
 const maxZonesAsked = 2
@@ -123,15 +113,26 @@
 }
 
 // reserveByID reserves capacity at the shards that are chosen by the request's ID.
+//
+// It states no identity, so these shards grant no places. In a divided service another attempt asks
+// other shards and wouldn't find them again; see reserveReturning. In an undivided one they served
+// callers worse (docs/design/return-places.md).
 func (j *job) reserveByID(g *stageGraph) ([]gather.Reservation, error) {
+	wants := func() []gather.ReservationRequest {
+		list := g.wants()
+		for i := range list {
+			list[i].Caller = ""
+		}
+		return list
+	}
 	zones := j.Stages.Zones(g.services(), j.req.ID)
 	if len(zones) == 0 {
-		return j.Stages.ReserveStages(j.ctx, j.req.ID, withoutIdentity(g.wants()))
+		return j.Stages.ReserveStages(j.ctx, j.req.ID, wants())
 	}
 	var refused error
 	for _, zone := range zones[:min(len(zones), maxZonesAsked)] {
 		j.zone = zone
-		reserved, err := j.Stages.ReserveStages(j.ctx, j.req.ID, g.wants())
+		reserved, err := j.Stages.ReserveStages(j.ctx, j.req.ID, wants())
 		if err == nil {
 			return reserved, nil
 		}
