--- a/internal/serve/run/choose.go
+++ b/internal/serve/run/choose.go
@@ -137,13 +137,21 @@
 	return kept
 }
 
+// viewOf returns the view of a target; nil if there is none.
+func viewOf(views []pool.View, target *pool.Target) *pool.View {
+	for i := range views {
+		if views[i].Target == target {
+			return &views[i]
+		}
+	}
+	return nil
+}
+
 // allow asks whether the request may be sent to the chosen target.
 func (c *choice) allow(views []pool.View, target *pool.Target) claimResult {
 	var rate ratelimit.Rate
-	for _, v := range views {
-		if v.Target == target {
-			rate = c.rate(v)
-		}
+	if v := viewOf(views, target); v != nil {
+		rate = c.rate(*v)
 	}
 	permitted := rate.Total()
 	if c.tracked(rate) {
--- a/internal/serve/run/claim.go
+++ b/internal/serve/run/claim.go
@@ -85,10 +85,8 @@
 		}
 		return claimAccepted
 	}
-	for i := range views {
-		if views[i].Target == target {
-			c.recordBusy(&views[i], answer)
-		}
+	if v := viewOf(views, target); v != nil {
+		c.recordBusy(v, answer)
 	}
 	c.ignoreFastPaces(views)
 	return claimBusy
--- a/internal/serve/run/pace.go
+++ b/internal/serve/run/pace.go
@@ -42,20 +42,16 @@
 
 // paceOf returns the pace of a view, 1 if it is unknown.
 func paceOf(views []pool.View, target *pool.Target) float64 {
-	for i := range views {
-		if views[i].Target == target && views[i].Pace > 0 {
-			return views[i].Pace
-		}
+	if v := viewOf(views, target); v != nil && v.Pace > 0 {
+		return v.Pace
 	}
 	return 1
 }
 
 // tokensOf returns the number of tokens that an engine has to read before the prompt, as far as known.
 func tokensOf(views []pool.View, target *pool.Target) int {
-	for i := range views {
-		if views[i].Target == target {
-			return views[i].Tokens
-		}
+	if v := viewOf(views, target); v != nil {
+		return v.Tokens
 	}
 	return 0
 }
--- a/internal/serve/run/rejections.go
+++ b/internal/serve/run/rejections.go
@@ -53,21 +53,15 @@
 
 // markRejecting sets the share of requests that an engine rejects.
 func markRejecting(views []pool.View, target *pool.Target, share float64) {
-	for i := range views {
-		if views[i].Target == target {
-			views[i].Rejecting = share
-		}
+	if v := viewOf(views, target); v != nil {
+		v.Rejecting = share
 	}
 }
 
 // mostlyRejects reports whether an engine rejects most requests, so that it is chosen only if no other is left.
 func mostlyRejects(views []pool.View, target *pool.Target) bool {
-	for i := range views {
-		if views[i].Target == target {
-			return views[i].Rejecting >= engines.MostlyRejecting
-		}
-	}
-	return false
+	v := viewOf(views, target)
+	return v != nil && v.Rejecting >= engines.MostlyRejecting
 }
 
 // onlyRejecting reports whether all of the given engines reject most requests, so that others have to be
