--- a/internal/serve/engines/announcement.go
+++ b/internal/serve/engines/announcement.go
@@ -48,11 +48,6 @@
 	return nil
 }
 
-// paceItem is the body of the gossip item in which a tracker announces its engines' usual paces.
-type paceItem struct {
-	Engines []paceEntry `json:"engines"`
-}
-
 const (
 	// minAnnounceInterval and announceIntervalPerMember set the least time between two versions of a
 	// tracker's announcement. It grows with the number of processes, since each of them may be a
--- a/internal/serve/engines/pace_test.go
+++ b/internal/serve/engines/pace_test.go
@@ -233,6 +233,11 @@
 	assert.Assert(t, entries[0].Rejected == 0.75 && entries[1].Pace == 2.2)
 }
 
+// paceItem is an announcement as a process reads it that knows of paces only.
+type paceItem struct {
+	Engines []paceEntry `json:"engines"`
+}
+
 // A later release appends elements to entries, and two trackers announce one engine for a moment.
 func TestNewestAnnouncementCounts(t *testing.T) {
 	var body paceItem
