peer: one choice of the process that keeps the soft state of a key

The cache directory had copied it from the engines' trackers: rendezvous hash among the VMs with the most CPU, hashes kept while the view stays the same. Both use peer.Owners now; the process chosen for a key is the same.

--- a/internal/serve/engines/tracker.go
+++ b/internal/serve/engines/tracker.go
@@ -20,8 +20,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/vanillagate/vanillagate/internal/derived"
-	"github.com/vanillagate/vanillagate/internal/member"
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/serve/ratelimit"
 )
@@ -118,9 +116,9 @@
 // Tracker asks the trackers of engines, and acts as the tracker for some of them. It is safe for
 // concurrent use.
 type Tracker struct {
-	log      *zap.Logger
-	network  peer.Network
-	eligible derived.Value[*peer.View, []candidate]
+	log     *zap.Logger
+	network peer.Network
+	owners  peer.Owners
 
 	paceTracking      paceTracking
 	rejectionTracking rejectionTracking
@@ -136,12 +134,6 @@
 	unresponsive    map[peer.Incarnation]time.Time // until when the process is not asked
 }
 
-// candidate is a process that may be a tracker, with its hash.
-type candidate struct {
-	id   peer.Incarnation
-	hash uint64
-}
-
 type receivedCurve struct {
 	curve Curve
 	at    time.Time
@@ -242,29 +234,12 @@
 // trackerOf returns the process that ranks first for an engine; false if there is none or if it
 // didn't answer lately.
 func (t *Tracker) trackerOf(engine string, now time.Time) (peer.Incarnation, bool) {
-	eligible := t.eligible.Get(t.network.View(), candidates)
-	var first peer.Incarnation
-	best := uint64(0)
-	at := member.Hash(engine)
-	for _, c := range eligible {
-		if rank := member.RendezvousScore(at, c.hash); first == "" || rank > best {
-			first, best = c.id, rank
-		}
-	}
+	first := t.owners.Of(t.network.View(), engine)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return first, first != "" && !now.Before(t.unresponsive[first])
 }
 
-// candidates returns the processes that may be trackers.
-func candidates(v *peer.View) []candidate {
-	var list []candidate
-	for _, id := range peer.SelectByCPU(v.Alive()) {
-		list = append(list, candidate{id: id, hash: member.Hash(string(id))})
-	}
-	return list
-}
-
 // handleClaim answers a claim of this or another process.
 func (t *Tracker) handleClaim(call claimCall, now time.Time) claimAnswer {
 	t.mu.Lock()
--- a/internal/serve/prefixes/directory.go
+++ b/internal/serve/prefixes/directory.go
@@ -14,8 +14,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/vanillagate/vanillagate/internal/derived"
-	"github.com/vanillagate/vanillagate/internal/member"
 	"github.com/vanillagate/vanillagate/internal/peer"
 )
 
@@ -76,18 +74,12 @@
 	Engine
 }
 
-// candidate is a process that may own keys, with its hash.
-type candidate struct {
-	id   peer.Incarnation
-	hash uint64
-}
-
 // Directory asks the owners of keys, and is the owner of some of them. It is safe for concurrent use.
 type Directory struct {
-	baseCtx  context.Context
-	log      *zap.Logger
-	network  peer.Network
-	eligible derived.Value[*peer.View, []candidate]
+	baseCtx context.Context
+	log     *zap.Logger
+	network peer.Network
+	owners  peer.Owners
 	// pendingReads is the number of messages that are being sent.
 	pendingReads atomic.Int64
 
@@ -197,28 +189,12 @@
 // ownerOf returns the process that keeps the entries of a key; false if there is none or if it didn't
 // answer lately.
 func (d *Directory) ownerOf(key Key, now time.Time) (peer.Incarnation, bool) {
-	var first peer.Incarnation
-	best := uint64(0)
-	at := member.Hash(string(key))
-	for _, c := range d.eligible.Get(d.network.View(), candidates) {
-		if rank := member.RendezvousScore(at, c.hash); first == "" || rank > best {
-			first, best = c.id, rank
-		}
-	}
+	first := d.owners.Of(d.network.View(), string(key))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return first, first != "" && !now.Before(d.unresponsive[first])
 }
 
-// candidates returns the processes that may own keys.
-func candidates(v *peer.View) []candidate {
-	var list []candidate
-	for _, id := range peer.SelectByCPU(v.Alive()) {
-		list = append(list, candidate{id: id, hash: member.Hash(string(id))})
-	}
-	return list
-}
-
 // Count returns the number of keys that this process has entries of.
 func (d *Directory) Count() int {
 	d.mu.Lock()
