Review: a changed store address in the settings file is never used

Cause: the store's address is one of the fixed settings, which a running process keeps until its restart.

--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -28,6 +28,12 @@
 
 // startDeployment starts n entry VMs and waits until all are ready and know each other.
 func startDeployment(folder string, n int, prepare func(*standin.Site)) (*deployment, error) {
+	return startDeploymentWith(folder, n, prepare, nil)
+}
+
+// startDeploymentWith is startDeployment with a function that may change the settings files before the processes
+// start; nil for none.
+func startDeploymentWith(folder string, n int, prepare func(*standin.Site), settings func(*deployment) error) (*deployment, error) {
 	file, err := os.ReadFile("deploy/system.toml")
 	if err != nil {
 		return nil, err
@@ -52,6 +58,11 @@
 		return nil, err
 	}
 	d.processes = make([]*exec.Cmd, n)
+	if settings != nil {
+		if err := settings(d); err != nil {
+			return nil, err
+		}
+	}
 	if err := d.setBootstrap(true); err != nil {
 		return nil, err
 	}
