Review: a request whose workers fall silent is never convicted

Cause: the detector counts a crash only if the target's address refuses connections 50 ms after a connection broke. A target that goes dark breaks its connections only as it comes back, and then accepts.

The harness ends its processes at a signal and after 118 s.

--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/vanillagate/vanillagate/platform/standin"
@@ -24,6 +25,21 @@
 	folder    string
 }
 
+// children holds the processes that run, so that they can be ended if the program is.
+var children = struct {
+	sync.Mutex
+	running map[*os.Process]bool
+}{running: map[*os.Process]bool{}}
+
+// killChildren ends all processes that this program has started.
+func killChildren() {
+	children.Lock()
+	defer children.Unlock()
+	for child := range children.running {
+		_ = child.Kill()
+	}
+}
+
 var runLine = regexp.MustCompile(`(?m)^run = "([^"]+)"`)
 
 // startDeployment starts n entry VMs and waits until all are ready and know each other.
@@ -123,6 +139,9 @@
 		return err
 	}
 	d.processes[i] = cmd
+	children.Lock()
+	defer children.Unlock()
+	children.running[cmd.Process] = true
 	return nil
 }
 
@@ -134,6 +153,9 @@
 	}
 	_ = cmd.Process.Kill()
 	_ = cmd.Wait()
+	children.Lock()
+	defer children.Unlock()
+	delete(children.running, cmd.Process)
 	d.processes[i] = nil
 }
 
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -7,7 +7,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"strconv"
+	"syscall"
+	"time"
 )
 
 const (
@@ -28,9 +31,25 @@
 		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER")
 		os.Exit(exitNotRun)
 	}
+	go endOnSignal()
 	os.Exit(run(cases[os.Args[1]], os.Args[2]))
 }
 
+// timeLimit is how long a case may run.
+const timeLimit = 118 * time.Second
+
+// endOnSignal ends the program and all processes that it started at a signal or after the time limit.
+func endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case <-signals:
+	case <-time.After(timeLimit):
+	}
+	killChildren()
+	os.Exit(exitNotRun)
+}
+
 func run(c caseFunc, folder string) int {
 	scratch, err := os.MkdirTemp("", "review-")
 	if err != nil {
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
+	"time"
 )
 
 // rawWorker is a server that gives its handler the bare connection, so that answers can be written byte by
@@ -28,7 +30,11 @@
 }
 
 func startRawWorker(handle func(*workerConn, *http.Request, []byte) bool) (*rawWorker, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return startRawWorkerAt("127.0.0.1:0", handle)
+}
+
+func startRawWorkerAt(address string, handle func(*workerConn, *http.Request, []byte) bool) (*rawWorker, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -76,7 +82,10 @@
 			}
 			c.late = nil
 		}
-		if !w.handle(c, r, body) {
+		w.mu.Lock()
+		handle := w.handle
+		w.mu.Unlock()
+		if !handle(c, r, body) {
 			return
 		}
 	}
@@ -92,6 +101,42 @@
 	}
 }
 
+// silence makes the worker dark, as a machine that lost its power is: nobody answers on its connections, and new
+// ones aren't established. It returns false if that isn't possible here.
+func (w *rawWorker) silence() bool {
+	_ = w.listener.(*net.TCPListener).SetDeadline(time.Unix(1, 0)) // ends accept
+	raw, err := w.listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }) // a queue for a single connection
+	for range 3 {
+		if conn, dialErr := net.DialTimeout("tcp", w.address(), 50*time.Millisecond); dialErr == nil {
+			w.mu.Lock()
+			w.conns[conn] = true
+			w.mu.Unlock()
+		}
+	}
+	return err == nil
+}
+
+// wake starts the worker again at its address, with a handler. Connections from before are reset.
+func (w *rawWorker) wake(handle func(*workerConn, *http.Request, []byte) bool) {
+	w.mu.Lock()
+	for conn := range w.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+	w.handle = handle
+	w.mu.Unlock()
+	raw, err := w.listener.(*net.TCPListener).SyscallConn()
+	if err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 128) })
+	}
+	_ = w.listener.(*net.TCPListener).SetDeadline(time.Time{})
+	go w.accept()
+}
+
 // answer builds an answer with a length.
 func answer(status string, header map[string]string, body []byte) []byte {
 	var b bytes.Buffer
