Review: stricter stand-ins for cases 1 and 4

Case 1: its stage workers now free and expire results and answer gone for a lost input, and only pieces that are made from another request's existing input count; before, freed results stayed.

--- a/review/harness/case_ended_stream.go
+++ b/review/harness/case_ended_stream.go
@@ -14,8 +14,8 @@
 
 func init() { cases["ended-stream"] = endedStream }
 
-// endedEngines is the number of engines of the case. One of them is a sixth of the service.
-const endedEngines = 6
+// endedEngines is the number of engines of the case. Two of them are a quarter of the service.
+const endedEngines = 8
 
 // endedSite holds the engines of the case. Those with an even number send their streams in chunks, the others
 // end them with their connections.
--- a/review/harness/case_late_stage_answer.go
+++ b/review/harness/case_late_stage_answer.go
@@ -21,6 +21,8 @@
 	readWorkers, faultyWorkers = 5, 3
 	extraEvery                 = 34
 	garbleTime                 = 5 * time.Second
+	// handleTime is handle-s of the configuration.
+	handleTime = 4 * time.Second
 )
 
 // stageSite holds what the stage workers of a case share.
@@ -31,6 +33,7 @@
 
 	mu     sync.Mutex        // guards what follows
 	made   map[string]string // by handle: the request for which it was made
+	gone   map[string]bool   // handles whose results were freed or have expired
 	extras int
 	mixed  int
 }
@@ -85,6 +88,17 @@
 		return err == nil
 	}
 	if r.URL.Path == "/vanillagate/stage-free" {
+		var call struct {
+			Handles []string `json:"open-handles"`
+		}
+		if err := json.Unmarshal(body, &call); err != nil {
+			return false
+		}
+		for _, handle := range call.Handles {
+			if strings.HasPrefix(handle, s.worker.address()+"/") {
+				s.site.drop(handle)
+			}
+		}
 		_, err := c.Write(answer("200 OK", h, []byte("{}")))
 		return err == nil
 	}
@@ -103,8 +117,9 @@
 		return err == nil
 	}
 	s.turn <- struct{}{}
+	lost := s.fetch(call.Items)
 	time.Sleep(stageCallTime + time.Duration(len(call.Items))*stageItemTime)
-	encoded, err := json.Marshal(map[string]any{"items": s.make(call.Items)})
+	encoded, err := json.Marshal(map[string]any{"items": s.make(call.Items, lost)})
 	<-s.turn
 	<-s.waiting
 	if err != nil {
@@ -118,22 +133,52 @@
 	return err == nil
 }
 
-// make makes the pieces of a call and checks that each is given inputs of its own request.
-func (s *stageWorker) make(items []stageItem) []map[string]string {
+// drop forgets a result.
+func (s *stageSite) drop(handle string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gone[handle] = true
+}
+
+// fetch reads the inputs of a call's pieces and checks that each is one of its own request. It returns the pieces
+// of which an input no longer exists: these aren't made.
+func (s *stageWorker) fetch(items []stageItem) (lost map[int]bool) {
 	s.site.mu.Lock()
 	defer s.site.mu.Unlock()
-	var results []map[string]string
-	for _, item := range items {
+	lost = map[int]bool{}
+	for n, item := range items {
 		for _, input := range item.Inputs {
-			if from := s.site.made[input]; from != item.ID {
-				s.site.mixed++
-				s.site.r.line("MIXED broken: worker %s is asked for piece %d of stage %d of request %s with input %s, which was made for request %q",
-					s.id, item.Piece, item.Stage, item.ID, input, from)
+			from, known := s.site.made[input]
+			lost[n] = lost[n] || !known || s.site.gone[input]
+			if from == item.ID {
+				continue
 			}
+			if lost[n] {
+				s.site.r.line("not counted: worker %s is asked for a piece of request %s with input %s of request %q, which is gone", s.id, item.ID, input, from)
+				continue
+			}
+			s.site.mixed++
+			s.site.r.line("MIXED broken: worker %s makes piece %d of stage %d of request %s from input %s, which was made for request %q",
+				s.id, item.Piece, item.Stage, item.ID, input, from)
+		}
+	}
+	return lost
+}
+
+// make makes the pieces of a call.
+func (s *stageWorker) make(items []stageItem, lost map[int]bool) []map[string]string {
+	s.site.mu.Lock()
+	defer s.site.mu.Unlock()
+	var results []map[string]string
+	for n, item := range items {
+		if lost[n] {
+			results = append(results, map[string]string{"reason": "gone"})
+			continue
 		}
 		s.serial++
 		handle := fmt.Sprintf("%s/%s-%d", s.worker.address(), s.id, s.serial)
 		s.site.made[handle] = item.ID
+		time.AfterFunc(handleTime, func() { s.site.drop(handle) })
 		s.site.r.line("worker %s made %s: request %s, stage %d, piece %d", s.id, handle, item.ID, item.Stage, item.Piece)
 		results = append(results, map[string]string{"handle": handle})
 	}
@@ -182,7 +227,7 @@
 		defer mu.Unlock()
 		garbling = on
 	}
-	site := &stageSite{r: r, made: map[string]string{}, garbles: func() bool {
+	site := &stageSite{r: r, made: map[string]string{}, gone: map[string]bool{}, garbles: func() bool {
 		mu.Lock()
 		defer mu.Unlock()
 		return garbling
