run: check the target when an answer ends with its connection

Callers got streams that ended as complete before their last event, and short plain answers with 200, when a target died while it sent an answer without a length and without chunks. The end of such an answer is the end of its connection, and the system closes the connections of a process that dies in order, as the target itself does.

The target is now asked for a sign of life on a new connection after the end: engines for their report, others for their health, with the ID of the target, which any other process refuses. An answer, or silence on a connection that stays open, shows that the process has outlived its answer, since its death closes its connections. All else counts as broken off: a resumable stream goes on at another target, other streams are cut, a plain answer is asked for again where it may run again, lost (502) where it may not, and cut if it is passed on as it comes. If the new connection is refused, as by a target that is full or about to stop, it is asked on a kept one. One check serves all answers that ended before its request was written, and its connection serves the next request. Framed answers are passed on as before.

A resumed stream whose engine has nothing to add may end without an event: the end is checked.

--- /dev/null
+++ b/internal/serve/liveness/liveness.go
@@ -0,0 +1,214 @@
+// Package liveness checks whether the process that has sent an answer still runs. An answer that only
+// its connection ends looks complete if the process has died, since the system then closes its
+// connections in order.
+package liveness
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/vanillagate/vanillagate/internal/framing"
+	"github.com/vanillagate/vanillagate/internal/serve/upstream"
+)
+
+// Verdict is what a check has found out.
+type Verdict string
+
+// The verdicts.
+const (
+	// Alive means that the process has answered.
+	Alive Verdict = "alive"
+	// Silent means that the process hasn't answered in time on a connection that it keeps open. The death
+	// of a process closes its connections.
+	Silent Verdict = "silent"
+	// Replaced means that another process has answered at the address.
+	Replaced Verdict = "replaced"
+	// Closed means that the connection was refused, or closed without an answer.
+	Closed Verdict = "closed"
+	// Unreachable means that no connection was established in time.
+	Unreachable Verdict = "unreachable"
+	// Unchecked means that the context of the request has ended before the check.
+	Unchecked Verdict = "unchecked"
+)
+
+// Runs reports whether the process is known to have run after the end of the answer.
+func (v Verdict) Runs() bool { return v == Alive || v == Silent }
+
+const (
+	// Bound limits both the time to connect and the time until the answer begins.
+	Bound = 300 * time.Millisecond
+	// maxBodyBytes limits how much of an answer is read to keep its connection.
+	maxBodyBytes = 64 << 10
+)
+
+// errBound is the cause with which a check ends that has taken too long.
+var errBound = errors.New("liveness: check has taken too long")
+
+// Process is one start of a target.
+type Process struct {
+	ID string
+	// Address is its IP:port.
+	Address string
+}
+
+// Question is how a process is asked for a sign of life.
+type Question struct {
+	Process
+	// Request is answered without running anything. Its address is that of the process. MatchesRequest
+	// counts on connections that were used before.
+	Request upstream.Request
+	// From reports whether an answer with this header is from the process.
+	From func(*fasthttp.ResponseHeader) bool
+}
+
+// Checker checks processes. One check serves all that ask before its request is written. The zero value is
+// ready to use.
+type Checker struct {
+	mu sync.Mutex // guards open; no other lock is taken while it is held
+	// open are the checks whose request hasn't been written yet.
+	open map[Process]*check
+}
+
+// check is a check in progress.
+type check struct {
+	done    chan struct{} // closed once verdict is set
+	verdict Verdict
+}
+
+// Check asks a process for a sign of life, and returns when there is a verdict or ctx has ended. The
+// connection that it opens is kept for later requests.
+func (c *Checker) Check(ctx context.Context, client *upstream.Client, q *Question) Verdict {
+	if ctx.Err() != nil {
+		return Unchecked
+	}
+	joined := c.join(client, q)
+	select {
+	case <-joined.done:
+		return joined.verdict
+	case <-ctx.Done():
+		return Unchecked
+	}
+}
+
+// join returns a check of the process whose request hasn't been written yet.
+func (c *Checker) join(client *upstream.Client, q *Question) *check {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if running := c.open[q.Process]; running != nil {
+		return running
+	}
+	started := &check{done: make(chan struct{})}
+	if c.open == nil {
+		c.open = map[Process]*check{}
+	}
+	c.open[q.Process] = started
+	go c.run(client, q, started)
+	return started
+}
+
+// closeToOthers has later questions start a check of their own.
+func (c *Checker) closeToOthers(p Process, current *check) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open[p] == current {
+		delete(c.open, p)
+	}
+}
+
+// run asks on a new connection. A target that is overloaded or about to stop may refuse it and still
+// answer on one that it has accepted before.
+func (c *Checker) run(client *upstream.Client, q *Question, current *check) {
+	onSend := func() { c.closeToOthers(q.Process, current) }
+	first := &exchange{client: client, question: q, newConnection: true, onSend: onSend}
+	last := first
+	verdict := first.ask()
+	if verdict == Closed && client.HasIdle(q.Address, 0) {
+		last = &exchange{client: client, question: q, onSend: onSend}
+		verdict = last.ask()
+	}
+	onSend()
+	current.verdict = verdict
+	close(current.done)
+	first.finish()
+	if last != first {
+		last.finish()
+	}
+}
+
+// exchange is one request for a sign of life.
+type exchange struct {
+	client        *upstream.Client
+	question      *Question
+	newConnection bool
+	// onSend is called right before the request is written.
+	onSend func()
+
+	cancel context.CancelCauseFunc
+	bound  *time.Timer
+	// connected is when there was a connection; zero before.
+	connected time.Time
+	answer    *upstream.Answer // nil if there is none
+}
+
+// ask sends the request and reads the header of the answer.
+func (e *exchange) ask() Verdict {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	e.cancel = cancel
+	e.bound = time.AfterFunc(Bound, func() { cancel(errBound) })
+	request := e.question.Request
+	request.Allowed = e.allow
+	if e.newConnection {
+		request.NewConnection, request.MatchesRequest = true, nil
+	}
+	answer, err := e.client.Send(ctx, &request)
+	if err != nil {
+		return e.failed(ctx)
+	}
+	e.answer = answer
+	if !e.question.From(&answer.Header) {
+		return Replaced
+	}
+	return Alive
+}
+
+// allow begins the time for the answer.
+func (e *exchange) allow() bool {
+	if !e.bound.Stop() {
+		return false
+	}
+	e.connected = time.Now()
+	e.bound.Reset(Bound)
+	e.onSend()
+	return true
+}
+
+// failed returns the verdict on a request without an answer. If much more time than its bound has passed,
+// this process was suspended, and the connection may have been closed meanwhile.
+func (e *exchange) failed(ctx context.Context) Verdict {
+	switch {
+	case ctx.Err() == nil:
+		return Closed
+	case e.connected.IsZero() || time.Since(e.connected) > 2*Bound:
+		return Unreachable
+	default:
+		return Silent
+	}
+}
+
+// finish reads the rest of the answer, so that its connection can be used again.
+func (e *exchange) finish() {
+	defer e.cancel(nil)
+	defer e.bound.Stop()
+	if e.answer == nil {
+		return
+	}
+	if e.answer.Kind != framing.Connection {
+		_, _ = io.Copy(io.Discard, io.LimitReader(e.answer, maxBodyBytes)) // without its end, the connection is closed
+	}
+	e.answer.Close()
+}
--- /dev/null
+++ b/internal/serve/liveness/liveness_test.go
@@ -0,0 +1,193 @@
+package liveness
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/serve/upstream"
+)
+
+const (
+	okAnswer    = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+	otherAnswer = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+)
+
+// server serves each connection with a function that gets the requests on it.
+func server(t *testing.T, serve func(net.Conn, *bufio.Reader)) (address string, stop func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	stop = func() { _ = listener.Close() }
+	t.Cleanup(stop)
+	return listener.Addr().String(), stop
+}
+
+// answering serves all requests with the same answer.
+func answering(answer string) func(net.Conn, *bufio.Reader) {
+	return func(conn net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			if _, err := io.WriteString(conn, answer); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func question(address string) *Question {
+	return &Question{
+		Process: Process{ID: "i-1", Address: address},
+		Request: upstream.Request{Address: address, Host: address, Method: "GET", URI: "/"},
+		From:    func(h *fasthttp.ResponseHeader) bool { return h.StatusCode() != fasthttp.StatusMisdirectedRequest },
+	}
+}
+
+func TestVerdicts(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		serve   func(net.Conn, *bufio.Reader)
+		verdict Verdict
+		runs    bool
+	}{
+		"answer":                     {answering(okAnswer), Alive, true},
+		"failure":                    {answering("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"), Alive, true},
+		"answer without framing":     {answering("HTTP/1.1 200 OK\r\n\r\nendless"), Alive, true},
+		"another process":            {answering(otherAnswer), Replaced, false},
+		"closed without an answer":   {func(net.Conn, *bufio.Reader) {}, Closed, false},
+		"closed after the request":   {func(_ net.Conn, r *bufio.Reader) { _, _ = http.ReadRequest(r) }, Closed, false},
+		"half a header, then closed": {func(c net.Conn, _ *bufio.Reader) { _, _ = io.WriteString(c, "HTTP/1.1 200") }, Closed, false},
+		"silent": {func(_ net.Conn, r *bufio.Reader) {
+			_, _ = http.ReadRequest(r)
+			_, _ = r.ReadByte() // until the check ends
+		}, Silent, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address, _ := server(t, tc.serve)
+			got := (&Checker{}).Check(t.Context(), &upstream.Client{}, question(address))
+			assert.Equal(t, got, tc.verdict)
+			assert.Equal(t, got.Runs(), tc.runs)
+		})
+	}
+}
+
+func TestVerdictWithoutConnection(t *testing.T) {
+	t.Parallel()
+	address, stop := server(t, answering(okAnswer))
+	stop()
+	got := (&Checker{}).Check(t.Context(), &upstream.Client{}, question(address))
+	assert.Equal(t, got, Closed)
+	assert.Assert(t, !got.Runs())
+
+	stalled := &upstream.Client{Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}
+	started := time.Now()
+	got = (&Checker{}).Check(t.Context(), stalled, question(address))
+	assert.Equal(t, got, Unreachable)
+	assert.Assert(t, !got.Runs())
+	assert.Assert(t, time.Since(started) >= Bound)
+}
+
+func TestRequestThatHasEndedIsNotChecked(t *testing.T) {
+	t.Parallel()
+	var dialed atomic.Int64
+	client := &upstream.Client{Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+		dialed.Add(1)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Equal(t, (&Checker{}).Check(ctx, client, question("127.0.0.1:1")), Unchecked)
+	assert.Equal(t, dialed.Load(), int64(0))
+
+	ctx, cancel = context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	started := time.Now()
+	assert.Equal(t, (&Checker{}).Check(ctx, client, question("127.0.0.1:1")), Unchecked)
+	assert.Assert(t, time.Since(started) < Bound)
+}
+
+// Guards against a connection that is opened for a check alone.
+func TestConnectionOfACheckIsKept(t *testing.T) {
+	t.Parallel()
+	for name, answer := range map[string]string{
+		"length": okAnswer, "chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+	} {
+		address, _ := server(t, answering(answer))
+		client := &upstream.Client{}
+		assert.Equal(t, (&Checker{}).Check(t.Context(), client, question(address)), Alive)
+		for deadline := time.Now().Add(time.Second); !client.HasIdle(address, 0) && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		assert.Assert(t, client.HasIdle(address, 0), name)
+	}
+}
+
+// Guards against a check for each of the answers that end together.
+func TestCheckServesAllThatAskBeforeItsRequest(t *testing.T) {
+	t.Parallel()
+	const askers = 20
+	address, _ := server(t, answering(okAnswer))
+	asked := make(chan struct{})
+	client := &upstream.Client{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		<-asked
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}}
+	checker := &Checker{}
+	var group errgroup.Group
+	var joined atomic.Int64
+	for range askers {
+		check := checker.join(client, question(address))
+		group.Go(func() error {
+			<-check.done
+			joined.Add(1)
+			return nil
+		})
+	}
+	close(asked)
+	assert.NilError(t, group.Wait())
+	assert.Equal(t, joined.Load(), int64(askers))
+	assert.Equal(t, client.Dialed(), int64(1))
+	assert.Equal(t, checker.Check(t.Context(), client, question(address)), Alive)
+	assert.Equal(t, client.Dialed(), int64(2))
+}
+
+// Guards against an answer that counts as cut because its target takes no further connections.
+func TestTargetThatTakesNoNewConnectionIsAskedOnAKeptOne(t *testing.T) {
+	t.Parallel()
+	address, stop := server(t, answering(okAnswer))
+	client := &upstream.Client{}
+	answer, err := client.Send(t.Context(), &question(address).Request)
+	assert.NilError(t, err)
+	_, _ = io.Copy(io.Discard, answer)
+	answer.Close()
+	stop()
+	assert.Equal(t, (&Checker{}).Check(t.Context(), client, question(address)), Alive)
+}
--- a/internal/serve/plan/plan.go
+++ b/internal/serve/plan/plan.go
@@ -88,6 +88,8 @@
 	// MaxConnections is the number of connections that one target accepts from all callers
 	// together.
 	MaxConnections int
+	// HealthPath is the path at which the targets answer health checks; empty if they don't.
+	HealthPath string `json:",omitempty"`
 	// ColdPerSecond is how many requests a second a cold target can handle; 0 if the service's
 	// targets are never cold. ColdTime is how long a target stays cold after its start.
 	ColdPerSecond float64       `json:",omitempty"`
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -230,7 +230,10 @@
 		err = answer.ReadBounded(buffered, upstream.ErrorBodyBound)
 	}
 	if unlimited && err == nil && buffered.Len() == maxBuffered {
-		return attempt{target: target, mayHaveArrived: true, reply: j.relay(answer, call, buffered.String())}
+		return attempt{target: target, mayHaveArrived: true, reply: j.relay(target, answer, call, buffered.String())}
+	}
+	if err == nil {
+		err = j.verifyEnd(target, answer)
 	}
 	answer.Close()
 	if err != nil {
@@ -268,11 +271,12 @@
 }
 
 // relay streams an answer that is too large to be buffered.
-func (j *job) relay(answer *upstream.Answer, call *pool.Call, buffered string) *Reply {
-	body := &relayedBody{Reader: io.MultiReader(strings.NewReader(buffered), answer), close: func() {
+func (j *job) relay(target *pool.Target, answer *upstream.Answer, call *pool.Call, buffered string) *Reply {
+	rest := &verifiedBody{job: j, target: target, answer: answer}
+	body := &relayedBody{Reader: io.MultiReader(strings.NewReader(buffered), rest), close: func() {
 		answer.Close()
 		outcome := pool.Answered
-		if answer.HasExceeded() {
+		if answer.HasExceeded() || rest.broken() {
 			outcome = pool.Failed
 		}
 		call.End(outcome, time.Now())
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -14,6 +14,7 @@
 	"github.com/vanillagate/vanillagate/internal/serve/engines"
 	"github.com/vanillagate/vanillagate/internal/serve/gather"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
+	"github.com/vanillagate/vanillagate/internal/serve/liveness"
 	"github.com/vanillagate/vanillagate/internal/serve/origins"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
@@ -76,6 +77,8 @@
 
 	firstEventModel firstEventModel
 	answerStats     answerStats
+	// liveness checks the targets whose answers end with their connections.
+	liveness liveness.Checker
 	// shutdown is nil until this process shuts down.
 	shutdown atomic.Pointer[ShutdownSchedule]
 }
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/vanillagate/vanillagate/internal/serve/place"
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
 )
@@ -72,6 +73,8 @@
 type AnswerInfo struct {
 	// ID is the ID of the request that the answer belongs to; empty if it isn't given.
 	ID string
+	// Target is the ID of the target that has answered; empty if it isn't given.
+	Target string
 	// NotRun means that the target certainly didn't run the request.
 	NotRun bool
 	// Signed means that the answer has the target's signature.
@@ -89,6 +92,9 @@
 	ForwardHeader(r *Request, remaining time.Duration) []upstream.Header
 	// ReadAnswer parses the header of an answer.
 	ReadAnswer(h *fasthttp.ResponseHeader) AnswerInfo
+	// LivenessRequest returns the URI and the header lines of a GET request that a target of a service
+	// answers without running anything. service is nil if it isn't in the configuration.
+	LivenessRequest(target string, service *plan.Service) (uri string, header []upstream.Header)
 }
 
 // Reason says why this process answered a request itself.
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -144,14 +144,12 @@
 // A target that crashes may close its connection, or end its chunks, like one that is done.
 func (s *stream) incomplete() error {
 	switch {
-	case s.opaque:
-		return nil
-	case s.events.inside():
+	case !s.opaque && s.events.inside():
 		return errEndsInsideEvent
-	case s.answer.Kind == framing.Connection && !s.events.complete:
+	case !s.opaque && s.answer.Kind == framing.Connection && !s.events.complete && s.lastEventID == "":
 		return errNoEvent
 	default:
-		return nil
+		return s.job.verifyEnd(s.target, s.answer)
 	}
 }
 
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -34,6 +34,8 @@
 	// MaxIdleTime limits how long a reused connection may have been unused; 0 means no limit
 	// beyond that of the connection pool.
 	MaxIdleTime time.Duration
+	// NewConnection opens a connection instead of reusing one.
+	NewConnection bool
 	// MaxIdleConns limits the unused connections that are kept to the address; 0 means no limit
 	// beyond that of the connection pool. CloseAfterAnswer closes the connection after the
 	// answer.
@@ -166,6 +168,9 @@
 }
 
 func (c *Client) connect(ctx context.Context, r *Request) (*conns.Conn, error) {
+	if r.NewConnection {
+		return c.Connect(ctx, r.Address)
+	}
 	if kept := c.idle.Take(r.Address, time.Now(), r.MaxIdleTime); kept != nil {
 		return kept, nil
 	}
