origins: streams go on at their version after all VMs were killed at once

What callers saw: after all VMs were killed at once and had started again, either all streams that they took up were refused (two versions in sight: LOST), or they went on at the only version in sight, which hadn't begun them (the old version left before the kill or during the outage: ORDER).

Cause: a stream's beginning was kept in the memory of three processes, and a process that had just started took the only version of its list for the only one that there had been. Both bind together: refusing what isn't known mends ORDER and breaks LOST, so this is one change.

The change: a table of the store, vanillagate-origins, outlives all processes. It has a row for each version at which streams may begin, written ahead of the first of them: the rows tell which versions there were, so the only one is certain only if the table has been read, has the row, and no other version is in the rows, in the list or has left lately. The log and vanillagate_streams_taken_up tell what a take-up went on by.

--- a/internal/serve/gauges.go
+++ b/internal/serve/gauges.go
@@ -31,6 +31,9 @@
 	g.set("members", int64(1+len(s.network.View().Members)))
 	g.set("retry_budget.processes", int64(s.processCount()))
 	g.set("streams.origins", int64(s.origins.Count()))
+	if s.ledger != nil {
+		g.set("streams.origins_waiting", int64(s.ledger.Waiting()))
+	}
 	if s.prefixes != nil {
 		g.set("prompt_copies.keys", int64(s.prefixes.Count()))
 	}
--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -1,7 +1,8 @@
 // Package origins remembers at which service and software version each resumable stream began, so that any
 // process can resume it there, also after the death of the process that began it. A record is kept by
 // the process that passes the stream on and by two others, its holders, which rendezvous hashing over the
-// stream's key chooses. A process that resumes a stream asks the processes that may hold its record.
+// stream's key chooses. A process that resumes a stream asks the processes that may hold its record. A Ledger keeps
+// what must outlive all processes in a table outside of them.
 package origins
 
 import (
@@ -67,10 +68,13 @@
 	Key    Key    `json:"k"`
 	Origin Origin `json:"o"`
 	TTLMS  int64  `json:"ttl_ms"`
+	// Persist asks the process to write the record to the table as well.
+	Persist bool `json:"persist,omitempty"`
 }
 
 type storeAnswer struct {
-	Kept bool `json:"kept"`
+	Kept      bool `json:"kept"`
+	Persisted bool `json:"persisted,omitempty"`
 }
 
 type findCall struct {
@@ -88,6 +92,8 @@
 	baseCtx context.Context
 	log     *zap.Logger
 	network peer.Network
+	// ledger keeps records in a table as well; nil for none.
+	ledger *Ledger
 
 	mu      sync.Mutex // guards records; no other lock is taken while it is held
 	records map[Key]record
@@ -97,8 +103,12 @@
 func New(baseCtx context.Context, log *zap.Logger, network peer.Network) *Registry {
 	r := &Registry{baseCtx: baseCtx, log: log, network: network, records: map[Key]record{}}
 	peer.HandleCall(network, methodStore, func(c storeCall) (any, error) {
-		kept := r.keep(c.Key, c.Origin, time.Now().Add(time.Duration(c.TTLMS)*time.Millisecond))
-		return storeAnswer{Kept: kept}, nil
+		expires := time.Now().Add(time.Duration(c.TTLMS) * time.Millisecond)
+		answer := storeAnswer{Kept: r.keep(c.Key, c.Origin, expires)}
+		if c.Persist && r.ledger != nil {
+			answer.Persisted = r.ledger.add(c.Key, c.Origin, expires)
+		}
+		return answer, nil
 	})
 	peer.HandleCall(network, methodFind, func(c findCall) (any, error) {
 		if origin, known := r.local(c.Key, time.Now()); known {
@@ -109,6 +119,12 @@
 	return r
 }
 
+// UseLedger has records kept in a table as well. Call it before the network starts.
+func (r *Registry) UseLedger(l *Ledger) { r.ledger = l }
+
+// Ledger returns the ledger in use; nil for none.
+func (r *Registry) Ledger() *Ledger { return r.ledger }
+
 // keep stores a record in this process. It reports false if there is no room.
 func (r *Registry) keep(key Key, origin Origin, expiresAt time.Time) bool {
 	r.mu.Lock()
@@ -175,6 +191,9 @@
 	Asked, Answered int
 }
 
+// Local reports whether this process had the record itself.
+func (r Result) Local() bool { return r.Found && r.Asked == 0 }
+
 // Find searches for the origin of a stream, here and at the processes that may hold its record.
 func (r *Registry) Find(ctx context.Context, key Key) Result {
 	if origin, known := r.local(key, time.Now()); known {
--- a/internal/serve/origins/recording.go
+++ b/internal/serve/origins/recording.go
@@ -21,6 +21,10 @@
 	// kept has the processes that keep the record, sending whether it is being sent.
 	kept    map[peer.Incarnation]bool
 	sending bool
+	// writer is the process that writes the record to the table, empty as long as none does; persisting means that
+	// one is being asked.
+	writer     peer.Incarnation
+	persisting bool
 	// settled is closed once a process has kept the record, or none of those tried has.
 	settled   chan struct{}
 	isSettled bool
@@ -39,8 +43,9 @@
 	return rec
 }
 
-// Refresh sends the record in the background to processes that have become its holders since.
+// Refresh sends the record in the background to processes that have become its holders since, or its writer.
 func (rec *Recording) Refresh() {
+	rec.persist()
 	ranked := rec.registry.ranked(rec.key, maxHoldersTried, func(s peer.MemberState) bool { return s == peer.Alive })
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
@@ -67,6 +72,45 @@
 	go rec.send(missing, queue)
 }
 
+// persist has the record written to the table by the process that writes those of its shard.
+func (rec *Recording) persist() {
+	ledger := rec.registry.ledger
+	if ledger == nil {
+		return
+	}
+	writer := ledger.writerOf(rec.key)
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	if rec.persisting || rec.writer == writer {
+		return
+	}
+	rec.persisting = true
+	go rec.persistAt(writer)
+}
+
+// persistAt asks a process to write the record. If it doesn't answer, this process writes it.
+func (rec *Recording) persistAt(writer peer.Incarnation) {
+	persisted := writer != rec.registry.network.Self().Incarnation && rec.askToPersist(writer)
+	if !persisted {
+		persisted = rec.registry.ledger.add(rec.key, rec.origin, rec.expires)
+	}
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.persisting = false
+	if persisted {
+		rec.writer = writer
+	}
+}
+
+func (rec *Recording) askToPersist(writer peer.Incarnation) bool {
+	ctx, cancel := context.WithTimeout(rec.registry.baseCtx, storeTimeout)
+	defer cancel()
+	call := storeCall{Key: rec.key, Origin: rec.origin, TTLMS: time.Until(rec.expires).Milliseconds(), Persist: true}
+	var answer storeAnswer
+	err := rec.registry.network.Call(ctx, writer, methodStore, call, &answer)
+	return err == nil && answer.Persisted
+}
+
 // send sends the record to n of the queued processes, and to further ones if some don't keep it.
 func (rec *Recording) send(n int, queue <-chan peer.Incarnation) {
 	var workers sync.WaitGroup
--- a/internal/serve/pool/versions.go
+++ b/internal/serve/pool/versions.go
@@ -8,19 +8,19 @@
 // leftVersions has the times at which the last target of a version left, by service and version.
 type leftVersions map[string]map[string]time.Time
 
-// add records that a target has left, and removes what is older than versionMemory.
-func (l leftVersions) add(target *Target, now time.Time) {
-	byVersion := l[target.Service]
+// add records that a target of a version has left, and removes what is older than versionMemory.
+func (l leftVersions) add(service, version string, now time.Time) {
+	byVersion := l[service]
 	if byVersion == nil {
 		byVersion = map[string]time.Time{}
-		l[target.Service] = byVersion
+		l[service] = byVersion
 	}
 	for version, at := range byVersion {
 		if now.Sub(at) > versionMemory {
 			delete(byVersion, version)
 		}
 	}
-	byVersion[target.Version] = now
+	byVersion[version] = now
 }
 
 // OnlyVersion returns the software version of all targets that a service has, or has had within
@@ -50,6 +50,30 @@
 	return only, found
 }
 
+// ListedVersions returns the software versions of the targets of each service.
+func (t *Table) ListedVersions() map[string][]string {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	all := map[string][]string{}
+	for name, s := range t.services {
+		seen := map[string]bool{}
+		for _, target := range s.targets {
+			if !seen[target.Version] {
+				seen[target.Version] = true
+				all[name] = append(all[name], target.Version)
+			}
+		}
+	}
+	return all
+}
+
+// RecordLeft records that the last target of a version has left, though this process hasn't seen it.
+func (t *Table) RecordLeft(service, version string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.left.add(service, version, now)
+}
+
 // StartedLate records that the system has run before this process started. Call it before the first Apply.
 func (t *Table) StartedLate() { t.startedLate = true }
 
@@ -64,5 +88,5 @@
 func (t *Table) retire(target *Target, now time.Time) {
 	target.markGone()
 	target.statements.setGone(target.lastRow(), now)
-	t.left.add(target, now)
+	t.left.add(target.Service, target.Version, now)
 }
--- a/internal/serve/run/origin.go
+++ b/internal/serve/run/origin.go
@@ -52,33 +52,69 @@
 	only, certain := j.onlyOrigin(now)
 	current := j.listIsCurrent(now)
 	if j.req.Resumes == "" && certain && current {
-		j.origin = &only
-		return nil
+		return j.goOnAt(only, byOnlyVersion)
 	}
 	var found origins.Result
 	if j.Origins != nil {
 		found = j.Origins.Find(j.ctx, j.originKey())
 	}
 	if found.Found {
-		j.origin = &found.Origin
-		if !j.route.Includes(found.Origin.Service) {
-			return refuse(fasthttp.StatusServiceUnavailable, VersionGone, 0)
+		source := byPeer
+		if found.Local() {
+			source = byOwnRecord
 		}
-		j.service = found.Origin.Service
-		return nil
+		return j.goOnAt(found.Origin, source)
 	}
 	if certain && (found.Answered > 0 || current) {
-		j.origin = &only
-		return nil
+		return j.goOnAt(only, byOnlyVersion)
+	}
+	read := true
+	if ledger := j.ledger(); ledger != nil && (j.req.Resumes != "" || !ledger.HasRead()) {
+		var origin origins.Origin
+		var recalled bool
+		if origin, recalled, read = ledger.Recall(j.ctx, j.originKey()); recalled {
+			return j.goOnAt(origin, byStore)
+		}
+		if only, certain = j.onlyOrigin(time.Now()); certain && (found.Answered > 0 || current) {
+			return j.goOnAt(only, byOnlyVersion)
+		}
 	}
 	j.Log.Info("Version that began a stream isn't known.", requestID(j.req.ID), zap.String("resumes", j.req.Resumes),
-		zap.Int("asked", found.Asked), zap.Int("answered", found.Answered))
-	if found.Answered < found.Asked {
+		zap.Int("asked", found.Asked), zap.Int("answered", found.Answered), zap.Bool("store_read", read))
+	if found.Answered < found.Asked || !read {
 		return refuse(fasthttp.StatusServiceUnavailable, UnknownVersion, retryAfter(0))
 	}
 	return refuse(fasthttp.StatusServiceUnavailable, UnknownVersion, 0)
 }
 
+// Values of the label of the metric for streams that were taken up: how their version was known.
+const (
+	byOwnRecord   = "own record"
+	byPeer        = "peer"
+	byStore       = "store"
+	byOnlyVersion = "only version"
+)
+
+// goOnAt has the stream go on where it began. It returns a refusal if the route no longer has the service.
+func (j *job) goOnAt(origin origins.Origin, source string) *Reply {
+	j.Metrics.count(series("vanillagate_streams_taken_up", "by", source))
+	j.Log.Debug("Version that began a stream is known.", requestID(j.req.ID), zap.String("by", source), zap.String("version", origin.Version))
+	j.origin = &origin
+	if !j.route.Includes(origin.Service) {
+		return refuse(fasthttp.StatusServiceUnavailable, VersionGone, 0)
+	}
+	j.service = origin.Service
+	return nil
+}
+
+// ledger returns the ledger of origins; nil if there is none.
+func (j *job) ledger() *origins.Ledger {
+	if j.Origins == nil {
+		return nil
+	}
+	return j.Origins.Ledger()
+}
+
 // onlyOrigin returns the service and version at which every stream of the request's route began; false if there
 // are several.
 func (j *job) onlyOrigin(now time.Time) (origins.Origin, bool) {
@@ -91,7 +127,16 @@
 		return origins.Origin{}, false
 	}
 	version, only := j.Table.OnlyVersion(j.service, now)
-	return origins.Origin{Service: j.service, Version: version}, only
+	origin := origins.Origin{Service: j.service, Version: version}
+	if ledger := j.ledger(); only && ledger != nil {
+		only = ledger.Certain(origin, now)
+	}
+	return origin, only
+}
+
+// knowsAllVersions reports whether this process knows all versions that others may know of.
+func (j *job) knowsAllVersions(now time.Time) bool {
+	return j.ledger() != nil || j.Table.KnowsLeftVersions(now)
 }
 
 // listIsCurrent reports whether the store, or a process that it answers, has confirmed the list lately.
@@ -104,11 +149,31 @@
 func (j *job) eligible(views []pool.View) []pool.View {
 	views = j.reachable(views)
 	if j.origin == nil {
-		return views
+		return j.admitted(views)
 	}
 	return slices.DeleteFunc(views, func(v pool.View) bool { return v.Version != j.origin.Version })
 }
 
+// admitted removes the targets of versions at which streams may not begin yet, if there are others in the service.
+func (j *job) admitted(views []pool.View) []pool.View {
+	ledger := j.ledger()
+	if ledger == nil || !j.route.Resumable || ledger.AllAdmitted(j.service) {
+		return views
+	}
+	isWaiting := func(v pool.View) bool {
+		return !ledger.Admitted(origins.Origin{Service: j.service, Version: v.Version})
+	}
+	kept := slices.DeleteFunc(slices.Clone(views), isWaiting)
+	if len(kept) > 0 {
+		return kept
+	}
+	others := slices.DeleteFunc(j.reachable(j.Table.Views(j.service, time.Now())), isWaiting)
+	if len(others) > 0 {
+		return nil
+	}
+	return views
+}
+
 // versionGone reports whether the stream has begun and no target of its version gets requests.
 func (j *job) versionGone() bool {
 	return j.origin != nil && len(j.eligible(j.Table.Views(j.service, time.Now()))) == 0
@@ -138,6 +203,7 @@
 	taken := j.origin != nil
 	if !taken {
 		j.origin = &origins.Origin{Service: j.service, Version: target.Version}
+		j.countUnadmitted()
 	}
 	j.recordOrigin()
 	if j.recording != nil && !taken && !j.recording.Wait(maxRecordWait) {
@@ -145,6 +211,17 @@
 	}
 }
 
+// countUnadmitted counts the stream if it begins at a version that isn't admitted: there was no other. Nobody may know
+// of that version if all processes die now.
+func (j *job) countUnadmitted() {
+	ledger := j.ledger()
+	if ledger == nil || !j.route.Resumable || ledger.Admitted(*j.origin) {
+		return
+	}
+	j.Metrics.count("streams.unadmitted")
+	j.Log.Info("Stream begins at a version that isn't in the store yet.", requestID(j.req.ID), zap.String("version", j.origin.Version))
+}
+
 // recordOrigin has other processes know where the stream began, as long as that isn't plain from the
 // configuration and the list of targets.
 func (j *job) recordOrigin() {
@@ -158,7 +235,7 @@
 		return
 	}
 	// Processes that have run for longer may know of more versions.
-	if origin, certain := j.onlyOrigin(now); certain && origin == *j.origin && j.Table.KnowsLeftVersions(now) {
+	if origin, certain := j.onlyOrigin(now); certain && origin == *j.origin && j.knowsAllVersions(now) {
 		return
 	}
 	j.recording = j.Origins.Record(j.originKey(), *j.origin, j.deadline.Add(takeUpTime))
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -65,6 +65,8 @@
 	AfterRestart bool
 	// Convictions keeps the convictions of requests that crash their targets; nil for none.
 	Convictions crashes.Register
+	// Origins is the table in which the origins of streams outlive all processes; nil for none.
+	Origins origins.Rows
 	// LeaveOut disables mechanisms, to measure their effect.
 	LeaveOut leaveout.Set
 }
@@ -96,6 +98,7 @@
 	engines     *engines.Tracker    // nil if disabled by LeaveOut
 	prefixes    *prefixes.Directory // nil if disabled by LeaveOut
 	origins     *origins.Registry
+	ledger      *origins.Ledger   // nil without Options.Origins
 	crashes     *crashes.Detector // nil if disabled by LeaveOut
 	executor    *run.Executor
 
@@ -157,6 +160,12 @@
 		LeaveOut: o.LeaveOut, TimeToReady: s.timeToReady, ContactAge: s.follower.ContactAge,
 	}
 	s.origins = origins.New(s.baseCtx, logging.WithComponent(o.Log, "origins"), network)
+	if o.Origins != nil {
+		s.ledger = origins.NewLedger(s.baseCtx, origins.LedgerOptions{
+			Log: logging.WithComponent(o.Log, "origins"), Metrics: o.Metrics, Network: network, Rows: o.Origins, Versions: s.table,
+		})
+		s.origins.UseLedger(s.ledger)
+	}
 	s.executor.Origins = s.origins
 	s.counts = newCountExchange(s.log, network, s.budget)
 	newRateNotices(s.log, network, s.table)
@@ -237,6 +246,9 @@
 	if s.crashes != nil {
 		s.tasks.Go(func() { s.crashes.Run(s.baseCtx) })
 	}
+	if s.ledger != nil {
+		s.tasks.Go(func() { s.ledger.Run(s.baseCtx) })
+	}
 	return nil
 }
 
@@ -259,6 +271,9 @@
 			s.prefixes.Sweep(now)
 		}
 		s.origins.Sweep(now)
+		if s.ledger != nil {
+			s.ledger.Sweep(now)
+		}
 	}
 }
 
--- a/test/platform_stream_versions_test.go
+++ b/test/platform_stream_versions_test.go
@@ -62,8 +62,20 @@
 func (c attemptCount) share() float64 { return float64(c.succeeded) / float64(max(c.tried, 1)) }
 
 func newStreamSoak(t *testing.T, seed uint64) *streamSoak {
+	s := newStreamSite(t, seed, versionSoakVMs)
+	for _, version := range []string{"v1", "v2"} {
+		for range enginesPerVersion {
+			s.startEngine(version)
+		}
+	}
+	time.Sleep(time.Second)
+	return s
+}
+
+// newStreamSite starts VMs with a route for streams that may be resumed, and no engines.
+func newStreamSite(t *testing.T, seed uint64, vms int) *streamSoak {
 	s := &streamSoak{
-		t: t, edges: startEdgeSite(t, versionSoakVMs), random: rand.New(rand.NewPCG(seed, 50)), engines: map[string][]*standin.Target{},
+		t: t, edges: startEdgeSite(t, vms), random: rand.New(rand.NewPCG(seed, 50)), engines: map[string][]*standin.Target{},
 	}
 	s.vms = newDisturber(s.edges, 700*time.Millisecond)
 	s.edges.site.Publish(func(config map[string]any) {
@@ -75,12 +87,6 @@
 			"target-gap-ms": 300, "priority": 0, "service": "writers", "attempts": 2, "resumable": true,
 		})
 	})
-	for _, version := range []string{"v1", "v2"} {
-		for range enginesPerVersion {
-			s.startEngine(version)
-		}
-	}
-	time.Sleep(time.Second)
 	return s
 }
 
