platform: leave out entries of targets that no request can be sent to

An entry that another writer leaves could decode and be of no use: a port of 0 or 70000, a host name, a line end in its ID or address (both become part of header lines that sound targets get), 1e300 slots, a birth in 1e300 ms. Numbers beyond an int64 were converted to one, which gives other values on x86-64 than on arm64.

An entry that fails is treated as removed, as one that can't be decoded was.

--- a/internal/serve/pool/entry.go
+++ b/internal/serve/pool/entry.go
@@ -3,7 +3,11 @@
 package pool
 
 import (
+	"errors"
+	"fmt"
+	"strings"
 	"time"
+	"unicode"
 
 	"github.com/vanillagate/vanillagate/internal/serve/revision"
 )
@@ -72,3 +76,49 @@
 func sameRun(a, b Entry) bool {
 	return a.ID == b.ID && a.Born == b.Born && a.Address == b.Address && a.Service == b.Service && a.Version == b.Version
 }
+
+const (
+	// maxTextBytes limits the texts of an entry, and maxSlots its slots. They are far more than those of any target.
+	maxTextBytes = 1 << 10
+	maxSlots     = 1 << 20
+	// maxBorn is the last millisecond of the year 9999.
+	maxBorn = 253402300799999
+)
+
+// ErrUnusable means that an entry doesn't describe a target that requests can be sent to.
+var ErrUnusable = errors.New("pool: entry isn't usable")
+
+// Check returns an error that wraps ErrUnusable if no requests can be sent to the entry's target. IDs and addresses
+// become part of header lines. It doesn't look at the form of the address, which depends on the platform.
+func (e Entry) Check() error {
+	for name, text := range map[string]string{"ID": e.ID, "service": e.Service, "address": e.Address} {
+		if text == "" {
+			return fmt.Errorf("%w: %s is empty", ErrUnusable, name)
+		}
+	}
+	for name, text := range map[string]string{"ID": e.ID, "service": e.Service, "address": e.Address, "zone": e.Zone, "version": e.Version} {
+		if len(text) > maxTextBytes || strings.ContainsFunc(text, unicode.IsControl) {
+			return fmt.Errorf("%w: %s is too long or has control characters", ErrUnusable, name)
+		}
+	}
+	switch {
+	case e.Slots < 1 || e.Slots > maxSlots:
+		return fmt.Errorf("%w: %d slots", ErrUnusable, e.Slots)
+	case e.Born < 0 || e.Born > maxBorn:
+		return fmt.Errorf("%w: born at %d", ErrUnusable, e.Born)
+	case e.State != Ready && e.State != Draining:
+		return fmt.Errorf("%w: state %q", ErrUnusable, e.State)
+	}
+	return nil
+}
+
+// Usable returns the change, or the removal of its entry if that isn't usable. err says why.
+func (c Change) Usable() (usable Change, err error) {
+	if c.Removed {
+		return c, nil
+	}
+	if err := c.Check(); err != nil {
+		return Change{Entry: Entry{ID: c.ID, Revision: c.Revision}, Removed: true}, err
+	}
+	return c, nil
+}
