follow: use the sound entries of a peer's message that has odd ones

An entry in the changes or the list that a peer sends could take the whole message with it: a number of slots or a revision that can't be decoded made the updates, or a part of the list, unreadable, so that nothing after it was followed until the peer had no such entry. Entries that decode but aren't usable came into use. Entries now are decoded one by one if the list can't be decoded as a whole; those that can't, or aren't usable, remove their earlier entry (in changes) or are left out (in the list). Nothing changes on the wire.

The times that peers state are bounded, so they can't overflow.

TestOddEntriesFromPeersHarmOnlyThemselves and TestOddChangeFromPeerRemovesItsEntry failed before, each at its first message.

--- a/internal/serve/follow/list_fetch.go
+++ b/internal/serve/follow/list_fetch.go
@@ -51,14 +51,15 @@
 	if number >= response.PartCount || list.parts[number] != nil {
 		return nil
 	}
-	var entries []pool.Entry
-	if err := unpack(response.Entries, &entries); err != nil {
+	var received entryList[pool.Entry]
+	if err := unpack(response.Entries, &received); err != nil {
 		return err
 	}
+	entries := []pool.Entry(received)
 	if entries == nil {
 		entries = []pool.Entry{} // nil would mark the part as missing
 	}
-	age := time.Duration(response.AgeMS) * time.Millisecond
+	age := peerMillis(response.AgeMS)
 	for i := range entries {
 		entries[i] = entries[i].WithElapsed(age)
 		entries[i].Revision = entries[i].Revision.InEra(response.AsOf.Era())
@@ -124,7 +125,7 @@
 	f.log.Info("Target list received from peers.", zap.Int("parts", len(list.parts)), zap.Stringer("revision", list.asOf),
 		zap.Duration("took", now.Sub(list.startedAt)))
 	f.restoreLapsedAfterOutage(now)
-	f.table.ResetFromPeer(list.entries(), list.asOf, now)
+	f.table.ResetFromPeer(usableEntries(list.entries()), list.asOf, now)
 	f.targetFeed.syncedFromPeer(list.asOf)
 	*list = partialList{}
 	f.peers.clearHolders()
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -299,12 +299,12 @@
 // noteRelay records that the store serves a peer, which keeps this process in contact with
 // the store.
 func (f *Follower) noteRelay(u updates, now time.Time) {
-	served := now.Add(-time.Duration(u.ServedMS) * time.Millisecond)
+	served := now.Add(-peerMillis(u.ServedMS))
 	if served.Sub(f.unreachableSince(f.targetFeed)) >= minOutage {
 		// Until the store served that peer again, no process had contact with it.
 		f.table.ListRecovered(now)
 	}
-	f.peers.lastRelay.Store(now.Add(-time.Duration(u.AgeMS) * time.Millisecond).UnixNano())
+	f.peers.lastRelay.Store(now.Add(-peerMillis(u.AgeMS)).UnixNano())
 	f.peers.servedSince.Store(served.UnixNano())
 	if f.isWatcher() {
 		return // watchers rely on their own calls
@@ -330,7 +330,7 @@
 	if len(u.Changes) > 0 && f.table.Loaded() {
 		now := time.Now()
 		f.restoreLapsedAfterOutage(now)
-		f.table.Apply(u.Changes, u.TargetsUpTo, now)
+		f.table.Apply(u.Changes.usable(), u.TargetsUpTo, now)
 		f.expectFromStore(f.targetFeed)
 	}
 	if f.plans.Current() != nil {
--- a/internal/serve/follow/updates.go
+++ b/internal/serve/follow/updates.go
@@ -58,7 +58,7 @@
 	// Revision is the revision of the target list; 0 if the caller is up to date. Changes
 	// or PackedChanges are the changes since the caller's revision.
 	Revision      revision.Revision `json:"revision,omitempty"`
-	Changes       []pool.Change     `json:"changes,omitempty"`
+	Changes       peerChanges       `json:"changes,omitempty"`
 	PackedChanges []byte            `json:"packed_changes,omitempty"`
 	// NeedsList means that the changes since the caller's revision can't be sent: the
 	// caller needs the full list, which the answering process has. TooManyChanges means
