--- a/internal/serve/upstream/answer.go
+++ b/internal/serve/upstream/answer.go
@@ -125,6 +125,9 @@
 // late on a busy VM.
 const idleMargin = time.Second
 
+// maxStatedIdle caps the idle time that a target states, in seconds. Connections are kept for a shorter time anyway.
+const maxStatedIdle = 3600
+
 // idleTime reads from the Keep-Alive header how long the target keeps an unused connection; 0
 // if it doesn't say.
 func idleTime(h *fasthttp.ResponseHeader) time.Duration {
@@ -137,7 +140,7 @@
 		if err != nil || seconds <= 0 {
 			return 0
 		}
-		idle := time.Duration(seconds) * time.Second
+		idle := time.Duration(min(seconds, maxStatedIdle)) * time.Second
 		return min(max(idle-idleMargin, idle/4), conns.DefaultIdleTimeout)
 	}
 	return 0
