--- a/internal/serve/follow/lenient.go
+++ b/internal/serve/follow/lenient.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/vanillagate/vanillagate/internal/jsonlist"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/revision"
 )
@@ -12,68 +13,32 @@
 // What peers send may come from a process of another release, and its entries from other writers. An entry that isn't
 // usable must not take the sound ones in the message with it.
 
-// entryList is a list of entries or changes of entries. Items that can't be decoded are left out of it.
-type entryList[T any] []T
+// peerEntries are entries as peers send them. Items that can't be decoded are left out.
+type peerEntries []pool.Entry
 
 // UnmarshalJSON implements json.Unmarshaler.
-func (l *entryList[T]) UnmarshalJSON(data []byte) error {
-	var list []T
-	if json.Unmarshal(data, &list) == nil {
-		*l = list
-		return nil
-	}
-	var items []json.RawMessage
-	if err := json.Unmarshal(data, &items); err != nil {
-		return err
-	}
-	*l = make([]T, 0, len(items))
-	for _, data := range items {
-		var item T
-		if json.Unmarshal(data, &item) == nil {
-			*l = append(*l, item)
-		}
-	}
-	return nil
-}
-
-// peerChange is a pool.Change as peers send it. If it can't be decoded, it removes the entry, which names no usable
-// target any longer.
-type peerChange pool.Change
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (c *peerChange) UnmarshalJSON(data []byte) error {
-	if json.Unmarshal(data, (*pool.Change)(c)) == nil {
-		return nil
-	}
-	var row struct {
-		ID       string
-		Revision revision.Revision
-	}
-	if err := json.Unmarshal(data, &row); err != nil {
-		return err
-	}
-	*c = peerChange{Entry: pool.Entry{ID: row.ID, Revision: row.Revision}, Removed: true}
-	return nil
+func (p *peerEntries) UnmarshalJSON(data []byte) error {
+	list, err := jsonlist.Decode(data, func(json.RawMessage, error) (pool.Entry, bool) { return pool.Entry{}, false })
+	*p = list
+	return err
 }
 
 // peerChanges are changes as peers send them.
 type peerChanges []pool.Change
 
-// UnmarshalJSON implements json.Unmarshaler.
+// UnmarshalJSON implements json.Unmarshaler. An item that can't be decoded removes its entry, which names no usable
+// target any longer.
 func (p *peerChanges) UnmarshalJSON(data []byte) error {
-	var changes []pool.Change
-	if json.Unmarshal(data, &changes) != nil {
-		var list entryList[peerChange]
-		if err := json.Unmarshal(data, &list); err != nil {
-			return err
+	list, err := jsonlist.Decode(data, func(item json.RawMessage, _ error) (pool.Change, bool) {
+		var row struct {
+			ID       string
+			Revision revision.Revision
 		}
-		changes = changes[:0]
-		for _, c := range list {
-			changes = append(changes, pool.Change(c))
-		}
-	}
-	*p = changes
-	return nil
+		err := json.Unmarshal(item, &row)
+		return pool.Change{Entry: pool.Entry{ID: row.ID, Revision: row.Revision}, Removed: true}, err == nil
+	})
+	*p = list
+	return err
 }
 
 // usable returns the changes with those of entries that requests can't be sent to as removals.
--- a/internal/serve/follow/list_fetch.go
+++ b/internal/serve/follow/list_fetch.go
@@ -51,7 +51,7 @@
 	if number >= response.PartCount || list.parts[number] != nil {
 		return nil
 	}
-	var received entryList[pool.Entry]
+	var received peerEntries
 	if err := unpack(response.Entries, &received); err != nil {
 		return err
 	}
