crashes: adopt only convictions that can be lifted again

A row of the register with a revision near 2^64 convicted its requests beyond recall: the next revision overflowed to 0 and counted as older. Rows without traits, with too many or unsorted ones were passed to the judge and to peers before they were left out. Convictions in the register are now checked when they are read, and revisions of others are at most 2^60. Rows that can't be decoded were skipped before. TestOddConvictionsAreNotAdopted failed before.

--- a/internal/crashes/convictions.go
+++ b/internal/crashes/convictions.go
@@ -63,9 +63,14 @@
 
 // valid reports whether a conviction from elsewhere can be used.
 func (c Conviction) valid() bool {
-	return len(c.Traits) > 0 && len(c.Traits) <= maxConvictedTraits && slices.IsSorted(c.Traits)
+	return len(c.Traits) > 0 && len(c.Traits) <= maxConvictedTraits && slices.IsSorted(c.Traits) &&
+		c.Revision <= maxRevision && c.Crashes >= 0
 }
 
+// maxRevision bounds the revisions of convictions from elsewhere: one that can't be followed by a higher one could
+// never be lifted.
+const maxRevision = 1 << 60
+
 // knownConviction is a conviction as one process holds it.
 type knownConviction struct {
 	Conviction
--- a/internal/crashes/keeper.go
+++ b/internal/crashes/keeper.go
@@ -80,6 +80,7 @@
 		k.log.Warn("Convictions can't be read from the store.", zap.Error(err))
 		return nil, nil
 	}
+	found = slices.DeleteFunc(found, func(c Conviction) bool { return !k.usable(c) })
 	restored := !k.loadedAt.IsZero() && era != k.era
 	k.loadedAt, k.era = now, era
 	present := map[string]Conviction{}
@@ -95,6 +96,15 @@
 	return found, removed
 }
 
+// usable reports whether a conviction that was found in the register can be used.
+func (k *keeper) usable(c Conviction) bool {
+	if !c.valid() {
+		k.log.Warn("Conviction in the store is none; ignored.", zap.Int("traits", len(c.Traits)), zap.Uint64("revision", c.Revision))
+		return false
+	}
+	return true
+}
+
 // savePending saves what waits for it and reports whether nothing is left.
 func (k *keeper) savePending(ctx context.Context) bool {
 	k.mu.Lock()
