--- a/internal/serve/pool/versions.go
+++ b/internal/serve/pool/versions.go
@@ -89,4 +89,5 @@
 	target.markGone()
 	target.statements.setGone(target.lastRow(), now)
 	t.left.add(target.Service, target.Version, now)
+	t.removeAddress(target)
 }
