Headers are found whatever the case of their names

Cause: names aren't normalized, since they are forwarded as they came, and fasthttp then compares the names that it is asked for byte by byte.

Change: internal/headers looks a header up in one pass, ignoring the case of ASCII letters, without allocating. What is forwarded keeps its spelling.

--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillagate/vanillagate/internal/framing"
+	"github.com/vanillagate/vanillagate/internal/headers"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
@@ -301,7 +302,7 @@
 }
 
 // HopByHop reports whether a header applies to a single connection and must not be
-// forwarded. connection is the value of the Connection header, which may name further ones.
+// forwarded. connection is the value of all Connection headers, which may name further ones.
 func HopByHop(name, connection string) bool {
 	name = strings.ToLower(name)
 	if hopByHopHeaders[name] {
@@ -317,7 +318,7 @@
 
 // endToEndHeaders returns the header lines of an answer that are forwarded to the caller.
 func endToEndHeaders(h *fasthttp.ResponseHeader) []upstream.Header {
-	connection := string(h.Peek(fasthttp.HeaderConnection))
+	connection := headers.Join(headers.AppendAll(nil, h.All(), fasthttp.HeaderConnection))
 	var list []upstream.Header
 	for name, value := range h.All() {
 		if HopByHop(string(name), connection) {
--- a/internal/serve/upstream/answer.go
+++ b/internal/serve/upstream/answer.go
@@ -12,6 +12,7 @@
 
 	"github.com/vanillagate/vanillagate/internal/conns"
 	"github.com/vanillagate/vanillagate/internal/framing"
+	"github.com/vanillagate/vanillagate/internal/headers"
 )
 
 // Answer is the answer of a target. Its body is streamed: Read returns data as it arrives.
@@ -128,7 +129,7 @@
 // idleTime reads from the Keep-Alive header how long the target keeps an unused connection; 0
 // if it doesn't say.
 func idleTime(h *fasthttp.ResponseHeader) time.Duration {
-	for _, part := range strings.Split(string(h.Peek("Keep-Alive")), ",") {
+	for _, part := range strings.Split(string(headers.Get(h.All(), "Keep-Alive")), ",") {
 		value, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
 		if !found {
 			continue
--- a/internal/serve/upstream/upstream_test.go
+++ b/internal/serve/upstream/upstream_test.go
@@ -352,6 +352,16 @@
 	}
 }
 
+// Guards against connections that are kept for too long because their target spells Keep-Alive otherwise.
+func TestKeepAliveIsReadInAnySpelling(t *testing.T) {
+	for _, name := range []string{"keep-alive", "KEEP-ALIVE", "Keep-alive"} {
+		var h fasthttp.ResponseHeader
+		h.DisableNormalizing()
+		h.Set(name, "timeout=2")
+		assert.Equal(t, idleTime(&h), time.Second, name)
+	}
+}
+
 func FuzzAnswer(f *testing.F) {
 	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")
 	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
