platform: frame answers so that a VM's death can't end them

Callers whose VM was killed got streams and large plain answers that ended as complete, if the target's answer had neither a length nor chunks: it was passed on like that, and the system closes the connections of a process that dies in order.

Since the end of such an answer is verified at its target, callers with HTTP/1.1 now get a length where the answer was read whole, and chunks otherwise. Callers with HTTP/1.0 get a length where it is known. Their other answers end with the connection, which the system resets when it is closed (SO_LINGER 0) from before the header until the end is known. Below TLS the connection itself is closed, since TLS would announce an orderly end first.

--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -104,3 +105,65 @@
 	_, _, err := unframedAnswer(t, broken)
 	assert.Assert(t, err != nil)
 }
+
+// recordedListener records what happens to the connections that it accepts.
+type recordedListener struct {
+	net.Listener
+	steps chan string
+}
+
+func (l *recordedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &recordedConn{TCPConn: conn.(*net.TCPConn), steps: l.steps}, nil
+}
+
+type recordedConn struct {
+	*net.TCPConn
+	steps chan string
+}
+
+func (c *recordedConn) SetLinger(seconds int) error {
+	c.steps <- fmt.Sprint("linger ", seconds)
+	return c.TCPConn.SetLinger(seconds)
+}
+
+func (c *recordedConn) Write(p []byte) (int, error) {
+	c.steps <- "write"
+	return c.TCPConn.Write(p)
+}
+
+func (c *recordedConn) Close() error {
+	c.steps <- "close"
+	return c.TCPConn.Close()
+}
+
+// Guards against the death of this process in the middle of an answer that callers take for its end.
+func TestUnframedAnswerIsResetUntilItIsComplete(t *testing.T) {
+	for _, tc := range map[string]struct {
+		body io.Reader
+		want []string
+	}{
+		"whole":  {strings.NewReader("hello"), []string{"linger 0", "write", "write", "linger -1", "close"}},
+		"broken": {iotest.ErrReader(errors.New("broke")), []string{"linger 0", "write", "close"}},
+	} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		steps := make(chan string, 16)
+		server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { AnswerUnframed(ctx, io.NopCloser(tc.body)) }}
+		go func() { _ = server.Serve(&recordedListener{Listener: listener, steps: steps}) }() // ends with the listener
+		t.Cleanup(func() { _ = listener.Close() })
+		resp, err := http.Get("http://" + listener.Addr().String())
+		if err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+		var got []string
+		for len(got) == 0 || got[len(got)-1] != "close" {
+			got = append(got, <-steps)
+		}
+		assert.DeepEqual(t, got, tc.want)
+	}
+}
--- a/internal/framing/unframed.go
+++ b/internal/framing/unframed.go
@@ -14,8 +14,9 @@
 const copyBufferSize = 4 << 10
 
 // AnswerUnframed answers a request with the header of ctx and a body that ends with the
-// connection. If the body ends with another error than io.EOF, the connection is reset. The body
-// is closed at the end, after the handler of the request has returned.
+// connection, for callers that don't know chunks. The connection ends in order only if the body
+// has ended with io.EOF. If the body ends otherwise, or this process dies, the connection is reset.
+// The body is closed at the end, after the handler of the request has returned.
 //
 // fasthttp gives each body a length or chunks, so the connection is taken over from it.
 func AnswerUnframed(ctx *fasthttp.RequestCtx, body io.ReadCloser) {
@@ -27,9 +28,12 @@
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(net.Conn) {
 		defer func() { _ = body.Close() }() // what has been read has been passed on
+		resetAtEnd(conn)
 		if err := writeUnframed(conn, header, body); err != nil {
-			resetOnClose(conn)
+			_ = transport(conn).Close() // resets the connection
+			return
 		}
+		closeInOrder(conn)
 	})
 }
 
@@ -45,10 +49,29 @@
 // its own size.
 type onlyWriter struct{ io.Writer }
 
-// resetOnClose has the caller see an error at the end of the connection, which would be the
-// proper end of the body otherwise.
-func resetOnClose(conn net.Conn) {
-	if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
-		_ = tcp.SetLinger(0) // fails only on a closed connection
+// lingerer is the part of net.TCPConn that decides how a connection ends.
+type lingerer interface{ SetLinger(sec int) error }
+
+// systemLinger has the system end a connection in order when it is closed.
+const systemLinger = -1
+
+// resetAtEnd has the system reset the connection when it is closed, also by the death of this process.
+func resetAtEnd(conn net.Conn) { setLinger(conn, 0) }
+
+// closeInOrder has the connection end in order again when it is closed.
+func closeInOrder(conn net.Conn) { setLinger(conn, systemLinger) }
+
+func setLinger(conn net.Conn, seconds int) {
+	if tcp, ok := transport(conn).(lingerer); ok {
+		_ = tcp.SetLinger(seconds) // fails only on a closed connection
+	}
+}
+
+// transport returns the connection below TLS. Closing a TLS connection would announce its orderly end
+// before a reset.
+func transport(conn net.Conn) net.Conn {
+	if secured, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		return secured.NetConn()
 	}
+	return conn
 }
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -262,12 +262,9 @@
 	return attempt{target: target, mayHaveArrived: true, reply: passOn(answer, body, buffered.Len())}
 }
 
-// passOn returns the reply that passes an answer on with the given body. Its end is marked no better
-// than that of the answer.
+// passOn returns the reply that passes an answer on with the given body.
 func passOn(answer *upstream.Answer, body io.ReadCloser, length int) *Reply {
-	return &Reply{Status: answer.Status, Answer: &Answer{
-		Header: endToEndHeaders(&answer.Header), Body: body, Length: length, Unframed: answer.Kind == framing.Connection,
-	}}
+	return &Reply{Status: answer.Status, Answer: &Answer{Header: endToEndHeaders(&answer.Header), Body: body, Length: length}}
 }
 
 // relay streams an answer that is too large to be buffered.
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -142,9 +142,6 @@
 	Body io.ReadCloser
 	// Length is the length in bytes; -1 if unknown.
 	Length int
-	// Unframed is set if the target's answer had neither a length nor chunks. It may have been cut
-	// off, so the caller's must not claim to be complete either.
-	Unframed bool
 }
 
 func refuse(status int, reason Reason, retryAfter time.Duration) *Reply {
