run: go on with a stream whose peer dies

A VM that is cut off from its targets passes requests on to a peer. If the peer's answer ended with its connection, the caller got it as complete: peers passed answers without framing on without framing, and a peer that dies ends its connections in order. A resumable stream ended there, or was cut if the peer's answer was framed, and the caller had to take it up.

A resumable stream goes on through another peer after the last event that the caller has: one retry of the budget for each peer that is asked, no more than the route's attempts in total. The peer finds the stream's version by the attempt, which stays the same. Other answers are cut.

During an upgrade, answers without framing that a VM of an earlier release passes on count as broken off.

Tests: TestForwardedStreamGoesOnThroughAnotherPeer and TestForwardedAnswerThatBreaksOffNeverLooksComplete failed before (a stream whose peer closed its connection after event 4 of 10 ended as complete) and pass, -race included.

--- a/internal/serve/run/forward.go
+++ b/internal/serve/run/forward.go
@@ -81,14 +81,14 @@
 // forwardTo passes the request on to one peer; nil means that it wasn't sent.
 func (j *job) forwardTo(address string) *Reply {
 	j.sentAt = time.Now()
-	answer, err := j.Client.Send(j.ctx, j.forwardRequest(address))
+	answer, err := j.Client.Send(j.ctx, j.forwardRequest(j.req, address))
 	if err == nil {
 		j.Log.Info("Request passed on to another VM.", requestID(j.req.ID), zap.String("peer", address), zap.String("service", j.service))
 		j.Metrics.count("vanillagate_forwarded_requests")
 		if j.inputs != nil {
 			j.inputs.release() // the peer has run the stages again
 		}
-		return j.forwardedReply(answer)
+		return j.forwardedReply(address, answer)
 	}
 	sent := !upstream.NotSent(err)
 	j.Log.Warn("VM to which a request was passed on didn't answer.", requestID(j.req.ID), zap.String("peer", address),
@@ -105,18 +105,21 @@
 	return nil
 }
 
-func (j *job) forwardRequest(address string) *upstream.Request {
+func (j *job) forwardRequest(r *Request, address string) *upstream.Request {
 	return &upstream.Request{
-		Address: address, Method: j.req.Method, URI: j.req.URI, Host: j.req.Host, Body: j.req.Body,
-		Header:         j.Codec.ForwardHeader(j.req, time.Until(j.deadline)),
+		Address: address, Method: r.Method, URI: r.URI, Host: r.Host, Body: r.Body,
+		Header:         j.Codec.ForwardHeader(r, time.Until(j.deadline)),
 		MaxIdleTime:    j.maxIdleTime(),
 		MatchesRequest: j.matchesRequest,
 	}
 }
 
 // forwardedReply returns the peer's answer, which is passed on as it comes.
-func (j *job) forwardedReply(answer *upstream.Answer) *Reply {
-	body := &relayedBody{Reader: answer, close: func() {
+func (j *job) forwardedReply(address string, answer *upstream.Answer) *Reply {
+	if j.canGoOn(answer) {
+		return passOn(answer, newForwardedStream(j, address, answer), -1) // the rest may come from another peer
+	}
+	body := &relayedBody{Reader: peerBody{answer}, close: func() {
 		answer.Close()
 		j.cleanUp()
 	}}
