target: check the target when an answer ends with its connection

Calls of services now ask the target's health on a new connection after such an end. An answer, or silence on an open connection, shows that the target runs, and the caller gets the answer with its length. Otherwise the call has failed with an unknown outcome: it is sent again where it may run again, and not recorded. Answers that earlier releases have recorded without framing are still returned without it; their connection is reset if the VM dies. Calls of models and stages aren't checked: their answers are JSON, which can't be cut and parsed, or streams that end with [DONE].

--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -121,7 +121,7 @@
 	s.served(&sc.call)
 	ctx.SetStatusCode(answer.Status)
 	ctx.SetContentType(answer.ContentType)
-	if answer.Unframed {
+	if answer.Unframed { // recorded by a release that didn't verify its end
 		framing.AnswerUnframed(ctx, io.NopCloser(bytes.NewReader(answer.Body)))
 		return
 	}
@@ -367,6 +367,7 @@
 		Identity: target.Identity{Request: sc.id, Stage: sc.name, Attempt: sc.attempts},
 		Customer: sc.contract.Customer, IdempotencyKey: sc.key, FencingToken: conditions.token,
 		ContentType: sc.contentType, Body: sc.body, NewConnection: sc.route.NonIdempotent, SendBefore: conditions.notAfter,
+		VerifyEnd: true,
 	})
 	return s.finishAttempt(ctx, sc, lease, since, answer, err)
 }
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -57,6 +57,9 @@
 	NewConnection bool
 	// SendBefore, if set, is the time after which the call must not be sent.
 	SendBefore time.Time
+	// VerifyEnd fails the call if only the end of its connection has ended the answer, and the target
+	// isn't known to have run after that.
+	VerifyEnd bool
 	// Headers are additional headers to send.
 	Headers []Header
 }
@@ -77,8 +80,9 @@
 	// Load is the target's load report that came with the answer; nil without
 	// one.
 	Load *targetapi.LoadReport
-	// Unframed is set if the answer had neither a length nor chunks. It may have
-	// been cut off, so the caller's must not claim to be complete either.
+	// Unframed is set if the answer had neither a length nor chunks and its end wasn't
+	// verified. It may have been cut off, so the caller's must not claim to be complete
+	// either.
 	Unframed bool
 	// HasIdentity says that the answer carries the call's identity. Only an
 	// answer with an error status may lack it, since proxies in front of a
@@ -177,10 +181,13 @@
 	}
 	body := framing.NewBody(ex.conn.R, &h, call.Method)
 	answer := answerFromHeader(&h)
-	answer.Unframed = body.Kind == framing.Connection
+	answer.Unframed = body.Kind == framing.Connection && !call.VerifyEnd
 	if answer.Body, err = c.readBody(body); err != nil {
 		return nil, ex.failure(err)
 	}
+	if body.Kind == framing.Connection && call.VerifyEnd && !c.outlivesAnswer(ctx, call.Address) {
+		return nil, ex.failure(ErrUnknownEnd)
+	}
 	answer.HasIdentity, err = checkIdentity(&h, call.Identity)
 	// A connection that returned the answer to another call may return this
 	// call's answer to the next one.
