run: send no health check to targets that take few requests

A health check takes a slot of a plain target or is rejected like a request, and a request to another path is run. Targets that state a rate or take no requests now, and services whose configuration has no path for health checks, therefore get only a connection after an answer without framing. It has to stay open for 50 ms: the port of a process that has died closes a few milliseconds later at most. Such a check doesn't tell a process from its successor. Engines are asked for their report as before, which needs no slot.

--- a/internal/serve/liveness/liveness.go
+++ b/internal/serve/liveness/liveness.go
@@ -14,6 +14,7 @@
 
 	"github.com/vanillagate/vanillagate/internal/framing"
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
+	"github.com/vanillagate/vanillagate/internal/socket"
 )
 
 // Verdict is what a check has found out.
@@ -26,6 +27,8 @@
 	// Silent means that the process hasn't answered in time on a connection that it keeps open. The death
 	// of a process closes its connections.
 	Silent Verdict = "silent"
+	// Accepting means that the process has accepted a connection and keeps it open. It wasn't asked anything.
+	Accepting Verdict = "accepting"
 	// Replaced means that another process has answered at the address.
 	Replaced Verdict = "replaced"
 	// Closed means that the connection was refused, or closed without an answer.
@@ -37,11 +40,14 @@
 )
 
 // Runs reports whether the process is known to have run after the end of the answer.
-func (v Verdict) Runs() bool { return v == Alive || v == Silent }
+func (v Verdict) Runs() bool { return v == Alive || v == Silent || v == Accepting }
 
 const (
 	// Bound limits both the time to connect and the time until the answer begins.
 	Bound = 300 * time.Millisecond
+	// settleTime is how long a connection on which nothing is asked has to stay open. The port of a process
+	// that has died closes a few milliseconds later at most.
+	settleTime = 50 * time.Millisecond
 	// maxBodyBytes limits how much of an answer is read to keep its connection.
 	maxBodyBytes = 64 << 10
 )
@@ -62,6 +68,9 @@
 	// Request is answered without running anything. Its address is that of the process. MatchesRequest
 	// counts on connections that were used before.
 	Request upstream.Request
+	// ConnectOnly opens a connection and sends no request, for processes that take few requests or none. It
+	// doesn't tell a process from its successor at the address.
+	ConnectOnly bool
 	// From reports whether an answer with this header is from the process.
 	From func(*fasthttp.ResponseHeader) bool
 }
@@ -124,6 +133,12 @@
 // answer on one that it has accepted before.
 func (c *Checker) run(client *upstream.Client, q *Question, current *check) {
 	onSend := func() { c.closeToOthers(q.Process, current) }
+	if q.ConnectOnly {
+		current.verdict = connect(client, q.Address, onSend)
+		onSend()
+		close(current.done)
+		return
+	}
 	first := &exchange{client: client, question: q, newConnection: true, onSend: onSend}
 	last := first
 	verdict := first.ask()
@@ -140,6 +155,26 @@
 	}
 }
 
+// connect opens a connection and calls beforeCheck before it checks whether it is still open.
+func connect(client *upstream.Client, address string, beforeCheck func()) Verdict {
+	ctx, cancel := context.WithTimeout(context.Background(), Bound)
+	defer cancel()
+	conn, err := client.Connect(ctx, address)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return Unreachable
+	case err != nil:
+		return Closed
+	}
+	defer func() { _ = conn.Close() }() // nothing was sent
+	time.Sleep(settleTime)
+	beforeCheck()
+	if socket.Peek(conn.Conn) == socket.Closed {
+		return Closed
+	}
+	return Accepting
+}
+
 // exchange is one request for a sign of life.
 type exchange struct {
 	client        *upstream.Client
--- a/internal/serve/liveness/liveness_test.go
+++ b/internal/serve/liveness/liveness_test.go
@@ -114,6 +114,35 @@
 	assert.Assert(t, time.Since(started) >= Bound)
 }
 
+// Guards against requests to processes that take few or none.
+func TestProcessThatIsNotAskedHasToKeepAConnectionOpen(t *testing.T) {
+	t.Parallel()
+	var asked atomic.Int64
+	open := func(_ net.Conn, r *bufio.Reader) {
+		if _, err := r.ReadByte(); err == nil {
+			asked.Add(1)
+		}
+	}
+	closed := func(net.Conn, *bufio.Reader) {}
+	for _, tc := range []struct {
+		serve   func(net.Conn, *bufio.Reader)
+		stopped bool
+		verdict Verdict
+		runs    bool
+	}{{open, false, Accepting, true}, {closed, false, Closed, false}, {open, true, Closed, false}} {
+		address, stop := server(t, tc.serve)
+		if tc.stopped {
+			stop()
+		}
+		q := question(address)
+		q.ConnectOnly = true
+		got := (&Checker{}).Check(t.Context(), &upstream.Client{}, q)
+		assert.Equal(t, got, tc.verdict)
+		assert.Equal(t, got.Runs(), tc.runs)
+	}
+	assert.Equal(t, asked.Load(), int64(0))
+}
+
 func TestRequestThatHasEndedIsNotChecked(t *testing.T) {
 	t.Parallel()
 	var dialed atomic.Int64
--- a/internal/serve/run/ends.go
+++ b/internal/serve/run/ends.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
@@ -60,11 +61,19 @@
 			return h.StatusCode() != fasthttp.StatusMisdirectedRequest && (named == "" || named == target.ID)
 		},
 	}
-	q.Request.URI, q.Request.Header = j.Codec.LivenessRequest(target.ID, j.Plans.Service(j.service))
+	service := j.Plans.Service(j.service)
+	q.Request.URI, q.Request.Header = j.Codec.LivenessRequest(target.ID, service)
+	q.ConnectOnly = q.Request.URI == "" || (service == nil || service.Engine == nil) && takesFewRequests(target)
 	j.limitIdleConns(&q.Request)
 	return q
 }
 
+// takesFewRequests reports whether a target shouldn't get a health check, which takes a slot or is rejected like
+// a request.
+func takesFewRequests(target *pool.Target) bool {
+	return target.RateLimit() > 0 || target.Declines(time.Now())
+}
+
 // verifiedBody is the body of an answer that is passed on as it comes. Its end is io.EOF only if the answer
 // is known to be complete.
 type verifiedBody struct {
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -93,7 +93,7 @@
 	// ReadAnswer parses the header of an answer.
 	ReadAnswer(h *fasthttp.ResponseHeader) AnswerInfo
 	// LivenessRequest returns the URI and the header lines of a GET request that a target of a service
-	// answers without running anything. service is nil if it isn't in the configuration.
+	// answers without running anything; none if uri is empty. service is nil if it isn't in the configuration.
 	LivenessRequest(target string, service *plan.Service) (uri string, header []upstream.Header)
 }
 
