origins: versions in the store are known through peers, and only those of streams are kept

A process that the store rejects, alone or at its start, would have refused all streams that others began at the only version, and held new versions back. It asks a process that knows which rows the store has. Rows are written for services of routes with streams that may be resumed only. A process that has just started and knows no others yet refuses with a Retry-After instead of for good: others may know the stream.

--- a/internal/serve/origins/admissions.go
+++ b/internal/serve/origins/admissions.go
@@ -22,14 +22,14 @@
 // concurrent use.
 type admissions struct {
 	versions map[Origin]*admission
-	// complete has, by service, the time of the table's clock from which its rows have all versions.
-	complete map[string]time.Duration
+	// complete has, by service, the time from which its rows have all versions.
+	complete map[string]time.Time
 	// waiting counts the listed versions by service whose rows aren't acknowledged.
 	waiting map[string]int
 }
 
 func newAdmissions() *admissions {
-	return &admissions{versions: map[Origin]*admission{}, complete: map[string]time.Duration{}, waiting: map[string]int{}}
+	return &admissions{versions: map[Origin]*admission{}, complete: map[string]time.Time{}, waiting: map[string]int{}}
 }
 
 // list applies the versions of the list of targets. A version that comes back is acknowledged anew: its row may be
@@ -68,58 +68,74 @@
 	}
 }
 
-// read applies the rows of the table and returns the versions that weren't known. listed means that the list of
-// versions is known.
-func (a *admissions) read(rows []versionRow, listed bool, now time.Time) (found []Origin) {
+// acknowledgedVersion is a version whose row is in the table.
+type acknowledgedVersion struct {
+	Origin
+	// complete is the time from which the rows of the service have all versions.
+	complete time.Time
+}
+
+// acknowledge applies what the table, or another process, says of its rows, and returns the versions that weren't
+// known. listed means that the list of versions is known.
+func (a *admissions) acknowledge(rows []acknowledgedVersion, listed bool, now time.Time) (found []Origin) {
 	for _, row := range rows {
-		o := Origin{Service: row.Service, Version: row.Version}
-		known := a.versions[o]
+		known := a.versions[row.Origin]
 		if known == nil {
 			known = &admission{}
 			if listed {
 				known.absentSince = now
 			}
-			a.versions[o] = known
-			found = append(found, o)
+			a.versions[row.Origin] = known
+			found = append(found, row.Origin)
 		}
 		known.acknowledged = true
-		complete := time.Duration(row.CompleteMS) * time.Millisecond
-		if at, has := a.complete[o.Service]; !has || complete < at {
-			a.complete[o.Service] = complete
+		if at, has := a.complete[row.Service]; !has || row.complete.Before(at) {
+			a.complete[row.Service] = row.complete
 		}
 	}
 	a.recount()
 	return found
 }
 
-// missing returns the rows to write. complete is the time of the table's clock from which the rows of services
-// that had none have all versions.
-func (a *admissions) missing(complete time.Duration, limit int) (puts []Row, versions []Origin) {
+// acknowledged returns the versions whose rows are in the table.
+func (a *admissions) acknowledged() []acknowledgedVersion {
+	var list []acknowledgedVersion
+	for o, known := range a.versions {
+		if known.acknowledged {
+			list = append(list, acknowledgedVersion{Origin: o, complete: a.complete[o.Service]})
+		}
+	}
+	return list
+}
+
+// missing returns versions whose rows are to be written, at most limit. complete is the time from which the rows of
+// services that have none yet will have all versions.
+func (a *admissions) missing(complete time.Time, limit int) []acknowledgedVersion {
 	if len(a.waiting) == 0 {
-		return nil, nil
+		return nil
 	}
+	var list []acknowledgedVersion
 	for o, known := range a.versions {
-		if known.acknowledged || !known.absentSince.IsZero() || len(puts) >= limit {
+		if known.acknowledged || !known.absentSince.IsZero() || len(list) >= limit {
 			continue
 		}
 		at, has := a.complete[o.Service]
 		if !has {
 			at = complete
 		}
-		puts = append(puts, Row{Key: versionKey(o), Value: versionRow{Service: o.Service, Version: o.Version, CompleteMS: at.Milliseconds()}.encode()})
-		versions = append(versions, o)
+		list = append(list, acknowledgedVersion{Origin: o, complete: at})
 	}
-	return puts, versions
+	return list
 }
 
 // written records that the table has the rows of versions.
-func (a *admissions) written(versions []Origin, complete time.Duration) {
-	for _, o := range versions {
-		if known := a.versions[o]; known != nil && known.absentSince.IsZero() {
+func (a *admissions) written(versions []acknowledgedVersion) {
+	for _, v := range versions {
+		if known := a.versions[v.Origin]; known != nil && known.absentSince.IsZero() {
 			known.acknowledged = true
 		}
-		if _, has := a.complete[o.Service]; !has {
-			a.complete[o.Service] = complete
+		if _, has := a.complete[v.Service]; !has {
+			a.complete[v.Service] = v.complete
 		}
 	}
 	a.recount()
--- a/internal/serve/origins/ledger.go
+++ b/internal/serve/origins/ledger.go
@@ -68,7 +68,9 @@
 	// readAt is when the table was last read, zero before the first time.
 	readAt     time.Time
 	admissions *admissions
-	journal    *journal
+	// knowsVersions means that the versions in the table are known, from the table or another process.
+	knowsVersions bool
+	journal       *journal
 	// stored has the records as of the last read, garbageAt when all segments of others have expired by then.
 	stored    map[Key]entry
 	garbageAt time.Time
@@ -116,10 +118,15 @@
 	if !l.HasRead() {
 		_, err := l.reads.do(ctx, l)
 		l.paceAfter(err)
+		if err != nil {
+			l.askPeer(ctx)
+		}
 		return
 	}
-	if f := l.collect(now); !f.Empty() {
-		l.write(ctx, f)
+	if w := l.collect(now); !w.Empty() {
+		if !l.write(ctx, w) && len(w.versions) > 0 {
+			l.askPeer(ctx)
+		}
 		return
 	}
 	if now.Sub(l.checkedAt) >= cleanupPeriod {
@@ -184,8 +191,7 @@
 // ledgerWrite is one write of the ledger.
 type ledgerWrite struct {
 	flush
-	versions []Origin
-	complete time.Duration
+	versions []acknowledgedVersion
 }
 
 // collect returns what is to be written now.
@@ -194,22 +200,25 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var w ledgerWrite
-	clock := l.clock(now)
+	complete := now
 	if !knowsLeft {
-		w.complete = clock + versionMemory
+		complete = now.Add(versionMemory)
 	}
-	var puts []Row
-	puts, w.versions = l.admissions.missing(w.complete, maxChanges/2)
+	clock := l.clock(now)
+	w.versions = l.admissions.missing(complete, maxChanges/2)
 	if now.Sub(l.flushedAt) >= flushPeriod && l.journal.dirty() {
 		l.flushedAt = now
 		w.flush = l.journal.prepare(seconds(clock), maxChanges/2)
 	}
-	w.Puts = append(w.Puts, puts...)
+	for _, v := range w.versions {
+		row := versionRow{Service: v.Service, Version: v.Version, CompleteMS: (clock + v.complete.Sub(now)).Milliseconds()}
+		w.Puts = append(w.Puts, Row{Key: versionKey(v.Origin), Value: row.encode()})
+	}
 	return w
 }
 
-// write writes to the table and records the result.
-func (l *Ledger) write(ctx context.Context, w ledgerWrite) {
+// write writes to the table and records the result. It reports whether it succeeded.
+func (l *Ledger) write(ctx context.Context, w ledgerWrite) bool {
 	ctx, cancel := context.WithTimeout(ctx, rowsTimeout)
 	defer cancel()
 	moment, err := l.Rows.WriteOrigins(ctx, w.Changes)
@@ -222,18 +231,19 @@
 		if !errors.Is(err, ErrRejected) && !errors.Is(err, ErrConflict) {
 			l.journal.unanswered(w.flush)
 		}
-		return
+		return false
 	}
 	l.wrote = l.wrote || len(w.sent) > 0
 	if moment.Era < l.moment.Era { // the table has come back from a copy since
-		return
+		return true
 	}
 	l.setMoment(moment, time.Now())
-	l.admissions.written(w.versions, w.complete)
+	l.admissions.written(w.versions)
 	l.journal.written(w.flush)
 	if len(w.versions) > 0 {
-		l.Log.Info("Versions are admitted for streams.", zap.Any("versions", w.versions))
+		l.Log.Info("Versions are admitted for streams.", zap.Int("versions", len(w.versions)), zap.String("first", w.versions[0].Version))
 	}
+	return true
 }
 
 func (l *Ledger) count(name string) {
@@ -252,8 +262,14 @@
 		l.addRecord(key, r, now)
 	}
 	l.early = nil
-	found := l.admissions.read(s.versions, l.listed, now)
 	clock := l.clock(now)
+	var versions []acknowledgedVersion
+	for _, v := range s.versions {
+		complete := now.Add(time.Duration(v.CompleteMS)*time.Millisecond - clock)
+		versions = append(versions, acknowledgedVersion{Origin: Origin{Service: v.Service, Version: v.Version}, complete: complete})
+	}
+	found := l.admissions.acknowledge(versions, l.listed, now)
+	l.knowsVersions = true
 	last := uint32(0)
 	for key, e := range s.entries {
 		if e.expires < seconds(clock) {
@@ -384,11 +400,11 @@
 	return known != nil && known.acknowledged && known.absentSince.IsZero()
 }
 
-// AllAdmitted reports whether streams may begin at all versions of a service.
-func (l *Ledger) AllAdmitted(service string) bool {
+// HoldsBack reports whether streams may begin at some versions of a service and not yet at others.
+func (l *Ledger) HoldsBack(service string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.readAt.IsZero() && l.admissions.waiting[service] == 0
+	return l.knowsVersions && l.admissions.waiting[service] > 0
 }
 
 // Certain reports whether a version that this process knows as the only one of its service's list, with those that have
@@ -398,11 +414,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.admissions.versions[o]
-	if l.readAt.IsZero() || known == nil || !known.acknowledged {
+	if !l.knowsVersions || known == nil || !known.acknowledged {
 		return false
 	}
 	complete, has := l.admissions.complete[o.Service]
-	return knowsLeft || has && l.clock(now) >= complete
+	return knowsLeft || has && !now.Before(complete)
 }
 
 // HasRead reports whether the table has been read since the start of this process.
@@ -467,76 +483,3 @@
 	}
 	return n
 }
-
-// reads has one read of the table run at a time.
-type reads struct {
-	mu sync.Mutex // guards the fields below; no other lock is taken while it is held
-	// last is the last read, which may still run.
-	last *tableRead
-}
-
-type tableRead struct {
-	startedAt time.Time
-	done      chan struct{}
-	// contents and err are set when done is closed.
-	contents Contents
-	err      error
-}
-
-const (
-	// recallTimeout limits how long a request waits for a read. minReadPause is the least time between the starts of
-	// reads that requests wait for.
-	recallTimeout = 500 * time.Millisecond
-	minReadPause  = 500 * time.Millisecond
-)
-
-// start returns the read that runs, or the last one if it is no older than maxAge, or starts one.
-func (r *reads) start(l *Ledger, maxAge time.Duration) *tableRead {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.last != nil {
-		select {
-		case <-r.last.done:
-			if time.Since(r.last.startedAt) < maxAge {
-				return r.last
-			}
-		default:
-			return r.last
-		}
-	}
-	read := &tableRead{startedAt: time.Now(), done: make(chan struct{})}
-	r.last = read
-	go func() {
-		defer close(read.done)
-		ctx, cancel := context.WithTimeout(l.baseCtx, rowsTimeout)
-		defer cancel()
-		if read.contents, read.err = l.Rows.ReadOrigins(ctx); read.err != nil {
-			l.count("vanillagate_stream_origins_reads_failed")
-			return
-		}
-		l.apply(read.contents, time.Now())
-	}()
-	return read
-}
-
-// await waits for the result of a read that a request needs.
-func (r *reads) await(ctx context.Context, l *Ledger) error {
-	read := r.start(l, minReadPause)
-	select {
-	case <-read.done:
-		return read.err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// do reads the table.
-func (r *reads) do(ctx context.Context, l *Ledger) (Contents, error) {
-	read := r.start(l, 0)
-	select {
-	case <-read.done:
-		return read.contents, read.err
-	case <-ctx.Done():
-		return Contents{}, ctx.Err()
-	}
-}
--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -37,6 +37,8 @@
 	// storeTimeout limits the call that has a process keep a record, findTimeout a whole search.
 	storeTimeout = 250 * time.Millisecond
 	findTimeout  = 250 * time.Millisecond
+	// joinTime is how long a process that has started needs at most until it knows others.
+	joinTime = 2 * time.Second
 	// maxRecords bounds the memory of one process to a few MB.
 	maxRecords = 20_000
 )
@@ -93,7 +95,8 @@
 	log     *zap.Logger
 	network peer.Network
 	// ledger keeps records in a table as well; nil for none.
-	ledger *Ledger
+	ledger    *Ledger
+	startedAt time.Time
 
 	mu      sync.Mutex // guards records; no other lock is taken while it is held
 	records map[Key]record
@@ -101,7 +104,7 @@
 
 // New returns a registry, whose records are sent until baseCtx ends. Call it before the network starts.
 func New(baseCtx context.Context, log *zap.Logger, network peer.Network) *Registry {
-	r := &Registry{baseCtx: baseCtx, log: log, network: network, records: map[Key]record{}}
+	r := &Registry{baseCtx: baseCtx, log: log, network: network, startedAt: time.Now(), records: map[Key]record{}}
 	peer.HandleCall(network, methodStore, func(c storeCall) (any, error) {
 		expires := time.Now().Add(time.Duration(c.TTLMS) * time.Millisecond)
 		answer := storeAnswer{Kept: r.keep(c.Key, c.Origin, expires)}
@@ -116,6 +119,12 @@
 		}
 		return findAnswer{}, nil
 	})
+	peer.HandleCall(network, methodVersions, func(struct{}) (any, error) {
+		if r.ledger == nil {
+			return versionsAnswer{}, nil
+		}
+		return r.ledger.answerPeer(time.Now()), nil
+	})
 	return r
 }
 
@@ -189,6 +198,8 @@
 	Found  bool
 	// Asked is how many processes were asked, Answered how many of them answered.
 	Asked, Answered int
+	// Joining means that this process has just started and may not know the others yet.
+	Joining bool
 }
 
 // Local reports whether this process had the record itself.
@@ -202,7 +213,7 @@
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	asked := r.ranked(key, maxHoldersAsked, func(s peer.MemberState) bool { return s != peer.Dead })
-	result := Result{Asked: len(asked)}
+	result := Result{Asked: len(asked), Joining: len(asked) == 0 && time.Since(r.startedAt) < joinTime}
 	type reply struct {
 		findAnswer
 		err error
--- a/internal/serve/run/origin.go
+++ b/internal/serve/run/origin.go
@@ -81,7 +81,7 @@
 	}
 	j.Log.Info("Version that began a stream isn't known.", requestID(j.req.ID), zap.String("resumes", j.req.Resumes),
 		zap.Int("asked", found.Asked), zap.Int("answered", found.Answered), zap.Bool("store_read", read))
-	if found.Answered < found.Asked || !read {
+	if found.Answered < found.Asked || found.Joining || !read {
 		return refuse(fasthttp.StatusServiceUnavailable, UnknownVersion, retryAfter(0))
 	}
 	return refuse(fasthttp.StatusServiceUnavailable, UnknownVersion, 0)
@@ -157,7 +157,7 @@
 // admitted removes the targets of versions at which streams may not begin yet, if there are others in the service.
 func (j *job) admitted(views []pool.View) []pool.View {
 	ledger := j.ledger()
-	if ledger == nil || !j.route.Resumable || ledger.AllAdmitted(j.service) {
+	if ledger == nil || !j.route.Resumable || !ledger.HoldsBack(j.service) {
 		return views
 	}
 	isWaiting := func(v pool.View) bool {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -162,7 +162,7 @@
 	s.origins = origins.New(s.baseCtx, logging.WithComponent(o.Log, "origins"), network)
 	if o.Origins != nil {
 		s.ledger = origins.NewLedger(s.baseCtx, origins.LedgerOptions{
-			Log: logging.WithComponent(o.Log, "origins"), Metrics: o.Metrics, Network: network, Rows: o.Origins, Versions: s.table,
+			Log: logging.WithComponent(o.Log, "origins"), Metrics: o.Metrics, Network: network, Rows: o.Origins, Versions: streamVersions{s.table, s.plans},
 		})
 		s.origins.UseLedger(s.ledger)
 	}
