--- a/test/platform_stream_versions_test.go
+++ b/test/platform_stream_versions_test.go
@@ -62,7 +62,7 @@
 func (c attemptCount) share() float64 { return float64(c.succeeded) / float64(max(c.tried, 1)) }
 
 func newStreamSoak(t *testing.T, seed uint64) *streamSoak {
-	s := newStreamSite(t, seed, versionSoakVMs)
+	s := newStreamSite(startEdgeSite(t, versionSoakVMs), seed)
 	for _, version := range []string{"v1", "v2"} {
 		for range enginesPerVersion {
 			s.startEngine(version)
@@ -72,10 +72,10 @@
 	return s
 }
 
-// newStreamSite starts VMs with a route for streams that may be resumed, and no engines.
-func newStreamSite(t *testing.T, seed uint64, vms int) *streamSoak {
+// newStreamSite adds a route for streams that may be resumed, and no engines.
+func newStreamSite(edges *edgeSite, seed uint64) *streamSoak {
 	s := &streamSoak{
-		t: t, edges: startEdgeSite(t, vms), random: rand.New(rand.NewPCG(seed, 50)), engines: map[string][]*standin.Target{},
+		t: edges.t, edges: edges, random: rand.New(rand.NewPCG(seed, 50)), engines: map[string][]*standin.Target{},
 	}
 	s.vms = newDisturber(s.edges, 700*time.Millisecond)
 	s.edges.site.Publish(func(config map[string]any) {
--- a/test/platform_total_kill_test.go
+++ b/test/platform_total_kill_test.go
@@ -1,7 +1,9 @@
 package test
 
 import (
+	"bytes"
 	"fmt"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -23,9 +25,20 @@
 	streams []*soakStream
 }
 
+// firstStart is the line of the settings that says that the whole system starts for the first time.
+const firstStart = "bootstrap = true\n"
+
 // newTotalKill starts VMs and engines of the given versions.
 func newTotalKill(t *testing.T, versions ...string) *totalKill {
-	s := newStreamSite(t, 1, totalKillVMs)
+	edges := newEdgeSite(t, totalKillVMs)
+	for _, vm := range edges.vms {
+		text, err := os.ReadFile(vm.Settings)
+		assert.NilError(t, err)
+		assert.NilError(t, os.WriteFile(vm.Settings, append([]byte(firstStart), text...), 0o600))
+	}
+	edges.startAll()
+	time.Sleep(3500 * time.Millisecond) // until all processes know each other and the retry budget knows its members
+	s := newStreamSite(edges, 1)
 	for _, version := range versions {
 		for range enginesPerVersion {
 			s.startEngine(version)
@@ -65,7 +78,10 @@
 		meanwhile()
 	}
 	time.Sleep(outageTime)
-	for i := range k.edges.processes {
+	for i, vm := range k.edges.vms {
+		text, err := os.ReadFile(vm.Settings)
+		assert.NilError(k.t, err)
+		assert.NilError(k.t, os.WriteFile(vm.Settings, bytes.TrimPrefix(text, []byte(firstStart)), 0o600))
 		k.edges.start(i)
 	}
 }
@@ -154,3 +170,38 @@
 	k.killAll(nil)
 	assert.Equal(t, k.takeUp("again", versionedEvents)["v1"], totalKillStreams)
 }
+
+// tableOrigins is the table of the store in which the origins of streams are kept.
+const tableOrigins = "vanillagate-origins"
+
+// Guards against origins that the store loses when it comes back from a copy.
+func TestPlatformStreamsGoOnAfterARestoreAndAllVMsWereKilled(t *testing.T) {
+	t.Parallel()
+	k := newTotalKill(t, "v1", "v2")
+	before := k.edges.site.Store.Copy()
+	k.begin()
+	time.Sleep(time.Second)
+	k.edges.site.Store.Restore(before)
+	time.Sleep(3 * time.Second)
+	k.killAll(nil)
+	whole := k.takeUp("again", versionedEvents)
+	assert.Assert(t, 4*(whole["v1"]+whole["v2"]) >= 3*totalKillStreams, "%v", whole)
+}
+
+// Guards against guesses where an earlier release, or an operator who removed the table, left no rows.
+func TestPlatformStreamsWithoutRowsInTheStoreAreRefused(t *testing.T) {
+	t.Parallel()
+	k := newTotalKill(t, "v1")
+	k.begin()
+	k.killAll(func() {
+		for _, row := range k.edges.site.Store.Rows(tableOrigins) {
+			k.edges.site.Store.Delete(tableOrigins, row.Key)
+		}
+		k.removeVersion("v1")
+		for range enginesPerVersion {
+			k.startEngine("v2")
+		}
+	})
+	whole := k.takeUp("again", versionedEvents)
+	assert.Equal(t, whole["v1"], 0)
+}
