--- /dev/null
+++ b/internal/serve/run/origin_ledger_test.go
@@ -0,0 +1,186 @@
+package run
+
+import (
+	"context"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/serve/origins"
+	"github.com/vanillagate/vanillagate/internal/serve/pool"
+	"github.com/vanillagate/vanillagate/internal/serve/servetest"
+)
+
+// rowsInMemory is a table for origins.
+type rowsInMemory struct {
+	mu   sync.Mutex // guards the fields below
+	rows map[string]origins.Row
+	// readErr and writeErr fail calls.
+	readErr, writeErr error
+}
+
+func (r *rowsInMemory) moment() origins.Moment {
+	return origins.Moment{Era: 1, Now: time.Duration(time.Now().UnixNano())}
+}
+
+func (r *rowsInMemory) Era() uint64 { return 1 }
+
+func (r *rowsInMemory) ReadOrigins(context.Context) (origins.Contents, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return origins.Contents{Moment: r.moment(), Rows: slices.Collect(maps.Values(r.rows))}, r.readErr
+}
+
+func (r *rowsInMemory) WriteOrigins(_ context.Context, changes origins.Changes) (origins.Moment, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.writeErr != nil {
+		return origins.Moment{}, r.writeErr
+	}
+	for _, row := range changes.Puts {
+		r.rows[row.Key] = row
+	}
+	return r.moment(), nil
+}
+
+// keptExecutor is an executor of a process whose origins are kept in a table. It joins a system that has run before.
+func keptExecutor(ctx context.Context, targets *scriptedTargets, rows *rowsInMemory, versions ...string) *Executor {
+	node := (&servetest.Cluster{Delay: time.Millisecond}).Add("vm-0", "a")
+	registry := origins.New(ctx, zap.NewNop(), node)
+	e := versionedExecutor(targets, registry, versions...)
+	e.Table.StartedLate()
+	e.Metrics = &Metrics{Registry: metrics.NewRegistry()}
+	ledger := origins.NewLedger(ctx, origins.LedgerOptions{Log: zap.NewNop(), Network: node, Rows: rows, Versions: e.Table})
+	registry.UseLedger(ledger)
+	go ledger.Run(ctx)
+	return e
+}
+
+func begin(e *Executor, id string) *Reply {
+	return e.Run(context.Background(), &Request{ID: id, Host: "h", Path: "/x", URI: "/x", Method: "GET", Arrived: time.Now()})
+}
+
+// Guards against take-ups after the death of all processes that are guessed, wait, or are refused though the store knows.
+func TestStreamTakenUpAfterAllProcessesDiedGoesOnByTheStore(t *testing.T) {
+	const by = `vanillagate_streams_taken_up{by="`
+	for _, c := range []struct {
+		name          string
+		before, after []string
+		unknown       bool // the caller names a stream that nobody recorded
+		emptied       bool // the table has no rows
+		readErr       error
+		reason        Reason
+		comeBack      bool
+		counter       string
+	}{
+		{name: "both versions stay", before: []string{"v1", "v2"}, after: []string{"v1", "v2"}, counter: by + `store"}`},
+		{name: "its version has left", before: []string{"v1", "v2"}, after: []string{"v2"}, reason: VersionGone},
+		{name: "the other has left", before: []string{"v1", "v2"}, after: []string{"v1"}, counter: by + `store"}`},
+		{name: "not recorded, the other has left", before: []string{"v1", "v2"}, after: []string{"v1"}, unknown: true, reason: UnknownVersion},
+		{name: "not recorded, replaced", before: []string{"v1"}, after: []string{"v2"}, unknown: true, reason: UnknownVersion},
+		{name: "not recorded, both stay", before: []string{"v1", "v2"}, after: []string{"v1", "v2"}, unknown: true, reason: UnknownVersion},
+		{name: "not recorded, one version", before: []string{"v1"}, after: []string{"v1"}, unknown: true, counter: by + `only version"}`},
+		{name: "no rows", before: []string{"v1"}, after: []string{"v1"}, emptied: true, reason: UnknownVersion},
+		{name: "store can't be read", before: []string{"v1", "v2"}, after: []string{"v1", "v2"}, readErr: origins.ErrRejected, reason: UnknownVersion, comeBack: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rows := &rowsInMemory{rows: map[string]origins.Row{}}
+				first, kill := context.WithCancel(context.Background())
+				e := keptExecutor(first, &scriptedTargets{body: "id: 1\ndata: e\n\n"}, rows, c.before...)
+				time.Sleep(3 * time.Minute)
+				e.Origins.Record(origins.KeyOf("", "begun-at-v1"), origins.Origin{Service: "s", Version: "v1"}, time.Now().Add(time.Minute))
+				time.Sleep(time.Second)
+				kill()
+				time.Sleep(time.Second)
+				if c.emptied {
+					clear(rows.rows)
+				}
+				rows.readErr = c.readErr
+				second, kill := context.WithCancel(context.Background())
+				targets := &scriptedTargets{body: "id: 5\ndata: e\n\n"}
+				e = keptExecutor(second, targets, rows, c.after...)
+				resumes := "begun-at-v1"
+				if c.unknown {
+					resumes = "unknown"
+				}
+				start := time.Now()
+				if !c.comeBack { // until others would be known
+					time.Sleep(3 * time.Second)
+					start = time.Now()
+				}
+				reply := takeUp(e, resumes)
+				assert.Equal(t, reply.Reason, c.reason)
+				assert.Equal(t, reply.RetryAfter > 0, c.comeBack)
+				assert.Assert(t, time.Since(start) < 600*time.Millisecond)
+				if c.reason == "" {
+					_, err := io.ReadAll(reply.Answer.Body)
+					assert.NilError(t, err)
+					assert.Assert(t, strings.HasPrefix(targets.arrivals[0], "v1"))
+					assert.Equal(t, metrics.GetOrRegisterCounter(c.counter, e.Metrics.Registry).Count(), int64(1))
+				} else {
+					assert.Equal(t, len(targets.arrivals), 0)
+				}
+				kill()
+				time.Sleep(5 * time.Second) // until all calls have ended
+			})
+		})
+	}
+}
+
+// Guards against streams that begin at a version of which the store doesn't know, and against refusals if there is no other.
+func TestStreamsBeginAtVersionsThatTheStoreHas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := &rowsInMemory{rows: map[string]origins.Row{}}
+		ctx, kill := context.WithCancel(context.Background())
+		targets := &scriptedTargets{body: "id: 1\ndata: e\n\n"}
+		e := keptExecutor(ctx, targets, rows, "v1")
+		time.Sleep(3 * time.Second)
+		rows.writeErr = origins.ErrRejected
+		entry := func(id, version string, removed bool) pool.Change {
+			return pool.Change{Removed: removed, Entry: pool.Entry{
+				ID: id, Service: "s", Address: version + ":1", Version: version, Slots: 8, State: pool.Ready, Revision: 3,
+			}}
+		}
+		e.Table.Apply([]pool.Change{entry("new-1", "v2", false), entry("new-2", "v2", false)}, 3, time.Now())
+		time.Sleep(time.Second)
+		read := func(n int) {
+			t.Helper()
+			for i := range n {
+				reply := begin(e, strings.Repeat("x", 1+i))
+				assert.Equal(t, reply.Status, 200)
+				_, err := io.ReadAll(reply.Answer.Body)
+				assert.NilError(t, err)
+			}
+		}
+		read(20)
+		for _, address := range targets.arrivals {
+			assert.Assert(t, strings.HasPrefix(address, "v1"), address)
+		}
+		unadmitted := metrics.GetOrRegisterCounter("streams.unadmitted", e.Metrics.Registry)
+		assert.Equal(t, unadmitted.Count(), int64(0))
+		change := entry("t-0", "v1", true)
+		change.Revision = 4
+		e.Table.Apply([]pool.Change{change}, 4, time.Now())
+		time.Sleep(time.Second)
+		read(5)
+		assert.Equal(t, unadmitted.Count(), int64(5))
+		rows.mu.Lock()
+		rows.writeErr = nil
+		rows.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		read(5)
+		assert.Equal(t, unadmitted.Count(), int64(5))
+		kill()
+		time.Sleep(5 * time.Second) // until all calls have ended
+	})
+}
