--- a/internal/serve/origins/admissions.go
+++ b/internal/serve/origins/admissions.go
@@ -108,15 +108,16 @@
 	return list
 }
 
-// missing returns versions whose rows are to be written, at most limit. complete is the time from which the rows of
-// services that have none yet will have all versions.
+// missing returns versions whose rows are to be written, at most limit. The others of their service's list are among
+// them, so that a table that was removed is complete again. complete is the time from which the rows of services that
+// have none yet will have all versions.
 func (a *admissions) missing(complete time.Time, limit int) []acknowledgedVersion {
 	if len(a.waiting) == 0 {
 		return nil
 	}
 	var list []acknowledgedVersion
 	for o, known := range a.versions {
-		if known.acknowledged || !known.absentSince.IsZero() || len(list) >= limit {
+		if a.waiting[o.Service] == 0 || !known.absentSince.IsZero() || len(list) >= limit {
 			continue
 		}
 		at, has := a.complete[o.Service]
--- a/internal/serve/origins/ledger_test.go
+++ b/internal/serve/origins/ledger_test.go
@@ -499,6 +499,20 @@
 	})
 }
 
+// Guards against a table that tells of a new version and no longer of the earlier ones, since it was removed meanwhile.
+func TestRemovedTableIsCompleteWithTheNextVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, rows := newProcesses(0), newFakeRows()
+		one := p.start(rows, "v1")
+		time.Sleep(time.Second)
+		rows.change(func() { clear(rows.rows) })
+		one.versions.list("v1", "v2")
+		time.Sleep(time.Second)
+		assert.Equal(t, len(rows.keys(prefixVersion)), 2)
+		kill(one)
+	})
+}
+
 // Guards against rows that are dropped while the version serves, and rows that stay for ever.
 func TestRowOfAVersionIsDroppedAfterItHasLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -131,8 +131,10 @@
 	// slowestStage is the stage that took the longest.
 	slowestStage stageTime
 	// origin is the service and version that the caller's events are from; nil as long as it has none.
-	// recording is how other processes know it, recordedAt when that was last checked.
+	// originBy tells by what it is known if the caller takes the stream up. recording is how other processes know it,
+	// recordedAt when that was last checked.
 	origin     *origins.Origin
+	originBy   string
 	recording  *origins.Recording
 	recordedAt time.Time
 	// preparedAt is when the stages were finished, sentAt when the request was last sent to
--- a/internal/serve/run/origin.go
+++ b/internal/serve/run/origin.go
@@ -87,7 +87,7 @@
 	return refuse(fasthttp.StatusServiceUnavailable, UnknownVersion, 0)
 }
 
-// Values of the label of the metric for streams that were taken up: how their version was known.
+// By what the version of a stream that was taken up is known, in logs and metrics.
 const (
 	byOwnRecord   = "own record"
 	byPeer        = "peer"
@@ -97,9 +97,8 @@
 
 // goOnAt has the stream go on where it began. It returns a refusal if the route no longer has the service.
 func (j *job) goOnAt(origin origins.Origin, source string) *Reply {
-	j.Metrics.count(series("vanillagate_streams_taken_up", "by", source))
-	j.Log.Debug("Version that began a stream is known.", requestID(j.req.ID), zap.String("by", source), zap.String("version", origin.Version))
-	j.origin = &origin
+	j.Metrics.count(series("vanillagate_stream_origins_known", "by", source))
+	j.origin, j.originBy = &origin, source
 	if !j.route.Includes(origin.Service) {
 		return refuse(fasthttp.StatusServiceUnavailable, VersionGone, 0)
 	}
--- a/internal/serve/run/origin_ledger_test.go
+++ b/internal/serve/run/origin_ledger_test.go
@@ -28,6 +28,13 @@
 	readErr, writeErr error
 }
 
+// change changes the table or its faults.
+func (r *rowsInMemory) change(fn func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fn()
+}
+
 func (r *rowsInMemory) moment() origins.Moment {
 	return origins.Moment{Era: 1, Now: time.Duration(time.Now().UnixNano())}
 }
@@ -71,7 +78,7 @@
 
 // Guards against take-ups after the death of all processes that are guessed, wait, or are refused though the store knows.
 func TestStreamTakenUpAfterAllProcessesDiedGoesOnByTheStore(t *testing.T) {
-	const by = `vanillagate_streams_taken_up{by="`
+	const by = `vanillagate_stream_origins_known{by="`
 	for _, c := range []struct {
 		name          string
 		before, after []string
@@ -102,10 +109,12 @@
 				time.Sleep(time.Second)
 				kill()
 				time.Sleep(time.Second)
-				if c.emptied {
-					clear(rows.rows)
-				}
-				rows.readErr = c.readErr
+				rows.change(func() {
+					if c.emptied {
+						clear(rows.rows)
+					}
+					rows.readErr = c.readErr
+				})
 				second, kill := context.WithCancel(context.Background())
 				targets := &scriptedTargets{body: "id: 5\ndata: e\n\n"}
 				e = keptExecutor(second, targets, rows, c.after...)
@@ -145,7 +154,7 @@
 		targets := &scriptedTargets{body: "id: 1\ndata: e\n\n"}
 		e := keptExecutor(ctx, targets, rows, "v1")
 		time.Sleep(3 * time.Second)
-		rows.writeErr = origins.ErrRejected
+		rows.change(func() { rows.writeErr = origins.ErrRejected })
 		entry := func(id, version string, removed bool) pool.Change {
 			return pool.Change{Removed: removed, Entry: pool.Entry{
 				ID: id, Service: "s", Address: version + ":1", Version: version, Slots: 8, State: pool.Ready, Revision: 3,
@@ -174,9 +183,7 @@
 		time.Sleep(time.Second)
 		read(5)
 		assert.Equal(t, unadmitted.Count(), int64(5))
-		rows.mu.Lock()
-		rows.writeErr = nil
-		rows.mu.Unlock()
+		rows.change(func() { rows.writeErr = nil })
 		time.Sleep(10 * time.Second)
 		read(5)
 		assert.Equal(t, unadmitted.Count(), int64(5))
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -72,7 +72,8 @@
 	}
 	if j.takesUp() {
 		j.Log.Info("Stream that a caller takes up goes on.", requestID(j.req.ID), zap.String("resumes", j.req.Resumes),
-			zap.String("after_event", j.req.LastEventID), zap.String("target", target.ID), zap.String("version", target.Version))
+			zap.String("after_event", j.req.LastEventID), zap.String("target", target.ID), zap.String("version", target.Version),
+			zap.String("known_by", j.originBy))
 		j.Metrics.count(series("vanillagate_streams_taken_up", "version", target.Version))
 	}
 	length := answer.Length
