plan: a key without text belongs to nobody

A null or an empty text among the keys of a tenant was read as the key "", which each request without a key has: such requests were served as that tenant. Keys without text are now left out of the index. TestEmptyKeyBelongsToNobody failed before.

--- a/internal/serve/plan/plan.go
+++ b/internal/serve/plan/plan.go
@@ -175,7 +175,9 @@
 	p.teamByKey = map[string]*Team{}
 	for i := range p.Teams {
 		for _, key := range p.Teams[i].Keys {
-			p.teamByKey[key] = &p.Teams[i]
+			if key != "" { // requests without a key have none
+				p.teamByKey[key] = &p.Teams[i]
+			}
 		}
 	}
 }
