platform: use the sound parts of a configuration that has odd ones

One route with an unknown kind, or one number in another form or out of range in any route, service, tenant or limit, held back the whole configuration: new routes and revoked keys of all tenants waited for the next sound version.

Each part is now decoded by itself. A route that can't be used, or one of whose services can't be, refuses its requests (503, reason "route is not configured correctly"): without it a route with a shorter prefix would send them to a service that they aren't for, and half a route is never applied. Odd services, tenants and limits are left out; a tenant is replaced by one without keys, so that a configuration with odd tenants alone still wants keys. What was left out is logged and counted (plan.unusable_parts). A configuration that isn't a JSON object, or whose version can't be read, is passed over as a whole as before.

--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -118,6 +118,8 @@
 	bound atomic.Int64
 	// rejectedPlans counts the configurations that couldn't be used.
 	rejectedPlans atomic.Int64
+	// unusableParts counts the parts of configurations in force that couldn't be used.
+	unusableParts atomic.Int64
 	// servedSince is the Unix time in nanoseconds since which the store has answered this
 	// process without interruption.
 	servedSince atomic.Int64
@@ -492,14 +494,25 @@
 	if !f.plans.Apply(p) {
 		return
 	}
+	f.unusableParts.Add(int64(len(p.Unusable)))
+	for _, part := range p.Unusable[:min(len(p.Unusable), maxLoggedParts)] {
+		f.log.Warn("Part of the configuration can't be used.", zap.Uint64("version", p.Version), zap.String("part", part))
+	}
 	f.log.Info("Configuration in force.", zap.Uint64("version", p.Version), zap.Int("routes", len(p.Routes)),
 		zap.Int("teams", len(p.Teams)), zap.String("from", from), zap.Stringer("revision", asOf),
 		zap.Duration("last_contact", f.ContactAge(time.Now())))
 }
 
+// maxLoggedParts limits the parts of a configuration that are logged one by one.
+const maxLoggedParts = 16
+
 // RejectedPlans returns how many configurations couldn't be used.
 func (f *Follower) RejectedPlans() int64 { return f.rejectedPlans.Load() }
 
+// UnusableParts returns how many parts of the configurations in force couldn't be used. Only processes that read the
+// configuration from the store count them.
+func (f *Follower) UnusableParts() int64 { return f.unusableParts.Load() }
+
 // ContactAge returns the time since the store last answered this process, or a watcher that
 // relayed it, about the operator state; 0 if it never has.
 func (f *Follower) ContactAge(now time.Time) time.Duration {
--- a/internal/serve/gauges.go
+++ b/internal/serve/gauges.go
@@ -40,6 +40,7 @@
 	g.set("requests.in_flight", s.inFlight.Load())
 	g.set("targets.connections_opened", s.client.Dialed())
 	g.set("plan.rejected", s.follower.RejectedPlans())
+	g.set("plan.unusable_parts", s.follower.UnusableParts())
 	g.set("store.contact_age_ms", s.follower.ContactAge(now).Milliseconds())
 	configuration, targets := s.follower.FailingFor()
 	g.set("store.configuration_silent_ms", configuration.Milliseconds())
--- a/internal/serve/plan/check.go
+++ b/internal/serve/plan/check.go
@@ -11,8 +11,8 @@
 // the next process when the caller retries.
 func (p *Plan) Check() error {
 	for i := range p.Routes {
-		if !hasValidOrder(p.Routes[i].Stages) {
-			return fmt.Errorf("route %q: stages depend on each other in a cycle or on a stage that does not exist", p.Routes[i].Name)
+		if err := p.Routes[i].checkStages(); err != nil {
+			return err
 		}
 	}
 	for _, s := range p.Services {
@@ -23,6 +23,44 @@
 	return nil
 }
 
+// Check returns an error if requests of the route can't be handled.
+func (r *Route) Check() error {
+	for _, s := range r.Split {
+		if s.Weight < 0 {
+			return fmt.Errorf("route %q: weight of service %q is %d", r.Name, s.Service, s.Weight)
+		}
+	}
+	return r.checkStages()
+}
+
+func (r *Route) checkStages() error {
+	if !hasValidOrder(r.Stages) {
+		return fmt.Errorf("route %q: stages depend on each other in a cycle or on a stage that does not exist", r.Name)
+	}
+	return nil
+}
+
+// uses reports whether the route's requests or stages go to one of some services.
+func (r *Route) uses(services map[string]bool) bool {
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return services[s.Service] }) ||
+		slices.ContainsFunc(r.Stages, func(s Stage) bool { return services[s.Service] })
+}
+
+// Refused returns a route for the same requests that refuses them.
+func (r *Route) Refused() Route {
+	return Route{Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: NonIdempotent, Attempts: 1, Public: true, Unusable: true}
+}
+
+// RefuseRoutesTo replaces the routes to some services, which can't be used, by those that refuse their requests.
+func (p *Plan) RefuseRoutesTo(services map[string]bool) {
+	for i := range p.Routes {
+		if r := &p.Routes[i]; !r.Unusable && r.uses(services) {
+			p.Unusable = append(p.Unusable, fmt.Sprintf("route %q: one of its services can't be used", r.Name))
+			p.Routes[i] = r.Refused()
+		}
+	}
+}
+
 // hasValidOrder reports whether the stages can be ordered so that each comes after those that it
 // depends on.
 func hasValidOrder(stages []Stage) bool {
--- a/internal/serve/plan/plan.go
+++ b/internal/serve/plan/plan.go
@@ -30,6 +30,8 @@
 	Services []Service
 	Teams    []Team
 	Limits   Limits
+	// Unusable says which parts of the configuration couldn't be used, and why. Peers don't get it.
+	Unusable []string `json:"-"`
 
 	byHost    map[string]map[string]*Route
 	byName    map[string]*Service
@@ -60,6 +62,9 @@
 	Stages   []Stage
 	// Public routes need no API key.
 	Public bool
+	// Unusable routes can't be used as they are configured. Their requests are refused, as another route with a shorter
+	// prefix would send them to a service that they aren't for.
+	Unusable bool `json:",omitempty"`
 }
 
 // Repeatable reports whether a request that may already have run may run again.
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -170,6 +170,9 @@
 	if j.route == nil {
 		return refuse(fasthttp.StatusNotFound, NoRoute, 0)
 	}
+	if j.route.Unusable {
+		return refuse(fasthttp.StatusServiceUnavailable, RouteUnusable, retryAfter(maxRetryAfter))
+	}
 	if !j.route.Public && len(p.Teams) > 0 {
 		j.team = p.TeamByKey(j.req.Key)
 		if j.team == nil {
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -99,6 +99,7 @@
 	NoConfiguration Reason = "no configuration yet"
 	NoTargetsYet    Reason = "targets aren't known yet"
 	NoRoute         Reason = "no route"
+	RouteUnusable   Reason = "route is not configured correctly"
 	NoKey           Reason = "unknown key"
 	NoTarget        Reason = "no target takes work"
 	StagesLate      Reason = "stages can't be done in time"
