pool: tell starts of a target apart whose clock went back

A target that started again under its ID and address while the clock of its machine went back drained, and got requests from all VMs until its entry was removed: its rows name an earlier start than the known one, and such rows were taken for delayed reports and ignored for ever.

A row of an earlier start is now held back. Targets write their rows every heartbeat (1.2 s), so a delayed report is replaced by a row of the start that runs, which ends the hold; a row that has stayed for 3 s is that of the start that runs. If the held row says that its target drains, the target gets nothing until that is decided, whichever start it is of. Rows of a store that has come back from a copy are older for certain and wait for 10 s. Rows are passed on to peers, which decide likewise; rows of peers that are behind change nothing. The order of births in internal/serve/engines and prefixes stays: what they know of the earlier start outlives it by their own times, which concerns the choice of engines alone.

--- a/internal/serve/pool/availability.go
+++ b/internal/serve/pool/availability.go
@@ -30,7 +30,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	lapsed := !t.lapsesAt.IsZero() && !now.Before(t.lapsesAt)
-	if t.gone || s.leaving || t.entry.State != Ready || t.evacuated || lapsed {
+	if t.gone || s.leaving || t.earlier.leaving || t.entry.State != Ready || t.evacuated || lapsed {
 		return pause{}, false
 	}
 	p = later(t.restored, s.rest)
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -62,6 +62,8 @@
 	onLeaving     func(Run)
 	// statements holds what runs have stated, also some that aren't in the list.
 	statements map[Run]*statements
+	// earlierStarts holds the targets whose rows name earlier starts, by ID.
+	earlierStarts map[string]*Target
 }
 
 // LapsedGracePeriod is how long targets whose entries lapsed during a store outage stay in use,
@@ -76,7 +78,7 @@
 	return &Table{
 		log: log, ejection: defaultEjection(),
 		byID: map[string]*Target{}, lapsed: map[string]*Target{}, services: map[string]*service{}, byAddress: map[string][]*Target{}, left: leftVersions{},
-		evacuations: evacuations{byZone: map[string]Evacuation{}}, statements: map[Run]*statements{},
+		evacuations: evacuations{byZone: map[string]Evacuation{}}, statements: map[Run]*statements{}, earlierStarts: map[string]*Target{},
 	}
 }
 
@@ -221,7 +223,7 @@
 	for _, c := range changes {
 		old := t.byID[c.ID]
 		t.lastChange = max(t.lastChange, c.Revision)
-		if old != nil && (old.entry.Revision >= c.Revision || isEarlierRun(c, old)) {
+		if old != nil && old.newestRow() >= c.Revision {
 			continue
 		}
 		if old != nil {
@@ -232,6 +234,10 @@
 			history.add(c, now)
 		}
 		touched.add(old)
+		if old != nil && isEarlierStart(c, old) {
+			t.holdBack(old, c, now)
+			continue
+		}
 		if out := t.applyChange(old, c, now); out != nil {
 			retired = append(retired, out)
 		}
@@ -257,13 +263,6 @@
 	}
 }
 
-// isEarlierRun reports whether a change belongs to a run before the known one. A report may be
-// delayed on its way to the store until its target has restarted; it then names an address that the
-// target no longer has.
-func isEarlierRun(c Change, known *Target) bool {
-	return !c.Removed && c.Born != 0 && c.Born < known.Born
-}
-
 // applyChange applies one change and returns the target that left use because of it, if any. The
 // caller holds mu.
 func (t *Table) applyChange(old *Target, c Change, now time.Time) *Target {
@@ -337,6 +336,7 @@
 	}
 	target.entry = e
 	target.displaced.rowChanged(now)
+	target.earlier = earlierStart{}
 	target.coldUntil = now.Add(e.ColdLeft)
 	target.lapsesAt = time.Time{}
 	if began {
@@ -350,6 +350,9 @@
 func (target *Target) entryForPeers(now time.Time) Entry {
 	target.mu.Lock()
 	defer target.mu.Unlock()
+	if target.earlier.entry.Revision > target.entry.Revision {
+		return target.earlier.entry // the row that the list has
+	}
 	e := target.entry
 	e.ColdLeft = max(target.coldUntil.Sub(now), 0)
 	return e
@@ -377,6 +380,7 @@
 		retired = append(retired, target)
 		t.log.Info("Lapsed target was dropped: its entry did not reappear.", zap.String("target", id))
 	}
+	retired = append(retired, t.adoptEarlierStarts(touched, now)...)
 	t.updateServices(touched)
 	t.sweepStatements(now)
 	t.sweepLostEvacuations(now)
--- a/internal/serve/pool/target.go
+++ b/internal/serve/pool/target.go
@@ -42,10 +42,12 @@
 	restored pause
 	// displaced is what is known of other targets at the address.
 	displaced displacement
-	inFlight  int
-	tokens    int // prompt tokens of requests whose response hasn't started
-	report    Report
-	health    routing.Health
+	// earlier is a row of an earlier start. It is also written under Table.mu.
+	earlier  earlierStart
+	inFlight int
+	tokens   int // prompt tokens of requests whose response hasn't started
+	report   Report
+	health   routing.Health
 	// connectRetryAt is when a target that refused a connection is tried again, connectBackoff the
 	// length of the last backoff.
 	connectRetryAt time.Time
@@ -160,7 +162,7 @@
 func (t *Target) GoneOrDraining() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.gone || t.entry.State != Ready || t.statements.isLeaving()
+	return t.gone || t.entry.State != Ready || t.earlier.leaving || t.statements.isLeaving()
 }
 
 // maxReportAge is how long a load report is used: about as long as a short generation runs.
