pool: keep what a start has said when it counts as the new one

A start whose row was held back may say in its answers that it leaves. That was recorded for the earlier start, so it got one more request after it counted as the new one. It is carried over if the address is the same. An entry that had lapsed and came back as the held start left a nil among the retired targets, and a lapsed run that another one replaced stayed in the list of its address.

--- a/internal/serve/pool/earlier_start.go
+++ b/internal/serve/pool/earlier_start.go
@@ -24,6 +24,8 @@
 // earlierStart is a row that may be that of the start that runs. The zero value is none.
 type earlierStart struct {
 	entry Entry
+	// heldAt is when the first row of the start was received.
+	heldAt time.Time
 	// adoptAt is when the start counts as the new one, unless the row has been replaced.
 	adoptAt time.Time
 	// leaving means that the row says that its target leaves, and isn't from a copy of the store. Until it is known
@@ -43,14 +45,14 @@
 
 // holdBack records a row of an earlier start. The caller holds mu.
 func (t *Table) holdBack(target *Target, c Change, now time.Time) {
-	next := earlierStart{entry: c.Entry, adoptAt: now.Add(earlierStartDelay), leaving: c.State == Draining && !t.restoring}
+	next := earlierStart{entry: c.Entry, heldAt: now, adoptAt: now.Add(earlierStartDelay), leaving: c.State == Draining && !t.restoring}
 	if t.restoring {
 		next.adoptAt = now.Add(earlierStartDelayAfterRestore)
 	}
 	target.mu.Lock()
 	defer target.mu.Unlock()
 	if sameRun(target.earlier.entry, c.Entry) {
-		next.adoptAt = target.earlier.adoptAt
+		next.heldAt, next.adoptAt = target.earlier.heldAt, target.earlier.adoptAt
 		next.leaving = next.leaving || target.earlier.leaving
 	}
 	if next.leaving {
@@ -77,8 +79,17 @@
 		}
 		delete(t.earlierStarts, id)
 		touched.add(target)
+		if back := t.lapsed[id]; back != nil {
+			delete(t.lapsed, id)
+			t.retire(back, now)
+			retired = append(retired, back)
+		}
 		retired = append(retired, t.applyChange(target, Change{Entry: earlier.entry}, now))
-		touched.add(t.byID[id])
+		adopted := t.byID[id]
+		if adopted.Address == target.Address && target.statements.leftSince(earlier.heldAt) {
+			adopted.statements.leave(now) // it was this start that said so
+		}
+		touched.add(adopted)
 	}
 	return retired
 }
--- a/internal/serve/pool/earlier_start_test.go
+++ b/internal/serve/pool/earlier_start_test.go
@@ -139,3 +139,42 @@
 	assert.Assert(t, !usableIDs(peer, now)["a"])
 	assert.Equal(t, bornOf(peer), int64(5))
 }
+
+// Guards against a start that has said that it leaves getting requests once it counts as the new one.
+func TestAdoptedStartStillLeaves(t *testing.T) {
+	table, now := clockBack()
+	table.Apply(bornAt(2, Ready, 12), 12, now)
+	now = now.Add(time.Second)
+	table.RecordStatement(table.Find("s", "a"), &Statement{Leaving: true}, now, now)
+	now = now.Add(earlierStartDelay)
+	table.Sweep(now)
+	assert.Equal(t, bornOf(table), int64(2))
+	assert.Assert(t, !usableIDs(table, now)["a"])
+}
+
+// Guards against a nil target, or one that stays in use, where an entry lapsed and came back as another start.
+func TestAdoptedStartReplacesALapsedOne(t *testing.T) {
+	table, now := clockBack()
+	table.Apply(bornAt(2, Ready, 12), 12, now)
+	now = now.Add(earlierStartDelay)
+	table.Sweep(now) // 2 is known
+	table.ListRecovered(now)
+	table.Reset([]Entry{entry("b", 2)}, 13, now)
+	table.Apply(bornAt(7, Ready, 14), 14, now)
+	table.Apply(bornAt(2, Ready, 15), 15, now)
+	var retired []*Target
+	table.OnLeave(func(target *Target) {
+		assert.Assert(t, target != nil)
+		retired = append(retired, target)
+	})
+	now = now.Add(earlierStartDelay)
+	table.ListRecovered(now)
+	table.lapsed["a"].lapsesAt = now.Add(time.Second)
+	table.Sweep(now)
+	assert.Equal(t, bornOf(table), int64(2))
+	assert.Equal(t, len(table.byAddress), len(table.byID))
+	assert.Equal(t, len(retired), 2)
+	for _, target := range retired {
+		assert.Assert(t, target.GoneOrDraining())
+	}
+}
--- a/internal/serve/pool/statements.go
+++ b/internal/serve/pool/statements.go
@@ -41,6 +41,7 @@
 	mu sync.Mutex // guards the fields below; acquired after Target.mu, no other lock is acquired while it is held
 	// leaving is set once the target has said that it leaves, in an answer or in the list. It is never unset.
 	leaving    bool
+	leftAt     time.Time // when that was first known
 	rest       pause
 	rejections rejections
 	rateLimit  rateLimit
@@ -61,6 +62,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	news := !s.leaving
+	if news {
+		s.leftAt = now
+	}
 	s.leaving, s.heardAt = true, now
 	return news
 }
@@ -71,6 +75,13 @@
 	return s.leaving
 }
 
+// leftSince reports whether the target has said after a time that it leaves.
+func (s *statements) leftSince(after time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving && s.leftAt.After(after)
+}
+
 // addTo counts the target among those that leave, rest or only reject.
 func (s *statements) addTo(c *Count, now time.Time) {
 	s.mu.Lock()
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -313,6 +313,9 @@
 	}
 	old.mu.Unlock()
 	if lapses {
+		if earlier := t.lapsed[old.ID]; earlier != nil {
+			t.retire(earlier, now) // another run, which nothing else holds any more
+		}
 		t.lapsed[old.ID] = old
 		t.log.Warn("Target's entry lapsed while the list was away.", zap.String("target", old.ID))
 		return nil
