run: the stages of a stream that has begun are due by its deadline

Callers that took streams up after the death of all VMs were refused more than twice as often as callers with new streams: 503, "stages can't be done in time". A stream that has begun has to have its stages run again, and these were due by the objective for the first event, which counts from the first attempt; for a stream that went on within one answer that time had mostly passed already.

The objective doesn't bind the rest of a stream. Its stages are now due when half of the time that is left until the deadline has passed.

--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -140,10 +140,11 @@
 	originBy   string
 	recording  *origins.Recording
 	recordedAt time.Time
-	// preparedAt is when the stages were finished, sentAt when the request was last sent to
+	// preparingAt is when the stages were last begun, preparedAt when they were finished, sentAt when the request was last sent to
 	// a target; zero before.
-	preparedAt time.Time
-	sentAt     time.Time
+	preparingAt time.Time
+	preparedAt  time.Time
+	sentAt      time.Time
 	// traits are what the request has in common with others that crash targets.
 	traits crashes.Traits
 }
@@ -284,6 +285,7 @@
 	if reply := j.refuseIfClosed(); reply != nil {
 		return reply
 	}
+	j.preparingAt = time.Now()
 	if reply := j.reserveTarget(); reply != nil {
 		return reply
 	}
--- a/internal/serve/run/graph.go
+++ b/internal/serve/run/graph.go
@@ -246,9 +246,14 @@
 	return allocator, allocator != (gather.Allocator{})
 }
 
-// dueTime returns when the answer is due: by the objective, and not after the deadline.
+// dueTime returns when the answer is due: by the objective, and not after the deadline. The objective counts to
+// the first event, which the caller of a stream that has begun already has: its rest is due early enough for
+// half of the time that is left to remain for its events.
 func (j *job) dueTime() time.Time {
 	due := j.req.Arrived.Add(j.route.Objective)
+	if half := j.preparingAt.Add(j.deadline.Sub(j.preparingAt) / 2); j.origin != nil && half.After(due) {
+		due = half
+	}
 	if j.deadline.Before(due) {
 		return j.deadline
 	}
