test: kill VMs and engines under answers without framing

With real vgedge processes: TestUnframedStreamsOfEnginesThatDie stops two of eight engines under 24 streams, TestPlainAnswersOfAKilledVMNeverLookWhole kills a VM under plain answers of 16 MB, to callers with HTTP/1.0 and 1.1.

--- a/test/vm_death_test.go
+++ b/test/vm_death_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -21,10 +22,12 @@
 	openEvents    = 40
 	openInterval  = 50 * time.Millisecond
 	openKillAfter = 700 * time.Millisecond
+	// retryWindow is the window of the site's retry budget.
+	retryWindow = 10 * time.Second
 )
 
 // startUnframedEngines adds engines whose answers end with their connections, and a route to them.
-func startUnframedEngines(t *testing.T, e *edgeSite, n int) {
+func startUnframedEngines(t *testing.T, e *edgeSite, n int, resumable bool) []*standin.Target {
 	t.Helper()
 	e.site.Publish(func(config map[string]any) {
 		config["services"] = append(config["services"].([]any), map[string]any{
@@ -32,9 +35,10 @@
 		})
 		config["routes"] = append(config["routes"].([]any), map[string]any{
 			"name": "close", "host": standin.Host, "prefix": "/close/", "kind": "streaming", "timeout-ms": 6000, "target-latency-ms": 1500,
-			"target-gap-ms": 300, "priority": 0, "service": "closers", "attempts": 1,
+			"target-gap-ms": 300, "priority": 0, "service": "closers", "attempts": 2, "resumable": resumable,
 		})
 	})
+	var engines []*standin.Target
 	for i := range n {
 		engine := &standin.Target{
 			ID: fmt.Sprintf("i-closer-%d", i), Service: "closers", Zone: "zone-a", Slots: 16, Events: openEvents, EventInterval: openInterval, Unframed: true,
@@ -42,8 +46,10 @@
 		assert.NilError(t, engine.Start("127.0.0.1:0"))
 		t.Cleanup(engine.Stop)
 		e.site.Store.Put("servers", engine.ID, engine.Entry("ready", 1))
+		engines = append(engines, engine)
 	}
 	time.Sleep(time.Second) // until the VMs know the route and the engines
+	return engines
 }
 
 // readStream asks for a stream with a version of HTTP, and returns the number of its events and the error with which it
@@ -86,7 +92,7 @@
 func TestStreamsOfAKilledVMNeverLookComplete(t *testing.T) {
 	t.Parallel()
 	e := startEdgeSite(t, 2)
-	startUnframedEngines(t, e, 2)
+	startUnframedEngines(t, e, 2, false)
 	var (
 		wg           sync.WaitGroup
 		mu           sync.Mutex
@@ -116,3 +122,99 @@
 	assert.Equal(t, begun, [2]int{2 * openStreams, 2 * openStreams})
 	assert.Equal(t, whole, [2]int{0, 2 * openStreams})
 }
+
+// Guards against streams without framing that end as complete when their engines die, or that nobody goes on with.
+func TestUnframedStreamsOfEnginesThatDie(t *testing.T) {
+	t.Parallel()
+	const vms, engineCount, dying, streams = 3, 8, 2, 24
+	for _, resumable := range []bool{false, true} {
+		t.Run(fmt.Sprintf("resumable %v", resumable), func(t *testing.T) {
+			t.Parallel()
+			e := startEdgeSite(t, vms)
+			engines := startUnframedEngines(t, e, engineCount, resumable)
+			if resumable {
+				time.Sleep(retryWindow) // a process that has started may not retry before
+			}
+			var (
+				wg         sync.WaitGroup
+				mu         sync.Mutex
+				whole, cut int
+			)
+			for n := range streams {
+				wg.Go(func() {
+					events, err := readStream(e.vms[n%vms].RequestAddress(), "1.1", fmt.Sprint("id-", n))
+					mu.Lock()
+					defer mu.Unlock()
+					assert.Check(t, err != nil || events == openEvents, "ends as complete after event %d", events)
+					if err == nil && events == openEvents {
+						whole++
+					} else {
+						cut++
+					}
+				})
+			}
+			time.Sleep(openKillAfter)
+			interrupted := 0
+			for _, engine := range engines[:dying] {
+				engine.Stop()
+				interrupted += len(engine.ReceivedRequests())
+			}
+			wg.Wait()
+			if resumable {
+				interrupted = 0
+			}
+			assert.Equal(t, cut, interrupted)
+			assert.Equal(t, whole, streams-interrupted)
+		})
+	}
+}
+
+// Guards against plain answers without framing that look whole when their VM's process is killed.
+func TestPlainAnswersOfAKilledVMNeverLookWhole(t *testing.T) {
+	t.Parallel()
+	const size, answers = 16 << 20, 4
+	e := startEdgeSite(t, 1)
+	e.site.Publish(func(config map[string]any) {
+		config["services"] = append(config["services"].([]any), map[string]any{
+			"name": "files", "health-check-path": "/health", "max-connections": 200,
+		})
+		config["routes"] = append(config["routes"].([]any), map[string]any{
+			"name": "files", "host": standin.Host, "prefix": "/files/", "kind": "idempotent", "timeout-ms": 6000, "target-latency-ms": 1500,
+			"priority": 0, "service": "files", "attempts": 2,
+		})
+	})
+	target := &standin.Target{ID: "i-file-1", Service: "files", Zone: "zone-a", Slots: 16}
+	assert.NilError(t, target.Start("127.0.0.1:0"))
+	t.Cleanup(target.Stop)
+	target.SetRawAnswer(func(r *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + r.Header.Get("X-Attempt-Id") + "\r\nX-Worker-Signature: s\r\n\r\n" + strings.Repeat("x", size)
+	})
+	e.site.Store.Put("servers", target.ID, target.Entry("ready", 1))
+	time.Sleep(time.Second) // until the VM knows the route and the target
+	var wg, begun sync.WaitGroup
+	killed := make(chan struct{})
+	for n := range answers {
+		for _, version := range []string{"1.0", "1.1"} {
+			begun.Add(1)
+			wg.Go(func() {
+				conn, err := net.Dial("tcp", e.vms[0].RequestAddress())
+				assert.Check(t, err)
+				defer func() { _ = conn.Close() }()
+				_, err = fmt.Fprintf(conn, "GET /files/x HTTP/%s\r\nHost: %s\r\nX-Api-Key: %s\r\nX-Attempt-Id: id-%d-%s\r\n\r\n", version, standin.Host, standin.TeamKey, n, version)
+				assert.Check(t, err)
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				begun.Done()
+				if !assert.Check(t, err) {
+					return
+				}
+				<-killed // the answer doesn't fit into the buffers
+				body, err := io.ReadAll(resp.Body)
+				assert.Check(t, err != nil, "HTTP/%s: %d of %d bytes look whole", version, len(body), size)
+			})
+		}
+	}
+	begun.Wait()
+	e.processes[0].kill(t)
+	close(killed)
+	wg.Wait()
+}
