origins: no conclusion before what has left is recorded, and no records at a process that the store rejects

What a read, or another process, tells of versions that have left is recorded before their rows count; the only version is looked at again after it was found certain. A read of an earlier era isn't applied. A process whose calls of the store fail declines the records of others, which write them themselves; a test of it failed with all of them accepted. The table is read again by the process that drops expired rows while any stream is recorded, not only if it writes itself.

--- a/internal/serve/origins/admissions.go
+++ b/internal/serve/origins/admissions.go
@@ -75,9 +75,9 @@
 	complete time.Time
 }
 
-// acknowledge applies what the table, or another process, says of its rows, and returns the versions that weren't
-// known. listed means that the list of versions is known.
-func (a *admissions) acknowledge(rows []acknowledgedVersion, listed bool, now time.Time) (found []Origin) {
+// acknowledge applies what the table, or another process, says of its rows. listed means that the list of versions is
+// known.
+func (a *admissions) acknowledge(rows []acknowledgedVersion, listed bool, now time.Time) {
 	for _, row := range rows {
 		known := a.versions[row.Origin]
 		if known == nil {
@@ -86,7 +86,6 @@
 				known.absentSince = now
 			}
 			a.versions[row.Origin] = known
-			found = append(found, row.Origin)
 		}
 		known.acknowledged = true
 		if at, has := a.complete[row.Service]; !has || row.complete.Before(at) {
@@ -94,7 +93,6 @@
 		}
 	}
 	a.recount()
-	return found
 }
 
 // acknowledged returns the versions whose rows are in the table.
--- a/internal/serve/origins/ask_peer.go
+++ b/internal/serve/origins/ask_peer.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/peer"
 )
 
 // methodVersions asks a process which versions it knows to be in the table. Processes that the store rejects learn it
@@ -15,6 +18,7 @@
 // versionsAnswer has the versions whose rows are in the table. Known is false if the process doesn't know them.
 type versionsAnswer struct {
 	Known    bool          `json:"known"`
+	Era      uint64        `json:"era"`
 	Versions []peerVersion `json:"versions,omitempty"`
 }
 
@@ -28,7 +32,7 @@
 func (l *Ledger) answerPeer(now time.Time) versionsAnswer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	answer := versionsAnswer{Known: l.knowsVersions}
+	answer := versionsAnswer{Known: l.knowsVersions, Era: l.moment.Era}
 	for _, v := range l.admissions.acknowledged() {
 		answer.Versions = append(answer.Versions, peerVersion{Origin: v.Origin, CompleteInMS: v.complete.Sub(now).Milliseconds()})
 	}
@@ -37,31 +41,36 @@
 
 // askPeer asks another process which versions are in the table.
 func (l *Ledger) askPeer(ctx context.Context) {
-	alive := l.Network.View().Alive()
-	if len(alive) == 0 {
+	self := l.Network.Self().Incarnation
+	others := slices.DeleteFunc(slices.Clone(l.Network.View().Alive()), func(m peer.Member) bool { return m.Incarnation == self })
+	if len(others) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	var answer versionsAnswer
-	peer := alive[rand.IntN(len(alive))].Incarnation
-	if peer == l.Network.Self().Incarnation {
-		return // the next failure asks another one
-	}
-	if err := l.Network.Call(ctx, peer, methodVersions, struct{}{}, &answer); err != nil || !answer.Known {
-		l.Log.Debug("Process doesn't tell which versions are in the store.", zap.String("member", string(peer)), zap.Error(err))
+	asked := others[rand.IntN(len(others))].Incarnation // the next failure may ask another one
+	if err := l.Network.Call(ctx, asked, methodVersions, struct{}{}, &answer); err != nil || !answer.Known {
+		l.Log.Debug("Process doesn't tell which versions are in the store.", zap.String("member", string(asked)), zap.Error(err))
 		return
 	}
 	now := time.Now()
 	var versions []acknowledgedVersion
+	var all []Origin
 	for _, v := range answer.Versions {
+		all = append(all, v.Origin)
 		versions = append(versions, acknowledgedVersion{Origin: v.Origin, complete: now.Add(time.Duration(v.CompleteInMS) * time.Millisecond)})
 	}
+	l.recordLeft(all, now)
+	era := l.Rows.Era()
 	l.mu.Lock()
-	found := l.admissions.acknowledge(versions, l.listed, now)
-	l.knowsVersions = true
-	l.mu.Unlock()
-	for _, o := range found {
-		l.Versions.RecordLeft(o.Service, o.Version, now)
+	defer l.mu.Unlock()
+	if answer.Era < max(l.moment.Era, era) { // the table has come back from a copy since
+		return
+	}
+	if !l.knowsVersions {
+		l.moment.Era = answer.Era
 	}
+	l.admissions.acknowledge(versions, l.listed, now)
+	l.knowsVersions = true
 }
--- a/internal/serve/origins/ledger.go
+++ b/internal/serve/origins/ledger.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,8 +27,8 @@
 	maxRetryWait = 4 * time.Second
 	// maxChanges limits the rows in one write.
 	maxChanges = 60
-	// rereadPeriod is how often a process that writes records reads the table, to drop expired rows of
-	// processes that have ended. cleanupPeriod is how often it is checked whether rows are to be dropped.
+	// rereadPeriod is how often the table is read while streams are recorded, to drop expired rows of processes that
+	// have ended. cleanupPeriod is how often it is checked whether rows are to be dropped.
 	rereadPeriod  = 5 * time.Minute
 	cleanupPeriod = 5 * time.Second
 )
@@ -82,11 +83,13 @@
 	// unreadable has the keys of rows that were reported as unreadable.
 	unreadable map[string]bool
 
+	// active means that a stream was recorded since the last read, failures counts the calls in a row that failed.
+	active   bool
+	failures int
+
 	// The fields below are used by Run only.
 	flushedAt time.Time
 	checkedAt time.Time
-	wrote     bool
-	failures  int
 	retryAt   time.Time
 }
 
@@ -137,6 +140,8 @@
 
 // paceAfter sets when the table may be called again.
 func (l *Ledger) paceAfter(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if err == nil {
 		l.failures = 0
 		return
@@ -165,7 +170,7 @@
 
 // setEra has everything written again that a table from a copy may lack. The caller holds mu.
 func (l *Ledger) setEra(era uint64) {
-	if l.readAt.IsZero() || era <= l.moment.Era {
+	if !l.knowsVersions || era <= l.moment.Era {
 		return
 	}
 	l.Log.Warn("Store has come back from a copy. Versions and origins of streams are written again.", zap.Uint64("era", era))
@@ -233,7 +238,6 @@
 		}
 		return false
 	}
-	l.wrote = l.wrote || len(w.sent) > 0
 	if moment.Era < l.moment.Era { // the table has come back from a copy since
 		return true
 	}
@@ -252,12 +256,28 @@
 	}
 }
 
+// recordLeft records those of the versions in the table that this process doesn't know as left just now. It is called
+// before they are acknowledged: a version is certain only with those that have left.
+func (l *Ledger) recordLeft(versions []Origin, now time.Time) {
+	l.mu.Lock()
+	unknown := slices.DeleteFunc(versions, func(o Origin) bool { return l.admissions.versions[o] != nil })
+	l.mu.Unlock()
+	for _, o := range unknown {
+		l.Versions.RecordLeft(o.Service, o.Version, now)
+	}
+}
+
 // apply takes over the contents of the table.
 func (l *Ledger) apply(c Contents, now time.Time) {
 	s := decode(c.Rows)
+	l.recordLeft(s.origins(), now)
 	l.mu.Lock()
+	if c.Era < l.moment.Era { // the table has come back from a copy since
+		l.mu.Unlock()
+		return
+	}
 	l.setMoment(c.Moment, now)
-	l.readAt = now
+	l.readAt, l.active = now, false
 	for key, r := range l.early {
 		l.addRecord(key, r, now)
 	}
@@ -266,9 +286,9 @@
 	var versions []acknowledgedVersion
 	for _, v := range s.versions {
 		complete := now.Add(time.Duration(v.CompleteMS)*time.Millisecond - clock)
-		versions = append(versions, acknowledgedVersion{Origin: Origin{Service: v.Service, Version: v.Version}, complete: complete})
+		versions = append(versions, acknowledgedVersion{Origin: v.origin(), complete: complete})
 	}
-	found := l.admissions.acknowledge(versions, l.listed, now)
+	l.admissions.acknowledge(versions, l.listed, now)
 	l.knowsVersions = true
 	last := uint32(0)
 	for key, e := range s.entries {
@@ -291,9 +311,6 @@
 		}
 	}
 	l.mu.Unlock()
-	for _, o := range found {
-		l.Versions.RecordLeft(o.Service, o.Version, now)
-	}
 	if len(unreadable) > 0 {
 		l.Log.Warn("Rows with origins of streams can't be read; ignored.", zap.Strings("keys", unreadable[:min(len(unreadable), 16)]), zap.Int("rows", len(unreadable)))
 	}
@@ -307,7 +324,7 @@
 	l.mu.Lock()
 	departed := l.admissions.departed(now)
 	garbage := !l.garbageAt.IsZero() && now.After(l.garbageAt)
-	reread := l.wrote && now.Sub(l.readAt) >= rereadPeriod
+	reread := l.active && now.Sub(l.readAt) >= rereadPeriod
 	if !elected {
 		l.admissions.forget(departed)
 	}
@@ -315,7 +332,6 @@
 	if !elected || len(departed) == 0 && !garbage && !reread {
 		return
 	}
-	l.wrote = false
 	contents, err := l.reads.do(ctx, l)
 	if err != nil {
 		l.paceAfter(err)
@@ -368,6 +384,25 @@
 	return l.rankFirst(segmentPrefix(shardOf(key), ""))
 }
 
+// maxFailures is after how many failed calls in a row a process no longer writes the records of others.
+const maxFailures = 3
+
+// addForPeer has the record of a stream of another process written by this one. It reports false if the table doesn't
+// take its calls.
+func (l *Ledger) addForPeer(key Key, origin Origin, expires time.Time) bool {
+	l.mu.Lock()
+	writes := !l.readAt.IsZero() && l.failures < maxFailures
+	l.mu.Unlock()
+	return writes && l.add(key, origin, expires)
+}
+
+// noteActivity records that streams are recorded.
+func (l *Ledger) noteActivity() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.active = true
+}
+
 // add has the record of a stream written by this process. It reports false if there is no room.
 func (l *Ledger) add(key Key, origin Origin, expires time.Time) bool {
 	l.mu.Lock()
--- a/internal/serve/origins/ledger_test.go
+++ b/internal/serve/origins/ledger_test.go
@@ -421,6 +421,32 @@
 	})
 }
 
+// Guards against records that wait for ever at a process that the store rejects.
+func TestRecordsAreWrittenByOthersIfTheStoreRejectsTheirWriter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, rows, rejected := newProcesses(0), newFakeRows(), newFakeRows()
+		rejected.writeErr = ErrRejected
+		all := []*keptProcess{p.start(rows, "v1", "v2"), p.start(rejected, "v1", "v2"), p.start(rows, "v1", "v2")}
+		time.Sleep(time.Second)
+		for _, k := range all { // so that the rejected process has something to write
+			k.versions.list("v1", "v2", "v3")
+		}
+		all[1].ledger.add(keyNumber(-1), began, inAMinute())
+		time.Sleep(2 * maxRetryWait)
+		for i := range 100 {
+			all[0].Record(keyNumber(i), versionNumber(i), inAMinute())
+		}
+		time.Sleep(2 * time.Second)
+		kill(all...)
+		again := p.start(rows, "v1", "v2")
+		for i := range 100 {
+			_, found, _ := again.ledger.Recall(context.Background(), keyNumber(i))
+			assert.Assert(t, found, "stream %d", i)
+		}
+		kill(again)
+	})
+}
+
 // Guards against what a store loses that comes back from a copy.
 func TestVersionsAndRecordsOutliveARestoreOfTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -109,7 +109,7 @@
 		expires := time.Now().Add(time.Duration(c.TTLMS) * time.Millisecond)
 		answer := storeAnswer{Kept: r.keep(c.Key, c.Origin, expires)}
 		if c.Persist && r.ledger != nil {
-			answer.Persisted = r.ledger.add(c.Key, c.Origin, expires)
+			answer.Persisted = r.ledger.addForPeer(c.Key, c.Origin, expires)
 		}
 		return answer, nil
 	})
--- a/internal/serve/origins/recording.go
+++ b/internal/serve/origins/recording.go
@@ -78,6 +78,7 @@
 	if ledger == nil {
 		return
 	}
+	ledger.noteActivity()
 	writer := ledger.writerOf(rec.key)
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
@@ -88,7 +89,7 @@
 	go rec.persistAt(writer)
 }
 
-// persistAt asks a process to write the record. If it doesn't answer, this process writes it.
+// persistAt asks a process to write the record. If it doesn't, this process writes it.
 func (rec *Recording) persistAt(writer peer.Incarnation) {
 	persisted := writer != rec.registry.network.Self().Incarnation && rec.askToPersist(writer)
 	if !persisted {
--- a/internal/serve/origins/rows.go
+++ b/internal/serve/origins/rows.go
@@ -206,7 +206,7 @@
 				continue
 			}
 			s.versions = append(s.versions, v)
-			s.revisions[Origin{Service: v.Service, Version: v.Version}] = row.Revision
+			s.revisions[v.origin()] = row.Revision
 		case strings.HasPrefix(row.Key, prefixSegment):
 			entries, err := decodeSegment(row.Value)
 			if err != nil {
@@ -226,6 +226,17 @@
 	return s
 }
 
+func (r versionRow) origin() Origin { return Origin{Service: r.Service, Version: r.Version} }
+
+// origins returns the versions in the table.
+func (s *snapshot) origins() []Origin {
+	list := make([]Origin, 0, len(s.versions))
+	for _, v := range s.versions {
+		list = append(list, v.origin())
+	}
+	return list
+}
+
 func (r versionRow) encode() []byte {
 	value, err := json.Marshal(r)
 	if err != nil {
--- a/internal/serve/run/origin.go
+++ b/internal/serve/run/origin.go
@@ -127,10 +127,14 @@
 	}
 	version, only := j.Table.OnlyVersion(j.service, now)
 	origin := origins.Origin{Service: j.service, Version: version}
-	if ledger := j.ledger(); only && ledger != nil {
-		only = ledger.Certain(origin, now)
+	ledger := j.ledger()
+	if !only || ledger == nil {
+		return origin, only
 	}
-	return origin, only
+	// The ledger may have found further versions since.
+	certain := ledger.Certain(origin, now)
+	again, only := j.Table.OnlyVersion(j.service, now)
+	return origin, certain && only && again == version
 }
 
 // knowsAllVersions reports whether this process knows all versions that others may know of.
