--- a/internal/serve/pool/versions.go
+++ b/internal/serve/pool/versions.go
@@ -1,6 +1,9 @@
 package pool
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // versionMemory is how long after a version has left the list callers may still take up streams that it began.
 const versionMemory = 2 * time.Minute
@@ -56,13 +59,13 @@
 	defer t.mu.RUnlock()
 	all := map[string][]string{}
 	for name, s := range t.services {
-		seen := map[string]bool{}
+		var versions []string
 		for _, target := range s.targets {
-			if !seen[target.Version] {
-				seen[target.Version] = true
-				all[name] = append(all[name], target.Version)
+			if !slices.Contains(versions, target.Version) {
+				versions = append(versions, target.Version)
 			}
 		}
+		all[name] = versions
 	}
 	return all
 }
--- a/internal/serve/pool/versions_test.go
+++ b/internal/serve/pool/versions_test.go
@@ -84,3 +84,23 @@
 	list, _ = table.Entries(start)
 	assert.Equal(t, list[0].Version, "")
 }
+
+func TestListedVersions(t *testing.T) {
+	table := tableOf()
+	table.Apply([]Change{{Entry: versionEntry("a", "v1", 11)}, {Entry: versionEntry("b", "v2", 12)}, {Entry: versionEntry("c", "v1", 13)}}, 13, start)
+	assert.DeepEqual(t, table.ListedVersions()["s"], []string{"v1", "v2"})
+	table.Apply([]Change{{Entry: Entry{ID: "b", Revision: 14}, Removed: true}}, 14, start)
+	assert.DeepEqual(t, table.ListedVersions()["s"], []string{"v1"})
+}
+
+// Guards against a version that is taken for the only one although others know of one that left.
+func TestVersionRecordedAsLeftIsNotForgottenAtOnce(t *testing.T) {
+	table := tableOf()
+	table.Apply([]Change{{Entry: versionEntry("a", "v2", 11)}}, 11, start)
+	table.RecordLeft("s", "v1", start)
+	_, only := table.OnlyVersion("s", start.Add(versionMemory))
+	assert.Assert(t, !only)
+	version, only := table.OnlyVersion("s", start.Add(versionMemory+time.Second))
+	assert.Assert(t, only)
+	assert.Equal(t, version, "v2")
+}
--- a/internal/serve/run/origin_ledger_test.go
+++ b/internal/serve/run/origin_ledger_test.go
@@ -146,6 +146,25 @@
 	}
 }
 
+// Guards against streams that a process refuses for good because it doesn't know yet whom to ask.
+func TestProcessThatKnowsNoOthersYetTellsCallersToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := &rowsInMemory{rows: map[string]origins.Row{}}
+		ctx, kill := context.WithCancel(context.Background())
+		e := keptExecutor(ctx, &scriptedTargets{}, rows, "v1", "v2")
+		time.Sleep(time.Second)
+		reply := takeUp(e, "unknown")
+		assert.Equal(t, reply.Reason, UnknownVersion)
+		assert.Assert(t, reply.RetryAfter > 0)
+		time.Sleep(2 * time.Second)
+		reply = takeUp(e, "unknown")
+		assert.Equal(t, reply.Reason, UnknownVersion)
+		assert.Equal(t, reply.RetryAfter, time.Duration(0))
+		kill()
+		time.Sleep(5 * time.Second) // until all calls have ended
+	})
+}
+
 // Guards against streams that begin at a version of which the store doesn't know, and against refusals if there is no other.
 func TestStreamsBeginAtVersionsThatTheStoreHas(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
