run: callers come back while the row of the only version is being written

A take-up that came right after the first start was refused for good. The only version stays certain to a process that knew it while a store that came back from a copy lacks its row.

--- a/internal/serve/origins/admissions.go
+++ b/internal/serve/origins/admissions.go
@@ -11,8 +11,9 @@
 
 // admission is what is known of one version.
 type admission struct {
-	// acknowledged means that the table has the version's row.
-	acknowledged bool
+	// acknowledged means that the table has the version's row, confirmed that it has had it: a table that comes back
+	// from a copy may lack it.
+	acknowledged, confirmed bool
 	// absentSince is when the version was first missing from the list; zero while it is there.
 	absentSince time.Time
 }
@@ -87,7 +88,7 @@
 			}
 			a.versions[row.Origin] = known
 		}
-		known.acknowledged = true
+		known.acknowledged, known.confirmed = true, true
 		if at, has := a.complete[row.Service]; !has || row.complete.Before(at) {
 			a.complete[row.Service] = row.complete
 		}
@@ -131,7 +132,7 @@
 func (a *admissions) written(versions []acknowledgedVersion) {
 	for _, v := range versions {
 		if known := a.versions[v.Origin]; known != nil && known.absentSince.IsZero() {
-			known.acknowledged = true
+			known.acknowledged, known.confirmed = true, true
 		}
 		if _, has := a.complete[v.Service]; !has {
 			a.complete[v.Service] = v.complete
--- a/internal/serve/origins/ledger.go
+++ b/internal/serve/origins/ledger.go
@@ -449,7 +449,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.admissions.versions[o]
-	if !l.knowsVersions || known == nil || !known.acknowledged {
+	if !l.knowsVersions || known == nil || !known.confirmed {
 		return false
 	}
 	complete, has := l.admissions.complete[o.Service]
--- a/internal/serve/origins/ledger_test.go
+++ b/internal/serve/origins/ledger_test.go
@@ -467,6 +467,20 @@
 	})
 }
 
+// Guards against refusals because the store has come back from a copy and doesn't take writes yet.
+func TestOnlyVersionStaysCertainDuringARestoreOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, rows := newProcesses(0), newFakeRows()
+		one := p.start(rows, "v1")
+		one.versions.setKnowsLeft()
+		time.Sleep(time.Second)
+		rows.change(func() { rows.rows, rows.era, rows.writeErr = map[string]Row{}, 2, ErrRejected })
+		time.Sleep(time.Second)
+		assert.Assert(t, !one.ledger.Admitted(began) && one.ledger.Certain(began, time.Now()))
+		kill(one)
+	})
+}
+
 // Guards against conclusions from the versions in sight about those that there were.
 func TestOnlyVersionIsCertainOnceTheTableHasIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/serve/run/origin.go
+++ b/internal/serve/run/origin.go
@@ -68,8 +68,8 @@
 	if certain && (found.Answered > 0 || current) {
 		return j.goOnAt(only, byOnlyVersion)
 	}
-	read := true
-	if ledger := j.ledger(); ledger != nil && (j.req.Resumes != "" || !ledger.HasRead()) {
+	read, ledger := true, j.ledger()
+	if ledger != nil && (j.req.Resumes != "" || !ledger.HasRead()) {
 		var origin origins.Origin
 		var recalled bool
 		if origin, recalled, read = ledger.Recall(j.ctx, j.originKey()); recalled {
@@ -81,7 +81,7 @@
 	}
 	j.Log.Info("Version that began a stream isn't known.", requestID(j.req.ID), zap.String("resumes", j.req.Resumes),
 		zap.Int("asked", found.Asked), zap.Int("answered", found.Answered), zap.Bool("store_read", read))
-	if found.Answered < found.Asked || found.Joining || !read {
+	if found.Answered < found.Asked || found.Joining || !read || ledger != nil && ledger.HoldsBack(j.service) {
 		return refuse(fasthttp.StatusServiceUnavailable, UnknownVersion, retryAfter(0))
 	}
 	return refuse(fasthttp.StatusServiceUnavailable, UnknownVersion, 0)
--- a/internal/serve/run/origin_ledger_test.go
+++ b/internal/serve/run/origin_ledger_test.go
@@ -165,6 +165,28 @@
 	})
 }
 
+// Guards against streams that are refused for good while the row of the only version is being written.
+func TestStreamOfTheOnlyVersionIsToldToComeBackUntilItIsCertain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := &rowsInMemory{rows: map[string]origins.Row{}, writeErr: origins.ErrRejected}
+		ctx, kill := context.WithCancel(context.Background())
+		targets := &scriptedTargets{body: "id: 5\ndata: e\n\n"}
+		e := keptExecutor(ctx, targets, rows, "v1")
+		time.Sleep(3 * time.Minute) // until no stream of an earlier release can be taken up
+		reply := takeUp(e, "unknown")
+		assert.Equal(t, reply.Reason, UnknownVersion)
+		assert.Assert(t, reply.RetryAfter > 0)
+		rows.change(func() { rows.writeErr = nil })
+		time.Sleep(5 * time.Second)
+		reply = takeUp(e, "unknown")
+		assert.Equal(t, reply.Status, 200)
+		_, err := io.ReadAll(reply.Answer.Body)
+		assert.NilError(t, err)
+		kill()
+		time.Sleep(5 * time.Second) // until all calls have ended
+	})
+}
+
 // Guards against streams that begin at a version of which the store doesn't know, and against refusals if there is no other.
 func TestStreamsBeginAtVersionsThatTheStoreHas(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
