--- a/internal/serve/origins/admissions.go
+++ b/internal/serve/origins/admissions.go
@@ -11,8 +11,9 @@
 
 // admission is what is known of one version.
 type admission struct {
-	// acknowledged means that the table has the version's row.
-	acknowledged bool
+	// acknowledged means that the table has the version's row, confirmed that it has had it: a table that comes back
+	// from a copy may lack it.
+	acknowledged, confirmed bool
 	// absentSince is when the version was first missing from the list; zero while it is there.
 	absentSince time.Time
 }
@@ -75,9 +76,9 @@
 	complete time.Time
 }
 
-// acknowledge applies what the table, or another process, says of its rows, and returns the versions that weren't
-// known. listed means that the list of versions is known.
-func (a *admissions) acknowledge(rows []acknowledgedVersion, listed bool, now time.Time) (found []Origin) {
+// acknowledge applies what the table, or another process, says of its rows. listed means that the list of versions is
+// known.
+func (a *admissions) acknowledge(rows []acknowledgedVersion, listed bool, now time.Time) {
 	for _, row := range rows {
 		known := a.versions[row.Origin]
 		if known == nil {
@@ -86,15 +87,13 @@
 				known.absentSince = now
 			}
 			a.versions[row.Origin] = known
-			found = append(found, row.Origin)
 		}
-		known.acknowledged = true
+		known.acknowledged, known.confirmed = true, true
 		if at, has := a.complete[row.Service]; !has || row.complete.Before(at) {
 			a.complete[row.Service] = row.complete
 		}
 	}
 	a.recount()
-	return found
 }
 
 // acknowledged returns the versions whose rows are in the table.
@@ -133,7 +132,7 @@
 func (a *admissions) written(versions []acknowledgedVersion) {
 	for _, v := range versions {
 		if known := a.versions[v.Origin]; known != nil && known.absentSince.IsZero() {
-			known.acknowledged = true
+			known.acknowledged, known.confirmed = true, true
 		}
 		if _, has := a.complete[v.Service]; !has {
 			a.complete[v.Service] = v.complete
