The configured limits on requests bind as they are

What callers saw: after the operator had raised max-header-bytes and max-body-bytes, requests within the new limits were answered 431 from 16 KiB of header on, and bodies above 8 MiB were cut. max-header-bytes and header-timeout-ms had no effect at all, neither raised nor lowered.

Cause: the size of the buffer, the largest body and the read timeout were constants that the HTTP server got at its start.

Change: the limits are read at each request, so they bind on new and kept connections. The body's limit and time are set between head and body. The time for a head starts with its first byte; a new connection that has sent nothing waits for 10 s or longer, as before. A stalled process reads what had arrived once more after the deadline. The buffer has room for the largest header limit that can be configured, 64 KiB; a connection has it only while a request is read. Limits beyond 64 KiB, 64 MiB, 10 minutes and 24 hours are refused with the configuration, by a line that names the limit; the version before stays. Requests that another VM forwards may be 512 bytes larger.

--- a/internal/serve/plan/check.go
+++ b/internal/serve/plan/check.go
@@ -10,6 +10,9 @@
 // exist, or a batch size below 1, would crash the process at the first request that needs it, and
 // the next process when the caller retries.
 func (p *Plan) Check() error {
+	if err := p.Limits.Check(); err != nil {
+		return err
+	}
 	for i := range p.Routes {
 		if !hasValidOrder(p.Routes[i].Stages) {
 			return fmt.Errorf("route %q: stages depend on each other in a cycle or on a stage that does not exist", p.Routes[i].Name)
