An answer that can't be told to be a call's own isn't used

What callers saw: a stage target sent a copy of an answer when the next call came in on its connection. The copy was taken for the answer to that call, so pieces of one request were made from another request's results, and the request was answered 200 with the other's data in it. In the same way an extra answer without X-Attempt-Id was passed on as the answer to a request.

Cause: calls of stage targets bore no ID, and whichever answer came first was taken. For requests, an answer without an ID counted as the request's own. By PROTOCOL.md targets repeat X-Attempt-Id in their answers, and it is the ID that identifies extra ones; so an answer without it says nothing.

An answer without an ID is taken only as the first one on its connection, which is closed after it; on any other connection the call fails as one that may have run. A connection on which an extra answer came isn't used again. A request without an ID gets a connection of its own. Answers of peers are matched as before: they pass on what targets answer, and add no answers.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -57,6 +57,9 @@
 	lastUsed     time.Time
 }
 
+// Reused reports whether the connection had another call before the current one.
+func (c *Conn) Reused() bool { return !c.lastUsed.IsZero() }
+
 func (c *Conn) maxUnused() int {
 	if c.MaxIdleConns > 0 {
 		return min(c.MaxIdleConns, maxIdleConns)
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -135,6 +135,8 @@
 		Header: j.Codec.RequestHeader(j.req, info), Body: j.req.Body,
 		MaxIdleTime:    j.maxIdleTime(),
 		MatchesRequest: j.matchesRequest,
+		NamesRequest:   func(h *fasthttp.ResponseHeader) bool { return j.Codec.ReadAnswer(h).ID != "" },
+		NewConnection:  j.req.ID == "",
 		Allowed:        func() bool { return !target.Declines(time.Now()) },
 	}
 	if taken := j.retry; taken != nil {
@@ -144,7 +146,7 @@
 	return r
 }
 
-// matchesRequest reports whether an answer belongs to this request.
+// matchesRequest reports whether an answer may belong to this request. One without an ID may, too.
 func (j *job) matchesRequest(h *fasthttp.ResponseHeader) bool {
 	id := j.Codec.ReadAnswer(h).ID
 	return id == "" || id == j.req.ID
--- a/internal/serve/upstream/answer.go
+++ b/internal/serve/upstream/answer.go
@@ -64,9 +64,10 @@
 		a.Body = framing.NewBody(a.conn.R, &a.Header, r.Method)
 		a.WrapTrailer = a.readTrailer
 		if r.MatchesRequest == nil || r.MatchesRequest(&a.Header) {
-			return nil
+			return a.checkNamed(r, skipped)
 		}
 		skipped++
+		a.closeAfterAnswer = true
 		if err := a.discardBody(); err != nil {
 			return err
 		}
@@ -74,6 +75,19 @@
 	return ErrUnrelatedAnswers
 }
 
+// checkNamed decides whether an answer is taken that may name no request. skipped is the number of answers
+// before it.
+func (a *Answer) checkNamed(r *Request, skipped int) error {
+	if r.NamesRequest == nil || r.NamesRequest(&a.Header) {
+		return nil
+	}
+	a.closeAfterAnswer = true
+	if skipped > 0 || a.conn.Reused() {
+		return ErrUnnamedAnswer
+	}
+	return nil
+}
+
 // discardBody reads and discards the body of an answer to an earlier request.
 func (a *Answer) discardBody() error {
 	if a.Kind == framing.Connection {
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -43,6 +43,14 @@
 	// other answer is a late one to an earlier request and is discarded. nil accepts every
 	// answer.
 	MatchesRequest func(*fasthttp.ResponseHeader) bool
+	// NamesRequest reports whether an answer with this header names the request that it belongs to. One that
+	// names none is taken only if it is the first answer on its connection, which is closed after it; on any
+	// other one it may be an extra answer to an earlier request, and the error is ErrUnnamedAnswer. nil
+	// means that every answer names its request.
+	NamesRequest func(*fasthttp.ResponseHeader) bool
+	// NewConnection has the request sent on a connection without an earlier one. It is for requests that an
+	// answer to an earlier one can't be told from.
+	NewConnection bool
 	// Allowed is asked right before the request is written, when there is a connection. If it returns false,
 	// nothing is sent and the error is ErrNotAllowed. nil allows the request.
 	Allowed func() bool
@@ -81,6 +89,9 @@
 // ErrUnrelatedAnswers means that the target only sent answers to other requests.
 var ErrUnrelatedAnswers = errors.New("target sent only answers to other requests")
 
+// ErrUnnamedAnswer means that an answer names no request, on a connection that had another request before.
+var ErrUnnamedAnswer = errors.New("answer names no request and may be another's")
+
 // maxUnrelatedAnswers is how many answers to earlier requests are discarded before the attempt
 // fails.
 const maxUnrelatedAnswers = 2
@@ -166,6 +177,9 @@
 }
 
 func (c *Client) connect(ctx context.Context, r *Request) (*conns.Conn, error) {
+	if r.NewConnection {
+		return c.Connect(ctx, r.Address)
+	}
 	if kept := c.idle.Take(r.Address, time.Now(), r.MaxIdleTime); kept != nil {
 		return kept, nil
 	}
