A refusal that its target doesn't confirm is no promise

What callers saw: a target ran a request that must not run twice and answered 503 without X-Not-Executed. The 503 was passed on, and tells callers that the request hasn't run and won't: they send it again. The same held for 408 and 429.

Cause: answers of targets were passed on unchanged whatever their status promises.

Evidence: TestRefusalThatNoTargetConfirmsIsNoPromise failed before: 408 where 502 is wanted.

Change: for a route whose requests can't be repeated, such an answer counts as a failure, and the caller gets a 502 of this system's own, without the target's signature and Retry-After. Other statuses, and answers to idempotent requests, whose callers may send again anyway, are passed on as before. The reason is counted and logged as "target refused without saying that the request hasn't run".

Measured: the test passes, with -race too; the tests of internal/serve/run passed with the change.

--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -56,6 +56,11 @@
 		call.End(pool.Failed, time.Now())
 		return attempt{target: target, mayHaveArrived: true, mayHaveRun: true}
 	}
+	if isPromise(answer.Status) && !j.route.Repeatable() {
+		answer.Close()
+		call.End(pool.Failed, time.Now())
+		return attempt{target: target, mayHaveArrived: true, mayHaveRun: true, reply: j.giveUp(UnclearRefusal, fasthttp.StatusBadGateway)}
+	}
 	if isSuccess(answer.Status) && !info.Signed {
 		answer.Close()
 		call.End(pool.Failed, time.Now())
@@ -69,6 +74,16 @@
 
 var errUnsigned = errors.New("answer without a signature")
 
+// isPromise reports whether a status tells callers that their request hasn't run and won't.
+func isPromise(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
 // canRetryElsewhere reports whether a request that failed at a target may be retried at
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -110,6 +110,7 @@
 	RateLimited     Reason = "targets take no more requests for now"
 	OverBudget      Reason = "no repeat left in the budget"
 	LostAnswer      Reason = "target gave no answer"
+	UnclearRefusal  Reason = "target refused without saying that the request hasn't run"
 	TimedOut        Reason = "time is up"
 	CallerLeft      Reason = "caller left"
 	TooManyPieces   Reason = "too many pieces"
