--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -56,6 +56,11 @@
 		call.End(pool.Failed, time.Now())
 		return attempt{target: target, mayHaveArrived: true, mayHaveRun: true}
 	}
+	if isPromise(answer.Status) && !j.route.Repeatable() {
+		answer.Close()
+		call.End(pool.Failed, time.Now())
+		return attempt{target: target, mayHaveArrived: true, mayHaveRun: true, reply: j.giveUp(UnclearRefusal, fasthttp.StatusBadGateway)}
+	}
 	if isSuccess(answer.Status) && !info.Signed {
 		answer.Close()
 		call.End(pool.Failed, time.Now())
@@ -69,6 +74,16 @@
 
 var errUnsigned = errors.New("answer without a signature")
 
+// isPromise reports whether a status tells callers that their request hasn't run and won't.
+func isPromise(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
 // canRetryElsewhere reports whether a request that failed at a target may be retried at
@@ -135,6 +150,8 @@
 		Header: j.Codec.RequestHeader(j.req, info), Body: j.req.Body,
 		MaxIdleTime:    j.maxIdleTime(),
 		MatchesRequest: j.matchesRequest,
+		NamesRequest:   func(h *fasthttp.ResponseHeader) bool { return j.Codec.ReadAnswer(h).ID != "" },
+		NewConnection:  j.req.ID == "",
 		Allowed:        func() bool { return !target.Declines(time.Now()) },
 	}
 	if taken := j.retry; taken != nil {
@@ -144,7 +161,7 @@
 	return r
 }
 
-// matchesRequest reports whether an answer belongs to this request.
+// matchesRequest reports whether an answer may belong to this request. One without an ID may, too.
 func (j *job) matchesRequest(h *fasthttp.ResponseHeader) bool {
 	id := j.Codec.ReadAnswer(h).ID
 	return id == "" || id == j.req.ID
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -34,8 +34,6 @@
 	// MaxIdleTime limits how long a reused connection may have been unused; 0 means no limit
 	// beyond that of the connection pool.
 	MaxIdleTime time.Duration
-	// NewConnection opens a connection instead of reusing one.
-	NewConnection bool
 	// MaxIdleConns limits the unused connections that are kept to the address; 0 means no limit
 	// beyond that of the connection pool. CloseAfterAnswer closes the connection after the
 	// answer.
@@ -45,6 +43,14 @@
 	// other answer is a late one to an earlier request and is discarded. nil accepts every
 	// answer.
 	MatchesRequest func(*fasthttp.ResponseHeader) bool
+	// NamesRequest reports whether an answer with this header names the request that it belongs to. One that
+	// names none is taken only if it is the first answer on its connection, which is closed after it; on any
+	// other one it may be an extra answer to an earlier request, and the error is ErrUnnamedAnswer. nil
+	// means that every answer names its request.
+	NamesRequest func(*fasthttp.ResponseHeader) bool
+	// NewConnection opens a connection instead of reusing one, on which an answer to an earlier request may
+	// still arrive.
+	NewConnection bool
 	// Allowed is asked right before the request is written, when there is a connection. If it returns false,
 	// nothing is sent and the error is ErrNotAllowed. nil allows the request.
 	Allowed func() bool
@@ -83,6 +89,9 @@
 // ErrUnrelatedAnswers means that the target only sent answers to other requests.
 var ErrUnrelatedAnswers = errors.New("target sent only answers to other requests")
 
+// ErrUnnamedAnswer means that an answer names no request, on a connection that had another request before.
+var ErrUnnamedAnswer = errors.New("answer names no request and may be another's")
+
 // maxUnrelatedAnswers is how many answers to earlier requests are discarded before the attempt
 // fails.
 const maxUnrelatedAnswers = 2
