A soak reads the ends of answers while VMs and targets die

Callers with HTTP/1.1 and HTTP/1.0, on kept and new connections, read answers off the wire without an HTTP client, so that the soak knows what ended each: its length, its last chunk, an orderly close, a close inside its framing, or a reset. Streams (resumable or not) and plain answers (short or of 320 KB, idempotent or not) come by length, in chunks or without framing. VMs are killed, held and killed, stopped and frozen, alone, by twos and all at once; targets crash between events and inside plain answers and are back under another ID; heads are cut; odd entries come and go.

--- a/test/disturbed_vms_test.go
+++ b/test/disturbed_vms_test.go
@@ -13,15 +13,24 @@
 	killed disturbance = iota
 	stopped
 	frozen
-	// disturbanceCount is the number of faults.
+	// disturbanceCount is the number of faults above, from which most runs draw.
 	disturbanceCount
+	// frozenThenKilled is the fault of a VM that stands still before it is gone.
+	frozenThenKilled = disturbanceCount
 )
 
+// downTime is how long a VM is down before it is started again.
+const downTime = 200 * time.Millisecond
+
 // disturber disturbs the VMs of a site and knows which of them bounds hold for.
 type disturber struct {
 	edges *edgeSite
 	// frozenTime is how long a frozen VM stands still.
 	frozenTime time.Duration
+	// strict makes processes errors that have ended by themselves, or with a failure after SIGTERM.
+	strict bool
+	// faulty holds a lock for each VM during its faults. Several are taken in ascending order, and before mu.
+	faulty []sync.Mutex
 
 	mu sync.Mutex // guards the fields below; no other lock is taken while it is held
 	// disturbedAt is when the last fault of each VM began or ended; running has those that get requests.
@@ -30,7 +39,8 @@
 }
 
 func newDisturber(edges *edgeSite, frozenTime time.Duration) *disturber {
-	f := &disturber{edges: edges, frozenTime: frozenTime, disturbedAt: make([]time.Time, len(edges.vms)), running: make([]bool, len(edges.vms))}
+	n := len(edges.vms)
+	f := &disturber{edges: edges, frozenTime: frozenTime, faulty: make([]sync.Mutex, n), disturbedAt: make([]time.Time, n), running: make([]bool, n)}
 	for i := range f.running {
 		f.running[i] = true
 	}
@@ -39,14 +49,24 @@
 
 // disturb kills, stops or freezes a VM and has it serve again.
 func (f *disturber) disturb(vm int, fault disturbance) {
+	f.faulty[vm].Lock()
+	defer f.faulty[vm].Unlock()
+	f.checkRuns(vm)
 	t, process := f.edges.t, f.edges.processes[vm]
-	f.mark(vm, fault == frozen) // requests are sent to a frozen VM
+	f.mark(vm, fault == frozen || fault == frozenThenKilled) // requests are sent to a frozen VM
 	switch fault {
 	case killed:
 		process.kill(t)
+	case frozenThenKilled:
+		process.signal(t, syscall.SIGSTOP)
+		time.Sleep(f.frozenTime)
+		f.mark(vm, false)
+		process.kill(t)
 	case stopped:
 		process.signal(t, syscall.SIGTERM)
-		process.waitExit(t, waitTimeout)
+		if code := process.waitExit(t, waitTimeout); code != 0 && f.strict {
+			t.Errorf("%s ended with %d after SIGTERM", process.name, code)
+		}
 	case frozen:
 		process.signal(t, syscall.SIGSTOP)
 		time.Sleep(f.frozenTime)
@@ -54,12 +74,63 @@
 		f.mark(vm, true)
 		return
 	}
-	time.Sleep(200 * time.Millisecond)
+	time.Sleep(downTime)
 	f.edges.start(vm)
 	f.edges.waitReady(vm)
 	f.mark(vm, true)
 }
 
+// killAll kills all VMs at once, calls meanwhile, if it isn't nil, while they are down, and has them serve again. It
+// returns when they do.
+func (f *disturber) killAll(meanwhile func()) {
+	var starting sync.WaitGroup
+	for vm := range f.faulty {
+		f.faulty[vm].Lock()
+		defer f.faulty[vm].Unlock()
+	}
+	for vm := range f.faulty {
+		f.checkRuns(vm)
+		f.mark(vm, false)
+		_ = f.edges.processes[vm].cmd.Process.Kill()
+	}
+	for vm := range f.faulty {
+		<-f.edges.processes[vm].done
+	}
+	if meanwhile != nil {
+		meanwhile()
+	}
+	time.Sleep(downTime)
+	for vm := range f.faulty {
+		starting.Go(func() {
+			f.edges.start(vm)
+			f.edges.waitReady(vm)
+			f.mark(vm, true)
+		})
+	}
+	starting.Wait()
+}
+
+// checkRuns checks that the process of a VM hasn't ended by itself. The caller holds its lock of faulty.
+func (f *disturber) checkRuns(vm int) {
+	process := f.edges.processes[vm]
+	select {
+	case <-process.done:
+		if f.strict {
+			f.edges.t.Errorf("%s has ended by itself: %s", process.name, process.cmd.ProcessState)
+		}
+	default:
+	}
+}
+
+// checkAllRun checks that no process has ended by itself.
+func (f *disturber) checkAllRun() {
+	for vm := range f.faulty {
+		f.faulty[vm].Lock()
+		f.checkRuns(vm)
+		f.faulty[vm].Unlock()
+	}
+}
+
 func (f *disturber) mark(vm int, running bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
