The soak of streams' versions kills all VMs at once

Every fourth fault of VMs kills all of them. By draw, all versions stay, versions change on, or all but one leave just before the kill or while the VMs are down. Streams that were under way and whose version serves on must go on as often as half of the share of streams that begin, as is asked of other take-ups. The run is twice as long, so that a kill and the contact time after it have room.

--- a/test/platform_stream_versions_test.go
+++ b/test/platform_stream_versions_test.go
@@ -28,6 +28,10 @@
 	enginesPerVersion = 3
 	// maxAttempts limits how often a caller takes one stream up.
 	maxAttempts = 8
+	// waitAfterKill is how long after a kill of all VMs callers pause between attempts, if they aren't told to.
+	waitAfterKill = 4 * time.Second
+	// faultsPerKill is the number of faults of VMs of which the last one kills all.
+	faultsPerKill = 4
 )
 
 // streamSoak is a run in which callers take streams up while VMs and engines of several versions are
@@ -36,18 +40,26 @@
 	t     *testing.T
 	edges *edgeSite
 	vms   *disturber
+	// replacing is held while an engine is replaced, and during kills beside which none are; before mu.
+	replacing sync.Mutex
 	// randomMu guards random.
 	randomMu sync.Mutex
 	random   *rand.Rand
+	// killKinds draws what happens beside kills of all VMs.
+	killKinds *rand.Rand
 
 	mu sync.Mutex // guards the fields below
 	// engines are those that serve, by version; lastEngine numbers them.
 	engines    map[string][]*standin.Target
 	lastEngine int
-	// begun and takenUp count the attempts to begin a stream and to take one up, as far as they are counted. mixed has
-	// the streams that hold events of several versions.
-	begun, takenUp attemptCount
-	mixed          []string
+	// begun and takenUp count the attempts to begin a stream and to take one up, as far as they are counted. rejoined
+	// counts the streams that were under way when all VMs were killed and whose version served on. mixed has the
+	// streams that hold events of several versions.
+	begun, takenUp, rejoined attemptCount
+	mixed                    []string
+	// kills counts the kills of all VMs, lastKill is when the last one began.
+	kills    int
+	lastKill time.Time
 }
 
 type attemptCount struct{ tried, succeeded int }
@@ -64,6 +76,7 @@
 func newStreamSoak(t *testing.T, seed uint64) *streamSoak {
 	s := &streamSoak{
 		t: t, edges: startEdgeSite(t, versionSoakVMs), random: rand.New(rand.NewPCG(seed, 50)), engines: map[string][]*standin.Target{},
+		killKinds: rand.New(rand.NewPCG(seed, 65)),
 	}
 	s.vms = newDisturber(s.edges, 700*time.Millisecond)
 	s.edges.site.Publish(func(config map[string]any) {
@@ -120,6 +133,8 @@
 
 // crashEngine stops an engine abruptly; another one of its version starts later.
 func (s *streamSoak) crashEngine(version string) {
+	s.replacing.Lock()
+	defer s.replacing.Unlock()
 	if engine := s.removeEngine(version); engine != nil {
 		engine.Stop()
 		time.Sleep(500 * time.Millisecond)
@@ -132,11 +147,15 @@
 // replaceEngines replaces the engines of a version by those of another, one after the other.
 func (s *streamSoak) replaceEngines(from, to string) {
 	for range enginesPerVersion {
+		s.replacing.Lock()
 		s.startEngine(to)
+		s.replacing.Unlock()
 		time.Sleep(300 * time.Millisecond)
+		s.replacing.Lock()
 		engine := s.removeEngine(from)
-		if engine == nil {
-			return
+		s.replacing.Unlock()
+		if engine == nil { // its version has left during a kill
+			continue
 		}
 		s.edges.site.Store.Put("servers", engine.ID, engine.Entry("draining", 1))
 		time.AfterFunc(2*time.Second, func() {
@@ -156,9 +175,12 @@
 func (s *streamSoak) isCounted(vm int, version string, at time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.vms.inTouch(vm, at) && (version == "" || len(s.engines[version]) >= 2)
+	return s.vms.inTouch(vm, at) && (version == "" || s.isServed(version))
 }
 
+// isServed reports whether two engines of a version serve. The caller holds mu.
+func (s *streamSoak) isServed(version string) bool { return len(s.engines[version]) >= 2 }
+
 // soakStream is one stream as its caller has it.
 type soakStream struct {
 	name     string
@@ -166,6 +188,8 @@
 	first    string // the attempt that brought the first event
 	versions map[string]bool
 	version  string
+	// killed means that all VMs were killed under the stream, and that its version has served since.
+	killed bool
 }
 
 // runCaller begins a stream and takes it up, sometimes after leaving, until it is whole.
@@ -179,6 +203,7 @@
 		vm, had, started := s.pickVM(), c.events, time.Now()
 		counted := s.isCounted(vm, c.version, started)
 		pause := s.attempt(c, vm, fmt.Sprintf("%s-%d", name, n), until)
+		pause = s.noteKill(c, had, started, pause)
 		if counted && s.isCounted(vm, c.version, time.Now()) {
 			s.mu.Lock()
 			if had == 0 {
@@ -190,13 +215,35 @@
 		}
 		time.Sleep(pause)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.killed {
+		s.rejoined.add(false)
+	}
 	if len(c.versions) > 1 {
-		s.mu.Lock()
-		defer s.mu.Unlock()
 		s.mixed = append(s.mixed, fmt.Sprint(name, " has ", c.versions))
 	}
 }
 
+// noteKill notes, after an attempt, whether all VMs were killed during it, and whether a stream under which they were
+// has gone on. It returns the time until the next attempt, given that which the answer asked for.
+func (s *streamSoak) noteKill(c *soakStream, had int, started time.Time, pause time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.killed && c.events > had {
+		s.rejoined.add(true)
+		c.killed = false
+	}
+	if c.events > 0 && c.events < versionedEvents && s.lastKill.After(started) {
+		c.killed = true
+	}
+	c.killed = c.killed && s.isServed(c.version)
+	if c.events > 0 && time.Since(s.lastKill) < waitAfterKill {
+		return max(pause, time.Duration(100+s.pick(700))*time.Millisecond)
+	}
+	return pause
+}
+
 // attempt asks a VM for the rest of a stream and leaves when it has the given number of events. It returns the time
 // until the next attempt.
 func (s *streamSoak) attempt(c *soakStream, vm int, id string, until int) time.Duration {
@@ -244,12 +291,75 @@
 	}
 }
 
+// killKind is what happens to versions beside a kill of all VMs.
+type killKind int
+
+const (
+	versionsStay killKind = iota
+	versionsChange
+	// versionsLeaveBefore and versionsLeaveMeanwhile have all versions but one leave just before, or while VMs are down.
+	versionsLeaveBefore
+	versionsLeaveMeanwhile
+	// killKinds is the number of kinds.
+	killKinds
+)
+
+// killAll kills all VMs at once.
+func (s *streamSoak) killAll() {
+	kind := killKind(s.killKinds.IntN(int(killKinds)))
+	if kind != versionsChange {
+		s.replacing.Lock()
+		defer s.replacing.Unlock()
+	}
+	if kind == versionsLeaveBefore {
+		s.keepOneVersion()
+	}
+	s.mu.Lock()
+	s.kills++
+	s.lastKill = time.Now()
+	s.mu.Unlock()
+	s.vms.killAll(func() {
+		if kind == versionsLeaveMeanwhile {
+			s.keepOneVersion()
+		}
+	})
+	time.Sleep(undisturbedTime + time.Second)
+}
+
+// keepOneVersion removes the engines of all versions but one.
+func (s *streamSoak) keepOneVersion() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := ""
+	for version := range s.engines {
+		if s.isServed(version) && (kept == "" || s.pick(2) == 0) {
+			kept = version
+		}
+	}
+	if kept == "" {
+		return
+	}
+	for version, engines := range s.engines {
+		if version == kept {
+			continue
+		}
+		for _, engine := range engines {
+			s.edges.site.Store.Delete("servers", engine.ID)
+			time.AfterFunc(2*time.Second, engine.Stop)
+		}
+		delete(s.engines, version)
+	}
+}
+
 // run plays the faults while streams begin.
 func (s *streamSoak) run(d time.Duration) {
 	var faults, streams sync.WaitGroup
 	end := time.Now().Add(d)
 	faults.Go(func() {
-		for vm := 0; time.Now().Before(end); vm = (vm + 1 + s.pick(3)) % versionSoakVMs {
+		for vm, n := 0, 1; time.Now().Before(end); vm, n = (vm+1+s.pick(3))%versionSoakVMs, n+1 {
+			if n%faultsPerKill == 0 {
+				s.killAll()
+			}
 			s.vms.disturb(vm, disturbance(s.pick(int(disturbanceCount))))
 			time.Sleep(time.Duration(s.pick(300)) * time.Millisecond)
 		}
@@ -276,9 +386,12 @@
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			s := newStreamSoak(t, seed)
-			s.run(plannedDurationOf(t))
-			t.Logf("%d of %d streams began, %d of %d went on", s.begun.succeeded, s.begun.tried, s.takenUp.succeeded, s.takenUp.tried)
-			assert.Equal(t, len(s.mixed), 0, "%v", s.mixed)
+			s.run(2 * plannedDurationOf(t))
+			t.Logf("%d of %d streams began, %d of %d went on, %d of %d after %d kills of all VMs",
+				s.begun.succeeded, s.begun.tried, s.takenUp.succeeded, s.takenUp.tried, s.rejoined.succeeded, s.rejoined.tried, s.kills)
+			assert.Check(t, len(s.mixed) == 0, "%v", s.mixed)
+			assert.Check(t, s.kills > 0)
+			assert.Check(t, s.rejoined.share() >= s.begun.share()/2 || s.rejoined.tried == 0, "%d of %d streams went on after a kill", s.rejoined.succeeded, s.rejoined.tried)
 			assert.Assert(t, s.takenUp.tried >= 12)
 			assert.Assert(t, s.takenUp.share() >= s.begun.share()/2)
 		})
