--- a/test/platform_stream_versions_test.go
+++ b/test/platform_stream_versions_test.go
@@ -76,9 +76,9 @@
 func newStreamSoak(t *testing.T, seed uint64) *streamSoak {
 	s := &streamSoak{
 		t: t, edges: startEdgeSite(t, versionSoakVMs), random: rand.New(rand.NewPCG(seed, 50)), engines: map[string][]*standin.Target{},
-		killKinds: rand.New(rand.NewPCG(seed, 65)),
 	}
 	s.vms = newDisturber(s.edges, 700*time.Millisecond)
+	s.killKinds = rand.New(rand.NewPCG(seed, 65))
 	s.edges.site.Publish(func(config map[string]any) {
 		config["services"] = append(config["services"].([]any), map[string]any{
 			"name": "writers", "max-connections": 200, "engine": map[string]any{"slot-count": 16, "kv-cache-tokens": 500000},
@@ -304,8 +304,8 @@
 	killKinds
 )
 
-// killAll kills all VMs at once.
-func (s *streamSoak) killAll() {
+// playKill kills all VMs at once.
+func (s *streamSoak) playKill() {
 	kind := killKind(s.killKinds.IntN(int(killKinds)))
 	if kind != versionsChange {
 		s.replacing.Lock()
@@ -358,7 +358,7 @@
 	faults.Go(func() {
 		for vm, n := 0, 1; time.Now().Before(end); vm, n = (vm+1+s.pick(3))%versionSoakVMs, n+1 {
 			if n%faultsPerKill == 0 {
-				s.killAll()
+				s.playKill()
 			}
 			s.vms.disturb(vm, disturbance(s.pick(int(disturbanceCount))))
 			time.Sleep(time.Duration(s.pick(300)) * time.Millisecond)
