The soak of streams' versions has slow streams

Half of the streams now take 2 s, and engines have more slots, so that one version alone has room for all.

--- a/test/platform_stream_versions_test.go
+++ b/test/platform_stream_versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -24,8 +25,12 @@
 	versionedRate   = 30
 	versionedEvents = 20
 	eventInterval   = 25 * time.Millisecond
+	// slowStreamFactor makes slow streams take 2 s.
+	slowStreamFactor = 4
 	// enginesPerVersion is more than the two for which a version counts as served.
 	enginesPerVersion = 3
+	// engineSlots has the engines of one version serve all streams.
+	engineSlots = 32
 	// maxAttempts limits how often a caller takes one stream up.
 	maxAttempts = 8
 	// waitAfterKill is how long after a kill of all VMs callers pause between attempts, if they aren't told to.
@@ -81,7 +86,7 @@
 	s.killKinds = rand.New(rand.NewPCG(seed, 65))
 	s.edges.site.Publish(func(config map[string]any) {
 		config["services"] = append(config["services"].([]any), map[string]any{
-			"name": "writers", "max-connections": 200, "engine": map[string]any{"slot-count": 16, "kv-cache-tokens": 500000},
+			"name": "writers", "max-connections": 200, "engine": map[string]any{"slot-count": engineSlots, "kv-cache-tokens": 500000},
 		})
 		config["routes"] = append(config["routes"].([]any), map[string]any{
 			"name": "write", "host": standin.Host, "prefix": "/write/", "kind": "streaming", "timeout-ms": 6000, "target-latency-ms": 1500,
@@ -107,8 +112,8 @@
 	s.mu.Lock()
 	s.lastEngine++
 	engine := &standin.Target{
-		ID: fmt.Sprintf("i-writer-%d", s.lastEngine), Service: "writers", Zone: "zone-a", Slots: 16, Events: versionedEvents, EventInterval: eventInterval,
-		Version: version, NamesVersion: true,
+		ID: fmt.Sprintf("i-writer-%d", s.lastEngine), Service: "writers", Zone: "zone-a", Slots: engineSlots, Events: versionedEvents, EventInterval: eventInterval,
+		SlowFactor: slowStreamFactor, Version: version, NamesVersion: true,
 	}
 	s.mu.Unlock()
 	assert.Check(s.t, engine.Start("127.0.0.1:0"))
@@ -184,6 +189,7 @@
 // soakStream is one stream as its caller has it.
 type soakStream struct {
 	name     string
+	path     string // empty for /x
 	events   int
 	first    string // the attempt that brought the first event
 	versions map[string]bool
@@ -194,7 +200,7 @@
 
 // runCaller begins a stream and takes it up, sometimes after leaving, until it is whole.
 func (s *streamSoak) runCaller(name string) {
-	c := &soakStream{name: name, versions: map[string]bool{}}
+	c := &soakStream{name: name, path: []string{"/x", standin.SlowPath}[s.pick(2)], versions: map[string]bool{}}
 	for n := 0; n < maxAttempts && c.events < versionedEvents; n++ {
 		until := versionedEvents
 		if s.pick(3) == 0 {
@@ -249,7 +255,7 @@
 func (s *streamSoak) attempt(c *soakStream, vm int, id string, until int) time.Duration {
 	ctx, leave := context.WithTimeout(context.Background(), 5*time.Second)
 	defer leave()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.edges.vms[vm].RequestAddress()+"/write/x", strings.NewReader(c.name))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.edges.vms[vm].RequestAddress()+"/write"+cmp.Or(c.path, "/x"), strings.NewReader(c.name))
 	assert.Check(s.t, err)
 	req.Host = standin.Host
 	req.Header.Set("X-Attempt-Id", id)
