--- a/test/disturbed_vms_test.go
+++ b/test/disturbed_vms_test.go
@@ -152,6 +152,13 @@
 	}
 }
 
+// sinceFault returns the time since a fault of a VM has begun or ended.
+func (f *disturber) sinceFault(vm int) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.disturbedAt[vm])
+}
+
 // inTouch reports whether a VM had been undisturbed for the contact time.
 func (f *disturber) inTouch(vm int, at time.Time) bool {
 	f.mu.Lock()
--- a/test/platform_answer_ends_test.go
+++ b/test/platform_answer_ends_test.go
@@ -299,7 +299,7 @@
 		if n%2 == 0 {
 			s.vms.killAll(nil)
 		}
-		time.Sleep(undisturbedTime + time.Second + s.upTo(time.Second))
+		time.Sleep(undisturbedTime + 1500*time.Millisecond + s.upTo(time.Second))
 	}
 }
 
@@ -373,8 +373,8 @@
 func (c *session) violate(id string, a rawAnswer, format string, args ...any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.violations = append(c.violations, fmt.Sprintf("%s at VM %d, HTTP/1.0 %v, %s ended by %s: %s",
-		time.Now().Format("05.000"), c.vm, c.http10, id, a.end, fmt.Sprintf(format, args...)))
+	c.violations = append(c.violations, fmt.Sprintf("%s, %v after a fault of VM %d, HTTP/1.0 %v, %s ended by %s: %s",
+		time.Now().Format("05.000"), c.vms.sinceFault(c.vm), c.vm, c.http10, id, a.end, fmt.Sprintf(format, args...)))
 }
 
 // note counts an attempt that counts.
