--- a/test/platform_answer_ends_test.go
+++ b/test/platform_answer_ends_test.go
@@ -71,6 +71,9 @@
 	all  []*standin.Target
 	// troubles are the spans in which targets fail, by service.
 	troubles map[string][]*span
+	// kills are the times at which all VMs were killed, lost the ages at them of resumable streams that never went on.
+	kills []time.Time
+	lost  []time.Duration
 	// refused are the attempts whose callers were told that they hadn't run, single those that may run once.
 	refused, single map[string]bool
 	violations      []string
@@ -297,6 +300,9 @@
 			time.Sleep(s.upTo(500 * time.Millisecond))
 		}
 		if n%2 == 0 {
+			s.mu.Lock()
+			s.kills = append(s.kills, time.Now())
+			s.mu.Unlock()
 			s.vms.killAll(nil)
 		}
 		time.Sleep(undisturbedTime + 1500*time.Millisecond + s.upTo(time.Second))
@@ -409,6 +415,7 @@
 type tale struct {
 	events   int
 	first    string // the attempt that brought the first event
+	began    time.Time
 	versions map[string]bool
 }
 
@@ -428,9 +435,13 @@
 			break
 		}
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	after := slices.IndexFunc(c.kills, func(kill time.Time) bool { return kill.After(got.began) })
+	if kind == resumableStream && got.events > 0 && got.events < answerEvents && after >= 0 {
+		c.lost = append(c.lost, c.kills[after].Sub(got.began))
+	}
 	if len(got.versions) > 1 {
-		c.mu.Lock()
-		defer c.mu.Unlock()
 		c.violations = append(c.violations, fmt.Sprintf("%s has events of %v", got.first, got.versions))
 	}
 }
@@ -438,7 +449,7 @@
 // readStream asks for the rest of a stream, leaves when it has the given number of events, and reports whether the
 // stream is over for the caller.
 func (c *session) readStream(kind answerKind, got *tale, until int) bool {
-	had := got.events
+	had, sent := got.events, time.Now()
 	var headers []string
 	if had > 0 {
 		headers = []string{"Last-Event-Id: " + strconv.Itoa(had), "Resumes: " + got.first}
@@ -450,6 +461,9 @@
 		time.Sleep(max(time.Duration(seconds*float64(time.Second)), c.upTo(1200*time.Millisecond)))
 		return kind != resumableStream
 	}
+	if had == 0 {
+		got.began = sent
+	}
 	rest := c.readEvents(got, id, a)
 	switch {
 	case a.end.looksComplete() && (got.events < answerEvents || rest != ""):
@@ -562,8 +576,8 @@
 			t.Cleanup(func() { s.saveLogs(seed) })
 			s.run(2 * plannedDurationOf(t))
 			s.addRuns()
-			t.Logf("seed %d: %d of %d requests served, %d of %d streams taken up, others %v; ends %v",
-				seed, s.served.succeeded, s.served.tried, s.takenUp.succeeded, s.takenUp.tried, s.unserved, s.ends)
+			t.Logf("seed %d: %d of %d requests served, %d of %d streams taken up, others %v, ages of lost streams at kills of all VMs %v; ends %v",
+				seed, s.served.succeeded, s.served.tried, s.takenUp.succeeded, s.takenUp.tried, s.unserved, s.lost, s.ends)
 			for _, violation := range s.violations {
 				t.Error(violation)
 			}
