The soak of answers' ends counts a taken-up stream once

A stream that never went on counted once for each of up to eight refusals, one that went on once; four lost streams of twenty-three looked like seventeen. The bound is the same. Half of the streams are slow, so that more are under way at a kill, and a take-up after the last event counts whether it is answered or refused.

--- a/test/platform_answer_ends_test.go
+++ b/test/platform_answer_ends_test.go
@@ -30,6 +30,8 @@
 	answerEvents = 16
 	answerParts  = 8
 	answerPause  = 40 * time.Millisecond
+	// slowTaleFactor makes slow streams take 2 s.
+	slowTaleFactor = 3
 	// largePart makes plain answers larger than what a VM reads whole before it passes it on.
 	largePart = 40 << 10
 	// answerLimit is how long a caller waits for an answer.
@@ -77,8 +79,8 @@
 	// refused are the attempts whose callers were told that they hadn't run, single those that may run once.
 	refused, single map[string]bool
 	violations      []string
-	// ends counts answers by kind and end; served and takenUp count the attempts outside disturbances, unserved the
-	// answers to the others.
+	// ends counts answers by kind and end. served counts the attempts to get an answer outside disturbances, takenUp the
+	// streams that were taken up there, unserved the answers to the other attempts.
 	ends            map[string]int
 	served, takenUp attemptCount
 	unserved        map[string]int
@@ -140,7 +142,7 @@
 func (s *answerSoak) startTarget(service, version, address string) error {
 	target := &standin.Target{
 		ID: fmt.Sprintf("i-%s-%d", service, s.lastID.Add(1)), Service: service, Zone: "zone-a", Slots: 16, EventInterval: answerPause,
-		Version: version, ChooseFraming: framingByID, HealthPath: "/health", CutHead: s.cutHead,
+		SlowFactor: slowTaleFactor, Version: version, ChooseFraming: framingByID, HealthPath: "/health", CutHead: s.cutHead,
 	}
 	if service == tellers {
 		target.Events, target.NamesVersion, target.AnswersReports = answerEvents, true, true
@@ -383,15 +385,21 @@
 		time.Now().Format("05.000"), c.vms.sinceFault(c.vm), c.vm, c.http10, id, a.end, fmt.Sprintf(format, args...)))
 }
 
-// note counts an attempt that counts.
-func (c *session) note(count *attemptCount, kind answerKind, a rawAnswer, succeeded bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	count.add(succeeded)
+// noteServed counts an attempt that counts.
+func (c *session) noteServed(kind answerKind, a rawAnswer, succeeded bool) {
 	if !succeeded {
-		text, _, _ := strings.Cut(a.body, ",")
-		c.unserved[fmt.Sprintf("%s: %d, %s, %.60s", kind, a.status, a.end, text)]++
+		c.noteUnserved(kind, a)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.served.add(succeeded)
+}
+
+func (c *session) noteUnserved(kind answerKind, a rawAnswer) {
+	text, _, _ := strings.Cut(a.body, ",")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unserved[fmt.Sprintf("%s: %d, %s, %.60s", kind, a.status, a.end, text)]++
 }
 
 // askPlain asks for a plain answer.
@@ -407,7 +415,7 @@
 		c.violate(id, a, "%s %s has other bytes than its answer", kind, path)
 	}
 	if counted {
-		c.note(&c.served, kind, a, whole)
+		c.noteServed(kind, a, whole)
 	}
 }
 
@@ -417,11 +425,14 @@
 	first    string // the attempt that brought the first event
 	began    time.Time
 	versions map[string]bool
+	path     string
+	// takenUp means that it was taken up outside disturbances, wentOn that it went on then.
+	takenUp, wentOn bool
 }
 
 // askStream reads a stream. If it may be resumed, the caller sometimes leaves, and takes it up until it is whole.
 func (c *session) askStream(kind answerKind) {
-	got := &tale{versions: map[string]bool{}}
+	got := &tale{versions: map[string]bool{}, path: []string{"x", strings.TrimPrefix(standin.SlowPath, "/")}[c.pick(2)]}
 	attempts := 1
 	if kind == resumableStream {
 		attempts = maxAttempts
@@ -441,6 +452,9 @@
 	if kind == resumableStream && got.events > 0 && got.events < answerEvents && after >= 0 {
 		c.lost = append(c.lost, c.kills[after].Sub(got.began))
 	}
+	if got.takenUp {
+		c.takenUp.add(got.wentOn)
+	}
 	if len(got.versions) > 1 {
 		c.violations = append(c.violations, fmt.Sprintf("%s has events of %v", got.first, got.versions))
 	}
@@ -454,9 +468,9 @@
 	if had > 0 {
 		headers = []string{"Last-Event-Id: " + strconv.Itoa(had), "Resumes: " + got.first}
 	}
-	a, id, counted := c.send(kind, "x", headers, func(body string) bool { return had+strings.Count(body, "\n\n") >= until })
+	a, id, counted := c.send(kind, got.path, headers, func(body string) bool { return had+strings.Count(body, "\n\n") >= until })
 	if a.status != http.StatusOK {
-		c.noteStream(kind, had, a, counted, false)
+		c.noteStream(kind, got, had, a, counted, false)
 		seconds, _ := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
 		time.Sleep(max(time.Duration(seconds*float64(time.Second)), c.upTo(1200*time.Millisecond)))
 		return kind != resumableStream
@@ -469,21 +483,24 @@
 	case a.end.looksComplete() && (got.events < answerEvents || rest != ""):
 		c.violate(id, a, "%s ends as complete after %d of %d events and %q, it had %d", kind, got.events, answerEvents, rest, had)
 		return true
-	case got.events == had && had == answerEvents:
+	case got.events == had && had == answerEvents: // it had all, and learns now that there are no more
+		c.noteStream(kind, got, had, a, counted, a.end.looksComplete())
 		return a.end.looksComplete()
 	}
-	c.noteStream(kind, had, a, counted, got.events > had && (a.end.looksComplete() || a.end == callerLeft))
+	c.noteStream(kind, got, had, a, counted, got.events > had && (a.end.looksComplete() || a.end == callerLeft))
 	return a.end.looksComplete()
 }
 
-func (c *session) noteStream(kind answerKind, had int, a rawAnswer, counted, succeeded bool) {
-	if !counted {
-		return
-	}
-	if had == 0 {
-		c.note(&c.served, kind, a, succeeded)
-	} else {
-		c.note(&c.takenUp, kind+" taken up", a, succeeded)
+func (c *session) noteStream(kind answerKind, got *tale, had int, a rawAnswer, counted, succeeded bool) {
+	switch {
+	case !counted:
+	case had == 0:
+		c.noteServed(kind, a, succeeded)
+	default:
+		got.takenUp, got.wentOn = true, got.wentOn || succeeded
+		if !succeeded {
+			c.noteUnserved(kind+" taken up", a)
+		}
 	}
 }
 
