--- a/internal/serve/gauges.go
+++ b/internal/serve/gauges.go
@@ -31,6 +31,9 @@
 	g.set("members", int64(1+len(s.network.View().Members)))
 	g.set("retry_budget.processes", int64(s.processCount()))
 	g.set("streams.origins", int64(s.origins.Count()))
+	if s.ledger != nil {
+		g.set("streams.origins_waiting", int64(s.ledger.Waiting()))
+	}
 	if s.prefixes != nil {
 		g.set("prompt_copies.keys", int64(s.prefixes.Count()))
 	}
@@ -40,6 +43,7 @@
 	g.set("requests.in_flight", s.inFlight.Load())
 	g.set("targets.connections_opened", s.client.Dialed())
 	g.set("plan.rejected", s.follower.RejectedPlans())
+	g.set("plan.unusable_parts", s.follower.UnusableParts())
 	g.set("store.contact_age_ms", s.follower.ContactAge(now).Milliseconds())
 	configuration, targets := s.follower.FailingFor()
 	g.set("store.configuration_silent_ms", configuration.Milliseconds())
@@ -162,6 +166,7 @@
 	g.set("vanillagate_service_targets_leaving"+label, int64(count.Leaving))
 	g.set("vanillagate_service_targets_resting"+label, int64(count.Resting))
 	g.set("vanillagate_service_targets_rejecting"+label, int64(count.Rejecting))
+	g.set("vanillagate_service_targets_displaced"+label, int64(count.Displaced))
 	g.set("vanillagate_service_calls"+label, int64(count.Calls))
 	g.set("vanillagate_service_retries_spent"+label, int64(s.budget.RetriesSpent(service, now)))
 	g.set("vanillagate_service_repeats_left"+label, int64(s.budget.RetriesLeft(service, now)))
--- a/internal/serve/plan/plan.go
+++ b/internal/serve/plan/plan.go
@@ -30,6 +30,8 @@
 	Services []Service
 	Teams    []Team
 	Limits   Limits
+	// Unusable says which parts of the configuration couldn't be used, and why. Peers don't get it.
+	Unusable []string `json:"-"`
 
 	byHost    map[string]map[string]*Route
 	byName    map[string]*Service
@@ -60,6 +62,9 @@
 	Stages   []Stage
 	// Public routes need no API key.
 	Public bool
+	// Unusable routes can't be used as they are configured. Their requests are refused, as another route with a shorter
+	// prefix would send them to a service that they aren't for.
+	Unusable bool `json:",omitempty"`
 }
 
 // Repeatable reports whether a request that may already have run may run again.
@@ -88,6 +93,8 @@
 	// MaxConnections is the number of connections that one target accepts from all callers
 	// together.
 	MaxConnections int
+	// HealthPath is the path at which the targets answer health checks; empty if they don't.
+	HealthPath string `json:",omitempty"`
 	// ColdPerSecond is how many requests a second a cold target can handle; 0 if the service's
 	// targets are never cold. ColdTime is how long a target stays cold after its start.
 	ColdPerSecond float64       `json:",omitempty"`
@@ -175,7 +182,9 @@
 	p.teamByKey = map[string]*Team{}
 	for i := range p.Teams {
 		for _, key := range p.Teams[i].Keys {
-			p.teamByKey[key] = &p.Teams[i]
+			if key != "" { // requests without a key have none
+				p.teamByKey[key] = &p.Teams[i]
+			}
 		}
 	}
 }
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -29,7 +29,9 @@
 	byID     map[string]*Target
 	lapsed   map[string]*Target
 	services map[string]*service
-	left     leftVersions
+	// byAddress holds the targets of byID and lapsed by their addresses. Its lists are replaced, not changed.
+	byAddress map[string][]*Target
+	left      leftVersions
 	// startedLate means that targets may have left before this process first had the list, at loadedAt.
 	startedLate bool
 	loadedAt    time.Time
@@ -60,6 +62,8 @@
 	onLeaving     func(Run)
 	// statements holds what runs have stated, also some that aren't in the list.
 	statements map[Run]*statements
+	// earlierStarts holds the targets whose rows name earlier starts, by ID.
+	earlierStarts map[string]*Target
 }
 
 // LapsedGracePeriod is how long targets whose entries lapsed during a store outage stay in use,
@@ -73,8 +77,8 @@
 func New(log *zap.Logger) *Table {
 	return &Table{
 		log: log, ejection: defaultEjection(),
-		byID: map[string]*Target{}, lapsed: map[string]*Target{}, services: map[string]*service{}, left: leftVersions{},
-		evacuations: evacuations{byZone: map[string]Evacuation{}}, statements: map[Run]*statements{},
+		byID: map[string]*Target{}, lapsed: map[string]*Target{}, services: map[string]*service{}, byAddress: map[string][]*Target{}, left: leftVersions{},
+		evacuations: evacuations{byZone: map[string]Evacuation{}}, statements: map[Run]*statements{}, earlierStarts: map[string]*Target{},
 	}
 }
 
@@ -219,7 +223,7 @@
 	for _, c := range changes {
 		old := t.byID[c.ID]
 		t.lastChange = max(t.lastChange, c.Revision)
-		if old != nil && (old.entry.Revision >= c.Revision || isEarlierRun(c, old)) {
+		if old != nil && old.newestRow() >= c.Revision {
 			continue
 		}
 		if old != nil {
@@ -230,6 +234,10 @@
 			history.add(c, now)
 		}
 		touched.add(old)
+		if old != nil && isEarlierStart(c, old) {
+			t.holdBack(old, c, now)
+			continue
+		}
 		if out := t.applyChange(old, c, now); out != nil {
 			retired = append(retired, out)
 		}
@@ -255,13 +263,6 @@
 	}
 }
 
-// isEarlierRun reports whether a change belongs to a run before the known one. A report may be
-// delayed on its way to the store until its target has restarted; it then names an address that the
-// target no longer has.
-func isEarlierRun(c Change, known *Target) bool {
-	return !c.Removed && c.Born != 0 && c.Born < known.Born
-}
-
 // applyChange applies one change and returns the target that left use because of it, if any. The
 // caller holds mu.
 func (t *Table) applyChange(old *Target, c Change, now time.Time) *Target {
@@ -282,11 +283,13 @@
 	if c.State == Draining {
 		stated.leave(now)
 	}
-	t.byID[c.ID] = &Target{
+	target := &Target{
 		ID: c.ID, Born: c.Born, Service: c.Service, Address: c.Address, Zone: c.Zone, Version: c.Version, hash: routing.RendezvousScore(c.ID), log: t.log, members: &t.members, onRateChange: t.onRateChange, entry: c.Entry,
 		evacuated: t.evacuated(c.Zone), coldUntil: now.Add(c.ColdLeft), statements: stated,
-		restored: t.pauseAfterRestore(stated, c.Revision, now),
+		restored: t.pauseAfterRestore(stated, c.Revision, now), displaced: displacement{rowAt: now},
 	}
+	t.byID[c.ID] = target
+	t.addAddress(target)
 	if t.loaded { // the first list is logged as a whole
 		t.logChange("Target is new.", zap.String("target", c.ID), zap.String("service", c.Service),
 			zap.String("address", c.Address), zap.String("version", c.Version), zap.String("state", string(c.State)),
@@ -310,6 +313,9 @@
 	}
 	old.mu.Unlock()
 	if lapses {
+		if earlier := t.lapsed[old.ID]; earlier != nil {
+			t.retire(earlier, now) // another run, which nothing else holds any more
+		}
 		t.lapsed[old.ID] = old
 		t.log.Warn("Target's entry lapsed while the list was away.", zap.String("target", old.ID))
 		return nil
@@ -332,6 +338,8 @@
 		target.restored = pause{} // the entry has been written since
 	}
 	target.entry = e
+	target.displaced.rowChanged(now)
+	target.earlier = earlierStart{}
 	target.coldUntil = now.Add(e.ColdLeft)
 	target.lapsesAt = time.Time{}
 	if began {
@@ -345,6 +353,9 @@
 func (target *Target) entryForPeers(now time.Time) Entry {
 	target.mu.Lock()
 	defer target.mu.Unlock()
+	if target.earlier.entry.Revision > target.entry.Revision {
+		return target.earlier.entry // the row that the list has
+	}
 	e := target.entry
 	e.ColdLeft = max(target.coldUntil.Sub(now), 0)
 	return e
@@ -372,6 +383,7 @@
 		retired = append(retired, target)
 		t.log.Info("Lapsed target was dropped: its entry did not reappear.", zap.String("target", id))
 	}
+	retired = append(retired, t.adoptEarlierStarts(touched, now)...)
 	t.updateServices(touched)
 	t.sweepStatements(now)
 	t.sweepLostEvacuations(now)
@@ -458,6 +470,8 @@
 	// Leaving targets have said that they leave. Resting ones want no requests from this process for some time.
 	// Rejecting ones have only rejected the latest requests.
 	Leaving, Resting, Rejecting int
+	// Displaced targets get no requests because another one answers at their address.
+	Displaced int
 	// Calls is the number of this process's calls in flight to the usable targets.
 	Calls int
 }
@@ -467,6 +481,9 @@
 	var c Count
 	for _, target := range t.targetsOf(service) {
 		target.statements.addTo(&c, now)
+		if target.isDisplaced(now) {
+			c.Displaced++
+		}
 		if !target.usable(now) {
 			continue
 		}
@@ -497,14 +514,19 @@
 	return views
 }
 
-// ByAddress returns the target of a service at an address; nil if there is none.
+// ByAddress returns the target of a service at an address; nil if there is none. If several entries name the address,
+// one whose target isn't known to be elsewhere is preferred.
 func (t *Table) ByAddress(service, address string) *Target {
-	for _, target := range t.targetsOf(service) {
-		if target.Address == address {
-			return target
+	t.mu.RLock()
+	all := t.byAddress[address]
+	t.mu.RUnlock()
+	var found *Target
+	for _, target := range all {
+		if target.Service == service && (found == nil || found.isDisplaced(time.Now())) {
+			found = target
 		}
 	}
-	return nil
+	return found
 }
 
 // Find returns the target of a service with an ID; nil if there is none.
@@ -562,6 +584,10 @@
 func (t *Table) ended(c *Call, outcome Outcome, now time.Time) {
 	t.recordOutcome(c, outcome, now)
 	switch outcome {
+	case Answered:
+		t.answeredAtAddress(c.target, c.started, now)
+	case Misdirected:
+		t.recordMisdirected(c.target, now)
 	case Failed:
 		t.ejectIfFailing(c.target, now)
 	case Unreachable:
--- a/internal/serve/pool/target.go
+++ b/internal/serve/pool/target.go
@@ -40,6 +40,10 @@
 	lapsesAt        time.Time // zero unless the entry has lapsed and may reappear
 	// restored is the pause of a target that was gone before its entry came back with a copy of the store.
 	restored pause
+	// displaced is what is known of other targets at the address.
+	displaced displacement
+	// earlier is a row of an earlier start. It is also written under Table.mu.
+	earlier  earlierStart
 	inFlight int
 	tokens   int // prompt tokens of requests whose response hasn't started
 	report   Report
@@ -121,6 +125,9 @@
 	// Refused: like Full, but the target may have room for other calls, or that it rejects is tracked for all
 	// processes together.
 	Refused Outcome = "refused"
+	// Misdirected: another target is at the address and refused the call. This one isn't there, and nothing is known of
+	// its health.
+	Misdirected Outcome = "misdirected"
 	// Abandoned: this side canceled the call.
 	Abandoned Outcome = "abandoned"
 )
@@ -129,9 +136,10 @@
 func (c *Call) ResponseStarted() {
 	t := c.target
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.tokens -= c.tokens
 	c.tokens = 0
+	t.mu.Unlock()
+	c.table.answeredAtAddress(t, c.started, time.Now())
 }
 
 // End records how the call ended.
@@ -154,7 +162,7 @@
 func (t *Target) GoneOrDraining() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.gone || t.entry.State != Ready || t.statements.isLeaving()
+	return t.gone || t.entry.State != Ready || t.earlier.leaving || t.statements.isLeaving()
 }
 
 // maxReportAge is how long a load report is used: about as long as a short generation runs.
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillagate/vanillagate/internal/framing"
+	"github.com/vanillagate/vanillagate/internal/headers"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
@@ -230,7 +231,10 @@
 		err = answer.ReadBounded(buffered, upstream.ErrorBodyBound)
 	}
 	if unlimited && err == nil && buffered.Len() == maxBuffered {
-		return attempt{target: target, mayHaveArrived: true, reply: j.relay(answer, call, buffered.String())}
+		return attempt{target: target, mayHaveArrived: true, reply: j.relay(target, answer, call, buffered.String())}
+	}
+	if err == nil {
+		err = j.verifyEnd(target, answer)
 	}
 	answer.Close()
 	if err != nil {
@@ -259,20 +263,18 @@
 	return attempt{target: target, mayHaveArrived: true, reply: passOn(answer, body, buffered.Len())}
 }
 
-// passOn returns the reply that passes an answer on with the given body. Its end is marked no better
-// than that of the answer.
+// passOn returns the reply that passes an answer on with the given body.
 func passOn(answer *upstream.Answer, body io.ReadCloser, length int) *Reply {
-	return &Reply{Status: answer.Status, Answer: &Answer{
-		Header: endToEndHeaders(&answer.Header), Body: body, Length: length, Unframed: answer.Kind == framing.Connection,
-	}}
+	return &Reply{Status: answer.Status, Answer: &Answer{Header: endToEndHeaders(&answer.Header), Body: body, Length: length}}
 }
 
 // relay streams an answer that is too large to be buffered.
-func (j *job) relay(answer *upstream.Answer, call *pool.Call, buffered string) *Reply {
-	body := &relayedBody{Reader: io.MultiReader(strings.NewReader(buffered), answer), close: func() {
+func (j *job) relay(target *pool.Target, answer *upstream.Answer, call *pool.Call, buffered string) *Reply {
+	rest := &verifiedBody{job: j, target: target, answer: answer}
+	body := &relayedBody{Reader: io.MultiReader(strings.NewReader(buffered), rest), close: func() {
 		answer.Close()
 		outcome := pool.Answered
-		if answer.HasExceeded() {
+		if answer.HasExceeded() || rest.broken() {
 			outcome = pool.Failed
 		}
 		call.End(outcome, time.Now())
@@ -301,7 +303,7 @@
 }
 
 // HopByHop reports whether a header applies to a single connection and must not be
-// forwarded. connection is the value of the Connection header, which may name further ones.
+// forwarded. connection is the value of all Connection headers, which may name further ones.
 func HopByHop(name, connection string) bool {
 	name = strings.ToLower(name)
 	if hopByHopHeaders[name] {
@@ -317,7 +319,7 @@
 
 // endToEndHeaders returns the header lines of an answer that are forwarded to the caller.
 func endToEndHeaders(h *fasthttp.ResponseHeader) []upstream.Header {
-	connection := string(h.Peek(fasthttp.HeaderConnection))
+	connection := headers.Join(headers.AppendAll(nil, h.All(), fasthttp.HeaderConnection))
 	var list []upstream.Header
 	for name, value := range h.All() {
 		if HopByHop(string(name), connection) {
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -14,6 +14,7 @@
 	"github.com/vanillagate/vanillagate/internal/serve/engines"
 	"github.com/vanillagate/vanillagate/internal/serve/gather"
 	"github.com/vanillagate/vanillagate/internal/serve/leaveout"
+	"github.com/vanillagate/vanillagate/internal/serve/liveness"
 	"github.com/vanillagate/vanillagate/internal/serve/origins"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
@@ -76,6 +77,8 @@
 
 	firstEventModel firstEventModel
 	answerStats     answerStats
+	// liveness checks the targets whose answers end with their connections.
+	liveness liveness.Checker
 	// shutdown is nil until this process shuts down.
 	shutdown atomic.Pointer[ShutdownSchedule]
 }
@@ -131,14 +134,17 @@
 	// slowestStage is the stage that took the longest.
 	slowestStage stageTime
 	// origin is the service and version that the caller's events are from; nil as long as it has none.
-	// recording is how other processes know it, recordedAt when that was last checked.
+	// originBy tells by what it is known if the caller takes the stream up. recording is how other processes know it,
+	// recordedAt when that was last checked.
 	origin     *origins.Origin
+	originBy   string
 	recording  *origins.Recording
 	recordedAt time.Time
-	// preparedAt is when the stages were finished, sentAt when the request was last sent to
+	// preparingAt is when the stages were last begun, preparedAt when they were finished, sentAt when the request was last sent to
 	// a target; zero before.
-	preparedAt time.Time
-	sentAt     time.Time
+	preparingAt time.Time
+	preparedAt  time.Time
+	sentAt      time.Time
 	// traits are what the request has in common with others that crash targets.
 	traits crashes.Traits
 }
@@ -170,6 +176,9 @@
 	if j.route == nil {
 		return refuse(fasthttp.StatusNotFound, NoRoute, 0)
 	}
+	if j.route.Unusable {
+		return refuse(fasthttp.StatusServiceUnavailable, RouteUnusable, retryAfter(maxRetryAfter))
+	}
 	if !j.route.Public && len(p.Teams) > 0 {
 		j.team = p.TeamByKey(j.req.Key)
 		if j.team == nil {
@@ -276,6 +285,7 @@
 	if reply := j.refuseIfClosed(); reply != nil {
 		return reply
 	}
+	j.preparingAt = time.Now()
 	if reply := j.reserveTarget(); reply != nil {
 		return reply
 	}
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/vanillagate/vanillagate/internal/serve/place"
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/upstream"
 )
@@ -72,6 +73,8 @@
 type AnswerInfo struct {
 	// ID is the ID of the request that the answer belongs to; empty if it isn't given.
 	ID string
+	// Target is the ID of the target that has answered; empty if it isn't given.
+	Target string
 	// NotRun means that the target certainly didn't run the request.
 	NotRun bool
 	// Signed means that the answer has the target's signature.
@@ -89,6 +92,9 @@
 	ForwardHeader(r *Request, remaining time.Duration) []upstream.Header
 	// ReadAnswer parses the header of an answer.
 	ReadAnswer(h *fasthttp.ResponseHeader) AnswerInfo
+	// LivenessRequest returns the URI and the header lines of a GET request that a target of a service
+	// answers without running anything; none if uri is empty. service is nil if it isn't in the configuration.
+	LivenessRequest(target string, service *plan.Service) (uri string, header []upstream.Header)
 }
 
 // Reason says why this process answered a request itself.
@@ -99,6 +105,7 @@
 	NoConfiguration Reason = "no configuration yet"
 	NoTargetsYet    Reason = "targets aren't known yet"
 	NoRoute         Reason = "no route"
+	RouteUnusable   Reason = "route is not configured correctly"
 	NoKey           Reason = "unknown key"
 	NoTarget        Reason = "no target takes work"
 	StagesLate      Reason = "stages can't be done in time"
@@ -136,9 +143,6 @@
 	Body io.ReadCloser
 	// Length is the length in bytes; -1 if unknown.
 	Length int
-	// Unframed is set if the target's answer had neither a length nor chunks. It may have been cut
-	// off, so the caller's must not claim to be complete either.
-	Unframed bool
 }
 
 func refuse(status int, reason Reason, retryAfter time.Duration) *Reply {
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -72,7 +72,8 @@
 	}
 	if j.takesUp() {
 		j.Log.Info("Stream that a caller takes up goes on.", requestID(j.req.ID), zap.String("resumes", j.req.Resumes),
-			zap.String("after_event", j.req.LastEventID), zap.String("target", target.ID), zap.String("version", target.Version))
+			zap.String("after_event", j.req.LastEventID), zap.String("target", target.ID), zap.String("version", target.Version),
+			zap.String("known_by", j.originBy))
 		j.Metrics.count(series("vanillagate_streams_taken_up", "version", target.Version))
 	}
 	length := answer.Length
@@ -144,14 +145,12 @@
 // A target that crashes may close its connection, or end its chunks, like one that is done.
 func (s *stream) incomplete() error {
 	switch {
-	case s.opaque:
-		return nil
-	case s.events.inside():
+	case !s.opaque && s.events.inside():
 		return errEndsInsideEvent
-	case s.answer.Kind == framing.Connection && !s.events.complete:
+	case !s.opaque && s.answer.Kind == framing.Connection && !s.events.complete && s.lastEventID == "":
 		return errNoEvent
 	default:
-		return nil
+		return s.job.verifyEnd(s.target, s.answer)
 	}
 }
 
--- a/internal/serve/upstream/answer.go
+++ b/internal/serve/upstream/answer.go
@@ -12,6 +12,7 @@
 
 	"github.com/vanillagate/vanillagate/internal/conns"
 	"github.com/vanillagate/vanillagate/internal/framing"
+	"github.com/vanillagate/vanillagate/internal/headers"
 )
 
 // Answer is the answer of a target. Its body is streamed: Read returns data as it arrives.
@@ -125,10 +126,13 @@
 // late on a busy VM.
 const idleMargin = time.Second
 
+// maxStatedIdle caps the idle time that a target states, in seconds. Connections are kept for a shorter time anyway.
+const maxStatedIdle = 3600
+
 // idleTime reads from the Keep-Alive header how long the target keeps an unused connection; 0
 // if it doesn't say.
 func idleTime(h *fasthttp.ResponseHeader) time.Duration {
-	for _, part := range strings.Split(string(h.Peek("Keep-Alive")), ",") {
+	for _, part := range strings.Split(string(headers.Get(h.All(), "Keep-Alive")), ",") {
 		value, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
 		if !found {
 			continue
@@ -137,7 +141,7 @@
 		if err != nil || seconds <= 0 {
 			return 0
 		}
-		idle := time.Duration(seconds) * time.Second
+		idle := time.Duration(min(seconds, maxStatedIdle)) * time.Second
 		return min(max(idle-idleMargin, idle/4), conns.DefaultIdleTimeout)
 	}
 	return 0
--- a/test/platform_stream_versions_test.go
+++ b/test/platform_stream_versions_test.go
@@ -79,8 +79,20 @@
 func (c attemptCount) share() float64 { return float64(c.succeeded) / float64(max(c.tried, 1)) }
 
 func newStreamSoak(t *testing.T, seed uint64) *streamSoak {
+	s := newStreamSite(startEdgeSite(t, versionSoakVMs), seed)
+	for _, version := range []string{"v1", "v2"} {
+		for range enginesPerVersion {
+			s.startEngine(version)
+		}
+	}
+	time.Sleep(time.Second)
+	return s
+}
+
+// newStreamSite adds a route for streams that may be resumed, and no engines.
+func newStreamSite(edges *edgeSite, seed uint64) *streamSoak {
 	s := &streamSoak{
-		t: t, edges: startEdgeSite(t, versionSoakVMs), random: rand.New(rand.NewPCG(seed, 50)), engines: map[string][]*standin.Target{},
+		t: edges.t, edges: edges, random: rand.New(rand.NewPCG(seed, 50)), engines: map[string][]*standin.Target{},
 	}
 	s.vms = newDisturber(s.edges, 700*time.Millisecond)
 	s.killKinds = rand.New(rand.NewPCG(seed, 65))
@@ -93,12 +105,6 @@
 			"target-gap-ms": 300, "priority": 0, "service": "writers", "attempts": 2, "resumable": true,
 		})
 	})
-	for _, version := range []string{"v1", "v2"} {
-		for range enginesPerVersion {
-			s.startEngine(version)
-		}
-	}
-	time.Sleep(time.Second)
 	return s
 }
 
