--- a/test/platform_answer_ends_test.go
+++ b/test/platform_answer_ends_test.go
@@ -142,10 +142,10 @@
 func (s *answerSoak) startTarget(service, version, address string) error {
 	target := &standin.Target{
 		ID: fmt.Sprintf("i-%s-%d", service, s.lastID.Add(1)), Service: service, Zone: "zone-a", Slots: 16, EventInterval: answerPause,
-		SlowFactor: slowTaleFactor, Version: version, ChooseFraming: framingByID, HealthPath: "/health", CutHead: s.cutHead,
+		SlowFactor: slowTaleFactor, Version: version, ChooseFraming: framingByID, ChecksWait: true, CutHead: s.cutHead,
 	}
 	if service == tellers {
-		target.Events, target.NamesVersion, target.AnswersReports = answerEvents, true, true
+		target.Events, target.NamesVersion = answerEvents, true
 	} else {
 		target.Parts = func(r *http.Request) (n, size int) { return answerParts, partSize(r.URL.Path) }
 	}
