--- a/test/platform_stream_versions_test.go
+++ b/test/platform_stream_versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -24,10 +25,18 @@
 	versionedRate   = 30
 	versionedEvents = 20
 	eventInterval   = 25 * time.Millisecond
+	// slowStreamFactor makes slow streams take 2 s.
+	slowStreamFactor = 4
 	// enginesPerVersion is more than the two for which a version counts as served.
 	enginesPerVersion = 3
+	// engineSlots has the engines of one version serve all streams.
+	engineSlots = 32
 	// maxAttempts limits how often a caller takes one stream up.
 	maxAttempts = 8
+	// waitAfterKill is how long after a kill of all VMs callers pause between attempts, if they aren't told to.
+	waitAfterKill = 4 * time.Second
+	// faultsPerKill is the number of faults of VMs of which the last one kills all.
+	faultsPerKill = 4
 )
 
 // streamSoak is a run in which callers take streams up while VMs and engines of several versions are
@@ -36,18 +45,26 @@
 	t     *testing.T
 	edges *edgeSite
 	vms   *disturber
+	// replacing is held while an engine is replaced, and during kills beside which none are; before mu.
+	replacing sync.Mutex
 	// randomMu guards random.
 	randomMu sync.Mutex
 	random   *rand.Rand
+	// killKinds draws what happens beside kills of all VMs.
+	killKinds *rand.Rand
 
 	mu sync.Mutex // guards the fields below
 	// engines are those that serve, by version; lastEngine numbers them.
 	engines    map[string][]*standin.Target
 	lastEngine int
-	// begun and takenUp count the attempts to begin a stream and to take one up, as far as they are counted. mixed has
-	// the streams that hold events of several versions.
-	begun, takenUp attemptCount
-	mixed          []string
+	// begun and takenUp count the attempts to begin a stream and to take one up, as far as they are counted. rejoined
+	// counts the streams that were under way when all VMs were killed and whose version served on. mixed has the
+	// streams that hold events of several versions.
+	begun, takenUp, rejoined attemptCount
+	mixed                    []string
+	// kills counts the kills of all VMs, lastKill is when the last one began.
+	kills    int
+	lastKill time.Time
 }
 
 type attemptCount struct{ tried, succeeded int }
@@ -78,9 +95,10 @@
 		t: edges.t, edges: edges, random: rand.New(rand.NewPCG(seed, 50)), engines: map[string][]*standin.Target{},
 	}
 	s.vms = newDisturber(s.edges, 700*time.Millisecond)
+	s.killKinds = rand.New(rand.NewPCG(seed, 65))
 	s.edges.site.Publish(func(config map[string]any) {
 		config["services"] = append(config["services"].([]any), map[string]any{
-			"name": "writers", "max-connections": 200, "engine": map[string]any{"slot-count": 16, "kv-cache-tokens": 500000},
+			"name": "writers", "max-connections": 200, "engine": map[string]any{"slot-count": engineSlots, "kv-cache-tokens": 500000},
 		})
 		config["routes"] = append(config["routes"].([]any), map[string]any{
 			"name": "write", "host": standin.Host, "prefix": "/write/", "kind": "streaming", "timeout-ms": 6000, "target-latency-ms": 1500,
@@ -100,8 +118,8 @@
 	s.mu.Lock()
 	s.lastEngine++
 	engine := &standin.Target{
-		ID: fmt.Sprintf("i-writer-%d", s.lastEngine), Service: "writers", Zone: "zone-a", Slots: 16, Events: versionedEvents, EventInterval: eventInterval,
-		Version: version, NamesVersion: true,
+		ID: fmt.Sprintf("i-writer-%d", s.lastEngine), Service: "writers", Zone: "zone-a", Slots: engineSlots, Events: versionedEvents, EventInterval: eventInterval,
+		SlowFactor: slowStreamFactor, Version: version, NamesVersion: true,
 	}
 	s.mu.Unlock()
 	assert.Check(s.t, engine.Start("127.0.0.1:0"))
@@ -126,6 +144,8 @@
 
 // crashEngine stops an engine abruptly; another one of its version starts later.
 func (s *streamSoak) crashEngine(version string) {
+	s.replacing.Lock()
+	defer s.replacing.Unlock()
 	if engine := s.removeEngine(version); engine != nil {
 		engine.Stop()
 		time.Sleep(500 * time.Millisecond)
@@ -138,11 +158,15 @@
 // replaceEngines replaces the engines of a version by those of another, one after the other.
 func (s *streamSoak) replaceEngines(from, to string) {
 	for range enginesPerVersion {
+		s.replacing.Lock()
 		s.startEngine(to)
+		s.replacing.Unlock()
 		time.Sleep(300 * time.Millisecond)
+		s.replacing.Lock()
 		engine := s.removeEngine(from)
-		if engine == nil {
-			return
+		s.replacing.Unlock()
+		if engine == nil { // its version has left during a kill
+			continue
 		}
 		s.edges.site.Store.Put("servers", engine.ID, engine.Entry("draining", 1))
 		time.AfterFunc(2*time.Second, func() {
@@ -162,21 +186,27 @@
 func (s *streamSoak) isCounted(vm int, version string, at time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.vms.inTouch(vm, at) && (version == "" || len(s.engines[version]) >= 2)
+	return s.vms.inTouch(vm, at) && (version == "" || s.isServed(version))
 }
 
+// isServed reports whether two engines of a version serve. The caller holds mu.
+func (s *streamSoak) isServed(version string) bool { return len(s.engines[version]) >= 2 }
+
 // soakStream is one stream as its caller has it.
 type soakStream struct {
 	name     string
+	path     string // empty for /x
 	events   int
 	first    string // the attempt that brought the first event
 	versions map[string]bool
 	version  string
+	// killed means that all VMs were killed under the stream, and that its version has served since.
+	killed bool
 }
 
 // runCaller begins a stream and takes it up, sometimes after leaving, until it is whole.
 func (s *streamSoak) runCaller(name string) {
-	c := &soakStream{name: name, versions: map[string]bool{}}
+	c := &soakStream{name: name, path: []string{"/x", standin.SlowPath}[s.pick(2)], versions: map[string]bool{}}
 	for n := 0; n < maxAttempts && c.events < versionedEvents; n++ {
 		until := versionedEvents
 		if s.pick(3) == 0 {
@@ -185,6 +215,7 @@
 		vm, had, started := s.pickVM(), c.events, time.Now()
 		counted := s.isCounted(vm, c.version, started)
 		pause := s.attempt(c, vm, fmt.Sprintf("%s-%d", name, n), until)
+		pause = s.noteKill(c, had, started, pause)
 		if counted && s.isCounted(vm, c.version, time.Now()) {
 			s.mu.Lock()
 			if had == 0 {
@@ -196,19 +227,41 @@
 		}
 		time.Sleep(pause)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.killed {
+		s.rejoined.add(false)
+	}
 	if len(c.versions) > 1 {
-		s.mu.Lock()
-		defer s.mu.Unlock()
 		s.mixed = append(s.mixed, fmt.Sprint(name, " has ", c.versions))
 	}
 }
 
+// noteKill notes, after an attempt, whether all VMs were killed during it, and whether a stream under which they were
+// has gone on. It returns the time until the next attempt, given that which the answer asked for.
+func (s *streamSoak) noteKill(c *soakStream, had int, started time.Time, pause time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.killed && c.events > had {
+		s.rejoined.add(true)
+		c.killed = false
+	}
+	if c.events > 0 && c.events < versionedEvents && s.lastKill.After(started) {
+		c.killed = true
+	}
+	c.killed = c.killed && s.isServed(c.version)
+	if c.events > 0 && time.Since(s.lastKill) < waitAfterKill {
+		return max(pause, time.Duration(100+s.pick(700))*time.Millisecond)
+	}
+	return pause
+}
+
 // attempt asks a VM for the rest of a stream and leaves when it has the given number of events. It returns the time
 // until the next attempt.
 func (s *streamSoak) attempt(c *soakStream, vm int, id string, until int) time.Duration {
 	ctx, leave := context.WithTimeout(context.Background(), 5*time.Second)
 	defer leave()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.edges.vms[vm].RequestAddress()+"/write/x", strings.NewReader(c.name))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.edges.vms[vm].RequestAddress()+"/write"+cmp.Or(c.path, "/x"), strings.NewReader(c.name))
 	assert.Check(s.t, err)
 	req.Host = standin.Host
 	req.Header.Set("X-Attempt-Id", id)
@@ -250,12 +303,75 @@
 	}
 }
 
+// killKind is what happens to versions beside a kill of all VMs.
+type killKind int
+
+const (
+	versionsStay killKind = iota
+	versionsChange
+	// versionsLeaveBefore and versionsLeaveMeanwhile have all versions but one leave just before, or while VMs are down.
+	versionsLeaveBefore
+	versionsLeaveMeanwhile
+	// killKinds is the number of kinds.
+	killKinds
+)
+
+// playKill kills all VMs at once.
+func (s *streamSoak) playKill() {
+	kind := killKind(s.killKinds.IntN(int(killKinds)))
+	if kind != versionsChange {
+		s.replacing.Lock()
+		defer s.replacing.Unlock()
+	}
+	if kind == versionsLeaveBefore {
+		s.keepOneVersion()
+	}
+	s.mu.Lock()
+	s.kills++
+	s.lastKill = time.Now()
+	s.mu.Unlock()
+	s.vms.killAll(func() {
+		if kind == versionsLeaveMeanwhile {
+			s.keepOneVersion()
+		}
+	})
+	time.Sleep(undisturbedTime + time.Second)
+}
+
+// keepOneVersion removes the engines of all versions but one.
+func (s *streamSoak) keepOneVersion() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := ""
+	for version := range s.engines {
+		if s.isServed(version) && (kept == "" || s.pick(2) == 0) {
+			kept = version
+		}
+	}
+	if kept == "" {
+		return
+	}
+	for version, engines := range s.engines {
+		if version == kept {
+			continue
+		}
+		for _, engine := range engines {
+			s.edges.site.Store.Delete("servers", engine.ID)
+			time.AfterFunc(2*time.Second, engine.Stop)
+		}
+		delete(s.engines, version)
+	}
+}
+
 // run plays the faults while streams begin.
 func (s *streamSoak) run(d time.Duration) {
 	var faults, streams sync.WaitGroup
 	end := time.Now().Add(d)
 	faults.Go(func() {
-		for vm := 0; time.Now().Before(end); vm = (vm + 1 + s.pick(3)) % versionSoakVMs {
+		for vm, n := 0, 1; time.Now().Before(end); vm, n = (vm+1+s.pick(3))%versionSoakVMs, n+1 {
+			if n%faultsPerKill == 0 {
+				s.playKill()
+			}
 			s.vms.disturb(vm, disturbance(s.pick(int(disturbanceCount))))
 			time.Sleep(time.Duration(s.pick(300)) * time.Millisecond)
 		}
@@ -282,9 +398,12 @@
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			s := newStreamSoak(t, seed)
-			s.run(plannedDurationOf(t))
-			t.Logf("%d of %d streams began, %d of %d went on", s.begun.succeeded, s.begun.tried, s.takenUp.succeeded, s.takenUp.tried)
-			assert.Equal(t, len(s.mixed), 0, "%v", s.mixed)
+			s.run(2 * plannedDurationOf(t))
+			t.Logf("%d of %d streams began, %d of %d went on, %d of %d after %d kills of all VMs",
+				s.begun.succeeded, s.begun.tried, s.takenUp.succeeded, s.takenUp.tried, s.rejoined.succeeded, s.rejoined.tried, s.kills)
+			assert.Check(t, len(s.mixed) == 0, "%v", s.mixed)
+			assert.Check(t, s.kills > 0)
+			assert.Check(t, s.rejoined.share() >= s.begun.share()/2 || s.rejoined.tried == 0, "%d of %d streams went on after a kill", s.rejoined.succeeded, s.rejoined.tried)
 			assert.Assert(t, s.takenUp.tried >= 12)
 			assert.Assert(t, s.takenUp.share() >= s.begun.share()/2)
 		})
