Revert "The configured limits on requests bind as they are"

With it merged, TestRequestsAtEndOfGracePeriodAreAnswered failed each time (503 for 200, 4 of 4 runs): requests whose connections were accepted at the end of the grace period were refused.

--- a/internal/idle/listener.go
+++ b/internal/idle/listener.go
@@ -23,11 +23,6 @@
 	// stands for the current timeout of the Listener. It is longer than any other time that
 	// fasthttp waits to read.
 	DynamicTimeout = 1000 * time.Hour
-	// DynamicHeaderTimeout is the read timeout to configure in fasthttp. It stands for the current header timeout
-	// of the Listener. It is shorter than DynamicTimeout and longer than any other time.
-	DynamicHeaderTimeout = 100 * time.Hour
-	// firstByteTime is how long a new connection may wait for its first byte, if the header timeout isn't longer.
-	firstByteTime = 10 * time.Second
 	// pendingReadTime is how long reading a request that has already been received may take.
 	// It needs no waiting for the network, but the process may stall once more.
 	pendingReadTime = time.Second
@@ -50,9 +45,6 @@
 	net.Listener
 	// IdleTimeout returns the current idle timeout. It is called from several goroutines.
 	IdleTimeout func() time.Duration
-	// HeaderTimeout returns how long a head may currently take from its first byte on. It may be nil if
-	// DynamicHeaderTimeout isn't used.
-	HeaderTimeout func() time.Duration
 
 	closeOnce sync.Once
 	closeErr  error // set by closeOnce
@@ -158,14 +150,12 @@
 	// the previous request: its answer may have announced that timeout to the caller.
 	idleSince      time.Time
 	minIdleTimeout time.Duration
-	// deadline is the read deadline that fasthttp set. extended means that it has been extended to read a rest that
-	// arrived in time.
+	// deadline is the read deadline that fasthttp set.
 	deadline time.Time
-	extended bool
 }
 
 // SetReadDeadline sets the read deadline. It replaces DynamicTimeout by the current idle
-// timeout, and DynamicHeaderTimeout by the current header timeout.
+// timeout.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -175,11 +165,8 @@
 		t = c.idleEnd()
 	} else {
 		c.minIdleTimeout = c.listener.IdleTimeout()
-		if time.Until(t) > DynamicHeaderTimeout/2 {
-			t = time.Now().Add(c.headerTime())
-		}
 	}
-	c.deadline, c.extended = t, false
+	c.deadline = t
 	return c.TCPConn.SetReadDeadline(c.currentDeadline())
 }
 
@@ -196,15 +183,6 @@
 	}
 }
 
-// headerTime returns how long the head that is read next may take. The caller holds mu.
-func (c *callerConn) headerTime() time.Duration {
-	limit := c.listener.HeaderTimeout()
-	if c.nothingRead {
-		return max(limit, firstByteTime)
-	}
-	return limit
-}
-
 // idleEnd returns when the idle timeout ends. The caller holds mu.
 func (c *callerConn) idleEnd() time.Time {
 	return c.idleSince.Add(max(c.minIdleTimeout, c.listener.IdleTimeout()))
@@ -236,7 +214,7 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		if !c.extendForPendingData() && !c.extendIdleWait() && !c.extendForRest() {
+		if !c.extendForPendingData() && !c.extendIdleWait() {
 			return n, c.timeoutError(err)
 		}
 	}
@@ -280,18 +258,6 @@
 	return c.TCPConn.SetReadDeadline(time.Now().Add(pendingReadTime)) == nil
 }
 
-// extendForRest extends the deadline of a request once if more of it has arrived: a process that was stalled may
-// read it after the deadline. It returns false if nothing has arrived.
-func (c *callerConn) extendForRest() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.extended || c.unusedLocked() || c.listener.ending.Load() || socket.Peek(c.TCPConn) != socket.Readable {
-		return false
-	}
-	c.extended = true
-	return c.TCPConn.SetReadDeadline(time.Now().Add(pendingReadTime)) == nil
-}
-
 // extendIdleWait extends the deadline to the rest of an idle timeout that has become longer.
 // It returns false if that is over or the connection isn't idle.
 func (c *callerConn) extendIdleWait() bool {
--- a/internal/serve/plan/check.go
+++ b/internal/serve/plan/check.go
@@ -10,9 +10,6 @@
 // exist, or a batch size below 1, would crash the process at the first request that needs it, and
 // the next process when the caller retries.
 func (p *Plan) Check() error {
-	if err := p.Limits.Check(); err != nil {
-		return err
-	}
 	for i := range p.Routes {
 		if err := p.Routes[i].checkStages(); err != nil {
 			return err
