--- a/internal/target/framing_test.go
+++ b/internal/target/framing_test.go
@@ -78,13 +78,15 @@
 	}
 }
 
-func healthy(conn net.Conn) { _, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") }
+func healthy(conn net.Conn) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+}
 
 // Guards against answers that only their connection ends and that pass as framed.
 func TestUnframedAnswerIsMarked(t *testing.T) {
 	for answer, unframed := range map[string]bool{
 		unframedHeader + "hello": true, unframedHeader: true,
-		strings.Replace(unframedHeader, "\r\n\r\n", "\r\nContent-Length: 5\r\n\r\nhello", 1):                              false,
+		strings.Replace(unframedHeader, "\r\n\r\n", "\r\nContent-Length: 5\r\n\r\nhello", 1):                            false,
 		strings.Replace(unframedHeader, "\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", 1): false,
 	} {
 		target := (&closingTarget{answer: answer, health: healthy}).start(t)
