origins: processes that don't call the store learn of its return from a copy from the list of targets

After a restore of the store and the death of all processes, 22 of 48 streams went on in one of three runs of TestPlatformStreamsGoOnAfterARestoreAndAllVMsWereKilled: a process with nothing to write makes no calls, and has the list from others, so it didn't see the new era and didn't write its records again. The tests of killed VMs begin streams 10 ms apart and check that several began at each version: with all at once, one version had as few as none, on the code before too.

--- a/internal/serve/origins/ask_peer.go
+++ b/internal/serve/origins/ask_peer.go
@@ -62,7 +62,7 @@
 		versions = append(versions, acknowledgedVersion{Origin: v.Origin, complete: now.Add(time.Duration(v.CompleteInMS) * time.Millisecond)})
 	}
 	l.recordLeft(all, now)
-	era := l.Rows.Era()
+	era := max(l.Rows.Era(), l.Versions.Era())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if answer.Era < max(l.moment.Era, era) { // the table has come back from a copy since
--- a/internal/serve/origins/ledger.go
+++ b/internal/serve/origins/ledger.go
@@ -38,6 +38,9 @@
 	// Generation grows with every change of the targets. Loaded reports whether they are known.
 	Generation() uint64
 	Loaded() bool
+	// Era returns the latest era of the store that the list of targets is known from. A process that doesn't call the
+	// store itself has the list from others.
+	Era() uint64
 	// ListedVersions returns the versions of each service.
 	ListedVersions() map[string][]string
 	// RecordLeft records that a version has left.
@@ -153,7 +156,7 @@
 
 // observe takes over the list of versions and the era of the table.
 func (l *Ledger) observe(now time.Time) {
-	era, generation := l.Rows.Era(), l.Versions.Generation()
+	era, generation := max(l.Rows.Era(), l.Versions.Era()), l.Versions.Generation()
 	l.mu.Lock()
 	l.setEra(era)
 	changed := !l.listed || generation != l.generation
--- a/internal/serve/origins/ledger_test.go
+++ b/internal/serve/origins/ledger_test.go
@@ -125,6 +125,7 @@
 	listed     []string
 	left       []string
 	knowsLeft  bool
+	era        uint64
 }
 
 func (v *fakeVersions) list(versions ...string) {
@@ -134,6 +135,12 @@
 	v.listed = versions
 }
 
+func (v *fakeVersions) setEra(era uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.era = era
+}
+
 func (v *fakeVersions) setKnowsLeft() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -146,6 +153,12 @@
 	return v.generation
 }
 
+func (v *fakeVersions) Era() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.era
+}
+
 func (v *fakeVersions) Loaded() bool { return v.Generation() > 0 }
 
 func (v *fakeVersions) ListedVersions() map[string][]string {
@@ -467,6 +480,29 @@
 	})
 }
 
+// silentRows is a table whose era a process learns only by its own calls.
+type silentRows struct{ *fakeRows }
+
+func (silentRows) Era() uint64 { return 1 }
+
+// Guards against a process that doesn't call the store and doesn't learn that it has come back from a copy.
+func TestRestoreIsLearntFromTheListOfTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, rows := newProcesses(0), newFakeRows()
+		one := p.start(silentRows{rows}, "v1", "v2")
+		one.Record(keyNumber(1), began, inAMinute())
+		time.Sleep(time.Second)
+		rows.change(func() { rows.rows, rows.era = map[string]Row{}, 2 })
+		time.Sleep(time.Second)
+		assert.Equal(t, len(rows.keys("")), 0)
+		one.versions.setEra(2)
+		time.Sleep(time.Second)
+		assert.Equal(t, len(rows.keys(prefixVersion)), 2)
+		assert.Equal(t, len(rows.keys(prefixSegment)), 1)
+		kill(one)
+	})
+}
+
 // Guards against refusals because the store has come back from a copy and doesn't take writes yet.
 func TestOnlyVersionStaysCertainDuringARestoreOfTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/serve/pool/versions.go
+++ b/internal/serve/pool/versions.go
@@ -70,6 +70,13 @@
 	return all
 }
 
+// Era returns the era of the store that the list is known from.
+func (t *Table) Era() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return max(t.synced, t.lastChange).Era()
+}
+
 // RecordLeft records that the last target of a version has left, though this process hasn't seen it.
 func (t *Table) RecordLeft(service, version string, now time.Time) {
 	t.mu.Lock()
--- a/test/platform_total_kill_test.go
+++ b/test/platform_total_kill_test.go
@@ -55,11 +55,15 @@
 		c := &soakStream{name: fmt.Sprint("stream-", i), versions: map[string]bool{}}
 		k.streams = append(k.streams, c)
 		running.Go(func() { k.attempt(c, i%totalKillVMs, c.name+"-0", 8) })
+		time.Sleep(10 * time.Millisecond) // so that VMs see the load of each other's
 	}
 	running.Wait()
 	for _, c := range k.streams {
 		assert.Equal(k.t, c.events, 8, c.name)
 	}
+	for version := range k.engines {
+		assert.Assert(k.t, k.begunAt()[version] >= totalKillStreams/8, "%v", k.begunAt())
+	}
 }
 
 // removeVersion removes the entries of a version's engines, which go on running.
