liveness: a target at its connection limit isn't taken for a dead one

Whole answers without framing were cut, or became 502, if the target reset the connection of the check: targets reset connections beyond max-connections, and fewer while their queue is long, so this hit loaded targets most and took retries from the budget there.

A connection that was established and then closed without an answer doesn't tell a target at its limit from one that has died. The target is now asked once more after the time in which the port of a dead process closes. Refused: dead. Answered: as before, a successor by 421. Closed again: its port still accepts, so it runs.

--- a/internal/serve/liveness/liveness.go
+++ b/internal/serve/liveness/liveness.go
@@ -139,19 +139,26 @@
 		close(current.done)
 		return
 	}
-	first := &exchange{client: client, question: q, newConnection: true, onSend: onSend}
-	last := first
-	verdict := first.ask()
+	asked := []*exchange{{client: client, question: q, newConnection: true, onSend: onSend}}
+	verdict := asked[0].ask()
 	if verdict == Closed && client.HasIdle(q.Address, 0) {
-		last = &exchange{client: client, question: q, onSend: onSend}
-		verdict = last.ask()
+		asked = append(asked, &exchange{client: client, question: q, onSend: onSend})
+		verdict = asked[1].ask()
+	}
+	if verdict == Closed && asked[0].isConnected() {
+		time.Sleep(settleTime)
+		again := &exchange{client: client, question: q, newConnection: true, onSend: onSend}
+		asked = append(asked, again)
+		// A process at its connection limit accepts this connection, too; the port of one that has died refuses it.
+		if verdict = again.ask(); verdict == Closed && again.isConnected() {
+			verdict = Accepting
+		}
 	}
 	onSend()
 	current.verdict = verdict
 	close(current.done)
-	first.finish()
-	if last != first {
-		last.finish()
+	for _, e := range asked {
+		e.finish()
 	}
 }
 
@@ -170,8 +177,25 @@
 	time.Sleep(settleTime)
 	beforeCheck()
 	if socket.Peek(conn.Conn) == socket.Closed {
+		return reconnect(client, address)
+	}
+	return Accepting
+}
+
+// reconnect returns the verdict on a process that has closed a new connection: one at its connection limit accepts
+// the next one, too.
+func reconnect(client *upstream.Client, address string) Verdict {
+	time.Sleep(settleTime)
+	ctx, cancel := context.WithTimeout(context.Background(), Bound)
+	defer cancel()
+	conn, err := client.Connect(ctx, address)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return Unreachable
+	case err != nil:
 		return Closed
 	}
+	_ = conn.Close() // nothing was sent
 	return Accepting
 }
 
@@ -211,6 +235,9 @@
 	return Alive
 }
 
+// isConnected reports whether there was a connection.
+func (e *exchange) isConnected() bool { return !e.connected.IsZero() }
+
 // allow begins the time for the answer.
 func (e *exchange) allow() bool {
 	if !e.bound.Stop() {
@@ -228,7 +255,7 @@
 	switch {
 	case ctx.Err() == nil:
 		return Closed
-	case e.connected.IsZero() || time.Since(e.connected) > 2*Bound:
+	case !e.isConnected() || time.Since(e.connected) > 2*Bound:
 		return Unreachable
 	default:
 		return Silent
