origins: a late drop of an expired row removes no newer one

A drop that got no answer could be applied after its segment had been written again under the same key: its streams were then refused after the death of all processes. Segments get a new key after an unanswered drop, too.

--- a/internal/serve/origins/journal.go
+++ b/internal/serve/origins/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"strconv"
 )
 
@@ -183,9 +184,9 @@
 }
 
 // unanswered records that a write may be applied later. Its segments get new keys: a write that is late must not
-// replace a newer one.
+// replace or drop a newer row.
 func (j *journal) unanswered(f flush) {
-	for _, s := range f.sent {
+	for _, s := range slices.Concat(f.sent, f.expired) {
 		j.strays = append(j.strays, stray{key: j.keyOf(s), expires: s.expires})
 		s.number, s.saved = j.nextNumber(), 0
 	}
