origins: rows of versions that have left lately are kept complete

A version that had left without a row in the table, since writes were rejected or the store had come back from a copy, never got one. A process that started then took the remaining version for the only one: streams could go on at another version than the one that began them. Rows are written for versions that have left within the time in which their streams are taken up. A version isn't certain while the row of another one of its service may still be there, so that its streams are recorded until then.

--- a/internal/serve/origins/admissions.go
+++ b/internal/serve/origins/admissions.go
@@ -108,15 +108,20 @@
 }
 
 // missing returns versions whose rows are to be written, at most limit. The others of their service's list are among
-// them, so that a table that was removed is complete again. complete is the time from which the rows of services that
-// have none yet will have all versions.
-func (a *admissions) missing(complete time.Time, limit int) []acknowledgedVersion {
-	if len(a.waiting) == 0 {
-		return nil
-	}
+// them, so that a table that was removed is complete again, and so are versions that have left without a row: callers may
+// still take up their streams. complete is the time from which the rows of services that have none yet will have all
+// versions.
+func (a *admissions) missing(complete, now time.Time, limit int) []acknowledgedVersion {
 	var list []acknowledgedVersion
 	for o, known := range a.versions {
-		if a.waiting[o.Service] == 0 || !known.absentSince.IsZero() || len(list) >= limit {
+		if len(list) >= limit {
+			break
+		}
+		if known.absentSince.IsZero() {
+			if a.waiting[o.Service] == 0 {
+				continue
+			}
+		} else if known.acknowledged || now.Sub(known.absentSince) >= versionMemory {
 			continue
 		}
 		at, has := a.complete[o.Service]
@@ -128,10 +133,20 @@
 	return list
 }
 
+// hasOther reports whether a service has or has had another version whose row may still be in the table.
+func (a *admissions) hasOther(o Origin) bool {
+	for other := range a.versions {
+		if other.Service == o.Service && other != o {
+			return true
+		}
+	}
+	return false
+}
+
 // written records that the table has the rows of versions.
 func (a *admissions) written(versions []acknowledgedVersion) {
 	for _, v := range versions {
-		if known := a.versions[v.Origin]; known != nil && known.absentSince.IsZero() {
+		if known := a.versions[v.Origin]; known != nil {
 			known.acknowledged, known.confirmed = true, true
 		}
 		if _, has := a.complete[v.Service]; !has {
--- a/internal/serve/origins/ledger.go
+++ b/internal/serve/origins/ledger.go
@@ -213,7 +213,7 @@
 		complete = now.Add(versionMemory)
 	}
 	clock := l.clock(now)
-	w.versions = l.admissions.missing(complete, maxChanges/2)
+	w.versions = l.admissions.missing(complete, now, maxChanges/2)
 	if now.Sub(l.flushedAt) >= flushPeriod && l.journal.dirty() {
 		l.flushedAt = now
 		w.flush = l.journal.prepare(seconds(clock), maxChanges/2)
@@ -452,7 +452,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.admissions.versions[o]
-	if !l.knowsVersions || known == nil || !known.confirmed {
+	if !l.knowsVersions || known == nil || !known.confirmed || l.admissions.hasOther(o) {
 		return false
 	}
 	complete, has := l.admissions.complete[o.Service]
@@ -469,7 +469,7 @@
 // Recall searches the table for the origin of a stream, for at most recallTimeout. read reports whether the table was
 // read.
 func (l *Ledger) Recall(ctx context.Context, key Key) (origin Origin, found, read bool) {
-	if origin, found = l.recorded(key); found {
+	if origin, found = l.Recorded(key); found {
 		return origin, true, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
@@ -478,12 +478,12 @@
 		l.Log.Info("Origin of a stream can't be read from the store.", zap.Error(err))
 		return Origin{}, false, false
 	}
-	origin, found = l.recorded(key)
+	origin, found = l.Recorded(key)
 	return origin, found, true
 }
 
-// recorded returns the origin of a stream as of the last read.
-func (l *Ledger) recorded(key Key) (Origin, bool) {
+// Recorded returns the origin of a stream as of the last read.
+func (l *Ledger) Recorded(key Key) (Origin, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e, found := l.stored[key]
--- a/internal/serve/origins/ledger_test.go
+++ b/internal/serve/origins/ledger_test.go
@@ -712,3 +712,87 @@
 	}
 	assert.Assert(t, len(segmentPrefix(7, processName(long))) < maxKeyBytes-20)
 }
+
+// Guards against a version whose streams may still be taken up, and whose row a restore has removed for good.
+func TestRowsOfVersionsThatHaveLeftAreWrittenAgainAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, rows := newProcesses(0), newFakeRows()
+		one := p.start(rows, "v1")
+		one.versions.setKnowsLeft()
+		time.Sleep(5 * time.Second)
+		copied := maps.Clone(rows.rows)
+		one.versions.list("v1", "v2")
+		time.Sleep(5 * time.Second)
+		one.versions.list("v1")
+		time.Sleep(time.Second)
+		rows.change(func() { rows.rows, rows.era = copied, 2 })
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, len(rows.keys(prefixVersion)), 2)
+		fresh := p.start(rows, "v1")
+		time.Sleep(time.Second)
+		assert.Assert(t, !fresh.ledger.Certain(began, time.Now()))
+		kill(one, fresh)
+	})
+}
+
+// Guards against a version that has left before its row could be written, and counts as never having served.
+func TestVersionThatLeftBeforeItsRowWasWrittenGetsOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, rows := newProcesses(0), newFakeRows()
+		rows.writeErr = ErrRejected
+		one := p.start(rows, "v1")
+		one.versions.setKnowsLeft()
+		time.Sleep(10 * time.Second)
+		one.versions.list("v2")
+		time.Sleep(100 * time.Millisecond)
+		rows.change(func() { rows.writeErr = nil })
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, len(rows.keys(prefixVersion)), 2)
+		kill(one)
+		fresh := p.start(rows, "v2")
+		time.Sleep(time.Second)
+		assert.Assert(t, !fresh.ledger.Certain(Origin{Service: began.Service, Version: "v2"}, time.Now()))
+		kill(fresh)
+	})
+}
+
+// Guards against streams that nobody records although the row of another version makes others refuse them.
+func TestVersionIsNotCertainWhileAnotherOneMayHaveARow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, rows := newProcesses(0), newFakeRows()
+		one := p.start(rows, "v1", "v2")
+		one.versions.setKnowsLeft()
+		time.Sleep(5 * time.Second)
+		one.versions.list("v1")
+		time.Sleep(versionMemory + dropTime/2)
+		assert.Equal(t, len(rows.keys(prefixVersion)), 2)
+		assert.Assert(t, !one.ledger.Certain(began, time.Now()))
+		time.Sleep(2 * dropTime)
+		assert.Equal(t, len(rows.keys(prefixVersion)), 1)
+		assert.Assert(t, one.ledger.Certain(began, time.Now()))
+		kill(one)
+	})
+}
+
+// Guards against a late drop of an expired row that removes the records of its successor.
+func TestLateDropOfAnExpiredRowRemovesNoNewerOne(t *testing.T) {
+	rows, j := newFakeRows(), newJournal("p")
+	j.add(entry{key: keyNumber(1), origin: began, expires: 100})
+	first := j.prepare(50, 30)
+	rows.apply(first.Changes)
+	j.written(first)
+	late := j.prepare(101, 30)
+	assert.Equal(t, len(late.Drops), 1)
+	j.unanswered(late)
+	j.expire(101)
+	n := 2
+	for shardOf(keyNumber(n)) != shardOf(keyNumber(1)) {
+		n++
+	}
+	j.add(entry{key: keyNumber(n), origin: began, expires: 200})
+	next := j.prepare(102, 30)
+	rows.apply(next.Changes)
+	j.written(next)
+	rows.apply(late.Changes)
+	assert.Equal(t, len(rows.keys(prefixSegment)), 1)
+}
