run: the record of a stream in the store comes before the only version in sight

After a split route had lost one of its services and all VMs had died, a stream that its caller took up by name went on at the remaining service, though the table that the process had read said where it began: streams joined from two services. The record is looked up first. TestRecordInTheStoreComesBeforeTheOnlyVersion failed before.

--- a/internal/serve/run/origin.go
+++ b/internal/serve/run/origin.go
@@ -65,10 +65,15 @@
 		}
 		return j.goOnAt(found.Origin, source)
 	}
+	read, ledger := true, j.ledger()
+	if ledger != nil {
+		if origin, recorded := ledger.Recorded(j.originKey()); recorded {
+			return j.goOnAt(origin, byStore)
+		}
+	}
 	if certain && (found.Answered > 0 || current) {
 		return j.goOnAt(only, byOnlyVersion)
 	}
-	read, ledger := true, j.ledger()
 	if ledger != nil && (j.req.Resumes != "" || !ledger.HasRead()) {
 		var origin origins.Origin
 		var recalled bool
--- a/internal/serve/run/origin_ledger_test.go
+++ b/internal/serve/run/origin_ledger_test.go
@@ -232,3 +232,26 @@
 		time.Sleep(5 * time.Second) // until all calls have ended
 	})
 }
+
+// Guards against a stream whose beginning is in the store, and that goes on at another service's only version.
+func TestRecordInTheStoreComesBeforeTheOnlyVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := &rowsInMemory{rows: map[string]origins.Row{}}
+		first, kill := context.WithCancel(context.Background())
+		e := keptExecutor(first, &scriptedTargets{body: "id: 1\ndata: e\n\n"}, rows, "v1")
+		time.Sleep(3 * time.Minute)
+		e.Origins.Record(origins.KeyOf("", "begun-elsewhere"), origins.Origin{Service: "s2", Version: "w1"}, time.Now().Add(time.Minute))
+		time.Sleep(time.Second)
+		kill()
+		time.Sleep(time.Second)
+		second, kill := context.WithCancel(context.Background())
+		targets := &scriptedTargets{body: "id: 5\ndata: e\n\n"}
+		e = keptExecutor(second, targets, rows, "v1")
+		time.Sleep(3 * time.Second)
+		reply := takeUp(e, "begun-elsewhere")
+		assert.Equal(t, reply.Reason, VersionGone)
+		assert.Equal(t, len(targets.arrivals), 0)
+		kill()
+		time.Sleep(5 * time.Second)
+	})
+}
