run: a peer that goes on with a forwarded stream is told which attempt began it

A process that passes a stream on through another peer after the first has died sent the last event but not the attempt that brought the first one. The second peer then took the only version in its list for certain, without a look at the stream's record. TestForwardedStreamGoesOnThroughAnotherPeer now wants the attempt and failed before.

--- a/internal/serve/run/forwarded_stream.go
+++ b/internal/serve/run/forwarded_stream.go
@@ -152,6 +152,9 @@
 	s.asked = append(s.asked, address)
 	request := *j.req
 	request.LastEventID = s.lastEventID
+	if request.Resumes == "" && s.lastEventID != "" {
+		request.Resumes = request.ID // the attempt that brought the first event
+	}
 	answer, err := j.Client.Send(j.ctx, j.forwardRequest(&request, address))
 	if upstream.NotSent(err) {
 		return false
--- a/internal/serve/run/forwarded_stream_test.go
+++ b/internal/serve/run/forwarded_stream_test.go
@@ -25,7 +25,7 @@
 type forwardingCodec struct{ plainCodec }
 
 func (forwardingCodec) ForwardHeader(r *Request, _ time.Duration) []upstream.Header {
-	return []upstream.Header{{Name: "After", Value: r.LastEventID}}
+	return []upstream.Header{{Name: "After", Value: r.LastEventID}, {Name: "Resumes", Value: r.Resumes}}
 }
 
 // peersOnly is the reach of a process that is cut off from all targets.
@@ -61,6 +61,9 @@
 		return
 	}
 	after, _ := strconv.Atoi(r.Header.Get("After"))
+	if after > 0 && r.Header.Get("Resumes") != "id" {
+		return // another process couldn't know at which version the stream began
+	}
 	body := numberedEvents(after+1, p.last) + p.cut
 	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"
 	if p.chunked {
