run: a target that leaves is asked by its ID when its answer ends

The entry had been replaced, so the target took no requests, and only had to accept a connection, which its successor did. Targets that leave or have left get the health check, which names their ID.

--- a/internal/serve/run/ends.go
+++ b/internal/serve/run/ends.go
@@ -69,9 +69,9 @@
 }
 
 // takesFewRequests reports whether a target shouldn't get a health check, which takes a slot or is rejected like
-// a request.
+// a request. One that leaves or has left gets it: only its answer tells it from a successor at its address.
 func takesFewRequests(target *pool.Target) bool {
-	return target.RateLimit() > 0 || target.Declines(time.Now())
+	return target.RateLimit() > 0 || target.Declines(time.Now()) && !target.GoneOrDraining()
 }
 
 // verifiedBody is the body of an answer that is passed on as it comes. Its end is io.EOF only if the answer
