--- a/internal/serve/upstream/answer.go
+++ b/internal/serve/upstream/answer.go
@@ -98,6 +98,20 @@
 	return err
 }
 
+// Next reads the header of the answer that follows on the connection. Call it when the body of this one, which belongs to
+// another request, has been read to its end.
+func (a *Answer) Next(r *Request) error {
+	a.Discard()
+	if a.Kind == framing.Connection {
+		return errNoMoreAnswers
+	}
+	a.Body = nil
+	return a.readHeader(r)
+}
+
+// Discard has Close close the connection: what follows on it can't be told.
+func (a *Answer) Discard() { a.closeAfterAnswer = true }
+
 // Close ends the exchange. The connection is kept for reuse if the body was read to its end,
 // the request was written completely and CloseAfterAnswer isn't set. Otherwise it is closed,
 // which also tells a target that is still working on the request to stop.
