--- a/internal/serve/pool/earlier_start_test.go
+++ b/internal/serve/pool/earlier_start_test.go
@@ -25,8 +25,7 @@
 
 func bornOf(table *Table) int64 { return table.Find("s", "a").Born }
 
-// Guards against a target that has started again while its clock went back being taken for its earlier start for ever,
-// so that it gets requests while it drains.
+// Guards against requests to a target that drains after it has started again while its clock went back.
 func TestStartWhoseClockWentBackIsAdopted(t *testing.T) {
 	table, now := clockBack()
 	var retired []*Target
