liveness: servers of parallel tests don't take each other's ports

Each server of these tests has a loopback address of its own, so a port that is closed stays closed.

--- a/internal/serve/liveness/liveness_test.go
+++ b/internal/serve/liveness/liveness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -22,10 +23,14 @@
 	otherAnswer = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
 )
 
+// servers counts the servers. Each has a loopback address of its own, so that no other one takes its port after stop.
+var servers atomic.Int64
+
 // server serves each connection with a function that gets the requests on it.
 func server(t *testing.T, serve func(net.Conn, *bufio.Reader)) (address string, stop func()) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	n := servers.Add(1)
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:0", n>>8, n&0xff))
 	assert.NilError(t, err)
 	go func() {
 		for {
