run: the only version is certain only by a read of the store since the request

Callers whose streams had begun at a new software version through other VMs took them up at a VM that had been cut off or stood still while that version joined. It answered 200 and went on at the version that it knew: two versions in one text.

Cause: the VM took its list for current by the age of the last answer. The age allowed, 3 s, is longer than another VM needs to begin streams at a version that has joined; answers that waited in the sockets during a standstill were dated when they were read; and one peer that doesn't know a stream was taken for all. A process that was away can't tell so by itself.

The only version is certain now only by a read of the table of origins that began after the request had arrived. Versions have their rows there before streams begin at them, and the store's answers are linearizable. The age of the list doesn't count any more.

A refusal of all is no fix: streams are recorded at their VM and two others also while there is one version, without the first event waiting for it and without the store, so most take-ups need no read. A running stream is written to the store as soon as its VM sees a further version, not up to a second later.

TestOnlyVersionIsCertainOnlyByAReadSinceTheRequest and TestStreamsOfTheOnlyVersionAreKnownToOtherProcesses fail before (answered 200 at the other version; 503).

--- a/internal/serve/origins/ask_peer.go
+++ b/internal/serve/origins/ask_peer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -41,20 +40,35 @@
 
 // askPeer asks another process which versions are in the table.
 func (l *Ledger) askPeer(ctx context.Context) {
-	self := l.Network.Self().Incarnation
-	others := slices.DeleteFunc(slices.Clone(l.Network.View().Alive()), func(m peer.Member) bool { return m.Incarnation == self })
+	others := l.others(1) // the next failure may ask another one
 	if len(others) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	var answer versionsAnswer
-	asked := others[rand.IntN(len(others))].Incarnation // the next failure may ask another one
-	if err := l.Network.Call(ctx, asked, methodVersions, struct{}{}, &answer); err != nil || !answer.Known {
-		l.Log.Debug("Process doesn't tell which versions are in the store.", zap.String("member", string(asked)), zap.Error(err))
+	if err := l.Network.Call(ctx, others[0], methodVersions, struct{}{}, &answer); err != nil || !answer.Known {
+		l.Log.Debug("Process doesn't tell which versions are in the store.", zap.String("member", string(others[0])), zap.Error(err))
 		return
 	}
-	now := time.Now()
+	l.applyAnswer(answer, time.Now())
+}
+
+// others returns up to n other processes at random.
+func (l *Ledger) others(n int) []peer.Incarnation {
+	var list []peer.Incarnation
+	for _, m := range l.Network.View().Alive() {
+		if m.Incarnation != l.Network.Self().Incarnation {
+			list = append(list, m.Incarnation)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(n, len(list))]
+}
+
+// applyAnswer takes over which versions another process knows to be in the table. It reports false if the table has
+// come back from a copy since.
+func (l *Ledger) applyAnswer(answer versionsAnswer, now time.Time) bool {
 	var versions []acknowledgedVersion
 	var all []Origin
 	for _, v := range answer.Versions {
@@ -65,12 +79,13 @@
 	era := max(l.Rows.Era(), l.Versions.Era())
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if answer.Era < max(l.moment.Era, era) { // the table has come back from a copy since
-		return
+	if answer.Era < max(l.moment.Era, era) {
+		return false
 	}
 	if !l.knowsVersions {
 		l.moment.Era = answer.Era
 	}
 	l.admissions.acknowledge(versions, l.listed, now)
 	l.knowsVersions = true
+	return true
 }
--- a/internal/serve/origins/ledger.go
+++ b/internal/serve/origins/ledger.go
@@ -69,8 +69,9 @@
 	// moment is that of the latest answer of the table, which arrived at momentAt.
 	moment   Moment
 	momentAt time.Time
-	// readAt is when the table was last read, zero before the first time.
+	// readAt is when the table was last read, zero before the first time, and readMoment that of its answer.
 	readAt     time.Time
+	readMoment Moment
 	admissions *admissions
 	// knowsVersions means that the versions in the table are known, from the table or another process.
 	knowsVersions bool
@@ -279,8 +280,12 @@
 		l.mu.Unlock()
 		return
 	}
+	if c.Era == l.readMoment.Era && c.Now < l.readMoment.Now { // a later read has been applied
+		l.mu.Unlock()
+		return
+	}
 	l.setMoment(c.Moment, now)
-	l.readAt, l.active = now, false
+	l.readAt, l.readMoment, l.active = now, c.Moment, false
 	for key, r := range l.early {
 		l.addRecord(key, r, now)
 	}
@@ -467,19 +472,21 @@
 }
 
 // Recall searches the table for the origin of a stream, for at most recallTimeout. read reports whether the table was
-// read.
+// read since the call, by this process or by another one: a process can't tell by itself whether what it knows is old.
 func (l *Ledger) Recall(ctx context.Context, key Key) (origin Origin, found, read bool) {
 	if origin, found = l.Recorded(key); found {
 		return origin, true, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
-	if err := l.reads.await(ctx, l); err != nil {
-		l.Log.Info("Origin of a stream can't be read from the store.", zap.Error(err))
-		return Origin{}, false, false
-	}
-	origin, found = l.Recorded(key)
-	return origin, found, true
+	own := l.reads.since(time.Now(), minReadPause, l)
+	firstCtx, cancelFirst := context.WithTimeout(ctx, max(ownReadTime, time.Until(own.startsAt.Add(ownReadTime))))
+	defer cancelFirst()
+	if _, err := own.await(firstCtx); err == nil {
+		origin, found = l.Recorded(key)
+		return origin, found, true
+	}
+	return l.recallByPeers(ctx, key, own)
 }
 
 // Recorded returns the origin of a stream as of the last read.
--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -125,6 +125,12 @@
 		}
 		return r.ledger.answerPeer(time.Now()), nil
 	})
+	peer.HandleCall(network, methodRecall, func(c recallCall) (any, error) {
+		if r.ledger == nil {
+			return recallAnswer{}, nil
+		}
+		return r.ledger.readForPeer(r.baseCtx, c), nil
+	})
 	return r
 }
 
--- a/internal/serve/origins/recording.go
+++ b/internal/serve/origins/recording.go
@@ -21,8 +21,9 @@
 	// kept has the processes that keep the record, sending whether it is being sent.
 	kept    map[peer.Incarnation]bool
 	sending bool
-	// writer is the process that writes the record to the table, empty as long as none does; persisting means that
-	// one is being asked.
+	// persistent means that the record is to be written to the table as well. writer is the process that does so, empty as
+	// long as none does; persisting means that one is being asked.
+	persistent bool
 	writer     peer.Incarnation
 	persisting bool
 	// settled is closed once a process has kept the record, or none of those tried has.
@@ -30,8 +31,16 @@
 	isSettled bool
 }
 
-// Record keeps the origin of a stream here until it expires, and sends it to its holders in the background.
+// Record keeps the origin of a stream here until it expires, sends it to its holders in the background, and has it
+// written to the table.
 func (r *Registry) Record(key Key, origin Origin, expires time.Time) *Recording {
+	rec := r.Hold(key, origin, expires)
+	rec.Persist()
+	return rec
+}
+
+// Hold is Record without the table.
+func (r *Registry) Hold(key Key, origin Origin, expires time.Time) *Recording {
 	if !r.keep(key, origin, expires) {
 		r.log.Warn("No room for the origin of a stream.", zap.Int("records", r.Count()))
 	}
@@ -43,6 +52,21 @@
 	return rec
 }
 
+// Persist has the record written to the table as well.
+func (rec *Recording) Persist() {
+	rec.mu.Lock()
+	rec.persistent = true
+	rec.mu.Unlock()
+	rec.persist()
+}
+
+// Persistent reports whether the record is written to the table.
+func (rec *Recording) Persistent() bool {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	return rec.persistent
+}
+
 // Refresh sends the record in the background to processes that have become its holders since, or its writer.
 func (rec *Recording) Refresh() {
 	rec.persist()
@@ -75,7 +99,7 @@
 // persist has the record written to the table by the process that writes those of its shard.
 func (rec *Recording) persist() {
 	ledger := rec.registry.ledger
-	if ledger == nil {
+	if ledger == nil || !rec.Persistent() {
 		return
 	}
 	ledger.noteActivity()
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -135,11 +135,12 @@
 	slowestStage stageTime
 	// origin is the service and version that the caller's events are from; nil as long as it has none.
 	// originBy tells by what it is known if the caller takes the stream up. recording is how other processes know it,
-	// recordedAt when that was last checked.
+	// recordedAt when that was last checked, recordedAs the generation of the targets by then.
 	origin     *origins.Origin
 	originBy   string
 	recording  *origins.Recording
 	recordedAt time.Time
+	recordedAs uint64
 	// preparingAt is when the stages were last begun, preparedAt when they were finished, sentAt when the request was last sent to
 	// a target; zero before.
 	preparingAt time.Time
--- a/internal/serve/run/origin.go
+++ b/internal/serve/run/origin.go
@@ -21,7 +21,7 @@
 	takeUpTime = time.Minute
 	// refreshPeriod is how often the holders of a running stream's record are checked.
 	refreshPeriod = time.Second
-	// maxListAge is the age up to which the list of targets counts as current without the word of a peer.
+	// maxListAge is the age up to which the list of targets counts as current where there is no table of origins.
 	maxListAge = 3 * time.Second
 )
 
@@ -48,6 +48,27 @@
 	if !j.takesUp() {
 		return nil
 	}
+	if j.ledger() == nil {
+		return j.findOriginWithoutLedger()
+	}
+	found := j.Origins.Find(j.ctx, j.originKey())
+	if found.Found {
+		return j.goOnAt(found.Origin, foundBy(found))
+	}
+	origin, recorded, read := j.ledger().Recall(j.ctx, j.originKey())
+	if recorded {
+		return j.goOnAt(origin, byStore)
+	}
+	if read {
+		if only, certain := j.onlyOrigin(time.Now()); certain {
+			return j.goOnAt(only, byOnlyVersion)
+		}
+	}
+	return j.refuseUnknownVersion(found, read)
+}
+
+// findOriginWithoutLedger determines the origin of the stream from the list of targets and other processes alone.
+func (j *job) findOriginWithoutLedger() *Reply {
 	now := time.Now()
 	only, certain := j.onlyOrigin(now)
 	current := j.listIsCurrent(now)
@@ -59,39 +80,34 @@
 		found = j.Origins.Find(j.ctx, j.originKey())
 	}
 	if found.Found {
-		source := byPeer
-		if found.Local() {
-			source = byOwnRecord
-		}
-		return j.goOnAt(found.Origin, source)
-	}
-	read, ledger := true, j.ledger()
-	if ledger != nil {
-		if origin, recorded := ledger.Recorded(j.originKey()); recorded {
-			return j.goOnAt(origin, byStore)
-		}
+		return j.goOnAt(found.Origin, foundBy(found))
 	}
 	if certain && (found.Answered > 0 || current) {
 		return j.goOnAt(only, byOnlyVersion)
 	}
-	if ledger != nil && (j.req.Resumes != "" || !ledger.HasRead()) {
-		var origin origins.Origin
-		var recalled bool
-		if origin, recalled, read = ledger.Recall(j.ctx, j.originKey()); recalled {
-			return j.goOnAt(origin, byStore)
-		}
-		if only, certain = j.onlyOrigin(time.Now()); certain && (found.Answered > 0 || current) {
-			return j.goOnAt(only, byOnlyVersion)
-		}
-	}
+	return j.refuseUnknownVersion(found, true)
+}
+
+// refuseUnknownVersion refuses the request because nobody knows which version began its stream. The caller is told to come
+// back if others may know it. read means that the table of origins was read.
+func (j *job) refuseUnknownVersion(found origins.Result, read bool) *Reply {
 	j.Log.Info("Version that began a stream isn't known.", requestID(j.req.ID), zap.String("resumes", j.req.Resumes),
 		zap.Int("asked", found.Asked), zap.Int("answered", found.Answered), zap.Bool("store_read", read))
+	ledger := j.ledger()
 	if found.Answered < found.Asked || found.Joining || !read || ledger != nil && ledger.HoldsBack(j.service) {
 		return refuse(fasthttp.StatusServiceUnavailable, UnknownVersion, retryAfter(0))
 	}
 	return refuse(fasthttp.StatusServiceUnavailable, UnknownVersion, 0)
 }
 
+// foundBy returns by what the version of a stream is known that was found.
+func foundBy(found origins.Result) string {
+	if found.Local() {
+		return byOwnRecord
+	}
+	return byPeer
+}
+
 // By what the version of a stream that was taken up is known, in logs and metrics.
 const (
 	byOwnRecord   = "own record"
@@ -214,7 +230,7 @@
 		j.countUnadmitted()
 	}
 	j.recordOrigin()
-	if j.recording != nil && !taken && !j.recording.Wait(maxRecordWait) {
+	if j.recording != nil && j.recording.Persistent() && !taken && !j.recording.Wait(maxRecordWait) {
 		j.Metrics.count("streams.unrecorded")
 	}
 }
@@ -230,28 +246,37 @@
 	j.Log.Info("Stream begins at a version that isn't in the store yet.", requestID(j.req.ID), zap.String("version", j.origin.Version))
 }
 
-// recordOrigin has other processes know where the stream began, as long as that isn't plain from the
-// configuration and the list of targets.
+// recordOrigin has other processes know where the stream began. The record is written to the table of origins as long as
+// its version may not be the only one.
 func (j *job) recordOrigin() {
 	if j.Origins == nil || !j.route.Resumable {
 		return
 	}
 	now := time.Now()
-	j.recordedAt = now
-	if j.recording != nil {
+	j.recordedAt, j.recordedAs = now, j.Table.Generation()
+	if j.recording == nil {
+		j.recording = j.Origins.Hold(j.originKey(), *j.origin, j.deadline.Add(takeUpTime))
+	} else {
 		j.recording.Refresh()
-		return
 	}
-	// Processes that have run for longer may know of more versions.
-	if origin, certain := j.onlyOrigin(now); certain && origin == *j.origin && j.knowsAllVersions(now) {
-		return
+	if !j.isOnlyOrigin(now) {
+		j.recording.Persist()
 	}
-	j.recording = j.Origins.Record(j.originKey(), *j.origin, j.deadline.Add(takeUpTime))
 }
 
-// refreshOrigin calls recordOrigin from time to time while the stream runs.
+// isOnlyOrigin reports whether every stream of the route has begun where this one did, as far as this process knows.
+func (j *job) isOnlyOrigin(now time.Time) bool {
+	origin, certain := j.onlyOrigin(now)
+	// Processes that have run for longer may know of more versions.
+	return certain && origin == *j.origin && j.knowsAllVersions(now)
+}
+
+// refreshOrigin calls recordOrigin from time to time while the stream runs, and when the targets have changed.
 func (j *job) refreshOrigin(now time.Time) {
-	if j.origin != nil && now.Sub(j.recordedAt) >= refreshPeriod {
+	if j.origin == nil || j.recording == nil {
+		return
+	}
+	if now.Sub(j.recordedAt) >= refreshPeriod || !j.recording.Persistent() && j.Table.Generation() != j.recordedAs {
 		j.recordOrigin()
 	}
 }
--- a/internal/serve/run/origin_ledger_test.go
+++ b/internal/serve/run/origin_ledger_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"maps"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,7 +63,12 @@
 
 // keptExecutor is an executor of a process whose origins are kept in a table. It joins a system that has run before.
 func keptExecutor(ctx context.Context, targets *scriptedTargets, rows *rowsInMemory, versions ...string) *Executor {
-	node := (&servetest.Cluster{Delay: time.Millisecond}).Add("vm-0", "a")
+	return keptMember(ctx, targets, rows, &servetest.Cluster{Delay: time.Millisecond}, versions...)
+}
+
+// keptMember is keptExecutor for a process of a cluster.
+func keptMember(ctx context.Context, targets *scriptedTargets, rows origins.Rows, cluster *servetest.Cluster, versions ...string) *Executor {
+	node := cluster.Add(fmt.Sprint("vm-", cluster.Size()), "a")
 	registry := origins.New(ctx, zap.NewNop(), node)
 	e := versionedExecutor(targets, registry, versions...)
 	e.Table.StartedLate()
@@ -255,3 +262,102 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// rowsOutOfReach is a table that this process doesn't reach while others do.
+type rowsOutOfReach struct {
+	origins.Rows
+	isAway atomic.Bool
+}
+
+func (r *rowsOutOfReach) ReadOrigins(ctx context.Context) (origins.Contents, error) {
+	if r.isAway.Load() {
+		<-ctx.Done()
+		return origins.Contents{}, ctx.Err()
+	}
+	return r.Rows.ReadOrigins(ctx)
+}
+
+// Guards against streams that go on at the only version of a list that is old although it seems to be current.
+func TestOnlyVersionIsCertainOnlyByAReadSinceTheRequest(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// joined means that another process has begun streams at a further version, which this one hasn't seen.
+		joined bool
+		// away means that the store doesn't answer this process, withPeer that another one reads for it.
+		away, withPeer bool
+		// anonymous callers don't name the stream.
+		anonymous bool
+		reason    Reason
+		comeBack  bool
+	}{
+		{name: "only version"},
+		{name: "only version, not named", anonymous: true},
+		{name: "another has joined", joined: true, reason: UnknownVersion},
+		{name: "another has joined, not named", joined: true, anonymous: true, reason: UnknownVersion},
+		{name: "store doesn't answer", away: true, reason: UnknownVersion, comeBack: true},
+		{name: "store doesn't answer, not named", away: true, anonymous: true, reason: UnknownVersion, comeBack: true},
+		{name: "a peer reads", away: true, withPeer: true},
+		{name: "a peer reads, another has joined", away: true, withPeer: true, joined: true, reason: UnknownVersion},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, kill := context.WithCancel(context.Background())
+				table := &rowsInMemory{rows: map[string]origins.Row{}}
+				own := &rowsOutOfReach{Rows: table}
+				targets, cluster := &scriptedTargets{body: "id: 5\ndata: e\n\n"}, &servetest.Cluster{Delay: time.Millisecond}
+				e := keptMember(ctx, targets, own, cluster, "v1")
+				e.ContactAge = func(time.Time) time.Duration { return 0 }
+				if c.withPeer {
+					keptMember(ctx, &scriptedTargets{}, table, cluster, "v1")
+				}
+				time.Sleep(3 * time.Minute) // until the versions of the table are complete
+				if c.joined {
+					keptExecutor(ctx, &scriptedTargets{}, table, "v1", "v2")
+					time.Sleep(time.Second)
+				}
+				own.isAway.Store(c.away)
+				resumes := "unknown"
+				if c.anonymous {
+					resumes = ""
+				}
+				start := time.Now()
+				reply := takeUp(e, resumes)
+				assert.Equal(t, reply.Reason, c.reason)
+				assert.Equal(t, reply.RetryAfter > 0, c.comeBack)
+				assert.Assert(t, time.Since(start) <= time.Second)
+				if c.reason == "" {
+					_, err := io.ReadAll(reply.Answer.Body)
+					assert.NilError(t, err)
+					assert.Assert(t, strings.HasPrefix(targets.arrivals[0], "v1"))
+				} else {
+					assert.Equal(t, len(targets.arrivals), 0)
+				}
+				kill()
+				time.Sleep(5 * time.Second) // until all calls have ended
+			})
+		})
+	}
+}
+
+// Guards against streams that nobody can resume, because no other process knew of them while there was one version.
+func TestStreamsOfTheOnlyVersionAreKnownToOtherProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, kill := context.WithCancel(context.Background())
+		table, cluster := &rowsInMemory{rows: map[string]origins.Row{}}, &servetest.Cluster{Delay: time.Millisecond}
+		targets := &scriptedTargets{body: "id: 5\ndata: e\n\n"}
+		first := keptMember(ctx, targets, table, cluster, "v1")
+		again := keptMember(ctx, targets, table, cluster, "v1", "v2")
+		time.Sleep(3 * time.Minute)
+		reply := begin(first, "begun")
+		_, err := io.ReadAll(reply.Answer.Body)
+		assert.NilError(t, err)
+		time.Sleep(100 * time.Millisecond)
+		reply = takeUp(again, "begun")
+		assert.Equal(t, reply.Status, 200)
+		_, err = io.ReadAll(reply.Answer.Body)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasPrefix(targets.arrivals[1], "v1"))
+		kill()
+		time.Sleep(5 * time.Second) // until all calls have ended
+	})
+}
--- a/internal/serve/servetest/network.go
+++ b/internal/serve/servetest/network.go
@@ -65,6 +65,13 @@
 	return n
 }
 
+// Size returns the number of processes that were added.
+func (c *Cluster) Size() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.nodes)
+}
+
 // Freeze stops a process from answering; its peers still consider it alive.
 func (n *Node) Freeze() { n.update(func() { n.frozen = true }) }
 
