origins: a process that was away drops no row of a version that has come back

By reading, in the class of the take-ups at another version: the process that drops the rows of versions that have left decides by its own list. If that is old, the row of a version that has come back is dropped while it serves, and a process that reads the table later takes another version for the only one. Likewise a process that stood still while others dropped a row goes on to believe that the table has it.

A row is dropped only if it is no newer than the revision up to which the list is known: the version's return is behind its row's rewriting in the store's order. After a standstill of 10 s, by the steady clock or the time of day, all rows are written again before streams begin at their versions.

TestRowThatIsNewerThanTheListStays and TestProcessThatHasStoodStillAdmitsVersionsAnew guard it; with -race internal/serve/origins passes.

--- a/internal/serve/origins/ledger.go
+++ b/internal/serve/origins/ledger.go
@@ -13,6 +13,7 @@
 
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/routing"
+	"github.com/vanillagate/vanillagate/internal/serve/revision"
 	"github.com/vanillagate/vanillagate/internal/wait"
 )
 
@@ -43,6 +44,8 @@
 	Era() uint64
 	// ListedVersions returns the versions of each service.
 	ListedVersions() map[string][]string
+	// SyncedRevision returns the revision of the store up to which the list is known.
+	SyncedRevision() revision.Revision
 	// RecordLeft records that a version has left.
 	RecordLeft(service, version string, now time.Time)
 	// KnowsLeftVersions reports whether this process has seen all versions leave that have left lately.
@@ -91,7 +94,8 @@
 	active   bool
 	failures int
 
-	// The fields below are used by Run only.
+	// The fields below are used by Run only. steppedAt is when it was last seen to run.
+	steppedAt time.Time
 	flushedAt time.Time
 	checkedAt time.Time
 	retryAt   time.Time
@@ -118,6 +122,7 @@
 // step does what is due. One call of the table follows the other.
 func (l *Ledger) step(ctx context.Context) {
 	now := time.Now()
+	l.noteStandstill(now)
 	l.observe(now)
 	if now.Before(l.retryAt) {
 		return
@@ -142,6 +147,24 @@
 	}
 }
 
+// maxStandstill is how long this process may have stood still and still rely on the rows that it knows: it is far below
+// dropTime, after which others drop rows.
+const maxStandstill = 10 * time.Second
+
+// noteStandstill has the rows of all versions written again if this process has stood still. The time of day counts as well,
+// since the steady clock doesn't count the time that a VM is suspended.
+func (l *Ledger) noteStandstill(now time.Time) {
+	last := l.steppedAt
+	l.steppedAt = now
+	if last.IsZero() || now.Sub(last) < maxStandstill && now.Round(0).Sub(last.Round(0)) < maxStandstill {
+		return
+	}
+	l.Log.Warn("Process has stood still. Versions of streams are written again.", zap.Duration("steady", now.Sub(last)))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.admissions.lost()
+}
+
 // paceAfter sets when the table may be called again.
 func (l *Ledger) paceAfter(err error) {
 	l.mu.Lock()
@@ -345,6 +368,7 @@
 		l.paceAfter(err)
 		return
 	}
+	departed = l.notNewer(contents, departed)
 	changes := l.expired(contents, departed)
 	if !changes.Empty() {
 		writeCtx, cancel := context.WithTimeout(ctx, rowsTimeout)
@@ -359,13 +383,24 @@
 	l.admissions.forget(departed)
 }
 
+// notNewer returns those of the versions whose rows are no newer than the list. A version with a newer row may have come
+// back without this process having seen it.
+func (l *Ledger) notNewer(contents Contents, departed []Origin) []Origin {
+	s := decode(contents.Rows)
+	listed := l.Versions.SyncedRevision()
+	return slices.DeleteFunc(departed, func(o Origin) bool {
+		written, err := revision.Of(contents.Era, s.revisions[o])
+		return err != nil || written > listed
+	})
+}
+
 // expired returns the drops of the rows that are no longer needed. A row that has been written since the read stays.
 func (l *Ledger) expired(contents Contents, departed []Origin) Changes {
 	s := decode(contents.Rows)
 	var changes Changes
 	for _, o := range departed {
-		if revision, has := s.revisions[o]; has {
-			changes.Drops = append(changes.Drops, Row{Key: versionKey(o), Revision: revision})
+		if written, has := s.revisions[o]; has {
+			changes.Drops = append(changes.Drops, Row{Key: versionKey(o), Revision: written})
 		}
 	}
 	for _, stored := range s.segments {
--- a/internal/serve/origins/ledger_test.go
+++ b/internal/serve/origins/ledger_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -14,6 +15,8 @@
 
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/serve/revision"
 )
 
 var errNoAnswer = errors.New("no answer")
@@ -126,6 +129,8 @@
 	left       []string
 	knowsLeft  bool
 	era        uint64
+	// oldAt is the revision at which the list has stopped; zero while it follows the store.
+	oldAt revision.Revision
 }
 
 func (v *fakeVersions) list(versions ...string) {
@@ -153,6 +158,21 @@
 	return v.generation
 }
 
+func (v *fakeVersions) stopAt(r revision.Revision) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.oldAt = r
+}
+
+func (v *fakeVersions) SyncedRevision() revision.Revision {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.oldAt > 0 {
+		return v.oldAt
+	}
+	return math.MaxUint64
+}
+
 func (v *fakeVersions) Era() uint64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -796,3 +816,50 @@
 	rows.apply(late.Changes)
 	assert.Equal(t, len(rows.keys(prefixSegment)), 1)
 }
+
+// Guards against a process with an old list that drops the row of a version that has come back.
+func TestRowThatIsNewerThanTheListStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, rows := newProcesses(0), newFakeRows()
+		one := p.start(rows, "v1", "v2")
+		time.Sleep(time.Second)
+		one.versions.list("v2")
+		rows.change(func() {
+			at, err := revision.Of(rows.era, rows.revision)
+			assert.NilError(t, err)
+			one.versions.stopAt(at)
+			rows.apply(Changes{Puts: []Row{{Key: versionKey(began), Value: versionRow{Service: began.Service, Version: began.Version}.encode()}}})
+		})
+		time.Sleep(versionMemory + dropTime + time.Minute)
+		assert.Equal(t, len(rows.keys(prefixVersion)), 2)
+		one.versions.stopAt(0)
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(rows.keys(prefixVersion)), 1)
+		kill(one)
+	})
+}
+
+// Guards against streams that begin at a version whose row was dropped while their process stood still.
+func TestProcessThatHasStoodStillAdmitsVersionsAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows, versions := newFakeRows(), &fakeVersions{}
+		versions.list("v1", "v2")
+		p := newProcesses(1)
+		ledger := NewLedger(t.Context(), LedgerOptions{Log: zap.NewNop(), Network: p.all[0].Node, Rows: rows, Versions: versions})
+		step := func(n int) {
+			for range n {
+				ledger.step(t.Context())
+				time.Sleep(pollPeriod)
+			}
+		}
+		step(5)
+		assert.Assert(t, ledger.Admitted(began))
+		clear(rows.rows)
+		step(5)
+		assert.Equal(t, len(rows.keys(prefixVersion)), 0)
+		time.Sleep(maxStandstill)
+		step(5)
+		assert.Assert(t, ledger.Admitted(began))
+		assert.Equal(t, len(rows.keys(prefixVersion)), 2)
+	})
+}
