origins: after a standstill a search waits until the process knows its peers again

A process that has stood still drops its view of the members, which may be old. A search for a stream's origin then asked nobody, and the caller was refused for good. It waits up to 200 ms now until the members are known again, and tells the caller to come back if they aren't. TestProcessThatHasStoodStillWaitsForTheOthers guards it.

--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -239,8 +239,7 @@
 // Members implements Network.
 func (n *Node) Members() []Member { return slices.Clone(n.View().Members) }
 
-// Stale reports whether this process was frozen and hasn't learned its peers again
-// since.
+// Stale implements Network.
 func (n *Node) Stale() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -89,6 +89,8 @@
 	// View returns Self and Members together. It returns the same View until one of
 	// them changes, so that results derived from it can be cached as long.
 	View() *View
+	// Stale reports whether this process has stood still and hasn't learned its peers again since.
+	Stale() bool
 	// Publish gossips an item of this process. Items of paced topics may be delayed, all
 	// others are sent at once. Version must grow for each Topic and Key.
 	Publish(topic Topic, key string, version uint64, ttl time.Duration, body any) error
--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -19,6 +19,7 @@
 
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/routing"
+	"github.com/vanillagate/vanillagate/internal/wait"
 )
 
 const (
@@ -37,8 +38,11 @@
 	// storeTimeout limits the call that has a process keep a record, findTimeout a whole search.
 	storeTimeout = 250 * time.Millisecond
 	findTimeout  = 250 * time.Millisecond
-	// joinTime is how long a process that has started needs at most until it knows others.
-	joinTime = 2 * time.Second
+	// joinTime is how long a process that has started needs at most until it knows others. staleTime is how long a search
+	// waits until a process that has stood still knows them again, in steps of stalePause.
+	joinTime   = 2 * time.Second
+	staleTime  = 200 * time.Millisecond
+	stalePause = 10 * time.Millisecond
 	// maxRecords bounds the memory of one process to a few MB.
 	maxRecords = 20_000
 )
@@ -204,22 +208,36 @@
 	Found  bool
 	// Asked is how many processes were asked, Answered how many of them answered.
 	Asked, Answered int
-	// Joining means that this process has just started and may not know the others yet.
+	// Joining means that this process has just started, or has stood still, and may not know the others yet.
 	Joining bool
 }
 
 // Local reports whether this process had the record itself.
 func (r Result) Local() bool { return r.Found && r.Asked == 0 }
 
+// awaitMembers waits until this process knows the others, which it doesn't at first after a standstill. It reports whether
+// it does.
+func (r *Registry) awaitMembers(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, staleTime)
+	defer cancel()
+	for r.network.Stale() {
+		if !wait.For(ctx, stalePause) {
+			return false
+		}
+	}
+	return true
+}
+
 // Find searches for the origin of a stream, here and at the processes that may hold its record.
 func (r *Registry) Find(ctx context.Context, key Key) Result {
 	if origin, known := r.local(key, time.Now()); known {
 		return Result{Origin: origin, Found: true}
 	}
+	stale := !r.awaitMembers(ctx)
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	asked := r.ranked(key, maxHoldersAsked, func(s peer.MemberState) bool { return s != peer.Dead })
-	result := Result{Asked: len(asked), Joining: len(asked) == 0 && time.Since(r.startedAt) < joinTime}
+	result := Result{Asked: len(asked), Joining: stale || len(asked) == 0 && time.Since(r.startedAt) < joinTime}
 	type reply struct {
 		findAnswer
 		err error
--- a/internal/serve/origins/origins_test.go
+++ b/internal/serve/origins/origins_test.go
@@ -212,3 +212,22 @@
 		time.Sleep(10 * findTimeout) // until the calls have ended
 	})
 }
+
+// Guards against streams that a process refuses for good after a standstill, before it knows the others again.
+func TestProcessThatHasStoodStillWaitsForTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newProcesses(3)
+		key := KeyOf("", "stream")
+		assert.Assert(t, p.all[0].Record(key, began, inAMinute()).Wait(time.Second))
+		time.Sleep(joinTime)
+		p.add(1)
+		late := p.all[3]
+		time.Sleep(joinTime)
+		late.SetStale(true)
+		got := late.Find(context.Background(), key)
+		assert.Assert(t, !got.Found && got.Joining)
+		time.AfterFunc(staleTime/2, func() { late.SetStale(false) })
+		got = late.Find(context.Background(), key)
+		assert.Assert(t, got.Found)
+	})
+}
--- a/internal/serve/servetest/network.go
+++ b/internal/serve/servetest/network.go
@@ -39,8 +39,8 @@
 	state         peer.MemberState
 	// frozen nodes receive messages and never answer.
 	frozen bool
-	// dead nodes refuse connections.
-	dead bool
+	// dead nodes refuse connections. stale ones don't know the others.
+	dead, stale bool
 	// sendRate is the bandwidth of the node's link in bytes per second, 0 for no limit.
 	// linkFreeAt is when all queued messages have been sent.
 	sendRate   int
@@ -86,6 +86,16 @@
 	})
 }
 
+// SetStale has the process not know the others, as after a standstill, or know them again.
+func (n *Node) SetStale(stale bool) { n.update(func() { n.stale = stale }) }
+
+// Stale implements peer.Network.
+func (n *Node) Stale() bool {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	return n.stale
+}
+
 // SetSendRate limits the bandwidth at which the process sends, in bytes per second. Messages
 // above the limit are queued.
 func (n *Node) SetSendRate(sendRate int) { n.update(func() { n.sendRate = sendRate }) }
@@ -133,7 +143,10 @@
 	n.cluster.mu.Lock()
 	defer n.cluster.mu.Unlock()
 	if n.view == nil || n.viewVersion != n.cluster.version {
-		n.view = &peer.View{Self: n.self, Members: n.others()}
+		n.view = &peer.View{Self: n.self}
+		if !n.stale {
+			n.view.Members = n.others()
+		}
 		n.viewVersion = n.cluster.version
 	}
 	return n.view
