origins: rows of versions name the store's era

A store that comes back from a copy while no process runs may lack the row of a version at which streams have begun since the copy was made. A process that started then took another version for the only one, and a stream could go on there.

Rows of versions name the era in which they were written. A process that finds a row of an earlier era takes no version for certain for two minutes, in which streams of the time before may be taken up, and writes the row again. Processes that live through the return write their rows again with what they know, so they delay nothing. Rows of earlier releases name no era and count as before.

TestOnlyVersionIsNotCertainAfterARestoreWithoutProcesses fails before (certain one second after the start).

--- a/internal/serve/origins/admissions.go
+++ b/internal/serve/origins/admissions.go
@@ -74,6 +74,8 @@
 	Origin
 	// complete is the time from which the rows of the service have all versions.
 	complete time.Time
+	// fromCopy means that the row is older than the table's return from a copy. It is written again.
+	fromCopy bool
 }
 
 // acknowledge applies what the table, or another process, says of its rows. listed means that the list of versions is
@@ -88,8 +90,10 @@
 			}
 			a.versions[row.Origin] = known
 		}
-		known.acknowledged, known.confirmed = true, true
-		if at, has := a.complete[row.Service]; !has || row.complete.Before(at) {
+		if !row.fromCopy {
+			known.acknowledged, known.confirmed = true, true
+		}
+		if at, has := a.complete[row.Service]; !has || !row.fromCopy && row.complete.Before(at) {
 			a.complete[row.Service] = row.complete
 		}
 	}
--- a/internal/serve/origins/ledger.go
+++ b/internal/serve/origins/ledger.go
@@ -243,7 +243,7 @@
 		w.flush = l.journal.prepare(seconds(clock), maxChanges/2)
 	}
 	for _, v := range w.versions {
-		row := versionRow{Service: v.Service, Version: v.Version, CompleteMS: (clock + v.complete.Sub(now)).Milliseconds()}
+		row := versionRow{Service: v.Service, Version: v.Version, CompleteMS: (clock + v.complete.Sub(now)).Milliseconds(), Era: l.moment.Era}
 		w.Puts = append(w.Puts, Row{Key: versionKey(v.Origin), Value: row.encode()})
 	}
 	return w
@@ -317,7 +317,11 @@
 	var versions []acknowledgedVersion
 	for _, v := range s.versions {
 		complete := now.Add(time.Duration(v.CompleteMS)*time.Millisecond - clock)
-		versions = append(versions, acknowledgedVersion{Origin: v.origin(), complete: complete})
+		fromCopy := v.fromCopy(c.Era)
+		if fromCopy { // rows of versions that streams have begun at since may be lost
+			complete = now.Add(versionMemory)
+		}
+		versions = append(versions, acknowledgedVersion{Origin: v.origin(), complete: complete, fromCopy: fromCopy})
 	}
 	l.admissions.acknowledge(versions, l.listed, now)
 	l.knowsVersions = true
--- a/internal/serve/origins/ledger_test.go
+++ b/internal/serve/origins/ledger_test.go
@@ -863,3 +863,35 @@
 		assert.Equal(t, len(rows.keys(prefixVersion)), 2)
 	})
 }
+
+// Guards against a store that came back from a copy while no process ran, without the row of a version.
+func TestOnlyVersionIsNotCertainAfterARestoreWithoutProcesses(t *testing.T) {
+	for _, witnessed := range []bool{false, true} {
+		t.Run(fmt.Sprint("witnessed ", witnessed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, rows := newProcesses(0), newFakeRows()
+				one := p.start(rows, "v1")
+				time.Sleep(versionMemory + time.Second)
+				copied := maps.Clone(rows.rows)
+				one.versions.list("v1", "v2")
+				time.Sleep(time.Second)
+				if !witnessed {
+					kill(one)
+				}
+				rows.change(func() { rows.rows, rows.era = copied, 2 })
+				time.Sleep(2 * time.Second)
+				again := p.start(rows, "v1")
+				time.Sleep(time.Second)
+				assert.Assert(t, !again.ledger.Certain(began, time.Now()))
+				if witnessed {
+					assert.DeepEqual(t, again.versions.recordedAsLeft(), []string{"v2"})
+					kill(one)
+				} else {
+					time.Sleep(versionMemory)
+					assert.Assert(t, again.ledger.Certain(began, time.Now()))
+				}
+				kill(again)
+			})
+		})
+	}
+}
--- a/internal/serve/origins/rows.go
+++ b/internal/serve/origins/rows.go
@@ -79,8 +79,13 @@
 	// CompleteMS is the time of the table's clock from which the rows of the service have all versions of
 	// streams that can still be taken up.
 	CompleteMS int64 `json:"complete_ms"`
+	// Era is the era of the table in which the row was written, 0 if it is unknown.
+	Era uint64 `json:"era,omitempty"`
 }
 
+// fromCopy reports whether the row is older than the table's return from a copy, which may lack other rows.
+func (r versionRow) fromCopy(era uint64) bool { return r.Era > 0 && r.Era < era }
+
 // versionKey returns the key of the row of a version.
 func versionKey(o Origin) string {
 	key := prefixVersion + url.PathEscape(o.Service) + "/" + url.PathEscape(o.Version)
