origins: the sharing of reads is a package of its own

A question needs the result of a call that began after it, and many questions share one call. The list of targets and the configuration need the same, so it moves from the reads of origins to internal/serve/fresh. No change of behaviour; internal/serve/origins passes unchanged.

--- a/internal/serve/origins/ledger.go
+++ b/internal/serve/origins/ledger.go
@@ -13,6 +13,7 @@
 
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/routing"
+	"github.com/vanillagate/vanillagate/internal/serve/fresh"
 	"github.com/vanillagate/vanillagate/internal/serve/revision"
 	"github.com/vanillagate/vanillagate/internal/wait"
 )
@@ -66,7 +67,7 @@
 type Ledger struct {
 	LedgerOptions
 	baseCtx context.Context
-	reads   reads
+	reads   fresh.Calls[Contents]
 
 	mu sync.Mutex // guards the fields below; no other lock is taken while it is held
 	// moment is that of the latest answer of the table, which arrived at momentAt.
@@ -128,7 +129,7 @@
 		return
 	}
 	if !l.HasRead() {
-		_, err := l.reads.do(ctx, l)
+		_, err := l.read(ctx)
 		l.paceAfter(err)
 		if err != nil {
 			l.askPeer(ctx)
@@ -367,7 +368,7 @@
 	if !elected || len(departed) == 0 && !garbage && !reread {
 		return
 	}
-	contents, err := l.reads.do(ctx, l)
+	contents, err := l.read(ctx)
 	if err != nil {
 		l.paceAfter(err)
 		return
@@ -518,10 +519,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
-	own := l.reads.since(time.Now(), minReadPause, l)
-	firstCtx, cancelFirst := context.WithTimeout(ctx, max(ownReadTime, time.Until(own.startsAt.Add(ownReadTime))))
+	own := l.readSince(time.Now(), minReadPause)
+	firstCtx, cancelFirst := context.WithTimeout(ctx, max(ownReadTime, time.Until(own.StartsAt().Add(ownReadTime))))
 	defer cancelFirst()
-	if _, err := own.await(firstCtx); err == nil {
+	if _, err := own.Await(firstCtx); err == nil {
 		origin, found = l.Recorded(key)
 		return origin, found, true
 	}
--- a/internal/serve/origins/recall.go
+++ b/internal/serve/origins/recall.go
@@ -36,7 +36,7 @@
 func (l *Ledger) readForPeer(ctx context.Context, call recallCall) recallAnswer {
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
-	if _, err := l.reads.since(time.Now(), minReadPause, l).await(ctx); err != nil {
+	if _, err := l.readSince(time.Now(), minReadPause).Await(ctx); err != nil {
 		return recallAnswer{}
 	}
 	answer := recallAnswer{Read: true, Versions: l.answerPeer(time.Now())}
@@ -53,7 +53,7 @@
 	for _, id := range others {
 		go func() { answers <- l.askToRead(ctx, id, key) }()
 	}
-	ownDone := own.done
+	ownDone := own.Done()
 	for waiting := len(others); waiting > 0 || ownDone != nil; {
 		select {
 		case answer := <-answers:
@@ -67,11 +67,12 @@
 			return Origin{}, false, true
 		case <-ownDone:
 			ownDone = nil
-			if own.err == nil {
+			_, err := own.Result()
+			if err == nil {
 				origin, found = l.Recorded(key)
 				return origin, found, true
 			}
-			l.Log.Info("Origin of a stream can't be read from the store.", zap.Error(own.err))
+			l.Log.Info("Origin of a stream can't be read from the store.", zap.Error(err))
 		case <-ctx.Done():
 			return Origin{}, false, false
 		}
