run: the list and the configuration are caught up with before a version counts as the only one

The read of the table of origins shows the versions that were admitted. A version at which streams begin since there is no other has no row for a moment, and the service of a route is read from the configuration: both were still taken from what the process had, whose age was that of the operators' feed, also if the store refuses the list alone.

Streams that no process knows go on at the only version only after it.

--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillagate/vanillagate/internal/peer"
+	"github.com/vanillagate/vanillagate/internal/serve/fresh"
 	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/revision"
@@ -138,6 +139,8 @@
 	// operatorFeed follows the operator state, targetFeed the target list.
 	operatorFeed *feed
 	targetFeed   *feed
+	// catchUps are the calls that bring both up to date for requests.
+	catchUps fresh.Calls[struct{}]
 }
 
 // feed is the state of following either the operator state or the target list.
@@ -147,6 +150,8 @@
 	// watch waits for changes. It reports whether there were any and the answer held all of
 	// them.
 	watch func(ctx context.Context, after revision.Revision, wait time.Duration) (bool, revision.Revision, error)
+	// watchNow gets the changes that there are. It reports whether there are more.
+	watchNow func(ctx context.Context, after revision.Revision) (more bool, upTo revision.Revision, err error)
 	// pauseAfterChanges adds a pause after changes; see PropagationBound.batchPause.
 	pauseAfterChanges bool
 	// onRecovery, if set, is called when the store answers again after it failed for all
@@ -197,9 +202,12 @@
 	f.servedSince.Store(now.UnixNano())
 	f.SetPropagationBound(DefaultPropagationBound)
 	f.readJitter = rand.Float64()
-	f.operatorFeed = &feed{name: "orders", read: f.readOperatorState, watch: f.watchOperatorState, unsyncedSince: now}
+	f.operatorFeed = &feed{
+		name: "orders", read: f.readOperatorState, watch: f.watchOperatorState, watchNow: f.operatorChanges, unsyncedSince: now,
+	}
 	f.targetFeed = &feed{
-		name: "targets", read: f.readTargets, watch: f.watchTargets, pauseAfterChanges: true, onRecovery: table.ListRecovered, unsyncedSince: now,
+		name: "targets", read: f.readTargets, watch: f.watchTargets, watchNow: f.targetChanges, pauseAfterChanges: true,
+		onRecovery: table.ListRecovered, unsyncedSince: now,
 	}
 	return f
 }
@@ -470,6 +478,12 @@
 	return !changes.empty(), upTo, nil
 }
 
+// operatorChanges is feed.watchNow of the operator state, whose changes come as a whole.
+func (f *Follower) operatorChanges(ctx context.Context, after revision.Revision) (more bool, upTo revision.Revision, err error) {
+	_, upTo, err = f.watchOperatorState(ctx, after, 0)
+	return false, upTo, err
+}
+
 // notePlanErr records that a configuration as of a revision can't be decoded. err may be
 // nil.
 func (f *Follower) notePlanErr(err error, asOf revision.Revision) {
@@ -550,11 +564,22 @@
 }
 
 func (f *Follower) watchTargets(ctx context.Context, after revision.Revision, hold time.Duration) (bool, revision.Revision, error) {
+	changes, upTo, err := f.applyTargetChanges(ctx, after, hold)
+	return len(changes.Changes) > 0 && !changes.More, upTo, err
+}
+
+// targetChanges is feed.watchNow of the target list.
+func (f *Follower) targetChanges(ctx context.Context, after revision.Revision) (more bool, upTo revision.Revision, err error) {
+	changes, upTo, err := f.applyTargetChanges(ctx, after, 0)
+	return changes.More, upTo, err
+}
+
+func (f *Follower) applyTargetChanges(ctx context.Context, after revision.Revision, hold time.Duration) (TargetChanges, revision.Revision, error) {
 	changes, upTo, err := f.source.WatchTargets(ctx, after, hold)
 	if err != nil {
-		return false, upTo, err
+		return TargetChanges{}, upTo, err
 	}
 	f.noteAnswer(f.targetFeed)
 	f.table.Apply(changes.Changes, upTo, time.Now())
-	return len(changes.Changes) > 0 && !changes.More, upTo, nil
+	return changes, upTo, nil
 }
--- a/internal/serve/follow/peers.go
+++ b/internal/serve/follow/peers.go
@@ -80,7 +80,7 @@
 func (f *Follower) UsePeers(network peer.Network) {
 	f.peers = &peers{network: network, holders: make(chan peer.Incarnation, 1)}
 	f.isWatcher = func() bool { return f.peers.currentWatchers(network.View()).includesSelf() }
-	peer.HandleCall(network, methodUpdates, func(request updatesRequest) (any, error) { return f.updatesSince(request), nil })
+	peer.HandleCall(network, methodUpdates, func(request updatesRequest) (any, error) { return f.answerUpdates(request), nil })
 	peer.HandleCall(network, methodList, func(request partRequest) (any, error) { return f.listServer.serve(request, f.table, time.Now()) })
 }
 
--- a/internal/serve/follow/updates.go
+++ b/internal/serve/follow/updates.go
@@ -33,6 +33,8 @@
 	// KnowsEras means that the caller tells eras apart. Processes of earlier releases don't set it; their revisions
 	// count as those of the answering process's era.
 	KnowsEras bool `json:"eras,omitempty"`
+	// CatchUp asks the peer to get the store's changes before it answers.
+	CatchUp bool `json:"catch_up,omitempty"`
 }
 
 // since returns the revision after which the caller lacks changes of the list.
@@ -71,6 +73,8 @@
 	ServedMS int64 `json:"served_ms,omitempty"`
 	// AgeMS is the time since the store last answered the sending process.
 	AgeMS int64 `json:"age_ms,omitempty"`
+	// CaughtUp means that the sending process has got the store's changes since the request.
+	CaughtUp bool `json:"caught_up,omitempty"`
 }
 
 const (
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -74,6 +74,9 @@
 	// ContactAge returns the time since the store of the configuration last answered this
 	// process or one that it relies on; nil if unknown.
 	ContactAge func(now time.Time) time.Duration
+	// CatchUp brings the configuration and the targets up to what the store had at some moment after the call, and reports
+	// whether it could; nil if there is no store to ask.
+	CatchUp func(ctx context.Context) bool
 
 	firstEventModel firstEventModel
 	answerStats     answerStats
--- a/internal/serve/run/origin.go
+++ b/internal/serve/run/origin.go
@@ -55,10 +55,14 @@
 	if found.Found {
 		return j.goOnAt(found.Origin, foundBy(found))
 	}
+	caughtUp := make(chan bool, 1)
+	go func() { caughtUp <- j.CatchUp == nil || j.CatchUp(j.ctx) }()
 	origin, recorded, read := j.ledger().Recall(j.ctx, j.originKey())
 	if recorded {
 		return j.goOnAt(origin, byStore)
 	}
+	// A process that was cut off or stood still has an old list, and can't tell: only what was read since counts.
+	read = <-caughtUp && read
 	if read {
 		if only, certain := j.onlyOrigin(time.Now()); certain {
 			return j.goOnAt(only, byOnlyVersion)
--- a/internal/serve/run/origin_ledger_test.go
+++ b/internal/serve/run/origin_ledger_test.go
@@ -361,3 +361,46 @@
 		time.Sleep(5 * time.Second) // until all calls have ended
 	})
 }
+
+// Guards against streams that go on by a list or a configuration that was old when the request arrived.
+func TestOnlyVersionIsCertainOnlyWithWhatTheStoreHasByNow(t *testing.T) {
+	joins := func(e *Executor) bool {
+		e.Table.Apply([]pool.Change{{Entry: pool.Entry{
+			ID: "new", Service: "s", Address: "v2:1", Version: "v2", Slots: 8, State: pool.Ready, Revision: 3,
+		}}}, 3, time.Now())
+		return true
+	}
+	for _, c := range []struct {
+		name     string
+		catchUp  func(*Executor) bool
+		reason   Reason
+		comeBack bool
+	}{
+		{name: "nothing new", catchUp: func(*Executor) bool { return true }},
+		{name: "changes can't be had", catchUp: func(*Executor) bool { return false }, reason: UnknownVersion, comeBack: true},
+		{name: "a version has joined and has no row yet", catchUp: joins, reason: UnknownVersion},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, kill := context.WithCancel(context.Background())
+				targets := &scriptedTargets{body: "id: 5\ndata: e\n\n"}
+				e := keptExecutor(ctx, targets, &rowsInMemory{rows: map[string]origins.Row{}}, "v1")
+				time.Sleep(3 * time.Minute)
+				e.CatchUp = func(context.Context) bool { return c.catchUp(e) }
+				reply := takeUp(e, "unknown")
+				assert.Equal(t, reply.Reason, c.reason)
+				if c.comeBack {
+					assert.Assert(t, reply.RetryAfter > 0)
+				}
+				if c.reason == "" {
+					_, err := io.ReadAll(reply.Answer.Body)
+					assert.NilError(t, err)
+				} else {
+					assert.Equal(t, len(targets.arrivals), 0)
+				}
+				kill()
+				time.Sleep(5 * time.Second) // until all calls have ended
+			})
+		})
+	}
+}
