plan: the services that a route had lately are remembered

A stream of a route whose operator moved it to another service went on there, if nobody knew the stream and that service had one version: the conclusion was drawn from the route of now. The holder of the configuration remembers for two minutes which services the routes of resumable streams had, by host and prefix, so that a path that another route has taken over counts too. As long as there was another one, no version is certain, and streams are written to the store.

TestStreamOfARouteThatHasMovedIsNotResumedElsewhere fails before (200 at the other service).

--- a/internal/serve/plan/holder.go
+++ b/internal/serve/plan/holder.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Holder holds the plan in force. It never goes back to an older version: plans arrive from the
@@ -11,6 +12,8 @@
 type Holder struct {
 	current atomic.Pointer[Plan]
 	mu      sync.Mutex // serializes Apply; no other lock is taken while it is held
+	// former has the services that routes of streams had in earlier plans. It is replaced, not changed.
+	former atomic.Pointer[formerServices]
 }
 
 // Current returns the plan in force; nil before the first one is known.
@@ -48,6 +51,7 @@
 		return false
 	}
 	p.Index()
+	h.remember(h.current.Load(), time.Now())
 	h.current.Store(p)
 	return true
 }
--- a/internal/serve/plan/plan_test.go
+++ b/internal/serve/plan/plan_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -94,3 +96,24 @@
 		assert.Equal(t, c.route.Repeatable(), c.want, "%+v", c.route)
 	}
 }
+
+// Guards against streams that go on at another service after their route has moved, or another route has taken its paths.
+func TestFormerServicesOfAPathAreRemembered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := func(prefix, service string) Route {
+			return Route{Host: "h", Prefix: prefix, Kind: Stream, Resumable: true, Split: []Share{{Service: service, Weight: 1}}}
+		}
+		var h Holder
+		h.Apply(&Plan{Version: 1, Routes: []Route{route("/a/", "one")}})
+		assert.Assert(t, !h.WasElsewhere("h", "/a/x", "one", time.Now()))
+		h.Apply(&Plan{Version: 2, Routes: []Route{route("/a/", "one"), route("/a/b/", "two")}})
+		assert.Assert(t, !h.WasElsewhere("h", "/a/x", "one", time.Now()))
+		assert.Assert(t, h.WasElsewhere("h", "/a/b/x", "two", time.Now()))
+		assert.Assert(t, !h.WasElsewhere("other", "/a/b/x", "two", time.Now()))
+		time.Sleep(time.Minute)
+		h.Apply(&Plan{Version: 3, Routes: []Route{route("/a/", "two"), route("/a/b/", "two")}})
+		assert.Assert(t, h.WasElsewhere("h", "/a/x", "two", time.Now()))
+		time.Sleep(formerMemory + time.Second)
+		assert.Assert(t, !h.WasElsewhere("h", "/a/x", "two", time.Now()))
+	})
+}
--- a/internal/serve/run/origin.go
+++ b/internal/serve/run/origin.go
@@ -147,7 +147,7 @@
 		return origins.Origin{}, false
 	}
 	route := p.Route(j.req.Host, j.req.Path)
-	if route == nil || len(route.Split) != 1 || !route.Includes(j.service) {
+	if route == nil || len(route.Split) != 1 || !route.Includes(j.service) || j.Plans.WasElsewhere(j.req.Host, j.req.Path, j.service, now) {
 		return origins.Origin{}, false
 	}
 	version, only := j.Table.OnlyVersion(j.service, now)
--- a/internal/serve/run/origin_ledger_test.go
+++ b/internal/serve/run/origin_ledger_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillagate/vanillagate/internal/serve/origins"
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/servetest"
 )
@@ -370,6 +371,15 @@
 		}}}, 3, time.Now())
 		return true
 	}
+	moves := func(e *Executor) bool {
+		old := e.Plans.Current()
+		moved := plan.Plan{Version: old.Version + 1, Services: []plan.Service{{Name: "s"}, {Name: "elsewhere"}}, Routes: slices.Clone(old.Routes)}
+		moved.Routes[0].Split = []plan.Share{{Service: "elsewhere", Weight: 1}}
+		e.Plans.Apply(&moved)
+		back := plan.Plan{Version: moved.Version + 1, Services: moved.Services, Routes: slices.Clone(old.Routes)}
+		e.Plans.Apply(&back)
+		return true
+	}
 	for _, c := range []struct {
 		name     string
 		catchUp  func(*Executor) bool
@@ -379,6 +389,7 @@
 		{name: "nothing new", catchUp: func(*Executor) bool { return true }},
 		{name: "changes can't be had", catchUp: func(*Executor) bool { return false }, reason: UnknownVersion, comeBack: true},
 		{name: "a version has joined and has no row yet", catchUp: joins, reason: UnknownVersion},
+		{name: "the route has moved and is back", catchUp: moves, reason: UnknownVersion},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -404,3 +415,26 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on at the service to which its route has moved since it began.
+func TestStreamOfARouteThatHasMovedIsNotResumedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, kill := context.WithCancel(context.Background())
+		targets := &scriptedTargets{body: "id: 5\ndata: e\n\n"}
+		e := keptExecutor(ctx, targets, &rowsInMemory{rows: map[string]origins.Row{}}, "v1")
+		time.Sleep(3 * time.Minute)
+		old := e.Plans.Current()
+		moved := plan.Plan{Version: old.Version + 1, Services: []plan.Service{{Name: "s2"}}, Routes: slices.Clone(old.Routes)}
+		moved.Routes[0].Split = []plan.Share{{Service: "s2", Weight: 1}}
+		e.Table.Apply([]pool.Change{{Entry: pool.Entry{
+			ID: "other", Service: "s2", Address: "v1:9", Version: "v1", Slots: 8, State: pool.Ready, Revision: 3,
+		}}}, 3, time.Now())
+		e.Plans.Apply(&moved)
+		time.Sleep(time.Second)
+		reply := takeUp(e, "unknown")
+		assert.Equal(t, reply.Reason, UnknownVersion)
+		assert.Equal(t, len(targets.arrivals), 0)
+		kill()
+		time.Sleep(5 * time.Second) // until all calls have ended
+	})
+}
