liveness: a successor's silence no longer passes as the target's

Callers got streams without framing that ended as complete before their last event after their engine had died.

After such an answer its target is asked for a sign of life on a new connection, and 300 ms of silence on it counted as the target's. The connection is opened after the answer has ended, so its being open says only that some process listens at the address: a successor that is short of CPU or not serving yet accepts it and is silent, too.

Silence now passes only if the VM keeps an open connection on which that target has answered before (new verdict connected); a process that dies closes it, and IDs are new at each start. Otherwise the check waits for the answer for up to 2 s in place of 300 ms, as health checks wait for a slot, and then the answer counts as broken off. Verdicts that pass without an answer are logged.

TestVerdicts wanted that silence on a new connection passes, which is the fault; it now wants that it doesn't, and three tests hold the check to answers that come after a wait, to busy targets with another connection, and to successors' connections.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -54,7 +54,9 @@
 	// MaxIdleConns is the maximum number of unused connections to the same target,
 	// this one included; 0 means maxIdleConns.
 	MaxIdleConns int
-	lastUsed     time.Time
+	// Process is the ID of the process that has answered on the connection; empty if it isn't known.
+	Process  string
+	lastUsed time.Time
 }
 
 // Reused reports whether the connection had another call before the current one.
@@ -117,6 +119,13 @@
 	return slices.ContainsFunc(p.byAddress[address], func(c *Conn) bool { return c.reusable(now, maxIdleTime) })
 }
 
+// HasOf reports whether a connection is kept on which a process has answered, and which is still open.
+func (p *Pool) HasOf(process, address string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.byAddress[address], func(c *Conn) bool { return c.Process == process && c.reusable(now, 0) })
+}
+
 func (p *Pool) pop(address string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/serve/liveness/liveness.go
+++ b/internal/serve/liveness/liveness.go
@@ -24,8 +24,11 @@
 const (
 	// Alive means that the process has answered.
 	Alive Verdict = "alive"
-	// Silent means that the process hasn't answered in time on a connection that it keeps open. The death
-	// of a process closes its connections.
+	// Connected means that the process hasn't answered in time, and keeps a connection open on which it has
+	// answered before. The death of a process closes its connections.
+	Connected Verdict = "connected"
+	// Silent means that nobody has answered in time on a connection that is open. Its successor at the address may
+	// have accepted it.
 	Silent Verdict = "silent"
 	// Accepting means that the process has accepted a connection and keeps it open. It wasn't asked anything.
 	Accepting Verdict = "accepting"
@@ -40,11 +43,15 @@
 )
 
 // Runs reports whether the process is known to have run after the end of the answer.
-func (v Verdict) Runs() bool { return v == Alive || v == Silent || v == Accepting }
+func (v Verdict) Runs() bool { return v == Alive || v == Connected || v == Accepting }
 
 const (
-	// Bound limits both the time to connect and the time until the answer begins.
+	// Bound limits the time to connect, and the time until the answer begins if the process keeps another
+	// connection open.
 	Bound = 300 * time.Millisecond
+	// answerBound limits the time until the answer begins if only the answer can show that the process runs. Health
+	// checks wait for a slot.
+	answerBound = 2 * time.Second
 	// settleTime is how long a connection on which nothing is asked has to stay open. The port of a process
 	// that has died closes a few milliseconds later at most.
 	settleTime = 50 * time.Millisecond
@@ -211,14 +218,16 @@
 	bound  *time.Timer
 	// connected is when there was a connection; zero before.
 	connected time.Time
-	answer    *upstream.Answer // nil if there is none
+	// awaitsAnswer means that Bound has passed and the process keeps no other connection open.
+	awaitsAnswer bool
+	answer       *upstream.Answer // nil if there is none
 }
 
 // ask sends the request and reads the header of the answer.
 func (e *exchange) ask() Verdict {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	e.cancel = cancel
-	e.bound = time.AfterFunc(Bound, func() { cancel(errBound) })
+	e.bound = time.AfterFunc(Bound, e.reachBound)
 	request := e.question.Request
 	request.Allowed = e.allow
 	if e.newConnection {
@@ -249,16 +258,29 @@
 	return true
 }
 
+// reachBound ends the check, or gives the answer more time if nothing else shows that the process runs.
+func (e *exchange) reachBound() {
+	p := e.question.Process
+	if e.isConnected() && !e.awaitsAnswer && !e.client.HasIdleOf(p.ID, p.Address) {
+		e.awaitsAnswer = true
+		e.bound.Reset(answerBound - Bound)
+		return
+	}
+	e.cancel(errBound)
+}
+
 // failed returns the verdict on a request without an answer. If much more time than its bound has passed,
 // this process was suspended, and the connection may have been closed meanwhile.
 func (e *exchange) failed(ctx context.Context) Verdict {
 	switch {
 	case ctx.Err() == nil:
 		return Closed
+	case e.isConnected() && e.awaitsAnswer:
+		return Silent
 	case !e.isConnected() || time.Since(e.connected) > 2*Bound:
 		return Unreachable
 	default:
-		return Silent
+		return Connected
 	}
 }
 
--- a/internal/serve/liveness/liveness_test.go
+++ b/internal/serve/liveness/liveness_test.go
@@ -127,7 +127,11 @@
 		"silent": {func(_ net.Conn, r *bufio.Reader) {
 			_, _ = http.ReadRequest(r)
 			_, _ = r.ReadByte() // until the check ends
-		}, Silent, true},
+		}, Silent, false},
+		"answer after a wait": {func(c net.Conn, r *bufio.Reader) {
+			time.Sleep(2 * Bound)
+			answering(okAnswer)(c, r)
+		}, Alive, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -139,6 +143,58 @@
 	}
 }
 
+// Guards against whole answers that count as cut because their target is too busy for a check.
+func TestSilentProcessThatKeepsAnotherConnectionOpenRuns(t *testing.T) {
+	t.Parallel()
+	var connections atomic.Int64
+	address, _ := server(t, func(c net.Conn, r *bufio.Reader) {
+		if connections.Add(1) == 1 {
+			answering(okAnswer)(c, r)
+		}
+		_, _ = io.Copy(io.Discard, r) // until the check ends
+	})
+	client := &upstream.Client{}
+	q := question(address)
+	q.Request.Target = q.ID
+	answer, err := client.Send(t.Context(), &q.Request)
+	assert.NilError(t, err)
+	_, _ = io.Copy(io.Discard, answer)
+	answer.Close()
+	got := (&Checker{}).Check(t.Context(), client, q)
+	assert.Equal(t, got, Connected)
+	assert.Assert(t, got.Runs())
+}
+
+// Guards against a successor that is silent and passes as the process because it answered or refused a request before.
+func TestConnectionOfASuccessorDoesNotShowThatTheProcessRuns(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct{ asked, answer string }{
+		"it refused a request to the process": {"i-1", otherAnswer}, "it answered one of its own": {"i-2", okAnswer},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var connections atomic.Int64
+			address, _ := server(t, func(c net.Conn, r *bufio.Reader) {
+				if connections.Add(1) == 1 {
+					answering(tc.answer)(c, r)
+				}
+				_, _ = io.Copy(io.Discard, r) // until the check ends
+			})
+			client := &upstream.Client{}
+			q := question(address)
+			request := q.Request
+			request.Target = tc.asked
+			answer, err := client.Send(t.Context(), &request)
+			assert.NilError(t, err)
+			_, _ = io.Copy(io.Discard, answer)
+			answer.Close()
+			got := (&Checker{}).Check(t.Context(), client, q)
+			assert.Equal(t, got, Silent)
+			assert.Assert(t, !got.Runs())
+		})
+	}
+}
+
 func TestVerdictWithoutConnection(t *testing.T) {
 	t.Parallel()
 	address, stop := server(t, answering(okAnswer))
--- a/internal/serve/run/ends.go
+++ b/internal/serve/run/ends.go
@@ -42,6 +42,10 @@
 	verdict := j.liveness.Check(j.ctx, j.Client, j.livenessQuestion(target))
 	j.Metrics.count(series("vanillagate_unframed_answer_ends", "verdict", string(verdict)))
 	if verdict.Runs() {
+		if verdict != liveness.Alive {
+			j.Log.Info("Answer without framing counts as complete, and its target hasn't answered.", requestID(j.req.ID),
+				zap.String("target", target.ID), zap.String("address", target.Address), zap.String("verdict", string(verdict)))
+		}
 		return nil
 	}
 	j.Log.Warn("Answer without framing isn't known to be complete.", requestID(j.req.ID), zap.String("target", target.ID),
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -23,7 +23,8 @@
 type Request struct {
 	// Address is the target's IP:port.
 	Address string
-	// Target is the target's ID, which OnExceeded gets; empty if it has none.
+	// Target is the target's ID, which OnExceeded gets; empty if it has none. Its answer with any status but 421
+	// shows that the connection is the target's.
 	Target string
 	Method string
 	// URI is the path and query exactly as the caller sent them.
@@ -134,6 +135,12 @@
 	return c.idle.Has(address, time.Now(), maxIdleTime)
 }
 
+// HasIdleOf reports whether an unused connection to an address is kept on which a target has answered, and which is
+// still open.
+func (c *Client) HasIdleOf(target, address string) bool {
+	return c.idle.HasOf(target, address, time.Now())
+}
+
 // Send makes one attempt and reads the header of the answer. Every error is a *Failure. When
 // ctx ends, the connection is closed, also while the body is being read. The caller must
 // always close the answer.
@@ -164,6 +171,9 @@
 		a.Close()
 		return nil, &Failure{Sent: true, Err: preferContextCause(ctx, err)}
 	}
+	if a.Status != fasthttp.StatusMisdirectedRequest {
+		conn.Process = r.Target
+	}
 	return a, nil
 }
 
