target: a successor at the address no longer vouches for an answer without framing

The health check names no process, and its connection is opened after the answer has ended, so any process at the address passes.

A second connection is now opened while the answer arrives. If the answer's connection hasn't ended when it is open, it is to the process that writes the answer, and that process closes it if it dies; the health check is sent on it after the answer.

TestUnframedAnswerOfATargetThatIsReplacedIsAFailure failed before: errors.Is(err, ErrUnknownEnd): <nil>. The stand-in of these tests closed only its port when it died; it now closes all of its connections, as the end of a process does.

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -62,6 +62,9 @@
 	VerifyEnd bool
 	// Headers are additional headers to send.
 	Headers []Header
+
+	// conn is an open connection to use; nil for none.
+	conn *conns.Conn
 }
 
 // Header is one header line.
@@ -182,10 +185,16 @@
 	body := framing.NewBody(ex.conn.R, &h, call.Method)
 	answer := answerFromHeader(&h)
 	answer.Unframed = body.Kind == framing.Connection && !call.VerifyEnd
+	verifyEnd := body.Kind == framing.Connection && call.VerifyEnd
+	var second *secondConn // set if verifyEnd
+	if verifyEnd {
+		second = openSecond(ctx, ex.conn.Conn, call.Address)
+		defer second.close()
+	}
 	if answer.Body, err = c.readBody(body); err != nil {
 		return nil, ex.failure(err)
 	}
-	if body.Kind == framing.Connection && call.VerifyEnd && !c.outlivesAnswer(ctx, call.Address) {
+	if verifyEnd && !c.outlivesAnswer(ctx, call.Address, second) {
 		return nil, ex.failure(ErrUnknownEnd)
 	}
 	answer.HasIdentity, err = checkIdentity(&h, call.Identity)
@@ -253,6 +262,9 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
+	if call.conn != nil {
+		return call.conn, nil
+	}
 	if !call.NewConnection {
 		if kept := c.idle.Take(call.Address, time.Now(), 0); kept != nil {
 			return kept, nil
--- a/internal/target/framing_test.go
+++ b/internal/target/framing_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,17 +25,32 @@
 	answer string
 	// dies closes the port before the connection of the call.
 	dies bool
+	// pause is the time between the answer's head and its body.
+	pause time.Duration
+	// successor is a target that takes the address over when this one dies; nil for none.
+	successor *closingTarget
+	// closesSpare closes connections on which no call comes at once.
+	closesSpare bool
 	// health answers health checks; nil answers nothing until the check ends.
 	health func(net.Conn)
 
 	listener net.Listener
 	checks   atomic.Int64
+
+	mu    sync.Mutex // guards conns and dead
+	conns []net.Conn
+	dead  bool
 }
 
 func (c *closingTarget) start(t *testing.T) *closingTarget {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
+	return c.startAt(t, "127.0.0.1:0")
+}
+
+func (c *closingTarget) startAt(t *testing.T, address string) *closingTarget {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	assert.Check(t, err)
 	c.listener = listener
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
@@ -43,14 +59,44 @@
 			if err != nil {
 				return
 			}
-			go c.serve(conn)
+			go c.serve(t, conn)
 		}
 	}()
 	return c
 }
 
-func (c *closingTarget) serve(conn net.Conn) {
+// die ends the target as the end of its process does: with its port and all of its connections but one.
+func (c *closingTarget) die(t *testing.T, last net.Conn) {
+	_ = c.listener.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dead = true
+	for _, conn := range c.conns {
+		if conn != last {
+			_ = conn.Close()
+		}
+	}
+	if c.successor != nil {
+		c.successor.startAt(t, c.listener.Addr().String())
+	}
+}
+
+// keep notes a connection and reports whether the target serves it.
+func (c *closingTarget) keep(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conns = append(c.conns, conn)
+	return !c.dead
+}
+
+func (c *closingTarget) serve(t *testing.T, conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	if !c.keep(conn) {
+		return
+	}
+	if c.closesSpare {
+		_ = conn.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+	}
 	reader := bufio.NewReader(conn)
 	r, err := http.ReadRequest(reader)
 	if err != nil {
@@ -66,9 +112,12 @@
 		c.health(conn)
 		return
 	}
-	_, _ = io.WriteString(conn, c.answer)
+	head, body, _ := strings.Cut(c.answer, "\r\n\r\n")
+	_, _ = io.WriteString(conn, head+"\r\n\r\n")
+	time.Sleep(c.pause)
+	_, _ = io.WriteString(conn, body)
 	if c.dies {
-		_ = c.listener.Close()
+		c.die(t, conn)
 	}
 }
 
@@ -119,6 +168,23 @@
 	}
 }
 
+// Guards against a successor at the address that vouches for the answer of a target that has died.
+func TestUnframedAnswerOfATargetThatIsReplacedIsAFailure(t *testing.T) {
+	target := &closingTarget{
+		answer: unframedHeader + "half of it", pause: 100 * time.Millisecond, dies: true, health: healthy, successor: &closingTarget{health: healthy},
+	}
+	_, err := NewClient(1<<20).Do(t.Context(), target.start(t).call(true))
+	assert.Assert(t, errors.Is(err, ErrUnknownEnd), "%v", err)
+}
+
+// Guards against whole answers that count as cut because their target closes connections without a call.
+func TestUnframedAnswerOfATargetThatClosesSpareConnectionsIsWhole(t *testing.T) {
+	target := &closingTarget{answer: unframedHeader + "hello", pause: 200 * time.Millisecond, closesSpare: true, health: healthy}
+	got, err := NewClient(1<<20).Do(t.Context(), target.start(t).call(true))
+	assert.NilError(t, err)
+	assert.Equal(t, string(got.Body), "hello")
+}
+
 // Guards against whole answers of targets that have no place for a health check.
 func TestUnframedAnswerOfABusyTargetIsWhole(t *testing.T) {
 	target := (&closingTarget{answer: unframedHeader + "hello"}).start(t)
