platform, follow: a table whose pages never end no longer fills the memory

What would be seen: a store that answers each page with new rows and has-more has a process keep all rows. The reads of the operator state, of convictions and of origins end with their time limit only; the read of the list of targets has none for the whole list, so it never ends and its entries are kept.

Cause: single answers are bounded (4 MB), the sum of the pages of a table isn't.

--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -58,6 +58,8 @@
 	AsOf revision.Revision
 	// Next is the cursor of the next page; empty on the last page.
 	Next string
+	// Bytes is the approximate memory of the page.
+	Bytes int
 }
 
 // OperatorState is everything that operators have set.
@@ -533,7 +535,11 @@
 		// The end of an outage must be recorded before the list is applied, so that targets
 		// whose entries lapsed during the outage aren't removed at once.
 		f.noteAnswer(f.targetFeed)
-		if f.listRead.add(page) {
+		last, err := f.listRead.add(page)
+		if err != nil {
+			return 0, err
+		}
+		if last {
 			break
 		}
 	}
--- a/internal/serve/follow/list_read.go
+++ b/internal/serve/follow/list_read.go
@@ -20,6 +20,7 @@
 	asOf revision.Revision
 	// next is the cursor of the next page.
 	next      string
+	size      TableSize
 	startedAt time.Time
 }
 
@@ -31,16 +32,20 @@
 }
 
 // add appends the next page and reports whether it was the last. If the store has come back from a copy since the
-// page before, the read restarts.
-func (r *listRead) add(page TargetPage) bool {
+// page before, the read restarts; so it does if the list is too large, for which the error is ErrTableTooLarge.
+func (r *listRead) add(page TargetPage) (last bool, err error) {
 	if r.next != "" && page.AsOf.Era() != r.asOf.Era() {
 		*r = listRead{startedAt: r.startedAt}
-		return false
+		return false, nil
+	}
+	if err := r.size.Add(page.Bytes); err != nil {
+		*r = listRead{}
+		return false, err
 	}
 	if r.next == "" {
 		r.asOf = page.AsOf
 	}
 	r.entries = append(r.entries, page.Entries...)
 	r.next = page.Next
-	return page.Next == ""
+	return page.Next == "", nil
 }
