jsonlist: a list of many short items is rejected before it takes memory

What would be seen: an answer of the store within its bound of 4 MB, or one of a stage target within 1 MB, may hold a million items of two or three bytes. Decoded they take many times that: one answer of the store exceeds the 284 MB of a VM.

Change: Decode takes the maximum number of items and counts them in the text first.

--- a/internal/serve/follow/lenient.go
+++ b/internal/serve/follow/lenient.go
@@ -13,12 +13,15 @@
 // What peers send may come from a process of another release, and its entries from other writers. An entry that isn't
 // usable must not take the sound ones in the message with it.
 
+// maxPeerItems limits the entries or changes of one message.
+const maxPeerItems = 1 << 16
+
 // peerEntries are entries as peers send them. Items that can't be decoded are left out.
 type peerEntries []pool.Entry
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (p *peerEntries) UnmarshalJSON(data []byte) error {
-	list, err := jsonlist.Decode(data, func(json.RawMessage, error) (pool.Entry, bool) { return pool.Entry{}, false })
+	list, err := jsonlist.Decode(data, maxPeerItems, func(json.RawMessage, error) (pool.Entry, bool) { return pool.Entry{}, false })
 	*p = list
 	return err
 }
@@ -29,7 +32,7 @@
 // UnmarshalJSON implements json.Unmarshaler. An item that can't be decoded removes its entry, which names no usable
 // target any longer.
 func (p *peerChanges) UnmarshalJSON(data []byte) error {
-	list, err := jsonlist.Decode(data, func(item json.RawMessage, _ error) (pool.Change, bool) {
+	list, err := jsonlist.Decode(data, maxPeerItems, func(item json.RawMessage, _ error) (pool.Change, bool) {
 		var row struct {
 			ID       string
 			Revision revision.Revision
