backing: answers of the platform's services have a maximum size

What would be seen: an answer of the table or the object store whose body doesn't end is kept as a whole until the call's time limit: the SDKs read bodies of errors, and the table's results, without a bound.

Cause: only the header and successes of the object store's reads were bounded.

Change: the HTTP client bounds each body: 256 KB for an error, 16 MB for the table, the size of the largest object for the object store.

--- a/internal/backing/dynamo/dynamo.go
+++ b/internal/backing/dynamo/dynamo.go
@@ -30,6 +30,9 @@
 	attrBody      = "body"
 )
 
+// maxAnswerBytes limits an answer. The service sends at most 1 MB of rows.
+const maxAnswerBytes = 16 << 20
+
 // MaxWrites is the maximum number of writes per transaction.
 const MaxWrites = 100
 
@@ -47,7 +50,7 @@
 		// The SDK would retry writes by itself. Whether that is safe is for the caller
 		// to decide, who can tell whether the first attempt took effect.
 		Retryer:    aws.NopRetryer{},
-		HTTPClient: backing.NewHTTPClient(cfg.HTTP),
+		HTTPClient: backing.NewHTTPClient(cfg.HTTP, maxAnswerBytes),
 	})}
 }
 
--- a/internal/backing/objects/objects.go
+++ b/internal/backing/objects/objects.go
@@ -37,7 +37,7 @@
 		Credentials:  credentials.NewStaticCredentialsProvider(cfg.AccessKey, cfg.SecretKey, ""),
 		UsePathStyle: true,
 		Retryer:      aws.NopRetryer{},
-		HTTPClient:   backing.NewHTTPClient(cfg.HTTP),
+		HTTPClient:   backing.NewHTTPClient(cfg.HTTP, MaxObjectBytes+1),
 		// By default the SDK sends bodies in signed chunks with trailers, which not
 		// every S3-compatible store supports.
 		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
--- a/internal/backing/transport.go
+++ b/internal/backing/transport.go
@@ -38,14 +38,19 @@
 const (
 	idleConnTimeout        = 30 * time.Second
 	maxResponseHeaderBytes = 64 << 10
+	// maxErrorBytes limits the body of an answer that isn't a success. The SDKs read it as a whole.
+	maxErrorBytes = 256 << 10
 )
 
 // HTTPClient is the HTTP client for the AWS SDKs. Its errors match ErrNotRun if no
 // byte of the request can have been sent.
-type HTTPClient struct{ client *http.Client }
+type HTTPClient struct {
+	client       *http.Client
+	maxBodyBytes int64
+}
 
-// NewHTTPClient returns a client with its own connection pool.
-func NewHTTPClient(cfg HTTPConfig) *HTTPClient {
+// NewHTTPClient returns a client with its own connection pool. Reading a body of a success fails beyond maxBodyBytes.
+func NewHTTPClient(cfg HTTPConfig, maxBodyBytes int64) *HTTPClient {
 	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
 	transport := &http.Transport{
 		DialContext:            dialer.DialContext,
@@ -56,7 +61,10 @@
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		DisableCompression:     true,
 	}
-	return &HTTPClient{client: &http.Client{Transport: transport, Timeout: cfg.CallTimeout, CheckRedirect: noRedirect}}
+	return &HTTPClient{
+		client:       &http.Client{Transport: transport, Timeout: cfg.CallTimeout, CheckRedirect: noRedirect},
+		maxBodyBytes: maxBodyBytes,
+	}
 }
 
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
@@ -72,6 +80,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	resp, err := c.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err == nil {
+		resp.Body = http.MaxBytesReader(nil, resp.Body, c.maxBytes(resp.StatusCode))
 		return resp, nil
 	}
 	if !connected.Load() || isDialError(err) {
@@ -80,6 +89,14 @@
 	return nil, err
 }
 
+// maxBytes returns the maximum size of the body of an answer.
+func (c *HTTPClient) maxBytes(status int) int64 {
+	if status >= http.StatusOK && status < http.StatusMultipleChoices {
+		return c.maxBodyBytes
+	}
+	return min(c.maxBodyBytes, maxErrorBytes)
+}
+
 func isDialError(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
