--- a/internal/settings/file.go
+++ b/internal/settings/file.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"os"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,11 +32,13 @@
 type File struct {
 	Log  *zap.Logger
 	Path string
-	// Applied is the content of the file when it was last applied.
+	// Applied is the content of the file when it was last applied. It is set before the first use.
 	Applied []byte
 	// Apply applies a changed file. If it returns an error, the previous settings
-	// stay in force.
+	// stay in force. Calls don't overlap.
 	Apply func(raw []byte) error
+
+	mu sync.Mutex // guards Applied; held while Apply runs
 }
 
 // Watch rereads the file at each signal and every RereadPeriod, until the context
@@ -56,8 +59,10 @@
 }
 
 // Reread applies the file if it has changed. An invalid file is ignored, since it
-// may be only partly written.
+// may be only partly written. It may be called beside Watch.
 func (f *File) Reread() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	raw, err := os.ReadFile(f.Path)
 	if err != nil {
 		f.Log.Warn("Settings can't be read; the old ones stay.", zap.Error(err))
--- a/test/platform_shutdown_test.go
+++ b/test/platform_shutdown_test.go
@@ -62,7 +62,8 @@
 	kind, id string
 	// sentAt is when the last byte of the request was written.
 	sentAt   time.Time
-	status   int // 0 means no answer
+	endedAt  time.Time // when the answer or the connection ended
+	status   int       // 0 means no answer
 	complete bool
 	err      error
 	// afterClose is set if the previous answer on the connection announced that it closes.
@@ -132,17 +133,20 @@
 func (s *shutdownRun) publishTailRoutes(idle time.Duration) {
 	s.publishMu.Lock()
 	defer s.publishMu.Unlock()
-	s.site.Publish(func(config map[string]any) {
-		config["limits"].(map[string]any)["idle-timeout-ms"] = idle.Milliseconds()
-		for n := 1; n <= tailRoutes; n++ {
-			name := fmt.Sprintf("tail-%d", n)
-			config["services"] = append(config["services"].([]any), map[string]any{"name": name, "max-connections": 300})
-			config["routes"] = append(config["routes"].([]any), map[string]any{
-				"name": name, "host": standin.Host, "prefix": "/" + name + "/", "kind": "streaming", "timeout-ms": 20000,
-				"target-latency-ms": 1500, "target-gap-ms": 1000, "priority": 0, "service": name, "attempts": 1,
-			})
-		}
-	})
+	s.site.Publish(func(config map[string]any) { addTailRoutes(config, idle) })
+}
+
+// addTailRoutes adds the routes to the streams to a configuration, and sets its idle timeout.
+func addTailRoutes(config map[string]any, idle time.Duration) {
+	config["limits"].(map[string]any)["idle-timeout-ms"] = idle.Milliseconds()
+	for n := 1; n <= tailRoutes; n++ {
+		name := fmt.Sprintf("tail-%d", n)
+		config["services"] = append(config["services"].([]any), map[string]any{"name": name, "max-connections": 300})
+		config["routes"] = append(config["routes"].([]any), map[string]any{
+			"name": name, "host": standin.Host, "prefix": "/" + name + "/", "kind": "streaming", "timeout-ms": 20000,
+			"target-latency-ms": 1500, "target-gap-ms": 1000, "priority": 0, "service": name, "attempts": 1,
+		})
+	}
 }
 
 // startTailTargets starts the targets of the streams.
@@ -272,6 +276,7 @@
 	if sent.err == nil {
 		sent.status, sent.complete, sent.err = c.readAnswer()
 	}
+	sent.endedAt = time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls = append(s.calls, sent)
