serve: a VM that stops finishes the stage calls that it makes for peers

What callers saw: a request at VM A waited for a stage whose calls VM B makes. B was stopped in calm. B's process ended 2.5 s after SIGTERM, when its own callers were served, and cut the call; the request was refused with 503 after 12.6 s, and the stage target worked twice.

Cause: the end of a stop waited for this process's callers only. Its work for peers has no caller here: the context of the stage calls is cancelled when the core stops. The stop now waits, until the end of the grace period at most, for queued and running items and for results that are being delivered. Peers submit no more items to a process that is leaving.

Evidence: TestStoppingVMFinishesStageCallsForItsPeers, two VMs, a stage call of 4 s, grace period 8 s.

after 12.620143547s: {status:503 body:{"error":"stages can't be done in time", ...

--- a/internal/serve/gather/dispatch.go
+++ b/internal/serve/gather/dispatch.go
@@ -100,7 +100,11 @@
 
 // sendResults delivers results to their owner without blocking. The caller holds mu.
 func (g *Gatherer) sendResults(s *shard, owner string, results ...Result) {
-	go g.deliver(owner, s.Shard, results)
+	g.deliveries.Add(1)
+	go func() {
+		defer g.deliveries.Add(-1)
+		g.deliver(owner, s.Shard, results)
+	}()
 }
 
 // minTargetsForSpare is the number of targets from which on a shard keeps one free.
--- a/internal/serve/gather/gatherer.go
+++ b/internal/serve/gather/gatherer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -76,6 +77,8 @@
 	shardings shardings
 	// life is cancelled at shutdown and ends the calls in progress.
 	life context.Context
+	// deliveries counts the deliveries of results in progress.
+	deliveries atomic.Int64
 
 	mu     sync.Mutex // guards shards, everything in them, stats and teamSeries; acquired before Requester's and pool.Table's
 	shards map[Shard]*shard
@@ -129,6 +132,18 @@
 	return g.stats
 }
 
+// Idle reports whether no items are queued or running, and all results have been delivered.
+func (g *Gatherer) Idle() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.shards {
+		if s.queue.len() > 0 || len(s.activeCalls) > 0 {
+			return false
+		}
+	}
+	return g.deliveries.Load() == 0 // deliveries begin while mu is held
+}
+
 func (g *Gatherer) stateOf(id Shard) *shard {
 	s := g.shards[id]
 	if s == nil {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -398,6 +398,17 @@
 // Accepting reports whether requests that arrive now are accepted.
 func (s *Server) Accepting() bool { return s.executor.Accepting() }
 
+// stagesPoll is how often FinishStages checks whether items are left.
+const stagesPoll = 10 * time.Millisecond
+
+// FinishStages waits until this process has finished the stage calls that it makes for itself and its
+// peers, or the context ends. Peers submit no more items once they know that it is leaving.
+func (s *Server) FinishStages(ctx context.Context) {
+	for !s.stages.Gatherer().Idle() && wait.For(ctx, stagesPoll) {
+		continue
+	}
+}
+
 // InFlight returns the number of requests in progress.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
