--- a/test/platform_planned_stop_test.go
+++ b/test/platform_planned_stop_test.go
@@ -202,6 +202,18 @@
 	assert.Check(t, falseRefusals == 0, "%d requests ran that were refused", falseRefusals)
 }
 
+// Guards against requests of any kind that are passed on to a target during a planned stop and get no
+// complete answer.
+func TestPlatformPlannedStopCutsNoLateRequest(t *testing.T) {
+	t.Parallel()
+	for _, grace := range []time.Duration{5 * time.Second, initialGrace * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			t.Parallel()
+			runPlannedStop(t, grace, func(s *plannedStop) { s.setGrace(grace) })
+		})
+	}
+}
+
 // Guards against a stop by an outdated grace period: the settings file has a shorter one, and all
 // requests in flight get no answer when the process is killed.
 func TestPlatformPlannedStopFollowsTheSettingsFile(t *testing.T) {
