The configured limits on requests bind as they are, and unbearable ones leave those before

What callers saw: after the operator had raised max-header-bytes and max-body-bytes, requests within the new limits were answered 431 from 16 KiB of header on, and bodies above 8 MiB were cut (413). max-header-bytes and header-timeout-ms had no effect at all, neither raised nor lowered.

Cause: the size of the buffer, the largest body and the read timeout were constants that the HTTP server got at its start.

Change: the limits are read at each request, so they bind on new and kept connections. The body's limit and time are set between head and body. The time for a head starts with its first byte; a new connection that has sent nothing waits for 10 s or longer, as before. The buffer has room for 64 KiB of headers; a connection has it only while a request is read. Refused are more than 64 KiB of headers, bodies above 64 MiB or an eighth of memory-mb, more than 10 minutes for a head, and negative numbers. The idle timeout has no such bound: it costs nothing that grows with it.

Evidence: on the code before, TestConfiguredHeaderLimitBinds, TestConfiguredHeaderTimeBinds (the limits didn't bind within 3 s), TestConfiguredBodyLimitBinds (413 for 10 MiB where 12 were allowed), TestUnbearableLimitsAreRefused (no line) and TestKeptConnectionsHoldNoBuffer (33,341 bytes) failed.

The processor time of a request, which now takes one more read, was not measured.

--- a/internal/idle/listener.go
+++ b/internal/idle/listener.go
@@ -23,6 +23,11 @@
 	// stands for the current timeout of the Listener. It is longer than any other time that
 	// fasthttp waits to read.
 	DynamicTimeout = 1000 * time.Hour
+	// DynamicHeaderTimeout is the read timeout to configure in fasthttp. It stands for the current header timeout
+	// of the Listener. It is shorter than DynamicTimeout and longer than any other time.
+	DynamicHeaderTimeout = 100 * time.Hour
+	// firstByteTime is how long a new connection may wait for its first byte, if the header timeout isn't longer.
+	firstByteTime = 10 * time.Second
 	// pendingReadTime is how long reading a request that has already been received may take.
 	// It needs no waiting for the network, but the process may stall once more.
 	pendingReadTime = time.Second
@@ -45,6 +50,9 @@
 	net.Listener
 	// IdleTimeout returns the current idle timeout. It is called from several goroutines.
 	IdleTimeout func() time.Duration
+	// HeaderTimeout returns how long a head may currently take from its first byte on. It may be nil if
+	// DynamicHeaderTimeout isn't used.
+	HeaderTimeout func() time.Duration
 
 	closeOnce sync.Once
 	closeErr  error // set by closeOnce
@@ -152,10 +160,14 @@
 	minIdleTimeout time.Duration
 	// deadline is the read deadline that fasthttp set.
 	deadline time.Time
+	// restEnd is until when bytes that arrived before the deadline may be read after it; zero if none were.
+	// readingRest is set while the deadline is extended for them.
+	restEnd     time.Time
+	readingRest bool
 }
 
 // SetReadDeadline sets the read deadline. It replaces DynamicTimeout by the current idle
-// timeout.
+// timeout, and DynamicHeaderTimeout by the current header timeout.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -165,8 +177,11 @@
 		t = c.idleEnd()
 	} else {
 		c.minIdleTimeout = c.listener.IdleTimeout()
+		if time.Until(t) > DynamicHeaderTimeout/2 {
+			t = time.Now().Add(c.headerTime())
+		}
 	}
-	c.deadline = t
+	c.deadline, c.restEnd, c.readingRest = t, time.Time{}, false
 	return c.TCPConn.SetReadDeadline(c.currentDeadline())
 }
 
@@ -183,6 +198,15 @@
 	}
 }
 
+// headerTime returns how long the head that is read next may take. The caller holds mu.
+func (c *callerConn) headerTime() time.Duration {
+	limit := c.listener.HeaderTimeout()
+	if c.nothingRead {
+		return max(limit, firstByteTime)
+	}
+	return limit
+}
+
 // idleEnd returns when the idle timeout ends. The caller holds mu.
 func (c *callerConn) idleEnd() time.Time {
 	return c.idleSince.Add(max(c.minIdleTimeout, c.listener.IdleTimeout()))
@@ -214,7 +238,7 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		if !c.extendForPendingData() && !c.extendIdleWait() {
+		if !c.extendForPendingData() && !c.extendIdleWait() && !c.extendForRest() {
 			return n, c.timeoutError(err)
 		}
 	}
@@ -232,14 +256,14 @@
 }
 
 // noteBytesRead records that bytes have been read. fasthttp doesn't set another deadline
-// during the first request of a connection, so the one it set before is restored.
+// while the head or the body of a request is read, so the one it set before is restored.
 func (c *callerConn) noteBytesRead() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.nothingRead {
+	if !c.nothingRead && !c.readingRest {
 		return nil
 	}
-	c.nothingRead = false
+	c.nothingRead, c.readingRest = false, false
 	return c.TCPConn.SetReadDeadline(c.currentDeadline())
 }
 
@@ -258,6 +282,26 @@
 	return c.TCPConn.SetReadDeadline(time.Now().Add(pendingReadTime)) == nil
 }
 
+// extendForRest extends the deadline of a request for one read if more of it has arrived: a process that was stalled
+// may read it after the deadline, and what has arrived by the end of the waits is served. It returns false if nothing
+// has arrived, or the time for that is over.
+func (c *callerConn) extendForRest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unusedLocked() || socket.Peek(c.TCPConn) != socket.Readable {
+		return false
+	}
+	now := time.Now()
+	if c.restEnd.IsZero() {
+		c.restEnd = now.Add(pendingReadTime)
+	}
+	if !now.Before(c.restEnd) {
+		return false
+	}
+	c.readingRest = true
+	return c.TCPConn.SetReadDeadline(c.restEnd) == nil
+}
+
 // extendIdleWait extends the deadline to the rest of an idle timeout that has become longer.
 // It returns false if that is over or the connection isn't idle.
 func (c *callerConn) extendIdleWait() bool {
--- a/internal/serve/plan/holder.go
+++ b/internal/serve/plan/holder.go
@@ -9,6 +9,9 @@
 // store, from peers and from repeated reads in any order, and a caller that has seen the effect of
 // a change must not see it undone.
 type Holder struct {
+	// MemoryBytes is how much memory the process may use; 0 if unknown. It is set before the first plan.
+	MemoryBytes int
+
 	current atomic.Pointer[Plan]
 	mu      sync.Mutex // serializes Apply; no other lock is taken while it is held
 }
@@ -40,13 +43,15 @@
 	return Limits{}
 }
 
-// Apply puts a plan in force if it is newer than the current one, and reports whether it was.
+// Apply puts a plan in force if it is newer than the current one, and reports whether it was. Limits that the process
+// can't bear are recorded as unusable, and those in force stay.
 func (h *Holder) Apply(p *Plan) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if old := h.current.Load(); old != nil && p.Version <= old.Version {
 		return false
 	}
+	p.Unusable = append(p.Limits.keepBearable(h.Limits(), h.MemoryBytes), p.Unusable...)
 	p.Index()
 	h.current.Store(p)
 	return true
--- a/internal/serve/plan/plan.go
+++ b/internal/serve/plan/plan.go
@@ -156,9 +156,13 @@
 	Priority *int
 }
 
-// Limits bounds callers' requests and connections.
+// Limits bounds callers' requests and connections. 0 stands for the default.
 type Limits struct {
-	BodyBytes int
+	// HeaderBytes bounds the header lines of a request, BodyBytes its body.
+	HeaderBytes int
+	BodyBytes   int
+	// HeaderTime is how long a head may take from its first byte on.
+	HeaderTime time.Duration
 	// IdleTime is how long a connection may stay unused.
 	IdleTime time.Duration
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -60,6 +60,8 @@
 	// PropagationBound is the maximum time until a change in the store takes effect; 0 means
 	// follow.DefaultPropagationBound.
 	PropagationBound follow.PropagationBound
+	// MemoryBytes is how much memory this process may use; 0 if unknown.
+	MemoryBytes int
 	// AfterRestart means that the system has run before. Another process may then have used the
 	// address of this one and spent its part of the retry budget.
 	AfterRestart bool
@@ -121,7 +123,7 @@
 	}
 	s := &Server{
 		log: logging.WithComponent(o.Log, "serve"), metrics: o.Metrics, zone: o.Zone, network: network,
-		plans: &plan.Holder{}, client: &upstream.Client{Dial: o.DialTarget}, budget: o.budget(time.Now()), started: time.Now(),
+		plans: &plan.Holder{MemoryBytes: o.MemoryBytes}, client: &upstream.Client{Dial: o.DialTarget}, budget: o.budget(time.Now()), started: time.Now(),
 		readSeeds: o.Peers.Seeds,
 	}
 	s.baseCtx, s.cancel = context.WithCancel(context.Background())
