platform, test: soak of streams draws VMs out of step while a version joins

The soak of stream versions always had several versions in its service, so no VM ever took one for the only one. It now plays, after each kill of all VMs, a service that has had one version and that a second one joins while one VM stands still, gets no answer from the store, or no feeds, or not that of the list of targets, some beside a cut from the other VMs; the VMs that pass the streams on are killed, and callers take them up at the VM. These faults are drawn from a source of their own.

--- a/test/platform_stream_versions_test.go
+++ b/test/platform_stream_versions_test.go
@@ -52,6 +52,11 @@
 	random   *rand.Rand
 	// killKinds draws what happens beside kills of all VMs.
 	killKinds *rand.Rand
+	// joins draws the faults of VMs beside which a version joins, joined counts them.
+	joins  *rand.Rand
+	joined int
+	// service is the service of the engines, prefix that of its route.
+	service, prefix string
 
 	mu sync.Mutex // guards the fields below
 	// engines are those that serve, by version; lastEngine numbers them.
@@ -93,21 +98,31 @@
 func newStreamSite(edges *edgeSite, seed uint64) *streamSoak {
 	s := &streamSoak{
 		t: edges.t, edges: edges, random: rand.New(rand.NewPCG(seed, 50)), engines: map[string][]*standin.Target{},
+		service: "writers", prefix: "/write", joins: rand.New(rand.NewPCG(seed, 69)),
 	}
 	s.vms = newDisturber(s.edges, 700*time.Millisecond)
 	s.killKinds = rand.New(rand.NewPCG(seed, 65))
 	s.edges.site.Publish(func(config map[string]any) {
-		config["services"] = append(config["services"].([]any), map[string]any{
-			"name": "writers", "max-connections": 200, "engine": map[string]any{"slot-count": engineSlots, "kv-cache-tokens": 500000},
-		})
-		config["routes"] = append(config["routes"].([]any), map[string]any{
-			"name": "write", "host": standin.Host, "prefix": "/write/", "kind": "streaming", "timeout-ms": 6000, "target-latency-ms": 1500,
-			"target-gap-ms": 300, "priority": 0, "service": "writers", "attempts": 2, "resumable": true,
-		})
+		addStreamRoute(config, s.service, s.prefix)
+		for n := 1; n <= maxJoins; n++ {
+			service, prefix := joinedService(n)
+			addStreamRoute(config, service, prefix)
+		}
 	})
 	return s
 }
 
+// addStreamRoute adds a service and its route for streams that may be resumed.
+func addStreamRoute(config map[string]any, service, prefix string) {
+	config["services"] = append(config["services"].([]any), map[string]any{
+		"name": service, "max-connections": 200, "engine": map[string]any{"slot-count": engineSlots, "kv-cache-tokens": 500000},
+	})
+	config["routes"] = append(config["routes"].([]any), map[string]any{
+		"name": strings.Trim(prefix, "/"), "host": standin.Host, "prefix": prefix + "/", "kind": "streaming", "timeout-ms": 6000, "target-latency-ms": 1500,
+		"target-gap-ms": 300, "priority": 0, "service": service, "attempts": 2, "resumable": true,
+	})
+}
+
 func (s *streamSoak) pick(n int) int {
 	s.randomMu.Lock()
 	defer s.randomMu.Unlock()
@@ -118,7 +133,7 @@
 	s.mu.Lock()
 	s.lastEngine++
 	engine := &standin.Target{
-		ID: fmt.Sprintf("i-writer-%d", s.lastEngine), Service: "writers", Zone: "zone-a", Slots: engineSlots, Events: versionedEvents, EventInterval: eventInterval,
+		ID: fmt.Sprintf("i-%s-%d", s.service, s.lastEngine), Service: s.service, Zone: "zone-a", Slots: engineSlots, Events: versionedEvents, EventInterval: eventInterval,
 		SlowFactor: slowStreamFactor, Version: version, NamesVersion: true,
 	}
 	s.mu.Unlock()
@@ -212,28 +227,38 @@
 		if s.pick(3) == 0 {
 			until = min(c.events+1+s.pick(8), versionedEvents)
 		}
-		vm, had, started := s.pickVM(), c.events, time.Now()
-		counted := s.isCounted(vm, c.version, started)
-		pause := s.attempt(c, vm, fmt.Sprintf("%s-%d", name, n), until)
-		pause = s.noteKill(c, had, started, pause)
-		if counted && s.isCounted(vm, c.version, time.Now()) {
-			s.mu.Lock()
-			if had == 0 {
-				s.begun.add(c.events > 0)
-			} else {
-				s.takenUp.add(c.events > had)
-			}
-			s.mu.Unlock()
+		time.Sleep(s.countedAttempt(c, s.pickVM(), fmt.Sprintf("%s-%d", name, n), until))
+	}
+	s.finish(c)
+}
+
+// countedAttempt is attempt, and counts whether it succeeds if the VM is in touch.
+func (s *streamSoak) countedAttempt(c *soakStream, vm int, id string, until int) time.Duration {
+	had, started := c.events, time.Now()
+	counted := s.isCounted(vm, c.version, started)
+	pause := s.attempt(c, vm, id, until)
+	pause = s.noteKill(c, had, started, pause)
+	if counted && s.isCounted(vm, c.version, time.Now()) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if had == 0 {
+			s.begun.add(c.events > 0)
+		} else {
+			s.takenUp.add(c.events > had)
 		}
-		time.Sleep(pause)
 	}
+	return pause
+}
+
+// finish adds what a stream holds in the end.
+func (s *streamSoak) finish(c *soakStream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c.killed {
 		s.rejoined.add(false)
 	}
 	if len(c.versions) > 1 {
-		s.mixed = append(s.mixed, fmt.Sprint(name, " has ", c.versions))
+		s.mixed = append(s.mixed, fmt.Sprint(c.name, " has ", c.versions))
 	}
 }
 
@@ -261,7 +286,7 @@
 func (s *streamSoak) attempt(c *soakStream, vm int, id string, until int) time.Duration {
 	ctx, leave := context.WithTimeout(context.Background(), 5*time.Second)
 	defer leave()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.edges.vms[vm].RequestAddress()+"/write"+cmp.Or(c.path, "/x"), strings.NewReader(c.name))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.edges.vms[vm].RequestAddress()+s.prefix+cmp.Or(c.path, "/x"), strings.NewReader(c.name))
 	assert.Check(s.t, err)
 	req.Host = standin.Host
 	req.Header.Set("X-Attempt-Id", id)
@@ -371,6 +396,7 @@
 		for vm, n := 0, 1; time.Now().Before(end); vm, n = (vm+1+s.pick(3))%versionSoakVMs, n+1 {
 			if n%faultsPerKill == 0 {
 				s.playKill()
+				s.playJoin()
 			}
 			s.vms.disturb(vm, disturbance(s.pick(int(disturbanceCount))))
 			time.Sleep(time.Duration(s.pick(300)) * time.Millisecond)
@@ -399,6 +425,7 @@
 			t.Parallel()
 			s := newStreamSoak(t, seed)
 			s.run(2 * plannedDurationOf(t))
+			t.Logf("%d versions joined beside faults", s.joined)
 			t.Logf("%d of %d streams began, %d of %d went on, %d of %d after %d kills of all VMs",
 				s.begun.succeeded, s.begun.tried, s.takenUp.succeeded, s.takenUp.tried, s.rejoined.succeeded, s.rejoined.tried, s.kills)
 			assert.Check(t, len(s.mixed) == 0, "%v", s.mixed)
