test: streams keep their version while another joins beside a VM out of step

Plays only services of one version that another one joins, at four VMs that have started for the first time, so that a VM may take a version for the only one. Each attempt to take a stream up is compared with a new stream at the same VM.

--- a/test/joining_versions_test.go
+++ b/test/joining_versions_test.go
@@ -7,8 +7,11 @@
 	"strings"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/vanillagate/vanillagate/platform/standin"
 )
 
@@ -60,11 +63,12 @@
 	up := func(from, to time.Duration) time.Duration {
 		return from + time.Duration(s.joins.Int64N(int64(to-from)))
 	}
-	vms := s.joins.Perm(versionSoakVMs)
+	vms := s.joins.Perm(len(s.edges.vms))
+	faults := []standin.Fault{standin.NoFault, standin.NoResponse, standin.NoResponse, standin.SilentFeeds, standin.SilentTargetFeed}
 	f := &joinFault{
-		away: vms[0], killed: vms[1 : 1+[]int{1, 2, versionSoakVMs - 1}[s.joins.IntN(3)]],
+		away: vms[0], killed: vms[1 : 1+[]int{1, 2, len(vms) - 1}[s.joins.IntN(3)]],
 		frozen: s.joins.IntN(4) > 0, duration: up(time.Second, 5*time.Second),
-		store:    []standin.Fault{standin.NoFault, standin.NoResponse, standin.SilentFeeds, standin.SilentTargetFeed}[s.joins.IntN(4)],
+		store:    faults[s.joins.IntN(len(faults))],
 		isolated: s.joins.IntN(2) == 0, cut: up(500*time.Millisecond, 2500*time.Millisecond),
 		join: up(200*time.Millisecond, time.Second), pass: up(300*time.Millisecond, 1200*time.Millisecond),
 		disturbed: s.joins.IntN(2) == 0, withdrawn: s.joins.IntN(4) == 0,
@@ -125,6 +129,7 @@
 	for _, vm := range locked {
 		s.vms.faulty[vm].Lock()
 	}
+	streams := make([]*soakStream, joinStreams)
 	began := time.Now()
 	away := s.edges.processes[f.away]
 	s.vms.mark(f.away, true)
@@ -135,13 +140,14 @@
 	if f.isolated && !f.frozen {
 		s.signalAll(bystanders, syscall.SIGSTOP)
 	}
-	for range enginesPerVersion {
+	for range 2 * enginesPerVersion {
 		s.startEngine("v2")
 	}
 	time.Sleep(f.join)
 	taken := make(chan struct{})
-	for i := range joinStreams {
-		callers.Go(func() { s.runJoinCaller(i, f, taken) })
+	for i := range streams {
+		streams[i] = &soakStream{name: fmt.Sprintf("join-%d-stream-%d", s.joined, i), path: standin.SlowPath, versions: map[string]bool{}}
+		callers.Go(func() { s.runJoinCaller(streams[i], f.killed[i%len(f.killed)], f.away, taken) })
 	}
 	time.Sleep(f.pass)
 	for _, vm := range f.killed {
@@ -181,6 +187,14 @@
 	}
 	others.Wait()
 	callers.Wait()
+	begun, whole := map[string]int{}, map[string]int{}
+	for _, c := range streams {
+		begun[c.version]++
+		if c.events == versionedEvents {
+			whole[c.version]++
+		}
+	}
+	s.t.Logf("join %d: went on %v of %v", s.joined, whole, begun)
 }
 
 // bystanders returns the VMs that a fault neither has out of step nor kills.
@@ -212,17 +226,17 @@
 	}
 }
 
-// runJoinCaller begins a stream at a VM that is killed and takes it up, mostly at the VM that is out of step, once
-// taken is closed.
-func (s *streamSoak) runJoinCaller(i int, f *joinFault, taken <-chan struct{}) {
-	c := &soakStream{name: fmt.Sprintf("join-%d-stream-%d", s.joined, i), path: standin.SlowPath, versions: map[string]bool{}}
-	s.countedAttempt(c, f.killed[i%len(f.killed)], c.name+"-0", versionedEvents)
+// runJoinCaller begins a stream at a VM and takes it up, mostly at the VM that is out of step, once taken is closed.
+func (s *streamSoak) runJoinCaller(c *soakStream, first, away int, taken <-chan struct{}) {
+	s.countedAttempt(c, first, c.name+"-0", versionedEvents)
 	<-taken
 	for n := 1; n <= joinAttempts && c.events < versionedEvents; n++ {
-		vm := f.away
+		vm := away
 		if n > 1 && s.pick(4) == 0 {
 			vm = s.pickVM()
 		}
+		fresh := &soakStream{name: fmt.Sprintf("%s-fresh-%d", c.name, n), versions: map[string]bool{}}
+		s.countedAttempt(fresh, vm, fresh.name, 1) // to compare with
 		time.Sleep(max(s.countedAttempt(c, vm, fmt.Sprintf("%s-%d", c.name, n), versionedEvents), joinPause))
 	}
 	s.finish(c)
@@ -239,3 +253,31 @@
 		}
 	}
 }
+
+const (
+	// joinVMs is the number of VMs, joinsPerSeed how many versions join, in a run without other faults.
+	joinVMs      = 4
+	joinsPerSeed = 3
+)
+
+// Guards against streams that go on at another version at a VM that was out of step when it joined.
+func TestPlatformStreamsKeepTheirVersionWhileAnotherJoins(t *testing.T) {
+	t.Parallel()
+	for _, seed := range plannedSeeds(t) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			edges := startFirstTime(t, joinVMs)
+			for vm := range edges.vms {
+				edges.endFirstStart(vm)
+			}
+			s := newStreamSite(edges, seed)
+			for range joinsPerSeed {
+				s.playJoin()
+				time.Sleep(undisturbedTime)
+			}
+			t.Logf("%d of %d streams began, %d of %d went on", s.begun.succeeded, s.begun.tried, s.takenUp.succeeded, s.takenUp.tried)
+			assert.Check(t, len(s.mixed) == 0, "%v", s.mixed)
+			assert.Check(t, s.takenUp.share() >= s.begun.share()/2 || s.takenUp.tried == 0)
+		})
+	}
+}
--- a/test/platform_stream_versions_test.go
+++ b/test/platform_stream_versions_test.go
@@ -193,7 +193,7 @@
 
 // pickVM returns a VM that isn't stopped.
 func (s *streamSoak) pickVM() int {
-	return s.vms.firstRunning(func() int { return s.pick(versionSoakVMs) })
+	return s.vms.firstRunning(func() int { return s.pick(len(s.edges.vms)) })
 }
 
 // isCounted reports whether an attempt at a VM counts: the VM hasn't been disturbed lately, and two engines of the
--- a/test/platform_total_kill_test.go
+++ b/test/platform_total_kill_test.go
@@ -30,15 +30,7 @@
 
 // newTotalKill starts VMs and engines of the given versions.
 func newTotalKill(t *testing.T, versions ...string) *totalKill {
-	edges := newEdgeSite(t, totalKillVMs)
-	for _, vm := range edges.vms {
-		text, err := os.ReadFile(vm.Settings)
-		assert.NilError(t, err)
-		assert.NilError(t, os.WriteFile(vm.Settings, append([]byte(firstStart), text...), 0o600))
-	}
-	edges.startAll()
-	time.Sleep(3500 * time.Millisecond) // until all processes know each other and the retry budget knows its members
-	s := newStreamSite(edges, 1)
+	s := newStreamSite(startFirstTime(t, totalKillVMs), 1)
 	for _, version := range versions {
 		for range enginesPerVersion {
 			s.startEngine(version)
@@ -48,6 +40,26 @@
 	return &totalKill{streamSoak: s}
 }
 
+// startFirstTime is startEdgeSite with settings that say that the whole system starts for the first time.
+func startFirstTime(t *testing.T, n int) *edgeSite {
+	edges := newEdgeSite(t, n)
+	for _, vm := range edges.vms {
+		text, err := os.ReadFile(vm.Settings)
+		assert.NilError(t, err)
+		assert.NilError(t, os.WriteFile(vm.Settings, append([]byte(firstStart), text...), 0o600))
+	}
+	edges.startAll()
+	time.Sleep(3500 * time.Millisecond) // until all processes know each other and the retry budget knows its members
+	return edges
+}
+
+// endFirstStart removes from the settings of a VM that the whole system starts for the first time.
+func (e *edgeSite) endFirstStart(i int) {
+	text, err := os.ReadFile(e.vms[i].Settings)
+	assert.NilError(e.t, err)
+	assert.NilError(e.t, os.WriteFile(e.vms[i].Settings, bytes.TrimPrefix(text, []byte(firstStart)), 0o600))
+}
+
 // begin has callers read a part of their streams and leave.
 func (k *totalKill) begin() {
 	var running sync.WaitGroup
@@ -82,10 +94,8 @@
 		meanwhile()
 	}
 	time.Sleep(outageTime)
-	for i, vm := range k.edges.vms {
-		text, err := os.ReadFile(vm.Settings)
-		assert.NilError(k.t, err)
-		assert.NilError(k.t, os.WriteFile(vm.Settings, bytes.TrimPrefix(text, []byte(firstStart)), 0o600))
+	for i := range k.edges.vms {
+		k.edges.endFirstStart(i)
 		k.edges.start(i)
 	}
 }
