--- a/internal/serve/origins/ledger.go
+++ b/internal/serve/origins/ledger.go
@@ -13,6 +13,8 @@
 
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/routing"
+	"github.com/vanillagate/vanillagate/internal/serve/fresh"
+	"github.com/vanillagate/vanillagate/internal/serve/revision"
 	"github.com/vanillagate/vanillagate/internal/wait"
 )
 
@@ -43,6 +45,8 @@
 	Era() uint64
 	// ListedVersions returns the versions of each service.
 	ListedVersions() map[string][]string
+	// SyncedRevision returns the revision of the store up to which the list is known.
+	SyncedRevision() revision.Revision
 	// RecordLeft records that a version has left.
 	RecordLeft(service, version string, now time.Time)
 	// KnowsLeftVersions reports whether this process has seen all versions leave that have left lately.
@@ -63,14 +67,15 @@
 type Ledger struct {
 	LedgerOptions
 	baseCtx context.Context
-	reads   reads
+	reads   fresh.Calls[Contents]
 
 	mu sync.Mutex // guards the fields below; no other lock is taken while it is held
 	// moment is that of the latest answer of the table, which arrived at momentAt.
 	moment   Moment
 	momentAt time.Time
-	// readAt is when the table was last read, zero before the first time.
+	// readAt is when the table was last read, zero before the first time, and readMoment that of its answer.
 	readAt     time.Time
+	readMoment Moment
 	admissions *admissions
 	// knowsVersions means that the versions in the table are known, from the table or another process.
 	knowsVersions bool
@@ -90,7 +95,8 @@
 	active   bool
 	failures int
 
-	// The fields below are used by Run only.
+	// The fields below are used by Run only. steppedAt is when it was last seen to run.
+	steppedAt time.Time
 	flushedAt time.Time
 	checkedAt time.Time
 	retryAt   time.Time
@@ -117,12 +123,13 @@
 // step does what is due. One call of the table follows the other.
 func (l *Ledger) step(ctx context.Context) {
 	now := time.Now()
+	l.noteStandstill(now)
 	l.observe(now)
 	if now.Before(l.retryAt) {
 		return
 	}
 	if !l.HasRead() {
-		_, err := l.reads.do(ctx, l)
+		_, err := l.read(ctx)
 		l.paceAfter(err)
 		if err != nil {
 			l.askPeer(ctx)
@@ -141,6 +148,24 @@
 	}
 }
 
+// maxStandstill is how long this process may have stood still and still rely on the rows that it knows: it is far below
+// dropTime, after which others drop rows.
+const maxStandstill = 10 * time.Second
+
+// noteStandstill has the rows of all versions written again if this process has stood still. The time of day counts as well,
+// since the steady clock doesn't count the time that a VM is suspended.
+func (l *Ledger) noteStandstill(now time.Time) {
+	last := l.steppedAt
+	l.steppedAt = now
+	if last.IsZero() || now.Sub(last) < maxStandstill && now.Round(0).Sub(last.Round(0)) < maxStandstill {
+		return
+	}
+	l.Log.Warn("Process has stood still. Versions of streams are written again.", zap.Duration("steady", now.Sub(last)))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.admissions.lost()
+}
+
 // paceAfter sets when the table may be called again.
 func (l *Ledger) paceAfter(err error) {
 	l.mu.Lock()
@@ -219,7 +244,7 @@
 		w.flush = l.journal.prepare(seconds(clock), maxChanges/2)
 	}
 	for _, v := range w.versions {
-		row := versionRow{Service: v.Service, Version: v.Version, CompleteMS: (clock + v.complete.Sub(now)).Milliseconds()}
+		row := versionRow{Service: v.Service, Version: v.Version, CompleteMS: (clock + v.complete.Sub(now)).Milliseconds(), Era: l.moment.Era}
 		w.Puts = append(w.Puts, Row{Key: versionKey(v.Origin), Value: row.encode()})
 	}
 	return w
@@ -279,8 +304,12 @@
 		l.mu.Unlock()
 		return
 	}
+	if c.Era == l.readMoment.Era && c.Now < l.readMoment.Now { // a later read has been applied
+		l.mu.Unlock()
+		return
+	}
 	l.setMoment(c.Moment, now)
-	l.readAt, l.active = now, false
+	l.readAt, l.readMoment, l.active = now, c.Moment, false
 	for key, r := range l.early {
 		l.addRecord(key, r, now)
 	}
@@ -289,7 +318,11 @@
 	var versions []acknowledgedVersion
 	for _, v := range s.versions {
 		complete := now.Add(time.Duration(v.CompleteMS)*time.Millisecond - clock)
-		versions = append(versions, acknowledgedVersion{Origin: v.origin(), complete: complete})
+		fromCopy := v.fromCopy(c.Era)
+		if fromCopy { // rows of versions that streams have begun at since may be lost
+			complete = now.Add(versionMemory)
+		}
+		versions = append(versions, acknowledgedVersion{Origin: v.origin(), complete: complete, fromCopy: fromCopy})
 	}
 	l.admissions.acknowledge(versions, l.listed, now)
 	l.knowsVersions = true
@@ -335,11 +368,12 @@
 	if !elected || len(departed) == 0 && !garbage && !reread {
 		return
 	}
-	contents, err := l.reads.do(ctx, l)
+	contents, err := l.read(ctx)
 	if err != nil {
 		l.paceAfter(err)
 		return
 	}
+	departed = l.notNewer(contents, departed)
 	changes := l.expired(contents, departed)
 	if !changes.Empty() {
 		writeCtx, cancel := context.WithTimeout(ctx, rowsTimeout)
@@ -354,13 +388,24 @@
 	l.admissions.forget(departed)
 }
 
+// notNewer returns those of the versions whose rows are no newer than the list. A version with a newer row may have come
+// back without this process having seen it.
+func (l *Ledger) notNewer(contents Contents, departed []Origin) []Origin {
+	s := decode(contents.Rows)
+	listed := l.Versions.SyncedRevision()
+	return slices.DeleteFunc(departed, func(o Origin) bool {
+		written, err := revision.Of(contents.Era, s.revisions[o])
+		return err != nil || written > listed
+	})
+}
+
 // expired returns the drops of the rows that are no longer needed. A row that has been written since the read stays.
 func (l *Ledger) expired(contents Contents, departed []Origin) Changes {
 	s := decode(contents.Rows)
 	var changes Changes
 	for _, o := range departed {
-		if revision, has := s.revisions[o]; has {
-			changes.Drops = append(changes.Drops, Row{Key: versionKey(o), Revision: revision})
+		if written, has := s.revisions[o]; has {
+			changes.Drops = append(changes.Drops, Row{Key: versionKey(o), Revision: written})
 		}
 	}
 	for _, stored := range s.segments {
@@ -467,19 +512,21 @@
 }
 
 // Recall searches the table for the origin of a stream, for at most recallTimeout. read reports whether the table was
-// read.
+// read since the call, by this process or by another one: a process can't tell by itself whether what it knows is old.
 func (l *Ledger) Recall(ctx context.Context, key Key) (origin Origin, found, read bool) {
 	if origin, found = l.Recorded(key); found {
 		return origin, true, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
-	if err := l.reads.await(ctx, l); err != nil {
-		l.Log.Info("Origin of a stream can't be read from the store.", zap.Error(err))
-		return Origin{}, false, false
-	}
-	origin, found = l.Recorded(key)
-	return origin, found, true
+	own := l.readSince(time.Now(), minReadPause)
+	firstCtx, cancelFirst := context.WithTimeout(ctx, max(ownReadTime, time.Until(own.StartsAt().Add(ownReadTime))))
+	defer cancelFirst()
+	if _, err := own.Await(firstCtx); err == nil {
+		origin, found = l.Recorded(key)
+		return origin, found, true
+	}
+	return l.recallByPeers(ctx, key, own)
 }
 
 // Recorded returns the origin of a stream as of the last read.
