test: VMs count as disturbed as long as they are out of step

The fault of the soak that has a version join takes up to eight seconds; a VM that stood still counted as in touch after three.

--- a/test/disturbed_vms_test.go
+++ b/test/disturbed_vms_test.go
@@ -138,6 +138,14 @@
 	f.running[vm] = running
 }
 
+// markFor marks a VM that gets requests as disturbed for at least some time.
+func (f *disturber) markFor(vm int, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.disturbedAt[vm] = time.Now().Add(d)
+	f.running[vm] = true
+}
+
 // firstRunning returns the first VM that gets requests, out of those that next returns one after the other.
 func (f *disturber) firstRunning(next func() int) int {
 	for {
