--- a/internal/serve/run/origin_ledger_test.go
+++ b/internal/serve/run/origin_ledger_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillagate/vanillagate/internal/serve/origins"
+	"github.com/vanillagate/vanillagate/internal/serve/plan"
 	"github.com/vanillagate/vanillagate/internal/serve/pool"
 	"github.com/vanillagate/vanillagate/internal/serve/servetest"
 )
@@ -361,3 +362,79 @@
 		time.Sleep(5 * time.Second) // until all calls have ended
 	})
 }
+
+// Guards against streams that go on by a list or a configuration that was old when the request arrived.
+func TestOnlyVersionIsCertainOnlyWithWhatTheStoreHasByNow(t *testing.T) {
+	joins := func(e *Executor) bool {
+		e.Table.Apply([]pool.Change{{Entry: pool.Entry{
+			ID: "new", Service: "s", Address: "v2:1", Version: "v2", Slots: 8, State: pool.Ready, Revision: 3,
+		}}}, 3, time.Now())
+		return true
+	}
+	moves := func(e *Executor) bool {
+		old := e.Plans.Current()
+		moved := plan.Plan{Version: old.Version + 1, Services: []plan.Service{{Name: "s"}, {Name: "elsewhere"}}, Routes: slices.Clone(old.Routes)}
+		moved.Routes[0].Split = []plan.Share{{Service: "elsewhere", Weight: 1}}
+		e.Plans.Apply(&moved)
+		back := plan.Plan{Version: moved.Version + 1, Services: moved.Services, Routes: slices.Clone(old.Routes)}
+		e.Plans.Apply(&back)
+		return true
+	}
+	for _, c := range []struct {
+		name     string
+		catchUp  func(*Executor) bool
+		reason   Reason
+		comeBack bool
+	}{
+		{name: "nothing new", catchUp: func(*Executor) bool { return true }},
+		{name: "changes can't be had", catchUp: func(*Executor) bool { return false }, reason: UnknownVersion, comeBack: true},
+		{name: "a version has joined and has no row yet", catchUp: joins, reason: UnknownVersion},
+		{name: "the route has moved and is back", catchUp: moves, reason: UnknownVersion},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, kill := context.WithCancel(context.Background())
+				targets := &scriptedTargets{body: "id: 5\ndata: e\n\n"}
+				e := keptExecutor(ctx, targets, &rowsInMemory{rows: map[string]origins.Row{}}, "v1")
+				time.Sleep(3 * time.Minute)
+				e.CatchUp = func(context.Context) bool { return c.catchUp(e) }
+				reply := takeUp(e, "unknown")
+				assert.Equal(t, reply.Reason, c.reason)
+				if c.comeBack {
+					assert.Assert(t, reply.RetryAfter > 0)
+				}
+				if c.reason == "" {
+					_, err := io.ReadAll(reply.Answer.Body)
+					assert.NilError(t, err)
+				} else {
+					assert.Equal(t, len(targets.arrivals), 0)
+				}
+				kill()
+				time.Sleep(5 * time.Second) // until all calls have ended
+			})
+		})
+	}
+}
+
+// Guards against a stream that goes on at the service to which its route has moved since it began.
+func TestStreamOfARouteThatHasMovedIsNotResumedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, kill := context.WithCancel(context.Background())
+		targets := &scriptedTargets{body: "id: 5\ndata: e\n\n"}
+		e := keptExecutor(ctx, targets, &rowsInMemory{rows: map[string]origins.Row{}}, "v1")
+		time.Sleep(3 * time.Minute)
+		old := e.Plans.Current()
+		moved := plan.Plan{Version: old.Version + 1, Services: []plan.Service{{Name: "s2"}}, Routes: slices.Clone(old.Routes)}
+		moved.Routes[0].Split = []plan.Share{{Service: "s2", Weight: 1}}
+		e.Table.Apply([]pool.Change{{Entry: pool.Entry{
+			ID: "other", Service: "s2", Address: "v1:9", Version: "v1", Slots: 8, State: pool.Ready, Revision: 3,
+		}}}, 3, time.Now())
+		e.Plans.Apply(&moved)
+		time.Sleep(time.Second)
+		reply := takeUp(e, "unknown")
+		assert.Equal(t, reply.Reason, UnknownVersion)
+		assert.Equal(t, len(targets.arrivals), 0)
+		kill()
+		time.Sleep(5 * time.Second) // until all calls have ended
+	})
+}
