plan: only what paths lose counts as a former service

The review showed that streams of nested routes were refused for good for two minutes after each new configuration, if no process knew them: every route whose prefix contains the path counted, also one that the path didn't have. What counts is the difference of two plans: for each prefix of either, the services that its paths had and no longer have. Shares of weight 0 count no more.

TestNestedRoutesThatStayWereNotElsewhere failed before.

--- a/internal/serve/plan/holder.go
+++ b/internal/serve/plan/holder.go
@@ -15,7 +15,7 @@
 
 	current atomic.Pointer[Plan]
 	mu      sync.Mutex // serializes Apply; no other lock is taken while it is held
-	// former has the services that routes of streams had in earlier plans. It is replaced, not changed.
+	// former has the services that paths of streams have lost. It is replaced, not changed.
 	former atomic.Pointer[formerServices]
 }
 
@@ -56,7 +56,7 @@
 	}
 	p.Unusable = append(p.Limits.keepBearable(h.Limits(), h.MemoryBytes), p.Unusable...)
 	p.Index()
-	h.remember(h.current.Load(), time.Now())
+	h.remember(h.current.Load(), p, time.Now())
 	h.current.Store(p)
 	return true
 }
--- a/internal/serve/plan/plan_test.go
+++ b/internal/serve/plan/plan_test.go
@@ -117,3 +117,16 @@
 		assert.Assert(t, !h.WasElsewhere("h", "/a/x", "two", time.Now()))
 	})
 }
+
+// Guards against streams of nested routes that are refused after each new configuration, although none has moved.
+func TestNestedRoutesThatStayWereNotElsewhere(t *testing.T) {
+	route := func(prefix, service string) Route {
+		return Route{Host: "h", Prefix: prefix, Kind: Stream, Resumable: true, Split: []Share{{Service: service, Weight: 1}, {Service: "unused"}}}
+	}
+	var h Holder
+	for version := range uint64(3) {
+		h.Apply(&Plan{Version: 1 + version, Routes: []Route{route("/", "two"), route("/x/", "one")}})
+		assert.Assert(t, !h.WasElsewhere("h", "/x/1", "one", time.Now()))
+		assert.Assert(t, !h.WasElsewhere("h", "/y", "two", time.Now()))
+	}
+}
