origins: records of the only version leave room for others

The review showed that with 90 streams a second a VM the records of streams of an only version, which are kept since the last change, take all room of a process (20,000): then 200 of 200 streams that begun at a further version were known to no peer.

They take half of the room at most, and a process that has none for a record doesn't ask others to keep it. Such a stream goes on by the read of the store. While the members stay the same, a stream's record costs no ranking of them each second.

TestRecordsOfTheOnlyVersionLeaveRoomForOthers guards it.

--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -43,8 +43,10 @@
 	joinTime   = 2 * time.Second
 	staleTime  = 200 * time.Millisecond
 	stalePause = 10 * time.Millisecond
-	// maxRecords bounds the memory of one process to a few MB.
-	maxRecords = 20_000
+	// maxRecords bounds the memory of one process to a few MB. maxOnlyRecords leaves room for the records without which
+	// streams are refused.
+	maxRecords     = 20_000
+	maxOnlyRecords = maxRecords / 2
 )
 
 // Origin is where a stream began.
@@ -67,6 +69,8 @@
 type record struct {
 	origin    Origin
 	expiresAt time.Time
+	// only means that the version seemed to be the only one, so that the stream mostly goes on without the record as well.
+	only bool
 }
 
 // storeCall asks a process to keep a record for TTLMS milliseconds.
@@ -76,6 +80,8 @@
 	TTLMS  int64  `json:"ttl_ms"`
 	// Persist asks the process to write the record to the table as well.
 	Persist bool `json:"persist,omitempty"`
+	// Only means that the version seems to be the only one.
+	Only bool `json:"only,omitempty"`
 }
 
 type storeAnswer struct {
@@ -102,8 +108,10 @@
 	ledger    *Ledger
 	startedAt time.Time
 
-	mu      sync.Mutex // guards records; no other lock is taken while it is held
+	mu      sync.Mutex // guards the fields below; no other lock is taken while it is held
 	records map[Key]record
+	// only counts the records of versions that seemed to be the only one.
+	only int
 }
 
 // New returns a registry, whose records are sent until baseCtx ends. Call it before the network starts.
@@ -111,7 +119,7 @@
 	r := &Registry{baseCtx: baseCtx, log: log, network: network, startedAt: time.Now(), records: map[Key]record{}}
 	peer.HandleCall(network, methodStore, func(c storeCall) (any, error) {
 		expires := time.Now().Add(time.Duration(c.TTLMS) * time.Millisecond)
-		answer := storeAnswer{Kept: r.keep(c.Key, c.Origin, expires)}
+		answer := storeAnswer{Kept: r.keep(c.Key, record{origin: c.Origin, expiresAt: expires, only: c.Only})}
 		if c.Persist && r.ledger != nil {
 			answer.Persisted = r.ledger.addForPeer(c.Key, c.Origin, expires)
 		}
@@ -145,17 +153,27 @@
 func (r *Registry) Ledger() *Ledger { return r.ledger }
 
 // keep stores a record in this process. It reports false if there is no room.
-func (r *Registry) keep(key Key, origin Origin, expiresAt time.Time) bool {
+func (r *Registry) keep(key Key, kept record) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, known := r.records[key]; !known && len(r.records) >= maxRecords {
+	before, known := r.records[key]
+	if !known && (len(r.records) >= maxRecords || kept.only && r.only >= maxOnlyRecords) {
 		return false
 	}
-	origin = Origin{Service: unique.Make(origin.Service).Value(), Version: unique.Make(origin.Version).Value()}
-	r.records[key] = record{origin: origin, expiresAt: expiresAt}
+	r.only += countOnly(kept) - countOnly(before)
+	kept.origin = Origin{Service: unique.Make(kept.origin.Service).Value(), Version: unique.Make(kept.origin.Version).Value()}
+	r.records[key] = kept
 	return true
 }
 
+// countOnly returns 1 for a record of a version that seemed to be the only one.
+func countOnly(kept record) int {
+	if kept.only {
+		return 1
+	}
+	return 0
+}
+
 func (r *Registry) local(key Key, now time.Time) (Origin, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -176,6 +194,7 @@
 	defer r.mu.Unlock()
 	for key, kept := range r.records {
 		if !now.Before(kept.expiresAt) {
+			r.only -= countOnly(kept)
 			delete(r.records, key)
 		}
 	}
--- a/internal/serve/origins/origins_test.go
+++ b/internal/serve/origins/origins_test.go
@@ -187,7 +187,7 @@
 			assert.Equal(t, one.Count(), 0)
 		}
 		for i := range maxRecords + 10 {
-			p.all[0].keep(KeyOf("", fmt.Sprint(i)), began, inAMinute())
+			p.all[0].keep(KeyOf("", fmt.Sprint(i)), record{origin: began, expiresAt: inAMinute()})
 		}
 		assert.Equal(t, p.all[0].Count(), maxRecords)
 	})
@@ -231,3 +231,27 @@
 		assert.Assert(t, got.Found)
 	})
 }
+
+// Guards against records of the only version that leave no room for those without which streams are refused.
+func TestRecordsOfTheOnlyVersionLeaveRoomForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newProcesses(3)
+		for i := range maxRecords {
+			p.all[i%3].Hold(KeyOf("", fmt.Sprint(i)), began, inAMinute())
+		}
+		time.Sleep(time.Second)
+		other := Origin{Service: began.Service, Version: "v2"}
+		for i := range 200 {
+			key := KeyOf("late", fmt.Sprint(i))
+			assert.Assert(t, p.all[0].Record(key, other, inAMinute()).Wait(time.Second))
+			found, running := p.findAll(t, key, other)
+			assert.Equal(t, found, running)
+		}
+		time.Sleep(time.Minute)
+		for _, one := range p.all {
+			assert.Equal(t, one.only, maxOnlyRecords)
+			one.Sweep(time.Now())
+			assert.Equal(t, one.only, 0)
+		}
+	})
+}
--- a/internal/serve/origins/recording.go
+++ b/internal/serve/origins/recording.go
@@ -21,6 +21,10 @@
 	// kept has the processes that keep the record, sending whether it is being sent.
 	kept    map[peer.Incarnation]bool
 	sending bool
+	// full means that this process had no room for the record, view is that of the last Refresh after which no holder was
+	// missing.
+	full bool
+	view *peer.View
 	// persistent means that the record is to be written to the table as well. writer is the process that does so, empty as
 	// long as none does; persisting means that one is being asked.
 	persistent bool
@@ -34,29 +38,38 @@
 // Record keeps the origin of a stream here until it expires, sends it to its holders in the background, and has it
 // written to the table.
 func (r *Registry) Record(key Key, origin Origin, expires time.Time) *Recording {
-	rec := r.Hold(key, origin, expires)
-	rec.Persist()
+	rec := r.newRecording(key, origin, expires, true)
+	rec.Refresh()
 	return rec
 }
 
-// Hold is Record without the table.
+// Hold is Record for a version that seems to be the only one: without the table, and with less room.
 func (r *Registry) Hold(key Key, origin Origin, expires time.Time) *Recording {
-	if !r.keep(key, origin, expires) {
+	rec := r.newRecording(key, origin, expires, false)
+	rec.Refresh()
+	return rec
+}
+
+func (r *Registry) newRecording(key Key, origin Origin, expires time.Time, persistent bool) *Recording {
+	kept := r.keep(key, record{origin: origin, expiresAt: expires, only: !persistent})
+	if !kept && persistent {
 		r.log.Warn("No room for the origin of a stream.", zap.Int("records", r.Count()))
 	}
-	rec := &Recording{
-		registry: r, key: key, origin: origin, expires: expires,
+	return &Recording{
+		registry: r, key: key, origin: origin, expires: expires, persistent: persistent, full: !kept,
 		kept: map[peer.Incarnation]bool{}, settled: make(chan struct{}),
 	}
-	rec.Refresh()
-	return rec
 }
 
 // Persist has the record written to the table as well.
 func (rec *Recording) Persist() {
 	rec.mu.Lock()
+	before := rec.persistent
 	rec.persistent = true
 	rec.mu.Unlock()
+	if !before {
+		rec.registry.keep(rec.key, record{origin: rec.origin, expiresAt: rec.expires}) // there may be room for it now
+	}
 	rec.persist()
 }
 
@@ -70,6 +83,10 @@
 // Refresh sends the record in the background to processes that have become its holders since, or its writer.
 func (rec *Recording) Refresh() {
 	rec.persist()
+	view := rec.registry.network.View()
+	if !rec.isDue(view) {
+		return
+	}
 	ranked := rec.registry.ranked(rec.key, maxHoldersTried, func(s peer.MemberState) bool { return s == peer.Alive })
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
@@ -89,6 +106,7 @@
 	}
 	close(queue)
 	if missing == 0 {
+		rec.view = view
 		rec.settle()
 		return
 	}
@@ -96,6 +114,18 @@
 	go rec.send(missing, queue)
 }
 
+// isDue reports whether holders may be missing. If this process has no room for a record of the only version, others are
+// not asked to keep it either.
+func (rec *Recording) isDue(view *peer.View) bool {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	if rec.full && !rec.persistent {
+		rec.settle()
+		return false
+	}
+	return view != rec.view
+}
+
 // persist has the record written to the table by the process that writes those of its shard.
 func (rec *Recording) persist() {
 	ledger := rec.registry.ledger
@@ -159,7 +189,7 @@
 func (rec *Recording) sendTo(id peer.Incarnation) bool {
 	ctx, cancel := context.WithTimeout(rec.registry.baseCtx, storeTimeout)
 	defer cancel()
-	call := storeCall{Key: rec.key, Origin: rec.origin, TTLMS: time.Until(rec.expires).Milliseconds()}
+	call := storeCall{Key: rec.key, Origin: rec.origin, TTLMS: time.Until(rec.expires).Milliseconds(), Only: !rec.Persistent()}
 	var answer storeAnswer
 	if err := rec.registry.network.Call(ctx, id, methodStore, call, &answer); err != nil || !answer.Kept {
 		rec.registry.log.Debug("Process doesn't keep a stream's origin.", zap.String("member", string(id)), zap.Error(err))
