run: a stream goes on at the service to which its route has moved

A VM that hadn't heard yet that a route had moved refused streams for good that had begun at the new service through other VMs: it looked the recorded service up in its old route. It catches up with the configuration first, and takes over the route that it finds.

--- a/internal/serve/run/origin.go
+++ b/internal/serve/run/origin.go
@@ -124,13 +124,27 @@
 func (j *job) goOnAt(origin origins.Origin, source string) *Reply {
 	j.Metrics.count(series("vanillagate_stream_origins_known", "by", source))
 	j.origin, j.originBy = &origin, source
-	if !j.route.Includes(origin.Service) {
+	if !j.route.Includes(origin.Service) && !j.hasMovedTo(origin.Service) {
 		return refuse(fasthttp.StatusServiceUnavailable, VersionGone, 0)
 	}
 	j.service = origin.Service
 	return nil
 }
 
+// hasMovedTo reports whether the route has moved to a service since this process last heard of the configuration, and takes
+// the new route over.
+func (j *job) hasMovedTo(service string) bool {
+	if j.CatchUp == nil || !j.CatchUp(j.ctx) {
+		return false
+	}
+	route := j.Plans.Current().Route(j.req.Host, j.req.Path)
+	if route == nil || route.Unusable || route.Kind != j.route.Kind || route.Public != j.route.Public || !route.Includes(service) {
+		return false
+	}
+	j.route = route
+	return true
+}
+
 // ledger returns the ledger of origins; nil if there is none.
 func (j *job) ledger() *origins.Ledger {
 	if j.Origins == nil {
--- a/internal/serve/run/origin_ledger_test.go
+++ b/internal/serve/run/origin_ledger_test.go
@@ -438,3 +438,30 @@
 		time.Sleep(5 * time.Second) // until all calls have ended
 	})
 }
+
+// Guards against streams that are refused for good at a process that hasn't heard yet that their route has moved.
+func TestStreamGoesOnAtTheServiceToWhichItsRouteHasMoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, kill := context.WithCancel(context.Background())
+		targets := &scriptedTargets{body: "id: 5\ndata: e\n\n"}
+		e := keptExecutor(ctx, targets, &rowsInMemory{rows: map[string]origins.Row{}}, "v1")
+		time.Sleep(3 * time.Minute)
+		e.Origins.Record(origins.KeyOf("", "begun-elsewhere"), origins.Origin{Service: "s2", Version: "w1"}, time.Now().Add(time.Minute))
+		e.CatchUp = func(context.Context) bool {
+			old := e.Plans.Current()
+			moved := plan.Plan{Version: old.Version + 1, Services: []plan.Service{{Name: "s"}, {Name: "s2"}}, Routes: slices.Clone(old.Routes)}
+			moved.Routes[0].Split = []plan.Share{{Service: "s2", Weight: 1}}
+			e.Table.Apply([]pool.Change{{Entry: pool.Entry{
+				ID: "other", Service: "s2", Address: "w1:9", Version: "w1", Slots: 8, State: pool.Ready, Revision: 3,
+			}}}, 3, time.Now())
+			return e.Plans.Apply(&moved)
+		}
+		reply := takeUp(e, "begun-elsewhere")
+		assert.Equal(t, reply.Status, 200)
+		_, err := io.ReadAll(reply.Answer.Body)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, targets.arrivals, []string{"w1:9"})
+		kill()
+		time.Sleep(5 * time.Second) // until all calls have ended
+	})
+}
