peer: a standstill that has just ended counts before the next tick

Stale told of a standstill only once a tick had found it, so that a request that was handled before saw the members of the time before as current. By reading, found by the review.

--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -243,6 +243,7 @@
 func (n *Node) Stale() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.notFrozen(time.Now()) // a standstill may have ended that no tick has detected yet
 	return n.stale
 }
 
