origins: a read for another process has all versions that the reader knows

A process that reads the table for another one left out the versions whose rows were older than the table's return from a copy, until it had written them again: the other took its own version for the only one. They are sent as versions whose rows may be missing. A read that is from an earlier era than what the process has heard of meanwhile doesn't count.

--- a/internal/serve/origins/ask_peer.go
+++ b/internal/serve/origins/ask_peer.go
@@ -25,6 +25,8 @@
 	Origin
 	// CompleteInMS is the time until the rows of the service have all versions.
 	CompleteInMS int64 `json:"complete_in_ms"`
+	// Unwritten means that the row isn't known to be in the table, or is older than the table's return from a copy.
+	Unwritten bool `json:"unwritten,omitempty"`
 }
 
 // answerPeer tells another process which versions are in the table.
@@ -38,6 +40,22 @@
 	return answer
 }
 
+// addUnwritten adds the versions that this process knows whose rows may not be in the table.
+func (l *Ledger) addUnwritten(answer *versionsAnswer, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for o, known := range l.admissions.versions {
+		if known.acknowledged {
+			continue
+		}
+		complete, has := l.admissions.complete[o.Service]
+		if !has {
+			complete = now.Add(versionMemory)
+		}
+		answer.Versions = append(answer.Versions, peerVersion{Origin: o, CompleteInMS: complete.Sub(now).Milliseconds(), Unwritten: true})
+	}
+}
+
 // askPeer asks another process which versions are in the table.
 func (l *Ledger) askPeer(ctx context.Context) {
 	others := l.others(1) // the next failure may ask another one
@@ -73,7 +91,9 @@
 	var all []Origin
 	for _, v := range answer.Versions {
 		all = append(all, v.Origin)
-		versions = append(versions, acknowledgedVersion{Origin: v.Origin, complete: now.Add(time.Duration(v.CompleteInMS) * time.Millisecond)})
+		versions = append(versions, acknowledgedVersion{
+			Origin: v.Origin, complete: now.Add(time.Duration(v.CompleteInMS) * time.Millisecond), fromCopy: v.Unwritten,
+		})
 	}
 	l.recordLeft(all, now)
 	era := max(l.Rows.Era(), l.Versions.Era())
--- a/internal/serve/origins/ledger.go
+++ b/internal/serve/origins/ledger.go
@@ -295,18 +295,18 @@
 	}
 }
 
-// apply takes over the contents of the table.
-func (l *Ledger) apply(c Contents, now time.Time) {
+// apply takes over the contents of the table. It reports false if the table has come back from a copy since.
+func (l *Ledger) apply(c Contents, now time.Time) bool {
 	s := decode(c.Rows)
 	l.recordLeft(s.origins(), now)
 	l.mu.Lock()
-	if c.Era < l.moment.Era { // the table has come back from a copy since
+	if c.Era < l.moment.Era {
 		l.mu.Unlock()
-		return
+		return false
 	}
 	if c.Era == l.readMoment.Era && c.Now < l.readMoment.Now { // a later read has been applied
 		l.mu.Unlock()
-		return
+		return true
 	}
 	l.setMoment(c.Moment, now)
 	l.readAt, l.readMoment, l.active = now, c.Moment, false
@@ -351,6 +351,7 @@
 		l.Log.Warn("Rows with origins of streams can't be read; ignored.", zap.Strings("keys", unreadable[:min(len(unreadable), 16)]), zap.Int("rows", len(unreadable)))
 	}
 	l.Log.Debug("Origins of streams were read from the store.", zap.Int("versions", len(s.versions)), zap.Int("streams", len(s.entries)))
+	return true
 }
 
 // cleanUp drops the rows of versions that have left and of streams that have expired, if this process is the one that
--- a/internal/serve/origins/ledger_test.go
+++ b/internal/serve/origins/ledger_test.go
@@ -895,3 +895,24 @@
 		})
 	}
 }
+
+// Guards against a version that a process leaves out of its read for another one, because it hasn't written its row again.
+func TestReadForAnotherProcessHasRowsFromACopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, rows := newProcesses(0), newFakeRows()
+		one := p.start(rows, "v1", "v2")
+		time.Sleep(versionMemory + time.Second)
+		kill(one)
+		rows.change(func() { rows.era, rows.writeErr = 2, ErrRejected })
+		reader := p.start(rows, "v1")
+		time.Sleep(3 * time.Second)
+		answer := reader.ledger.readForPeer(context.Background(), recallCall{Key: keyNumber(1)})
+		assert.Assert(t, answer.Read)
+		versions := map[string]bool{}
+		for _, v := range answer.Versions.Versions {
+			versions[v.Version] = v.Unwritten
+		}
+		assert.DeepEqual(t, versions, map[string]bool{"v1": true, "v2": true})
+		kill(reader)
+	})
+}
--- a/internal/serve/origins/reads.go
+++ b/internal/serve/origins/reads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/vanillagate/vanillagate/internal/serve/fresh"
@@ -17,6 +18,9 @@
 	minReadPause  = 500 * time.Millisecond
 )
 
+// errEarlierEra means that the table has come back from a copy since it answered.
+var errEarlierEra = errors.New("answer is from an earlier era of the table")
+
 // readSince returns a read that starts at the given time or later, pause after the one before at the earliest.
 func (l *Ledger) readSince(t time.Time, pause time.Duration) *tableRead {
 	return l.reads.Since(l.baseCtx, t, pause, l.readTable)
@@ -31,7 +35,9 @@
 		l.count("vanillagate_stream_origins_reads_failed")
 		return Contents{}, err
 	}
-	l.apply(contents, time.Now())
+	if !l.apply(contents, time.Now()) {
+		return Contents{}, errEarlierEra
+	}
 	return contents, nil
 }
 
--- a/internal/serve/origins/recall.go
+++ b/internal/serve/origins/recall.go
@@ -39,7 +39,9 @@
 	if _, err := l.readSince(time.Now(), minReadPause).Await(ctx); err != nil {
 		return recallAnswer{}
 	}
-	answer := recallAnswer{Read: true, Versions: l.answerPeer(time.Now())}
+	now := time.Now()
+	answer := recallAnswer{Read: true, Versions: l.answerPeer(now)}
+	l.addUnwritten(&answer.Versions, now)
 	if origin, found := l.Recorded(call.Key); found {
 		answer.Origin = &origin
 	}
