follow: after a standstill requests wait until the process has caught up

Requests that had waited in the sockets of a VM that stood still were served by the keys, routes, evacuations and targets from before: callers with a revoked key got answers, and added routes were unknown. The product's other front has a bound for this (internal/inforce); the entry VMs on the platform had none.

The follower records each 100 ms that the process runs. After a gap of more than 1 s, by the steady clock or the time of day, requests wait until Follower.CatchUp has brought the list and the configuration up to date, 150 ms at most and only in the first second: a VM that is cut off serves by what it has.

--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -142,7 +142,8 @@
 	operatorFeed *feed
 	targetFeed   *feed
 	// catchUps are the calls that bring both up to date for requests.
-	catchUps fresh.Calls[struct{}]
+	catchUps   fresh.Calls[struct{}]
+	standstill standstill
 }
 
 // feed is the state of following either the operator state or the target list.
@@ -220,6 +221,7 @@
 	loops.Go(func() { f.runFeed(ctx, f.operatorFeed) })
 	loops.Go(func() { f.runFeed(ctx, f.targetFeed) })
 	loops.Go(func() { f.sweep(ctx) })
+	loops.Go(func() { f.runBeats(ctx) })
 	if f.peers != nil {
 		loops.Go(func() { f.runPeerPolling(ctx) })
 		loops.Go(func() { f.runListFetches(ctx) })
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -77,6 +77,8 @@
 	// CatchUp brings the configuration and the targets up to what the store had at some moment after the call, and reports
 	// whether it could; nil if there is no store to ask.
 	CatchUp func(ctx context.Context) bool
+	// AwaitCurrent waits for a short time until both are current if this process has just stood still; nil for none.
+	AwaitCurrent func(ctx context.Context)
 
 	firstEventModel firstEventModel
 	answerStats     answerStats
@@ -172,6 +174,9 @@
 // admit determines the route, team and service of the request and checks whether it may be
 // processed; nil means that it may.
 func (j *job) admit(ctx context.Context) *Reply {
+	if j.AwaitCurrent != nil {
+		j.AwaitCurrent(ctx)
+	}
 	p := j.Plans.Current()
 	if p == nil {
 		return refuse(fasthttp.StatusServiceUnavailable, NoConfiguration, j.startingRetryAfter())
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -159,7 +159,7 @@
 	s.executor = &run.Executor{
 		Log: logging.WithComponent(o.Log, "request"), Plans: s.plans, Table: s.table, Client: s.client, Codec: o.Codec,
 		Stages: s.stages, Budget: s.budget, Reach: forwarding{s.reach, network}, Zone: o.Zone, Metrics: &run.Metrics{Registry: o.Metrics},
-		LeaveOut: o.LeaveOut, TimeToReady: s.timeToReady, ContactAge: s.follower.ContactAge, CatchUp: s.follower.CatchUp,
+		LeaveOut: o.LeaveOut, TimeToReady: s.timeToReady, ContactAge: s.follower.ContactAge, CatchUp: s.follower.CatchUp, AwaitCurrent: s.follower.AwaitCurrent,
 	}
 	s.origins = origins.New(s.baseCtx, logging.WithComponent(o.Log, "origins"), network)
 	if o.Origins != nil {
