liveness: a connection in use shows that a silent target runs

A check without an answer waited for up to 2 s unless the VM kept an unused connection to the target, which it doesn't if all of its answers end with their connections: callers of full plain targets got whole answers late.

A connection with a request in progress is a proof as well if it was opened before the request of the answer was written: the process that answered it had the address then, and the connections of one before it have ended. Silence then passes after 300 ms.

TestConnectionsInUseShowThatASilentProcessRuns (new, both ways).

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -55,7 +55,9 @@
 	// this one included; 0 means maxIdleConns.
 	MaxIdleConns int
 	// Process is the ID of the process that has answered on the connection; empty if it isn't known.
-	Process  string
+	Process string
+	// Opened is when the connection was opened.
+	Opened   time.Time
 	lastUsed time.Time
 }
 
@@ -210,5 +212,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: c, R: bufio.NewReaderSize(c, bufferBytes), W: bufio.NewWriterSize(c, bufferBytes)}, nil
+	return &Conn{Conn: c, Opened: time.Now(), R: bufio.NewReaderSize(c, bufferBytes), W: bufio.NewWriterSize(c, bufferBytes)}, nil
 }
--- a/internal/serve/liveness/liveness.go
+++ b/internal/serve/liveness/liveness.go
@@ -24,8 +24,8 @@
 const (
 	// Alive means that the process has answered.
 	Alive Verdict = "alive"
-	// Connected means that the process hasn't answered in time, and keeps a connection open on which it has
-	// answered before. The death of a process closes its connections.
+	// Connected means that the process hasn't answered in time, and keeps a connection open that it accepted before
+	// its answer. The death of a process closes its connections.
 	Connected Verdict = "connected"
 	// Silent means that nobody has answered in time on a connection that is open. Its successor at the address may
 	// have accepted it.
@@ -72,6 +72,9 @@
 // Question is how a process is asked for a sign of life.
 type Question struct {
 	Process
+	// SentAt is when the request began to be written that the process has answered. The zero value means that it isn't
+	// known.
+	SentAt time.Time
 	// Request is answered without running anything. Its address is that of the process. MatchesRequest
 	// counts on connections that were used before.
 	Request upstream.Request
@@ -261,7 +264,8 @@
 // reachBound ends the check, or gives the answer more time if nothing else shows that the process runs.
 func (e *exchange) reachBound() {
 	p := e.question.Process
-	if e.isConnected() && !e.awaitsAnswer && !e.client.HasIdleOf(p.ID, p.Address) {
+	keepsConnection := e.client.HasIdleOf(p.ID, p.Address) || e.client.HasOpenFrom(p.Address, e.question.SentAt)
+	if e.isConnected() && !e.awaitsAnswer && !keepsConnection {
 		e.awaitsAnswer = true
 		e.bound.Reset(answerBound - Bound)
 		return
--- a/internal/serve/liveness/liveness_test.go
+++ b/internal/serve/liveness/liveness_test.go
@@ -165,6 +165,35 @@
 	assert.Assert(t, got.Runs())
 }
 
+// Guards against whole answers that count as cut because their target is too busy for a check, and successors that pass.
+func TestConnectionsInUseShowThatASilentProcessRuns(t *testing.T) {
+	t.Parallel()
+	for verdict, openedAfter := range map[Verdict]bool{Connected: false, Silent: true} {
+		address, _ := server(t, func(_ net.Conn, r *bufio.Reader) { _, _ = io.Copy(io.Discard, r) }) // until the caller ends
+		client, q := &upstream.Client{}, question(address)
+		if openedAfter {
+			q.SentAt = time.Now()
+		}
+		sent := make(chan struct{})
+		ctx, cancel := context.WithCancel(t.Context())
+		request := q.Request
+		request.OnSent = func() { close(sent) }
+		var group errgroup.Group
+		group.Go(func() error {
+			_, _ = client.Send(ctx, &request) // ends with ctx
+			return nil
+		})
+		<-sent
+		if !openedAfter {
+			q.SentAt = time.Now()
+		}
+		assert.Equal(t, (&Checker{}).Check(t.Context(), client, q), verdict)
+		cancel()
+		assert.NilError(t, group.Wait())
+		assert.Assert(t, !client.HasOpenFrom(address, time.Now()))
+	}
+}
+
 // Guards against a successor that is silent and passes as the process because it answered or refused a request before.
 func TestConnectionOfASuccessorDoesNotShowThatTheProcessRuns(t *testing.T) {
 	t.Parallel()
--- a/internal/serve/run/ends.go
+++ b/internal/serve/run/ends.go
@@ -39,7 +39,7 @@
 		return nil
 	}
 	answer.Close() // the target may accept few connections
-	verdict := j.liveness.Check(j.ctx, j.Client, j.livenessQuestion(target))
+	verdict := j.liveness.Check(j.ctx, j.Client, j.livenessQuestion(target, answer.SentAt))
 	j.Metrics.count(series("vanillagate_unframed_answer_ends", "verdict", string(verdict)))
 	if verdict.Runs() {
 		if verdict != liveness.Alive {
@@ -53,9 +53,10 @@
 	return &UnknownEndError{Verdict: verdict}
 }
 
-func (j *job) livenessQuestion(target *pool.Target) *liveness.Question {
+func (j *job) livenessQuestion(target *pool.Target, sentAt time.Time) *liveness.Question {
 	q := &liveness.Question{
 		Process: liveness.Process{ID: target.ID, Address: target.Address},
+		SentAt:  sentAt,
 		Request: upstream.Request{
 			Address: target.Address, Target: target.ID, Host: target.Address, Method: fasthttp.MethodGet,
 			MatchesRequest: func(h *fasthttp.ResponseHeader) bool { return j.Codec.ReadAnswer(h).ID == "" },
--- a/internal/serve/upstream/answer.go
+++ b/internal/serve/upstream/answer.go
@@ -19,6 +19,8 @@
 type Answer struct {
 	Status int
 	Header fasthttp.ResponseHeader
+	// SentAt is when the request began to be written.
+	SentAt time.Time
 	// Body is nil until the header of the request's own answer has been read.
 	*framing.Body
 
@@ -120,6 +122,7 @@
 		return
 	}
 	a.closed = true
+	a.client.inUse.remove(a.address, a.conn)
 	inTime := a.stopCtxWatch()
 	if a.Body != nil && a.Complete() && a.conn.R.Buffered() > 0 && inTime {
 		_ = a.exceeded(Surplus, a.conn.R.Buffered(), false) // the answer itself is complete
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -116,6 +116,7 @@
 	Unbounded bool
 
 	idle   conns.Pool
+	inUse  connsInUse
 	dialed atomic.Int64
 }
 
@@ -150,6 +151,7 @@
 		return nil, &Failure{Err: err}
 	}
 	conn.MaxIdleConns = r.MaxIdleConns
+	c.inUse.add(r.Address, conn)
 	a := &Answer{
 		client: c, target: r.Target, address: r.Address, conn: conn, closeAfterAnswer: r.CloseAfterAnswer, written: make(chan struct{}),
 		ctxEnded: func() bool { return ctx.Err() != nil },
@@ -163,6 +165,7 @@
 		a.Close()
 		return nil, &Failure{Err: ErrNotAllowed}
 	}
+	a.SentAt = time.Now()
 	if err := a.write(r); err != nil {
 		a.Close()
 		return nil, &Failure{Sent: true, Err: preferContextCause(ctx, err)}
