test: planned stops with requests that wait for a stage

Part of the requests that may run once wait for a stage of 1.2 s first; a run with too few requests passed on, or none after a stage, fails. The shorter grace period of TestPlatformPlannedStopCutsNoLateRequest now holds long before SIGTERM; the change right before it stays in TestPlatformPlannedStopFollowsTheSettingsFile.

--- a/test/platform_planned_stop_test.go
+++ b/test/platform_planned_stop_test.go
@@ -20,9 +20,15 @@
 	// onceRoutes is the number of routes whose requests may run once at most: a request of route
 	// /once-n/ takes n seconds.
 	onceRoutes = 7
+	// stagedPrefix begins the names of the routes to the same targets whose requests wait for a stage first. A stage
+	// call takes stageCall.
+	stagedPrefix = "staged-"
+	stageCall    = 1200 * time.Millisecond
 	// sentEarly is how long after SIGTERM a request is sent at the latest that may be cut in the
 	// last sixth of the grace period.
 	sentEarly = 3 * time.Second
+	// stageTargets is the number of targets of the stage.
+	stageTargets = 4
 	// stopRequests is the number of requests of each kind in a planned stop.
 	stopRequests = 40
 )
@@ -76,15 +82,26 @@
 		s.site.Desks = append(s.site.Desks, target)
 		s.site.Store.Put("servers", target.ID, target.Entry("ready", 1))
 	}
+	for i := range stageTargets {
+		stage := &standin.StageTarget{ID: fmt.Sprintf("i-slow-stage-%d", i), Service: "slow-stage", Zone: "zone-a", CallTime: stageCall, ItemTime: time.Millisecond}
+		assert.NilError(s.t, stage.Start("127.0.0.1:0"))
+		s.t.Cleanup(stage.Stop)
+		s.site.Store.Put("servers", stage.ID, stage.Entry("ready", 1))
+	}
 	s.site.Publish(func(config map[string]any) {
 		addTailRoutes(config, 15*time.Second)
+		config["services"] = append(config["services"].([]any), map[string]any{"name": "slow-stage", "max-connections": 100, "pieces": map[string]any{
+			"slot-count": 1, "queue": 4, "batch": 4, "call-ms": stageCall.Milliseconds(), "item-ms": 1, "headroom-mb": 100, "handle-s": 20, "link-mbps": 1000,
+		}})
 		for n := 1; n <= onceRoutes; n++ {
 			name := fmt.Sprintf("once-%d", n)
 			config["services"] = append(config["services"].([]any), map[string]any{"name": name, "max-connections": 300})
-			config["routes"] = append(config["routes"].([]any), map[string]any{
-				"name": name, "host": standin.Host, "prefix": "/" + name + "/", "kind": "non_idempotent", "timeout-ms": 20000,
-				"target-latency-ms": 1500, "priority": 0, "service": name, "attempts": 1,
-			})
+			for prefix, stages := range map[string][]any{"": {}, stagedPrefix: {map[string]any{"service": "slow-stage", "after": []int{}, "size-bytes": 1000}}} {
+				config["routes"] = append(config["routes"].([]any), map[string]any{
+					"name": prefix + name, "host": standin.Host, "prefix": "/" + prefix + name + "/", "kind": "non_idempotent", "timeout-ms": 20000,
+					"target-latency-ms": 10000, "priority": 0, "service": name, "attempts": 1, "stages": stages,
+				})
+			}
 		}
 	})
 	waitFor(s.t, "the VM to serve the new routes", func() bool {
@@ -100,11 +117,14 @@
 	if s.rng.IntN(2) == 0 {
 		return fmt.Sprintf("/tail-%d/x", n)
 	}
+	if s.rng.IntN(3) == 0 {
+		return fmt.Sprintf("/%sonce-%d/x", stagedPrefix, n)
+	}
 	return fmt.Sprintf("/once-%d/x", n)
 }
 
 // startCallers starts callers that connect anew, keep connections, send slowly, pipeline requests
-// or speak HTTP/1.0, at random times from SIGTERM to the end of the grace period.
+// or speak HTTP/1.0, some with requests that wait for a stage, at random times from SIGTERM to the end of the grace period.
 func (s *plannedStop) startCallers() {
 	const inBody, inHeaders = 5, 60
 	for range stopRequests {
@@ -153,15 +173,15 @@
 	s.readAndRecord(c, callResult{kind: "http10", id: id, err: err})
 }
 
-// ranAtOnceTarget returns the IDs of the requests that reached a target and may run once at most.
-func (s *plannedStop) ranAtOnceTarget() map[string]bool {
-	ran := map[string]bool{}
+// ranAtOnceTarget returns the requests that reached a target and may run once at most, by ID, with their URIs.
+func (s *plannedStop) ranAtOnceTarget() map[string]string {
+	ran := map[string]string{}
 	for _, target := range s.site.Desks {
 		if !strings.HasPrefix(target.Service, "once-") {
 			continue
 		}
 		for _, seen := range target.ReceivedRequests() {
-			ran[seen.ID] = true
+			ran[seen.ID] = seen.URI
 		}
 	}
 	return ran
@@ -173,8 +193,14 @@
 func (s *plannedStop) check(t *testing.T) {
 	t.Helper()
 	ran, once := s.ranAtTarget(), s.ranAtOnceTarget()
+	staged := 0
+	for _, uri := range once {
+		if strings.HasPrefix(uri, "/"+stagedPrefix) {
+			staged++
+		}
+	}
 	counts := map[string]int{}
-	lost, lostOnce, falseRefusals := 0, 0, 0
+	passedOn, lost, lostOnce, falseRefusals := 0, 0, 0, 0
 	for _, c := range s.calls {
 		if c.kind == "warm" || !ran[c.id] {
 			if c.kind != "warm" {
@@ -183,6 +209,9 @@
 			continue
 		}
 		after := c.sentAt.Sub(s.stopSentAt)
+		if after > 0 {
+			passedOn++
+		}
 		allowed := after <= sentEarly && c.endedAt.Sub(s.stopSentAt) >= s.grace*5/6
 		counts[fmt.Sprintf("passed on, status %d, complete=%v, sent early=%v", c.status, c.complete, after <= sentEarly)]++
 		switch {
@@ -191,13 +220,15 @@
 			t.Logf("refused, and ran: %v", c)
 		case c.status == 0, c.status == http.StatusOK && !c.complete && !allowed, c.status == http.StatusGatewayTimeout && !allowed:
 			lost++
-			if once[c.id] {
+			if once[c.id] != "" {
 				lostOnce++
 			}
 			t.Logf("cut %s after SIGTERM, sent %s after it: %v", c.endedAt.Sub(s.stopSentAt), after, c)
 		}
 	}
-	t.Log(counts)
+	t.Log(counts, "after a stage:", staged)
+	assert.Check(t, staged > 0, "no request was passed on after a stage")
+	assert.Check(t, passedOn >= stopRequests, "too few requests were passed on for a meaningful result: %d", passedOn)
 	assert.Check(t, lost == 0, "%d requests that a target ran were cut, %d of them may run once at most", lost, lostOnce)
 	assert.Check(t, falseRefusals == 0, "%d requests ran that were refused", falseRefusals)
 }
@@ -209,7 +240,10 @@
 	for _, grace := range []time.Duration{5 * time.Second, initialGrace * time.Second} {
 		t.Run(grace.String(), func(t *testing.T) {
 			t.Parallel()
-			runPlannedStop(t, grace, func(s *plannedStop) { s.setGrace(grace) })
+			runPlannedStop(t, grace, func(s *plannedStop) {
+				s.setGrace(grace)
+				time.Sleep(settingsReadDelay)
+			})
 		})
 	}
 }
--- a/test/platform_shutdown_test.go
+++ b/test/platform_shutdown_test.go
@@ -12,6 +12,7 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -247,8 +248,12 @@
 // newRequest returns a new request as it is written to the connection, and its ID.
 func (s *shutdownRun) newRequest(kind, path string) (id, request string) {
 	id = fmt.Sprintf("%s-%d", kind, s.lastID.Add(1))
-	return id, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Api-Key: %s\r\n"+
-		"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", path, standin.Host, id, standin.TeamKey)
+	pieces := ""
+	if strings.HasPrefix(path, "/"+stagedPrefix) {
+		pieces = fmt.Sprintf("X-Pieces: 1\r\nX-Piece-Key: key-of-%s\r\n", id)
+	}
+	return id, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Api-Key: %s\r\n%s"+
+		"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", path, standin.Host, id, standin.TeamKey, pieces)
 }
 
 // sendRequest sends a request and reads the answer, unless the connection is known to be closed.
