--- a/test/platform_stream_versions_test.go
+++ b/test/platform_stream_versions_test.go
@@ -435,7 +435,7 @@
 			t.Parallel()
 			s := newStreamSoak(t, seed)
 			s.run(2 * plannedDurationOf(t))
-			t.Logf("%d versions joined beside faults", s.joined)
+			t.Logf("%d versions joined beside faults, counted attempts that failed: %q", s.joined, s.failed)
 			t.Logf("%d of %d streams began, %d of %d went on, %d of %d after %d kills of all VMs",
 				s.begun.succeeded, s.begun.tried, s.takenUp.succeeded, s.takenUp.tried, s.rejoined.succeeded, s.rejoined.tried, s.kills)
 			assert.Check(t, len(s.mixed) == 0, "%v", s.mixed)
