test: streams are taken up at a VM out of step before new ones begin there

The new stream comes afterwards, and half of the draws are a standstill of 1.5 to 2.5 s followed by a cut from the store and the other VMs.

--- a/test/joining_versions_test.go
+++ b/test/joining_versions_test.go
@@ -60,7 +60,7 @@
 		f.away, f.killed, f.frozen, f.duration, f.store, f.isolated, f.cut, f.join, f.pass, f.disturbed, f.withdrawn)
 }
 
-// drawJoinFault draws a fault; the number of draws is always the same.
+// drawJoinFault draws a fault.
 func (s *streamSoak) drawJoinFault() *joinFault {
 	up := func(from, to time.Duration) time.Duration {
 		return from + time.Duration(s.joins.Int64N(int64(to-from)))
@@ -75,6 +75,10 @@
 		join: up(200*time.Millisecond, time.Second), pass: up(700*time.Millisecond, 1300*time.Millisecond),
 		disturbed: s.joins.IntN(2) == 0, withdrawn: s.joins.IntN(4) == 0,
 	}
+	if s.joins.IntN(2) == 0 { // a standstill that leaves its list young enough to count as current
+		f.frozen, f.duration = true, up(1500*time.Millisecond, 2500*time.Millisecond)
+		f.store, f.isolated, f.withdrawn = standin.NoResponse, true, false
+	}
 	if !f.frozen && f.store == standin.NoFault {
 		f.store = standin.NoResponse
 	}
@@ -243,9 +247,10 @@
 		if n > 1 && s.pick(4) == 0 {
 			vm = s.pickVM()
 		}
+		pause := s.countedAttempt(c, vm, fmt.Sprintf("%s-%d", c.name, n), versionedEvents)
 		fresh := &soakStream{name: fmt.Sprintf("%s-fresh-%d", c.name, n), versions: map[string]bool{}}
 		s.countedAttempt(fresh, vm, fresh.name, 1) // to compare with
-		time.Sleep(max(s.countedAttempt(c, vm, fmt.Sprintf("%s-%d", c.name, n), versionedEvents), joinPause))
+		time.Sleep(max(pause, joinPause))
 	}
 	s.finish(c)
 }
