run: buffered answers of all requests have a common limit

What would be seen: faulty targets answer many requests at once with bodies of errors that don't end. Each is kept up to 256 KB, for 2 s at most, until it is given up. Together they exceed the memory of a small VM, and the process ends with the requests of all its callers.

Cause: each answer is bounded, the sum over a process isn't.

Change: plain answers that are buffered take 32 MB together, beside the first 4 KB of each. Beyond that a success is passed on as it arrives, as one above 256 KB is, and the body of an error counts as exceeding its bound. The reservation ends when the answer's body is closed.

--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -239,7 +239,7 @@
 // readWhole reads the whole answer before the caller gets any of it, so that another target
 // can be asked if it breaks off. Only successes may be too large for that.
 func (j *job) readWhole(target *pool.Target, answer *upstream.Answer, call *pool.Call) attempt {
-	buffered := &strings.Builder{}
+	buffered := &buffer{memory: &j.bufferMemory}
 	var err error
 	unlimited := isSuccess(answer.Status) || !j.bounded()
 	if unlimited {
@@ -247,14 +247,15 @@
 	} else {
 		err = answer.ReadBounded(buffered, upstream.ErrorBodyBound)
 	}
-	if unlimited && err == nil && buffered.Len() == maxBuffered {
-		return attempt{target: target, mayHaveArrived: true, reply: j.relay(target, answer, call, buffered.String())}
+	if unlimited && (err == nil && buffered.content.Len() == maxBuffered || errors.Is(err, upstream.ErrNoMemory)) {
+		return attempt{target: target, mayHaveArrived: true, reply: j.relay(target, answer, call, buffered)}
 	}
 	if err == nil {
 		err = j.verifyEnd(target, answer)
 	}
 	answer.Close()
 	if err != nil {
+		buffered.release()
 		outcome := pool.Failed
 		if j.ctx.Err() != nil {
 			outcome = pool.Abandoned
@@ -276,8 +277,8 @@
 		j.reportAnswered(target, answer.Kind == framing.Connection)
 	}
 	j.cleanUp()
-	body := io.NopCloser(strings.NewReader(buffered.String()))
-	return attempt{target: target, mayHaveArrived: true, reply: passOn(answer, body, buffered.Len())}
+	body := &relayedBody{Reader: strings.NewReader(buffered.content.String()), close: buffered.release}
+	return attempt{target: target, mayHaveArrived: true, reply: passOn(answer, body, buffered.content.Len())}
 }
 
 // passOn returns the reply that passes an answer on with the given body.
@@ -286,9 +287,10 @@
 }
 
 // relay streams an answer that is too large to be buffered.
-func (j *job) relay(target *pool.Target, answer *upstream.Answer, call *pool.Call, buffered string) *Reply {
+func (j *job) relay(target *pool.Target, answer *upstream.Answer, call *pool.Call, buffered *buffer) *Reply {
 	rest := &verifiedBody{job: j, target: target, answer: answer}
-	body := &relayedBody{Reader: io.MultiReader(strings.NewReader(buffered), rest), close: func() {
+	body := &relayedBody{Reader: io.MultiReader(strings.NewReader(buffered.content.String()), rest), close: func() {
+		buffered.release()
 		answer.Close()
 		outcome := pool.Answered
 		if answer.HasExceeded() || rest.broken() {
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -81,6 +81,9 @@
 	liveness liveness.Checker
 	// shutdown is nil until this process shuts down.
 	shutdown atomic.Pointer[ShutdownSchedule]
+
+	// bufferMemory is that of the answers that are buffered.
+	bufferMemory bufferMemory
 }
 
 // Suspicion finds the requests that crash their targets, whichever process they are sent
--- a/internal/serve/upstream/bounded.go
+++ b/internal/serve/upstream/bounded.go
@@ -107,7 +107,10 @@
 	return err
 }
 
-// ReadBounded writes the body to w. It fails with a BoundError if the body exceeds the bound.
+// ErrNoMemory is returned by writers to which a body is written that must not take more memory.
+var ErrNoMemory = errors.New("answers take too much memory")
+
+// ReadBounded writes the body to w. It fails with a BoundError if the body exceeds the bound, or w returns ErrNoMemory.
 func (a *Answer) ReadBounded(w io.Writer, bound Bound) error {
 	if bound.exceededBy(0, a.Length) {
 		return a.exceeded(bound.Part, 0, false)
@@ -132,7 +135,7 @@
 	switch timedOut := passed(); {
 	case timedOut && err != nil:
 		return a.exceeded(bound.Part, int(n), true)
-	case err == nil && bound.exceededBy(int(n), -1):
+	case errors.Is(err, ErrNoMemory), err == nil && bound.exceededBy(int(n), -1):
 		return a.exceeded(bound.Part, int(n), false)
 	default:
 		return err
--- a/test/platform_endless_answers_test.go
+++ b/test/platform_endless_answers_test.go
@@ -20,7 +20,7 @@
 	// vmMemoryKB is the memory of a small VM.
 	vmMemoryKB = 284 << 10
 	// endlessCallers is how many requests get an answer without end at the same time.
-	endlessCallers = 300
+	endlessCallers = 800
 )
 
 // endlessAnswer is written until the connection is closed.
@@ -32,17 +32,17 @@
 // endlessTarget answers all requests without end, and health checks soundly.
 type endlessTarget struct {
 	listener net.Listener
-	mu       sync.Mutex // guards the fields below
 	answer   endlessAnswer
-	requests int // answered with answer
+	mu       sync.Mutex // guards requests
+	requests int        // answered with answer
 }
 
-func startEndlessTarget(t *testing.T) *endlessTarget {
+func startEndlessTarget(t *testing.T, answer endlessAnswer) *endlessTarget {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	e := &endlessTarget{listener: listener}
+	e := &endlessTarget{listener: listener, answer: answer}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -55,12 +55,6 @@
 	return e
 }
 
-func (e *endlessTarget) set(a endlessAnswer) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.answer, e.requests = a, 0
-}
-
 func (e *endlessTarget) requestCount() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -70,6 +64,7 @@
 func (e *endlessTarget) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
+	attempt := ""
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
@@ -77,15 +72,18 @@
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
 		if request.URL.Path != "/health" {
+			attempt = request.Header.Get("X-Attempt-Id")
 			break
 		}
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	}
 	e.mu.Lock()
-	answer := e.answer
 	e.requests++
 	e.mu.Unlock()
-	for text := answer.begin; ; text = answer.repeat {
+	answer := e.answer
+	status, rest, _ := strings.Cut(answer.begin, "\r\n")
+	begin := status + "\r\nX-Worker-Signature: s\r\nX-Attempt-Id: " + attempt + "\r\n" + rest
+	for text := begin; ; text = answer.repeat {
 		if _, err := io.WriteString(conn, text); err != nil {
 			return
 		}
@@ -104,10 +102,42 @@
 	return kb
 }
 
-// Guards against many answers without end at once that together fill the memory of a VM whose callers read slowly.
+const (
+	endlessSuccess = "HTTP/1.1 200 OK\r\n\r\n"
+	endlessChunks  = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+var endlessFiller = strings.Repeat("x", 64<<10)
+
+// Guards against many answers without end at once that together fill the memory of a VM.
 func TestPlatformManyEndlessAnswersFitIntoTheMemory(t *testing.T) {
+	checkMemory(t, clerks, repeatablePlain, []namedEndlessAnswer{
+		{"a byte of a head each second", endlessAnswer{"HTTP/1.1 200 OK\r\nX: ", "x", time.Second}},
+		{"a byte of a body each second", endlessAnswer{endlessSuccess, "x", time.Second}},
+		{"body", endlessAnswer{endlessSuccess, endlessFiller, 0}},
+		{"chunks", endlessAnswer{endlessChunks, "10000\r\n" + endlessFiller + "\r\n", 0}},
+		{"body of an error", endlessAnswer{"HTTP/1.1 500 No\r\n\r\n", endlessFiller[:8<<10], 60 * time.Millisecond}},
+	})
+}
+
+// Guards against many streams without end at once that together fill the memory of a VM.
+func TestPlatformManyEndlessStreamsFitIntoTheMemory(t *testing.T) {
+	checkMemory(t, tellers, resumableStream, []namedEndlessAnswer{
+		{"event", endlessAnswer{endlessSuccess + "data: ", endlessFiller, 0}},
+		{"comments", endlessAnswer{endlessSuccess, ": x\n", time.Millisecond}},
+		{"events", endlessAnswer{endlessSuccess, "data: " + endlessFiller + "\n\n", 0}},
+	})
+}
+
+type namedEndlessAnswer struct {
+	name   string
+	answer endlessAnswer
+}
+
+// checkMemory sends requests whose callers read nothing to targets that send each of the answers.
+func checkMemory(t *testing.T, service string, route answerKind, answers []namedEndlessAnswer) {
+	t.Helper()
 	edges := startEdgeSite(t, 1)
-	plain, engine := startEndlessTarget(t), startEndlessTarget(t)
 	edges.site.Publish(func(config map[string]any) {
 		config["services"] = append(
 			config["services"].([]any),
@@ -122,40 +152,24 @@
 			answerRoute(repeatablePlain, "idempotent", clerks, 1), answerRoute(resumableStream, "streaming", tellers, 1),
 		)
 	})
-	for service, target := range map[string]*endlessTarget{clerks: plain, tellers: engine} {
-		edges.site.Store.Put("servers", "i-"+service, map[string]any{
-			"service": service, "address": target.listener.Addr().String(), "zone": "zone-a", "version": "v1",
-			"slot-count": 2 * endlessCallers, "state": "ready", "born": time.Now().UnixMilli(),
-		})
-	}
-	time.Sleep(time.Second)
 	pid := edges.processes[0].cmd.Process.Pid
 	t.Logf("%d KB before", peakMemoryKB(t, pid))
 
-	const success, chunked = "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-	filler := strings.Repeat("x", 64<<10)
-	for _, tc := range []struct {
-		name   string
-		target *endlessTarget
-		route  answerKind
-		answer endlessAnswer
-	}{
-		{"a byte of a head each second", plain, repeatablePlain, endlessAnswer{"HTTP/1.1 200 OK\r\nX: ", "x", time.Second}},
-		{"a byte of a body each second", plain, repeatablePlain, endlessAnswer{success, "x", time.Second}},
-		{"body", plain, repeatablePlain, endlessAnswer{success, filler, 0}},
-		{"chunks", plain, repeatablePlain, endlessAnswer{chunked, "10000\r\n" + filler + "\r\n", 0}},
-		{"body of an error", plain, repeatablePlain, endlessAnswer{"HTTP/1.1 500 No\r\n\r\n", filler[:8<<10], 60 * time.Millisecond}},
-		{"event", engine, resumableStream, endlessAnswer{success + "data: ", filler, 0}},
-		{"comments", engine, resumableStream, endlessAnswer{success, ": x\n", time.Millisecond}},
-		{"events", engine, resumableStream, endlessAnswer{success, "data: " + filler + "\n\n", 0}},
-	} {
-		tc.target.set(tc.answer)
-		closeAll := sendUnread(t, edges.vms[0].RequestAddress(), tc.route, endlessCallers)
+	for _, tc := range answers {
+		target := startEndlessTarget(t, tc.answer)
+		id := "i-" + strings.ReplaceAll(tc.name, " ", "-")
+		edges.site.Store.Put("servers", id, map[string]any{
+			"service": service, "address": target.listener.Addr().String(), "zone": "zone-a", "version": "v1",
+			"slot-count": 2 * endlessCallers, "state": "ready", "born": time.Now().UnixMilli(),
+		})
+		time.Sleep(time.Second)
+		closeAll := sendUnread(t, edges.vms[0].RequestAddress(), route, endlessCallers)
 		time.Sleep(3 * time.Second)
 		closeAll()
+		edges.site.Store.Delete("servers", id)
 		peak := peakMemoryKB(t, pid)
-		t.Logf("%d KB after %s, %d requests", peak, tc.name, tc.target.requestCount())
-		assert.Check(t, tc.target.requestCount() >= endlessCallers/2, "%s: %d requests", tc.name, tc.target.requestCount())
+		t.Logf("%d KB after %s, %d requests", peak, tc.name, target.requestCount())
+		assert.Check(t, target.requestCount() >= endlessCallers/2, "%s: %d requests", tc.name, target.requestCount())
 		assert.Check(t, peak < vmMemoryKB, "%s: %d KB", tc.name, peak)
 	}
 }
