--- a/test/platform_planned_stop_test.go
+++ b/test/platform_planned_stop_test.go
@@ -233,8 +233,7 @@
 	assert.Check(t, falseRefusals == 0, "%d requests ran that were refused", falseRefusals)
 }
 
-// Guards against requests of any kind that are passed on to a target during a planned stop and get no
-// complete answer.
+// Guards against requests that are passed on to a target during a planned stop and get no complete answer.
 func TestPlatformPlannedStopCutsNoLateRequest(t *testing.T) {
 	t.Parallel()
 	for _, grace := range []time.Duration{5 * time.Second, initialGrace * time.Second} {
@@ -248,8 +247,7 @@
 	}
 }
 
-// Guards against a stop by an outdated grace period: the settings file has a shorter one, and all
-// requests in flight get no answer when the process is killed.
+// Guards against a stop by a longer grace period than the settings file has, at whose end requests are cut.
 func TestPlatformPlannedStopFollowsTheSettingsFile(t *testing.T) {
 	t.Parallel()
 	const shorter = 5 * time.Second
