run: what streams hold back has a common limit

Each stream may hold 256 KB of an event that isn't complete, or that its caller hasn't read, and nothing bounded the sum: 800 endless streams at once, whose callers read nothing, took 602 to 730 MB at one VM (TestPlatformManyEndlessStreamsFitIntoTheMemory), where 284 MB are allowed and the process would end with the requests of all its callers.

Streams reserve what they hold beyond 4 KB from 16 MB together, as buffered plain answers do from theirs, which was 32 MB. Beyond that an event is passed on in parts, as one above 256 KB is. Large buffers aren't kept.

--- a/internal/serve/run/buffer.go
+++ b/internal/serve/run/buffer.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// maxBufferedTotal limits the buffered answers of all requests together. It is a part of the memory of a small VM.
-	maxBufferedTotal = 32 << 20
+	// maxBufferedTotal limits the buffered answers of all requests together, and what all streams hold back. It is a part
+	// of the memory of a small VM.
+	maxBufferedTotal = 16 << 20
 	// uncountedBytes of each answer don't count, so that short answers are always buffered.
 	uncountedBytes = 4 << 10
 )
@@ -53,3 +54,32 @@
 	b.memory.used.Add(-int64(b.reserved))
 	b.reserved = 0
 }
+
+// heldBytes reserves the memory of what one stream holds back, beside uncountedBytes.
+type heldBytes struct {
+	memory   *bufferMemory
+	reserved int
+}
+
+// hold changes the reservation to some bytes, and reports whether there was enough memory.
+func (h *heldBytes) hold(bytes int) bool {
+	need := max(bytes-uncountedBytes, 0) - h.reserved
+	switch {
+	case need == 0:
+		return true
+	case need < 0:
+		h.memory.used.Add(int64(need))
+	case !h.memory.reserve(need):
+		return false
+	}
+	h.reserved += need
+	return true
+}
+
+// emptied returns a buffer without content. A large one isn't kept.
+func emptied(b []byte) []byte {
+	if cap(b) > uncountedBytes {
+		return nil
+	}
+	return b[:0]
+}
--- a/internal/serve/run/event_bounds_test.go
+++ b/internal/serve/run/event_bounds_test.go
@@ -107,3 +107,26 @@
 		w.check(nil, now, minEventPatience)
 	}
 }
+
+// Guards against streams that together hold more than the memory of a VM, and against memory that isn't given back.
+func TestStreamsHoldBackALimitedSum(t *testing.T) {
+	var memory bufferMemory
+	var streams []*heldBytes
+	for range 4 * maxBufferedTotal / maxHeldBytes {
+		streams = append(streams, &heldBytes{memory: &memory})
+	}
+	enough := 0
+	for _, s := range streams {
+		if s.hold(maxHeldBytes) {
+			enough++
+		}
+		assert.Assert(t, s.hold(uncountedBytes) || s.reserved > 0, "short events are always held back")
+		s.hold(maxHeldBytes)
+	}
+	assert.Equal(t, enough, maxBufferedTotal/(maxHeldBytes-uncountedBytes))
+	assert.Assert(t, memory.used.Load() <= maxBufferedTotal)
+	for _, s := range streams {
+		s.hold(0)
+	}
+	assert.Equal(t, memory.used.Load(), int64(0))
+}
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -87,8 +87,9 @@
 	// shutdown is nil until this process shuts down.
 	shutdown atomic.Pointer[ShutdownSchedule]
 
-	// bufferMemory is that of the answers that are buffered.
+	// bufferMemory is that of the answers that are buffered, streamMemory that of what streams hold back.
 	bufferMemory bufferMemory
+	streamMemory bufferMemory
 }
 
 // Suspicion finds the requests that crash their targets, whichever process they are sent
--- a/internal/serve/run/forwarded_stream.go
+++ b/internal/serve/run/forwarded_stream.go
@@ -42,6 +42,7 @@
 	pending []byte // to be returned by Read
 	events  eventScanner
 	partial []byte // incomplete event
+	held    heldBytes
 	// lastEventID is the ID of the last event returned; empty if there was none.
 	lastEventID string
 	// resumable is set as long as a peer can be told after which event to go on.
@@ -58,7 +59,10 @@
 }
 
 func newForwardedStream(j *job, peer string, answer *upstream.Answer) *forwardedStream {
-	return &forwardedStream{job: j, peer: peer, answer: answer, asked: []string{peer}, lastEventID: j.req.LastEventID, resumable: true}
+	return &forwardedStream{
+		job: j, peer: peer, answer: answer, asked: []string{peer}, lastEventID: j.req.LastEventID, resumable: true,
+		held: heldBytes{memory: &j.streamMemory},
+	}
 }
 
 // Read returns the next bytes of the stream.
@@ -71,9 +75,16 @@
 	}
 	n := copy(p, s.pending)
 	s.pending = s.pending[n:]
+	if len(s.pending) == 0 {
+		s.pending = nil
+		s.hold()
+	}
 	return n, nil
 }
 
+// hold counts what the stream holds, and reports whether there is memory for it.
+func (s *forwardedStream) hold() bool { return s.held.hold(len(s.pending) + len(s.partial)) }
+
 // fill reads more data from the peer.
 func (s *forwardedStream) fill() {
 	n, err := peerBody{s.answer}.Read(s.buffer[:])
@@ -100,10 +111,11 @@
 			s.partial = s.partial[:0]
 		}
 	}
-	if tooLarge := len(s.partial) > maxHeldBytes; tooLarge || !s.events.inside() {
+	full := !s.hold()
+	if tooLarge := len(s.partial) > maxHeldBytes || full && s.events.inside(); tooLarge || !s.events.inside() {
 		s.resumable = s.resumable && !tooLarge
 		s.pending = append(s.pending, s.partial...)
-		s.partial = s.partial[:0]
+		s.partial = emptied(s.partial)
 	}
 }
 
@@ -178,6 +190,8 @@
 		return
 	}
 	s.hasEnded = true
+	s.partial = nil
+	s.hold()
 	s.answer.Close()
 	s.job.cleanUp()
 }
@@ -185,5 +199,6 @@
 // Close ends the stream. The peer stops its work when the connection is closed.
 func (s *forwardedStream) Close() error {
 	s.end(io.ErrClosedPipe)
+	s.held.hold(0)
 	return nil
 }
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -43,6 +43,7 @@
 	partial []byte // incomplete event
 	// withheld are events without a known field, which are passed on with the next event or at the end.
 	withheld []byte
+	held     heldBytes
 	wait     eventWait
 	// splitEvent is set while the caller has a part of an event that was too large to hold back.
 	splitEvent  bool
@@ -69,6 +70,7 @@
 func (j *job) stream(target *pool.Target, answer *upstream.Answer, call *pool.Call) *Reply {
 	s := &stream{
 		job: j, target: target, answer: answer, call: call, lastEventID: j.req.LastEventID, opaque: !isEventStream(&answer.Header),
+		held: heldBytes{memory: &j.streamMemory},
 	}
 	if j.takesUp() {
 		j.Log.Info("Stream that a caller takes up goes on.", requestID(j.req.ID), zap.String("resumes", j.req.Resumes),
@@ -101,9 +103,16 @@
 	}
 	n := copy(p, s.pending)
 	s.pending = s.pending[n:]
+	if len(s.pending) == 0 {
+		s.pending = nil
+		s.hold()
+	}
 	return n, nil
 }
 
+// hold counts what the stream holds, and reports whether there is memory for it.
+func (s *stream) hold() bool { return s.held.hold(len(s.pending) + len(s.partial) + len(s.withheld)) }
+
 // fill reads more data from the target.
 func (s *stream) fill() {
 	n, err := s.answer.Read(s.buffer[:])
@@ -197,7 +206,8 @@
 			s.partial, s.splitEvent = s.partial[:0], false
 		}
 	}
-	if !s.events.inside() || len(s.partial) > maxHeldBytes {
+	full := !s.hold()
+	if !s.events.inside() || len(s.partial) > maxHeldBytes || full && len(s.partial) > 0 {
 		s.splitEvent = s.events.inside()
 		s.wait.skipped(s.partial, s.splitEvent)
 		if s.splitEvent || len(s.withheld) > maxHeldBytes {
@@ -209,14 +219,14 @@
 		} else {
 			s.pending = append(s.pending, s.partial...)
 		}
-		s.partial = s.partial[:0]
+		s.partial = emptied(s.partial)
 	}
 }
 
 // release adds what has been withheld to the output.
 func (s *stream) release() {
 	s.pending = append(s.pending, s.withheld...)
-	s.withheld = s.withheld[:0]
+	s.withheld = emptied(s.withheld)
 }
 
 // emit adds an event to the output, unless the caller already has it.
@@ -339,6 +349,8 @@
 		return
 	}
 	s.hasEnded = true
+	s.partial, s.withheld = nil, nil
+	s.hold()
 	s.answer.Close()
 	s.call.End(outcome, time.Now())
 	s.job.cleanUp()
@@ -357,5 +369,6 @@
 // Close ends the stream. The target stops its work when the connection is closed.
 func (s *stream) Close() error {
 	s.end(io.ErrClosedPipe, pool.Abandoned)
+	s.held.hold(0)
 	return nil
 }
