--- a/internal/serve/fresh/fresh_test.go
+++ b/internal/serve/fresh/fresh_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,9 +15,9 @@
 func TestResultIsOfACallSinceTheQuestion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var calls Calls[time.Time]
-		made := 0
+		var made atomic.Int64
 		do := func(context.Context) (time.Time, error) {
-			made++
+			made.Add(1)
 			began := time.Now()
 			time.Sleep(300 * time.Millisecond)
 			return began, nil
@@ -28,16 +29,16 @@
 			assert.Assert(t, !began.Before(asked))
 			time.Sleep(50 * time.Millisecond)
 		}
-		assert.Equal(t, made, 100)
+		assert.Equal(t, made.Load(), int64(100))
 
-		made = 0
+		made.Store(0)
 		var last *Call[time.Time]
 		for range 1000 { // in 5 s
 			last = calls.Since(t.Context(), time.Now(), 500*time.Millisecond, do)
 			time.Sleep(5 * time.Millisecond)
 		}
 		<-last.Done()
-		assert.Assert(t, made <= 12, "%d calls", made)
+		assert.Assert(t, made.Load() <= 12, "%d calls", made.Load())
 	})
 }
 
