test: crowds of clients against the memory and descriptors of a process

Nothing measured a process while many clients at once hold bodies, heads or connections.

They run one at a time as a part of their own of make check.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PROGRAMS := vanillagate vgedge vgsteward vgctl vgload vgstandin
 TESTFLAGS ?=
 
-.PHONY: all build fmt format-check lint unit race integration check demo demo-platform bench bench-quick overhead clean
+.PHONY: all build fmt format-check lint unit race integration crowd check demo demo-platform bench bench-quick overhead clean
 
 all: build
 
@@ -38,10 +38,23 @@
 KNOWN_RED := $(shell sed -n 's/.*CI passes over \(Test[A-Za-z0-9]*\)$$/\1/p' KNOWN-RED.txt | paste -sd'|' -)
 SKIP_KNOWN_RED = $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-integration: build
-	VANILLAGATE_BIN=$(CURDIR)/$(BIN) $(GO) test -count=1 -timeout 20m -parallel $(CLUSTERS) $(SKIP_KNOWN_RED) $(TESTFLAGS) ./test/...
+# Tests that measure the memory and the descriptors of processes under crowds of clients.
+CROWD_TESTS := ^TestCrowd
 
-check: lint build race integration
+integration: build
+	VANILLAGATE_BIN=$(CURDIR)/$(BIN) $(GO) test -count=1 -timeout 20m -parallel $(CLUSTERS) -skip '$(if $(KNOWN_RED),^($(KNOWN_RED))$$|)$(CROWD_TESTS)' $(TESTFLAGS) ./test/...
+
+# One test at a time, apart from the other tests.
+crowd: build
+	VANILLAGATE_BIN=$(CURDIR)/$(BIN) $(GO) test -count=1 -timeout 20m -parallel 1 -run '$(CROWD_TESTS)' $(SKIP_KNOWN_RED) $(TESTFLAGS) ./test
+
+# The parts run one after the other, also with `make -j`.
+check:
+	$(MAKE) lint
+	$(MAKE) build
+	$(MAKE) race
+	$(MAKE) integration
+	$(MAKE) crowd
 
 demo: build
 	@scripts/demo.sh
