intake: the bodies of all requests have a common limit

What callers saw: a VM ended because it ran out of memory, with the requests of everybody else, when many callers at once sent bodies that they didn't finish, or only announced, or finished for a slow target.

Cause: each body had a limit, all together had none. fasthttp reads a whole body before the handler runs, into a buffer of the next power of two that it takes as soon as a length or a chunk is announced, and the request then copied it. A limit on announced lengths would let 35 silent callers hold a VM.

Change: a connection passes a head on to fasthttp and no byte beyond it. The body is read before the handler runs, into memory that grows with the bytes that have arrived.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -64,6 +64,14 @@
 	}
 }
 
+// NewRequestBody returns the body that follows the head of a request; a negative length stands for chunked encoding.
+func NewRequestBody(conn *bufio.Reader, length int) *Body {
+	if length < 0 {
+		return &Body{Kind: Chunks, Length: -1, conn: conn, data: httputil.NewChunkedReader(conn)}
+	}
+	return &Body{Kind: Length, Length: length, conn: conn, data: &io.LimitedReader{R: conn, N: int64(length)}}
+}
+
 // Read returns body data as it arrives. io.EOF means that the body is complete, as far as its
 // framing tells; a truncated body ends with another error.
 func (b *Body) Read(p []byte) (int, error) {
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -123,6 +123,7 @@
 	TooManyPieces   Reason = "too many pieces"
 	CrashesTargets  Reason = "it crashes its targets"
 	ShuttingDown    Reason = "this VM is leaving"
+	NoMemory        Reason = "no memory for the request"
 )
 
 // Reply is the answer to a caller.
--- a/internal/socket/peek.go
+++ b/internal/socket/peek.go
@@ -2,7 +2,6 @@
 package socket
 
 import (
-	"crypto/tls"
 	"net"
 	"syscall"
 )
@@ -27,8 +26,8 @@
 // to a handler, and that an idle connection to a target has been closed or has an
 // unread response, before the connection is reused.
 func Peek(conn net.Conn) State {
-	if t, ok := conn.(*tls.Conn); ok {
-		conn = t.NetConn()
+	if above, ok := conn.(interface{ NetConn() net.Conn }); ok { // such as TLS
+		conn = above.NetConn()
 	}
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
