intake: unfinished heads count as memory of requests

What callers saw: a VM ended because it ran out of memory when a few thousand callers held unfinished heads.

Change: the buffer of a head grows with what has arrived and counts beyond 4 KiB, like a body. While its request is served a head counts three times: as it arrived, parsed, and to be forwarded.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -55,7 +55,7 @@
 		reader.Reset(nil)
 		readers.Put(reader)
 	}()
-	g := &growingBody{conn: c, source: framing.NewRequestBody(reader, length), limit: limit}
+	g := &growingBody{conn: c, source: framing.NewRequestBody(reader, length), limit: limit, head: c.memory.counted()}
 	body, err := g.read(length)
 	if err != nil {
 		c.unread.Store(true)
@@ -101,7 +101,9 @@
 	conn   *Conn
 	source io.Reader
 	limit  int
-	bytes  []byte
+	// head is the number of bytes that are reserved for the head.
+	head  int
+	bytes []byte
 }
 
 func (g *growingBody) read(length int) ([]byte, error) {
@@ -144,8 +146,8 @@
 	return g.reserve(size)
 }
 
-// reserve reserves memory for a number of bytes.
-func (g *growingBody) reserve(bytes int) error { return g.conn.memory.resize(bytes) }
+// reserve reserves memory for the head and a number of bytes of the body.
+func (g *growingBody) reserve(bytes int) error { return g.conn.memory.resize(g.head + bytes) }
 
 // finish reserves the memory that the request holds while it is served.
 func (g *growingBody) finish() error {
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -21,6 +21,9 @@
 const (
 	// bufferBytes is the size of the buffers that are kept for reuse.
 	bufferBytes = uncountedBytes
+	// headCopies is how many times a request holds its head while it is served: as it arrived, in the parsed headers
+	// and in those to forward.
+	headCopies = 3
 	// maxLingerTime and maxLingerBytes limit what is read and thrown away after a request was rejected before it had
 	// arrived completely. Without reading it, the connection would be reset, and the caller might lose the answer.
 	maxLingerTime  = time.Second
@@ -146,10 +149,11 @@
 // failHead passes on what has arrived of a head, behind which reads fail. fasthttp answers a head that fails if it has
 // got its first byte.
 func (c *Conn) failHead() {
-	if errors.Is(c.failure, ErrHeadTooLarge) {
+	if errors.Is(c.failure, ErrNoMemory) || errors.Is(c.failure, ErrHeadTooLarge) {
 		c.unread.Store(true)
 		c.first[0] = c.received[0]
 		c.dropReceived()
+		c.memory.release()
 		c.received = c.first[:]
 	}
 	c.headEnd = len(c.received)
@@ -174,13 +178,15 @@
 			if c.headEnd = searched + n; c.headEnd > c.listener.HeadLimit() {
 				return ErrHeadTooLarge
 			}
-			return nil
+			return c.reserveHead(c.headEnd)
 		}
 		searched = len(c.received)
 		if searched >= c.listener.HeadLimit() {
 			return ErrHeadTooLarge
 		}
-		c.growReceived()
+		if err := c.growReceived(); err != nil {
+			return err
+		}
 		n, err := c.read(c.received[searched:cap(c.received)])
 		c.received = c.received[:searched+n]
 		if n == 0 && err != nil {
@@ -189,15 +195,31 @@
 	}
 }
 
+// reserveHead reserves the memory of a request whose head has arrived.
+func (c *Conn) reserveHead(bytes int) error {
+	if bytes <= uncountedBytes {
+		return nil
+	}
+	if err := c.memory.resize(headCopies * bytes); err != nil {
+		return err
+	}
+	return c.memory.finish()
+}
+
 // growReceived makes room for at least one more byte.
-func (c *Conn) growReceived() {
+func (c *Conn) growReceived() error {
 	size := len(c.received)
 	if size < cap(c.received) {
-		return
+		return nil
+	}
+	grown := max(2*size, bufferBytes)
+	if err := c.memory.resize(size + grown); err != nil {
+		return err
 	}
-	larger := append(make([]byte, 0, max(2*size, bufferBytes)), c.received...)
+	larger := append(make([]byte, 0, grown), c.received...)
 	c.dropReceived()
 	c.received = larger
+	return c.memory.resize(grown)
 }
 
 // dropReceived gives the buffer up.
--- a/internal/intake/memory.go
+++ b/internal/intake/memory.go
@@ -111,6 +111,15 @@
 	}
 }
 
+// counted returns how many bytes the request holds, with those that don't count if there are any others.
+func (r *reservation) counted() int {
+	bytes := r.bytes.Load()
+	if bytes == 0 {
+		return 0
+	}
+	return int(bytes + uncountedBytes)
+}
+
 // finish notes that the request has arrived completely. The error is ErrNoMemory if it was evicted before.
 func (r *reservation) finish() error {
 	if r.bytes.Load() == 0 {
