connlimit: callers' connections at all ports have a common limit

What callers saw: connections that others only held, silent, unused or with a stalled body, used up the descriptors of a VM; then neither new callers got in nor the VM reached targets, peers or the store.

Cause: nothing bounded connections of callers, and those that wait were kept for their whole time limit.

The test of stalled bodies and the one of oversized bodies on all connections are new.

--- /dev/null
+++ b/internal/connlimit/connlimit.go
@@ -0,0 +1,168 @@
+// Package connlimit limits how many connections of callers a process holds. When there are too many, those whose
+// request hasn't arrived make room for new ones, the longest waiting first.
+package connlimit
+
+import (
+	"container/list"
+	"net"
+	"sync"
+	"time"
+)
+
+// slowArrival is how long the body of a request may take before its connection makes room sooner than unused ones.
+const slowArrival = time.Second
+
+// Limiter limits the connections of all ports together.
+type Limiter struct {
+	max int
+
+	mu   sync.Mutex // guards the fields below and those of all Conns; no other lock is taken while it is held
+	open int
+	peak int
+	// unproven holds the connections whose first head hasn't arrived, idle those that wait for another one, and receiving
+	// those of which a body is arriving. serving holds those whose request is being served. All begin with the one that
+	// has been there longest.
+	unproven, idle, receiving, serving list.List
+	closed, rejected                   int64
+}
+
+// New returns a limiter for max connections.
+func New(max int) *Limiter { return &Limiter{max: max} }
+
+// Stats are the numbers of connections since the process started, except for Open.
+type Stats struct {
+	// Open is the number of open connections, Peak its maximum, Max the limit.
+	Open, Peak, Max int
+	// Closed counts those that made room for others, Rejected those for which there was no room.
+	Closed, Rejected int64
+}
+
+// Stats returns the current numbers.
+func (l *Limiter) Stats() Stats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Stats{Open: l.open, Peak: l.peak, Max: l.max, Closed: l.closed, Rejected: l.rejected}
+}
+
+// Conn is the place of one connection in a Limiter.
+type Conn struct {
+	limiter *Limiter
+	conn    net.Conn
+	// waiting is the list that has this connection, at element, since a time.
+	waiting *list.List
+	element *list.Element
+	since   time.Time
+	// served is set once a request has arrived. left is set once the place is given up.
+	served, left bool
+}
+
+// Admit returns the place of a new connection, which waits for its first request. If there is no room, it closes
+// another connection, which it returns too. The place is nil if requests are being served on all of them.
+func (l *Limiter) Admit(conn net.Conn) (place *Conn, closed net.Conn) {
+	place, closed = l.admit(conn)
+	if closed != nil {
+		_ = closed.Close() // unused, so the error does not matter
+	}
+	return place, closed
+}
+
+// admit is Admit without the close.
+func (l *Limiter) admit(conn net.Conn) (place *Conn, victim net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open >= l.max {
+		longest := l.toClose(time.Now())
+		if longest == nil {
+			l.rejected++
+			return nil, nil
+		}
+		longest.leave()
+		l.closed++
+		victim = longest.conn
+	}
+	l.open++
+	l.peak = max(l.peak, l.open)
+	place = &Conn{limiter: l, conn: conn}
+	place.waitIn(&l.unproven)
+	return place, victim
+}
+
+// toClose returns the connection to close: one that has never had a request, one whose body arrives slowly, an unused
+// one, or any other whose body is arriving. It returns nil if there is none. The caller holds mu.
+func (l *Limiter) toClose(now time.Time) *Conn {
+	unproven, idle, receiving := first(&l.unproven), first(&l.idle), first(&l.receiving)
+	switch {
+	case unproven != nil:
+		return unproven
+	case receiving != nil && (idle == nil || now.Sub(receiving.since) >= slowArrival):
+		return receiving
+	default:
+		return idle
+	}
+}
+
+// first returns the longest waiting connection of a list; nil if it is empty.
+func first(waiting *list.List) *Conn {
+	if front := waiting.Front(); front != nil {
+		return front.Value.(*Conn)
+	}
+	return nil
+}
+
+// Wait notes that the connection waits for a request.
+func (c *Conn) Wait() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	if c.served {
+		c.waitIn(&c.limiter.idle)
+	}
+}
+
+// Receive notes that the head of a request has arrived, and its body is arriving.
+func (c *Conn) Receive() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.waitIn(&c.limiter.receiving)
+}
+
+// Serve notes that a request has arrived completely.
+func (c *Conn) Serve() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.served = true
+	c.waitIn(&c.limiter.serving)
+}
+
+// Leave gives the place up. It may be called more than once.
+func (c *Conn) Leave() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.leave()
+}
+
+// waitIn moves the connection to a list, unless it has left. The caller holds mu.
+func (c *Conn) waitIn(waiting *list.List) {
+	if c.left {
+		return
+	}
+	c.unlist()
+	c.waiting, c.element, c.since = waiting, waiting.PushBack(c), time.Now()
+}
+
+// unlist removes the connection from its list. The caller holds mu.
+func (c *Conn) unlist() {
+	if c.waiting != nil {
+		c.waiting.Remove(c.element)
+		c.waiting, c.element = nil, nil
+	}
+}
+
+// leave gives the place up. The caller holds mu.
+func (c *Conn) leave() {
+	if c.left {
+		return
+	}
+	c.left = true
+	c.unlist()
+	c.limiter.open--
+}
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -25,12 +25,15 @@
 // of a Listener, and the server must call TakeBody.
 func Handler(limit func() int, next fasthttp.RequestHandler, reject func(*fasthttp.RequestCtx, error)) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
+		conn := ctx.Conn().(*Conn)
 		length, err := bodyLength(&ctx.Request.Header)
 		if err == nil && length != noBody {
+			conn.place.Receive()
 			var body []byte
-			body, err = ctx.Conn().(*Conn).readBody(length, limit())
+			body, err = conn.readBody(length, limit())
 			ctx.Request.SetBodyRaw(body)
 		}
+		conn.place.Serve()
 		if err != nil {
 			reject(ctx, err)
 			ctx.SetConnectionClose()
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -1,4 +1,5 @@
-// Package intake reads the requests of callers for fasthttp and limits the memory that all callers hold together.
+// Package intake reads the requests of callers for fasthttp and limits the memory and the connections that all callers
+// hold together.
 //
 // fasthttp reads a head into a buffer for the largest possible one, and takes the memory for a body as soon as its
 // length is announced. Here a connection passes a head on to fasthttp once it has arrived completely, and no byte beyond
@@ -13,6 +14,10 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vanillagate/vanillagate/internal/connlimit"
 )
 
 // ErrHeadTooLarge means that a head exceeds its limit.
@@ -35,25 +40,38 @@
 // Listener limits the requests of the connections that it accepts.
 type Listener struct {
 	net.Listener
-	// Memory is the limit that this port shares with others.
-	Memory *Memory
+	// Memory and Connections are the limits that this port shares with others.
+	Memory      *Memory
+	Connections *connlimit.Limiter
 	// HeadLimit returns the maximum size of a head, in bytes. It is called from several goroutines, as is HeadTime.
 	HeadLimit func() int
 	// HeadTime returns how long a head may take from its first byte on.
 	HeadTime func() time.Duration
+	Log      *zap.Logger
 	// BodyCopies is how many times a request holds its body while it is served; 0 means once.
 	BodyCopies int
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection for which there is room.
 func (l *Listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &Conn{Conn: accepted, listener: l}
+		c.memory = reservation{memory: l.Memory, interrupt: c.interrupt}
+		var closed net.Conn
+		c.place, closed = l.Connections.Admit(c.NetConn())
+		if closed != nil {
+			l.Log.Info("Connection closed to make room for another.", zap.Stringer("caller", closed.RemoteAddr()))
+		}
+		if c.place != nil {
+			return c, nil
+		}
+		l.Log.Info("Connection rejected: requests are in progress on all others.", zap.Stringer("caller", accepted.RemoteAddr()))
+		_ = c.NetConn().Close() // nothing has been read from it
 	}
-	c := &Conn{Conn: accepted, listener: l}
-	c.memory = reservation{memory: l.Memory, interrupt: c.interrupt}
-	return c, nil
 }
 
 // Conn is a connection of a caller. Outside of a body, its Read returns a head only once it has arrived completely, or
@@ -61,6 +79,7 @@
 type Conn struct {
 	net.Conn
 	listener *Listener
+	place    *connlimit.Conn
 	// memory is the memory of the current request.
 	memory reservation
 
@@ -134,6 +153,7 @@
 // awaitHead reads until a head has arrived, and sets headEnd or failure.
 func (c *Conn) awaitHead() {
 	c.memory.release() // the previous request has been answered
+	c.place.Wait()
 	c.received, c.passed, c.headEnd, c.end = c.received[c.passed:], 0, 0, endFinder{}
 	if len(c.received) == 0 && !c.awaitFirstByte() {
 		return
@@ -247,8 +267,10 @@
 func (c *Conn) Close() error {
 	c.memory.release()
 	if c.unread.CompareAndSwap(true, false) {
+		c.place.Receive()
 		c.linger()
 	}
+	c.place.Leave()
 	return c.Conn.Close()
 }
 
--- a/internal/intake/conn_test.go
+++ b/internal/intake/conn_test.go
@@ -15,7 +15,10 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/connlimit"
 )
 
 const (
@@ -25,17 +28,18 @@
 
 // server is an HTTP server on a Listener. It records the requests that it serves.
 type server struct {
-	address string
-	memory  *Memory
-	mu      sync.Mutex // guards served
-	served  []string
+	address     string
+	memory      *Memory
+	connections *connlimit.Limiter
+	mu          sync.Mutex // guards served
+	served      []string
 }
 
-func startServer(t *testing.T, memory int64) *server {
+func startServer(t *testing.T, memory int64, connections int) *server {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := &server{address: listener.Addr().String(), memory: NewMemory(memory)}
+	s := &server{address: listener.Addr().String(), memory: NewMemory(memory), connections: connlimit.New(connections)}
 	http := &fasthttp.Server{
 		ReduceMemoryUsage: true, ReadBufferSize: testHeadLimit, ReadTimeout: 5 * time.Second,
 		HeaderReceived: func(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
@@ -46,7 +50,7 @@
 	}
 	go func() {
 		_ = http.Serve(&Listener{
-			Listener: listener, Memory: s.memory,
+			Listener: listener, Memory: s.memory, Connections: s.connections, Log: zap.NewNop(),
 			HeadLimit: func() int { return testHeadLimit }, HeadTime: func() time.Duration { return 2 * time.Second },
 		})
 	}()
@@ -116,7 +120,7 @@
 }
 
 func TestStatuses(t *testing.T) {
-	s := startServer(t, 1<<20)
+	s := startServer(t, 1<<20, 100)
 	for name, tc := range map[string]struct {
 		text string
 		want int
@@ -151,7 +155,7 @@
 		sized("/4", 6000) + sized("/5", 0) + "\r\n" + sized("/6", 1)
 	var want []string
 	for seed := range uint64(40) {
-		s := startServer(t, 1<<20)
+		s := startServer(t, 1<<20, 100)
 		conn, random := s.dial(t), rand.New(rand.NewPCG(seed, 1))
 		for rest := texts; rest != ""; {
 			n := min(len(rest), 1+random.IntN(1+random.IntN(200)*int(seed)))
@@ -179,7 +183,7 @@
 
 // Guards against a caller that waits for leave to send its body, and gets none.
 func TestCallerIsToldToContinue(t *testing.T) {
-	s := startServer(t, 1<<20)
+	s := startServer(t, 1<<20, 100)
 	conn := s.dial(t)
 	_, err := io.WriteString(conn, withHead("Expect: 100-continue", "Content-Length: 2"))
 	assert.NilError(t, err)
@@ -197,7 +201,7 @@
 
 // Guards against memory that is taken for what is only announced.
 func TestAnnouncedBodiesHoldNoMemory(t *testing.T) {
-	s := startServer(t, 1<<20)
+	s := startServer(t, 1<<20, 100)
 	for _, begin := range []string{
 		withHead("Content-Length: 99000"), withHead("Content-Length: 99000") + "b",
 		withHead("Transfer-Encoding: chunked") + "ffff\r\nb",
@@ -211,7 +215,7 @@
 
 // Guards against stalled bodies that keep their memory, and with it other callers out.
 func TestStalledBodyGivesWay(t *testing.T) {
-	s := startServer(t, 300_000)
+	s := startServer(t, 300_000, 100)
 	stalled := s.dial(t)
 	_, err := stalled.Write([]byte(sized("/stalled", testBodyLimit))[:testBodyLimit])
 	assert.NilError(t, err)
@@ -229,7 +233,7 @@
 
 // Guards against a refusal that its caller, still sending, loses to a reset of the connection.
 func TestRefusalReachesACallerThatIsStillSending(t *testing.T) {
-	s := startServer(t, 1<<20)
+	s := startServer(t, 1<<20, 100)
 	conn := s.dial(t)
 	_, err := io.WriteString(conn, withHead("Content-Length: 500000")+strings.Repeat("b", 1000))
 	assert.NilError(t, err)
@@ -243,7 +247,7 @@
 
 // Guards against heads that arrive a byte at a time and hold their connections for good.
 func TestHeadMustArriveInTime(t *testing.T) {
-	s := startServer(t, 1<<20)
+	s := startServer(t, 1<<20, 100)
 	conn := s.dial(t)
 	began := time.Now()
 	for time.Since(began) < 4*time.Second {
@@ -255,12 +259,26 @@
 	t.Fatal("the connection is still open")
 }
 
+// Guards against connections without requests that keep new ones out.
+func TestNewConnectionReplacesASilentOne(t *testing.T) {
+	s := startServer(t, 1<<20, 2)
+	first, second := s.dial(t), s.dial(t)
+	time.Sleep(20 * time.Millisecond)
+	assert.Equal(t, s.ask(t, sized("/x", 1)), 200)
+	_, err := first.Read(make([]byte, 1))
+	assert.Assert(t, err != nil)
+	_, err = io.WriteString(second, sized("/y", 1))
+	assert.NilError(t, err)
+	assert.Equal(t, status(second), 200)
+}
+
 // Guards against an answer whose bytes wait for the next ones.
 func TestBytesOfAStreamedAnswerArriveAtOnce(t *testing.T) {
 	near, far := net.Pipe()
 	defer func() { _ = near.Close() }()
+	place, _ := connlimit.New(1).Admit(near)
 	go func() {
-		_, _ = (&Conn{Conn: near}).ReadFrom(io.MultiReader(strings.NewReader("event"), blockedReader{}))
+		_, _ = (&Conn{Conn: near, place: place}).ReadFrom(io.MultiReader(strings.NewReader("event"), blockedReader{}))
 	}()
 	got := make([]byte, 5)
 	_, err := io.ReadFull(far, got)
--- a/test/crowd_test.go
+++ b/test/crowd_test.go
@@ -312,27 +312,30 @@
 	runFrontCrowd(t, writeText("/ask/x", lengthFraming(bodyLimit), make([]byte, bodyLimit-1)))
 }
 
-// Guards against bodies beyond the limit that are read to their end, or kept.
-func TestCrowdOfBodiesOverTheLimit(t *testing.T) {
-	chunk := append(fmt.Appendf(nil, "%x\r\n", 32<<10), append(make([]byte, 32<<10), "\r\n"...)...)
-	runFrontCrowd(t, func(i int, conn net.Conn) error {
-		framing, part := chunkedFraming, chunk
-		switch i % 3 {
-		case 1:
-			framing, part = lengthFraming(100_000_000_000), chunk
-		case 2:
-			framing, part = "Expect: 100-continue\r\n"+lengthFraming(100_000_000_000), chunk
-		}
-		if _, err := io.WriteString(conn, crowdHead("/ask/x", i)+framing); err != nil {
+// writeOversized writes more than the limit: announced by a length or in chunks, and with or without waiting for leave.
+func writeOversized(i int, conn net.Conn) error {
+	part := append(fmt.Appendf(nil, "%x\r\n", 32<<10), append(make([]byte, 32<<10), "\r\n"...)...)
+	framing := []string{
+		chunkedFraming, lengthFraming(100_000_000_000), "Expect: 100-continue\r\n" + lengthFraming(100_000_000_000),
+	}[i%3]
+	if _, err := io.WriteString(conn, crowdHead("/ask/x", i)+framing); err != nil {
+		return err
+	}
+	for range 1000 {
+		if _, err := conn.Write(part); err != nil {
 			return err
 		}
-		for range 1000 {
-			if _, err := conn.Write(part); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
+	}
+	return nil
+}
+
+// Guards against bodies beyond the limit that are read to their end, or kept.
+func TestCrowdOfBodiesOverTheLimit(t *testing.T) { runFrontCrowd(t, writeOversized) }
+
+// Guards against connections that are kept to read the rest of refused bodies and use up the descriptors.
+func TestCrowdOfBodiesOverTheLimitOnAllConnections(t *testing.T) {
+	e := startCrowdSite(t, fewFDs, nil)
+	runEdgeCrowd(t, e, fewFDs, e.vms[0].RequestAddress(), heldConns, writeOversized)
 }
 
 // Guards against unfinished bodies at the port where callers ask for addresses.
@@ -424,3 +427,9 @@
 	e.askOrdinary(0, strings.Repeat("x", largest))
 	checkWithinLimits(t, e.processes, crowdFDs)
 }
+
+// Guards against stalled bodies on all connections that callers may have, which lock ordinary callers out.
+func TestCrowdOfStalledBodiesOnAllConnections(t *testing.T) {
+	e := startCrowdSite(t, fewFDs, nil)
+	runEdgeCrowd(t, e, fewFDs, e.vms[0].RequestAddress(), heldConns, writeText("/ask/x", lengthFraming(bodyLimit), nil))
+}
