intake: callers that don't read their answers make room

What callers saw: as long as others read nothing of their answers, their connections stayed in use, each with one to a target; with as many of them as connections are allowed nobody else got in.

Cause: a write to a caller had no time limit, and a request being served never made room.

Change: a connection is closed if its caller reads nothing for 30 s, and makes room for a new one, after all that wait, if it has read nothing for a second.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -6,11 +6,19 @@
 	"container/list"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// slowArrival is how long the body of a request may take before its connection makes room sooner than unused ones.
-const slowArrival = time.Second
+// started is the origin of times that are kept as numbers.
+var started = time.Now()
+
+const (
+	// slowArrival is how long the body of a request may take before its connection makes room sooner than unused ones.
+	slowArrival = time.Second
+	// stalledWrite is how long a write may take before its connection makes room if there is no other.
+	stalledWrite = time.Second
+)
 
 // Limiter limits the connections of all ports together.
 type Limiter struct {
@@ -54,6 +62,8 @@
 	since   time.Time
 	// served is set once a request has arrived. left is set once the place is given up.
 	served, left bool
+	// writing is when the write in progress began, as nanoseconds of the monotonic clock; 0 if there is none.
+	writing atomic.Int64
 }
 
 // Admit returns the place of a new connection, which waits for its first request. If there is no room, it closes
@@ -88,7 +98,8 @@
 }
 
 // toClose returns the connection to close: one that has never had a request, one whose body arrives slowly, an unused
-// one, or any other whose body is arriving. It returns nil if there is none. The caller holds mu.
+// one, any other whose body is arriving, or one whose caller doesn't read its answer. It returns nil if there is none.
+// The caller holds mu.
 func (l *Limiter) toClose(now time.Time) *Conn {
 	unproven, idle, receiving := first(&l.unproven), first(&l.idle), first(&l.receiving)
 	switch {
@@ -96,11 +107,24 @@
 		return unproven
 	case receiving != nil && (idle == nil || now.Sub(receiving.since) >= slowArrival):
 		return receiving
-	default:
+	case idle != nil:
 		return idle
+	default:
+		return l.stalled(now)
 	}
 }
 
+// stalled returns the first connection whose write has taken long; nil if there is none. The caller holds mu.
+func (l *Limiter) stalled(now time.Time) *Conn {
+	for e := l.serving.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*Conn)
+		if began := c.writing.Load(); began != 0 && now.Sub(started)-time.Duration(began) >= stalledWrite {
+			return c
+		}
+	}
+	return nil
+}
+
 // first returns the longest waiting connection of a list; nil if it is empty.
 func first(waiting *list.List) *Conn {
 	if front := waiting.Front(); front != nil {
@@ -133,6 +157,12 @@
 	c.waitIn(&c.limiter.serving)
 }
 
+// BeginWrite notes that a write to the caller begins, EndWrite that it has ended.
+func (c *Conn) BeginWrite() { c.writing.Store(int64(time.Since(started))) }
+
+// EndWrite is the counterpart of BeginWrite.
+func (c *Conn) EndWrite() { c.writing.Store(0) }
+
 // Leave gives the place up. It may be called more than once.
 func (c *Conn) Leave() {
 	c.limiter.mu.Lock()
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -22,6 +22,8 @@
 	served := func(c *Conn) { c.Serve() }
 	receiving := func(c *Conn) { c.Receive() }
 	slow := func(c *Conn) { c.Receive(); c.since = c.since.Add(-2 * slowArrival) }
+	writing := func(c *Conn) { c.Serve(); c.BeginWrite() }
+	stalled := func(c *Conn) { writing(c); c.writing.Add(int64(-2 * stalledWrite)) }
 	for name, tc := range map[string]struct {
 		states []func(*Conn)
 		want   int // index; -1 for none
@@ -31,7 +33,8 @@
 		"the slowest body":                 {[]func(*Conn){idle, slow, receiving}, 1},
 		"unused before a body that begins": {[]func(*Conn){receiving, served, idle, idle}, 2},
 		"a body that begins at last":       {[]func(*Conn){served, receiving, receiving}, 1},
-		"none that is served":              {[]func(*Conn){served, served}, -1},
+		"none that is served":              {[]func(*Conn){served, writing}, -1},
+		"one that isn't read":              {[]func(*Conn){served, writing, stalled, stalled}, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := New(len(tc.states))
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -33,6 +33,8 @@
 	// arrived completely. Without reading it, the connection would be reset, and the caller might lose the answer.
 	maxLingerTime  = time.Second
 	maxLingerBytes = 1 << 20
+	// maxWriteStall is how long a caller may read nothing of its answer while there is more than the system buffers.
+	maxWriteStall = 30 * time.Second
 )
 
 var buffers = sync.Pool{New: func() any { return new([bufferBytes]byte) }}
@@ -143,6 +145,16 @@
 	return n, nil
 }
 
+// Write fails if the caller doesn't read for maxWriteStall.
+func (c *Conn) Write(p []byte) (int, error) {
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(maxWriteStall)); err != nil {
+		return 0, err
+	}
+	c.place.BeginWrite()
+	defer c.place.EndWrite()
+	return c.Conn.Write(p)
+}
+
 // ReadFrom writes what it reads as soon as it arrives, which fasthttp otherwise would hold back in its buffer.
 func (c *Conn) ReadFrom(r io.Reader) (int64, error) {
 	buffer := buffers.Get().(*[bufferBytes]byte)
--- a/test/crowd_test.go
+++ b/test/crowd_test.go
@@ -164,12 +164,14 @@
 	checkWithinLimits(t, processes, maxFDs)
 }
 
-// Routes to targets that answer late.
+// Routes to targets that answer late, or with a large body at largePath.
 const (
 	lateRepeatable = "late"
 	lateSingle     = "latesingle"
-	// lateTime is how long these targets take.
-	lateTime = 4 * time.Second
+	largePath      = "/" + lateSingle + "/large"
+	// lateTime is how long these targets take, largeAnswer the size of a large body, in bytes.
+	lateTime    = 4 * time.Second
+	largeAnswer = 8 << 20
 )
 
 // startCrowdSite starts three VMs with the stated memory and descriptors, and a plain target that answers late.
@@ -211,12 +213,16 @@
 	assert.NilError(t, err)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		if r.URL.Path != "/health" {
-			time.Sleep(lateTime)
-			w.Header().Set("X-Worker-Signature", "s")
-		}
 		w.Header().Set("X-Worker-Id", "i-late")
+		w.Header().Set("X-Worker-Signature", "s")
 		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		switch r.URL.Path {
+		case "/health":
+		case largePath:
+			_, _ = w.Write(make([]byte, largeAnswer))
+		default:
+			time.Sleep(lateTime)
+		}
 	})}
 	t.Cleanup(func() { _ = server.Close() })
 	go func() { _ = server.Serve(listener) }()
@@ -433,3 +439,19 @@
 	e := startCrowdSite(t, fewFDs, nil)
 	runEdgeCrowd(t, e, fewFDs, e.vms[0].RequestAddress(), heldConns, writeText("/ask/x", lengthFraming(bodyLimit), nil))
 }
+
+// Guards against callers that don't read their answers, and so use up the descriptors and lock ordinary callers out.
+func TestCrowdThatReadsNoAnswers(t *testing.T) {
+	e := startCrowdSite(t, fewFDs, nil)
+	runCrowd(t, e.processes, fewFDs, func() { e.askOrdinary(0, "x") }, func(c *crowd) {
+		dial := func() (net.Conn, error) {
+			conn, err := dialTo(e.vms[0].RequestAddress())()
+			if err == nil {
+				err = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+			}
+			return conn, err
+		}
+		c.send(dial, crowdSize+64, writeText(largePath, lengthFraming(0), nil))
+		time.Sleep(crowdHold)
+	})
+}
