entry: the limits on requests and connections of callers hold in vanillagate

What callers saw: vanillagate ended in the same ways as vgedge did, also by callers without a key.

Cause: it had no limit on all requests or connections together either, and knew neither its memory nor its descriptors.

Garbage is collected more often from 70 in 100 of the memory on, as in vgedge. A refusal of a body that can't be read says whether the Idempotency-Key has run only if that is certain; it used to speak of that submission alone.

--- a/internal/entry/command.go
+++ b/internal/entry/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"regexp"
 	"strings"
@@ -12,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/vanillagate/vanillagate/internal/buildinfo"
+	"github.com/vanillagate/vanillagate/internal/intake"
 	"github.com/vanillagate/vanillagate/internal/logging"
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/program"
@@ -34,6 +36,8 @@
 	flagRetryWindow  = "retry-window"
 	flagMaxBody      = "max-body"
 	flagMaxInFlight  = "max-in-flight"
+	flagMemoryMB     = "memory-mb"
+	flagMaxFDs       = "max-fds"
 )
 
 // Command returns the command line of the program. A reload signal does not
@@ -68,6 +72,8 @@
 		&cli.DurationFlag{Name: flagRetryWindow, Value: 10 * time.Minute, Usage: "how long callers may retry under one Idempotency-Key", Sources: program.Env(flagRetryWindow)},
 		&cli.IntFlag{Name: flagMaxBody, Value: 1 << 20, Usage: "largest request body, in bytes", Sources: program.Env(flagMaxBody)},
 		&cli.IntFlag{Name: flagMaxInFlight, Value: 20000, Usage: "maximum number of concurrent requests in this process", Sources: program.Env(flagMaxInFlight)},
+		&cli.IntFlag{Name: flagMemoryMB, Usage: "memory of this process, in MB; 0 for that of the machine", Sources: program.Env(flagMemoryMB)},
+		&cli.IntFlag{Name: flagMaxFDs, Usage: "maximum number of open descriptors of this process; 0 for what the system allows", Sources: program.Env(flagMaxFDs)},
 	}
 }
 
@@ -86,6 +92,7 @@
 	}
 	defer bounded.Close()
 	log := bounded.Logger
+	opts.Limits.CollectInTime()
 	go settings.LogReloads(ctx, logging.WithComponent(log, "settings"), reload)
 	opts.Log = log
 	opts.Zone, opts.Region = shared.Zone, shared.Region
@@ -153,6 +160,7 @@
 	check.Between(flagRetryWindow, opts.RetryWindow, time.Second, 24*time.Hour)
 	check.IntBetween(flagMaxBody, opts.MaxBody, 1<<10, 1<<30)
 	check.IntBetween(flagMaxInFlight, opts.MaxInFlight, 1, 1<<20)
+	opts.Limits = checkLimits(c, opts.MaxBody, check)
 	policy, err := ParsePolicy(c.String(flagPolicy))
 	if err != nil {
 		check.OneOf(flagPolicy, c.String(flagPolicy), PolicyNames...)
@@ -163,6 +171,23 @@
 	return opts
 }
 
+const (
+	bytesPerMB  = 1_000_000
+	maxMemoryMB = 1 << 24
+	maxFDs      = 1 << 20
+)
+
+// checkLimits returns the limits of the process. It rejects a limit on bodies beyond what they allow.
+func checkLimits(c *cli.Command, maxBody int, check *settings.Checker) intake.Limits {
+	check.IntBetween(flagMemoryMB, c.Int(flagMemoryMB), 0, maxMemoryMB)
+	check.IntBetween(flagMaxFDs, c.Int(flagMaxFDs), 0, maxFDs)
+	limits := intake.Limits{MemoryBytes: c.Int(flagMemoryMB) * bytesPerMB, MaxFDs: c.Int(flagMaxFDs)}.WithDefaults()
+	if largest := limits.MaxBody(bodyCopies); maxBody > largest {
+		check.Reject(flagMaxBody, maxBody, fmt.Sprintf("at most %d, a sixteenth of the memory", largest))
+	}
+	return limits
+}
+
 var hexHash = regexp.MustCompile(`^[0-9a-f]{64}$`)
 
 func checkOperators(value string, check *settings.Checker) []OperatorKey {
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/vanillagate/vanillagate/internal/backing"
+	"github.com/vanillagate/vanillagate/internal/intake"
 	"github.com/vanillagate/vanillagate/internal/limit"
 	"github.com/vanillagate/vanillagate/internal/peer"
 	"github.com/vanillagate/vanillagate/internal/routing"
@@ -54,6 +55,8 @@
 	RetryWindow time.Duration
 	// MaxBody bounds the size of a request body in bytes.
 	MaxBody int
+	// Limits are the memory and the descriptors of this process.
+	Limits intake.Limits
 	// MaxInFlight bounds the pipeline and service requests in progress in this
 	// process.
 	MaxInFlight int
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/vanillagate/vanillagate/internal/intake"
 	"github.com/vanillagate/vanillagate/internal/logging"
 	"github.com/vanillagate/vanillagate/internal/problem"
 	"github.com/vanillagate/vanillagate/internal/targetapi"
@@ -101,20 +102,44 @@
 	return true
 }
 
+// memoryRetryAfter is when a caller whose request found no memory should retry: unfinished requests may have to give
+// theirs up by then.
+const memoryRetryAfter = 500 * time.Millisecond
+
 // writeUnreadable responds to input that fasthttp could not parse as a request.
-func writeUnreadable(ctx *fasthttp.RequestCtx, err error) {
+func writeUnreadable(ctx *fasthttp.RequestCtx, err error) { writeProblem(ctx, unreadable(err)) }
+
+// rejectBody responds to a request whose body can't be read. It reports "not run" only if that is certain for all
+// submissions of the request's Idempotency-Key.
+func (s *Server) rejectBody(ctx *fasthttp.RequestCtx, err error) {
+	p := unreadable(err)
+	p.Execution = s.executions.executionOf(refusedSubmission{
+		key:             string(ctx.Request.Header.Peek(targetapi.HeaderIdempotencyKey)),
+		firstSubmission: string(ctx.Request.Header.Peek(headerRetryAttempt)) == firstAttempt,
+	})
+	if errors.Is(err, intake.ErrNoMemory) {
+		s.log.Warn("Request refused because there is no memory for it.")
+	}
+	writeProblem(ctx, p)
+}
+
+// unreadable returns the response to a request that can't be read.
+func unreadable(err error) *problem.Problem {
 	var small *fasthttp.ErrSmallBuffer
 	var netErr net.Error
 	p := problem.New(400, "unreadable", "Not a readable HTTP request", "The request could not be parsed.", problem.NotRun)
 	switch {
+	case errors.Is(err, intake.ErrNoMemory):
+		p = problem.New(503, "no-memory", "No memory for the request", "The requests of all callers take up the memory of this VM.", problem.NotRun).
+			WithRetryAfter(memoryRetryAfter)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		p = problem.New(413, "too-large", "Body too large", "The body is larger than this process takes.", problem.NotRun)
-	case errors.As(err, &small):
+	case errors.As(err, &small), errors.Is(err, intake.ErrHeadTooLarge):
 		p = problem.New(431, "headers-too-large", "Headers too large", "The headers are larger than 16 KiB.", problem.NotRun)
 	case errors.As(err, &netErr) && netErr.Timeout():
 		p = problem.New(408, "sent-too-slowly", "Request took too long to arrive", "The request did not arrive completely in time.", problem.NotRun)
 	}
-	writeProblem(ctx, p)
+	return p
 }
 
 func writeProblem(ctx *fasthttp.RequestCtx, p *problem.Problem) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -16,10 +17,12 @@
 	"github.com/vanillagate/vanillagate/internal/command/change"
 	"github.com/vanillagate/vanillagate/internal/command/claim"
 	"github.com/vanillagate/vanillagate/internal/config"
+	"github.com/vanillagate/vanillagate/internal/connlimit"
 	"github.com/vanillagate/vanillagate/internal/directory"
 	"github.com/vanillagate/vanillagate/internal/hangup"
 	"github.com/vanillagate/vanillagate/internal/idle"
 	"github.com/vanillagate/vanillagate/internal/inforce"
+	"github.com/vanillagate/vanillagate/internal/intake"
 	"github.com/vanillagate/vanillagate/internal/limit"
 	"github.com/vanillagate/vanillagate/internal/logging"
 	"github.com/vanillagate/vanillagate/internal/peer"
@@ -35,6 +38,8 @@
 	maxAnswerBytes = 16 << 20
 	readTimeout    = 10 * time.Second
 	idleTimeout    = 60 * time.Second
+	// bodyCopies is how many times a request holds its body: as it arrived, decoded, and encoded for its targets.
+	bodyCopies = 4
 	// readsPerSnapshot is how many reads of the table there are per check of
 	// the configuration snapshot.
 	readsPerSnapshot = 5
@@ -63,6 +68,10 @@
 	keys       keyIndex
 	health     *storeHealth
 
+	// memory and connections limit the requests and the connections of callers.
+	memory      *intake.Memory
+	connections *connlimit.Limiter
+
 	http         *fasthttp.Server
 	listener     net.Listener
 	idleListener *idle.Listener // listener as http uses it
@@ -157,14 +166,15 @@
 		Listener:    &accept.Listener{Listener: s.listener, Log: s.log},
 		IdleTimeout: func() time.Duration { return idleTimeout },
 	}
+	s.memory, s.connections = s.opts.Limits.NewMemory(), s.opts.Limits.NewConnections()
 	s.http = &fasthttp.Server{
-		Handler:               handler,
+		Handler:               intake.Handler(func() int { return s.opts.MaxBody }, handler, s.rejectBody),
 		Name:                  "vanillagate",
 		ReadBufferSize:        maxHeaderBytes,
-		MaxRequestBodySize:    s.opts.MaxBody,
+		HeaderReceived:        prepareBody,
+		ReduceMemoryUsage:     true,
 		ReadTimeout:           readTimeout,
 		IdleTimeout:           idle.DynamicTimeout,
-		TLSConfig:             s.opts.TLS,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
 		CloseOnShutdown:       true,
@@ -175,10 +185,21 @@
 
 func (s *Server) serve() error {
 	s.log.Info("Serving.", zap.String("address", s.listener.Addr().String()), zap.String("zone", s.opts.Zone))
+	var below net.Listener = s.idleListener
 	if s.opts.TLS != nil {
-		return eris.Wrap(s.http.ServeTLS(s.idleListener, "", ""), "entry: serve")
+		below = tls.NewListener(below, s.opts.TLS)
 	}
-	return eris.Wrap(s.http.Serve(s.idleListener), "entry: serve")
+	return eris.Wrap(s.http.Serve(&intake.Listener{
+		Listener: below, Memory: s.memory, Connections: s.connections, BodyCopies: bodyCopies, Log: s.log,
+		HeadLimit: func() int { return maxHeaderBytes },
+		HeadTime:  func() time.Duration { return s.http.ReadTimeout },
+	}), "entry: serve")
+}
+
+// prepareBody is called between the head of a request and its body.
+func prepareBody(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	intake.TakeBody(h)
+	return fasthttp.RequestConfig{}
 }
 
 func (s *Server) startLoops(ctx context.Context, wait *sync.WaitGroup) {
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -178,7 +178,7 @@
 	return &serviceCall{
 		call: call{name: name}, service: service, pool: state.Pools[service.Pool], route: route,
 		method: string(ctx.Method()), path: path, key: key,
-		body: append([]byte(nil), ctx.PostBody()...), contentType: string(ctx.Request.Header.ContentType()),
+		body: ctx.PostBody(), contentType: string(ctx.Request.Header.ContentType()),
 	}, nil
 }
 
