intake: connections over TLS count with the memory that TLS takes

What callers saw: a process of 128 MB with connections over TLS, half of them with unfinished bodies, was beyond its memory.

Cause: the limit on connections by memory counted 24 KiB for each, also with TLS.

Change: 64 KiB each with TLS.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -166,7 +166,9 @@
 		Listener:    &accept.Listener{Listener: s.listener, Log: s.log},
 		IdleTimeout: func() time.Duration { return idleTimeout },
 	}
-	s.memory, s.connections = s.opts.Limits.NewMemory(), s.opts.Limits.NewConnections()
+	limits := s.opts.Limits
+	limits.TLS = s.opts.TLS != nil
+	s.memory, s.connections = limits.NewMemory(), limits.NewConnections()
 	s.http = &fasthttp.Server{
 		Handler:               intake.Handler(func() int { return s.opts.MaxBody }, handler, s.rejectBody),
 		Name:                  "vanillagate",
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -15,6 +15,8 @@
 	// connectionBytes is the memory of a connection without a large request: its goroutine, its buffers, and the
 	// connection to a target that a request needs.
 	connectionBytes = 24 << 10
+	// tlsBytes is what TLS adds to that: its buffers and the state of its handshake.
+	tlsBytes = 40 << 10
 	// reservedFDs of a process are for files. callerPercent of the others are for callers: each of their requests may
 	// need a connection to a target, and there are those to the store and to other processes.
 	reservedFDs   = 200
@@ -32,6 +34,8 @@
 type Limits struct {
 	// MemoryBytes is the memory, MaxFDs the maximum number of open descriptors. 0 means unknown.
 	MemoryBytes, MaxFDs int
+	// TLS means that callers' connections use TLS.
+	TLS bool
 }
 
 // WithDefaults replaces unknown limits by those of the system.
@@ -61,7 +65,11 @@
 }
 
 func (l Limits) connections() int {
-	byMemory := l.MemoryBytes / connectionShare / connectionBytes
+	each := connectionBytes
+	if l.TLS {
+		each += tlsBytes
+	}
+	byMemory := l.MemoryBytes / connectionShare / each
 	byFDs := (l.MaxFDs - reservedFDs) * callerPercent / percent
 	return max(min(byMemory, byFDs), minConnections)
 }
--- a/test/crowd_entry_test.go
+++ b/test/crowd_entry_test.go
@@ -89,8 +89,9 @@
 	runEntryCrowd(t, fewFDs, heldConns, func(int, net.Conn) error { return nil })
 }
 
-// Guards against unfinished bodies over TLS that together fill the memory.
-func TestCrowdOverTLSAtEntry(t *testing.T) {
+// runTLSCrowd sends a crowd over TLS.
+func runTLSCrowd(t *testing.T, n int, write func(i int, conn net.Conn) error) {
+	t.Helper()
 	cert, key, trusted := selfSignedCert(t)
 	_, entry := startCrowdEntry(t, crowdFDs, "--tls-cert", cert, "--tls-key", key)
 	config := &tls.Config{RootCAs: trusted}
@@ -104,7 +105,23 @@
 		})
 	}
 	runCrowd(t, []*process{entry.process}, crowdFDs, ordinary, func(members *crowd) {
-		members.send(func() (net.Conn, error) { return tls.Dial("tcp", entry.address, config) }, crowdSize,
-			entryText("", lengthFraming(bodyLimit), make([]byte, bodyLimit-1)))
+		members.send(func() (net.Conn, error) { return tls.Dial("tcp", entry.address, config) }, n, write)
+	})
+}
+
+// Guards against unfinished bodies over TLS that together fill the memory.
+func TestCrowdOverTLSAtEntry(t *testing.T) {
+	runTLSCrowd(t, crowdSize, entryText("", lengthFraming(bodyLimit), make([]byte, bodyLimit-1)))
+}
+
+// Guards against connections over TLS, half of them with unfinished bodies, that together fill the memory.
+func TestCrowdOfConnectionsOverTLSAtEntry(t *testing.T) {
+	body := entryText("", lengthFraming(bodyLimit), make([]byte, bodyLimit-1))
+	runTLSCrowd(t, headConns, func(i int, conn net.Conn) error {
+		if i%2 == 1 {
+			return body(i, conn)
+		}
+		_, err := io.WriteString(conn, "POST /v1/pipelines/quote HTTP/1.1\r\n")
+		return err
 	})
 }
