connlimit, intake: a place is called so, one Retry-After, exact bodies without a copy

Reading the change again: connlimit.Conn stood beside intake.Conn and was no connection; both entry programs had a constant of their own for when to retry; a body of an announced length took room for one byte more than its length, and was copied for it where the length is a power of two.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -24,7 +24,7 @@
 type Limiter struct {
 	max int
 
-	mu   sync.Mutex // guards the fields below and those of all Conns; no other lock is taken while it is held
+	mu   sync.Mutex // guards the fields below and those of all Places; no other lock is taken while it is held
 	open int
 	peak int
 	// unproven holds the connections whose first head hasn't arrived, idle those that wait for another one, and receiving
@@ -52,12 +52,12 @@
 	return Stats{Open: l.open, Peak: l.peak, Max: l.max, Closed: l.closed, Rejected: l.rejected}
 }
 
-// Conn is the place of one connection in a Limiter.
-type Conn struct {
+// Place is the place of one connection in a Limiter.
+type Place struct {
 	limiter *Limiter
 	conn    net.Conn
-	// waiting is the list that has this connection, at element, since a time.
-	waiting *list.List
+	// state is the list that has this connection, at element, since a time.
+	state   *list.List
 	element *list.Element
 	since   time.Time
 	// served is set once a request has arrived. left is set once the place is given up.
@@ -68,7 +68,7 @@
 
 // Admit returns the place of a new connection, which waits for its first request. If there is no room, it closes
 // another connection, which it returns too. The place is nil if requests are being served on all of them.
-func (l *Limiter) Admit(conn net.Conn) (place *Conn, closed net.Conn) {
+func (l *Limiter) Admit(conn net.Conn) (place *Place, closed net.Conn) {
 	place, closed = l.admit(conn)
 	if closed != nil {
 		_ = closed.Close() // unused, so the error does not matter
@@ -77,7 +77,7 @@
 }
 
 // admit is Admit without the close.
-func (l *Limiter) admit(conn net.Conn) (place *Conn, victim net.Conn) {
+func (l *Limiter) admit(conn net.Conn) (place *Place, victim net.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.open >= l.max {
@@ -92,15 +92,15 @@
 	}
 	l.open++
 	l.peak = max(l.peak, l.open)
-	place = &Conn{limiter: l, conn: conn}
-	place.waitIn(&l.unproven)
+	place = &Place{limiter: l, conn: conn}
+	place.enter(&l.unproven)
 	return place, victim
 }
 
 // toClose returns the connection to close: one that has never had a request, one whose body arrives slowly, an unused
 // one, any other whose body is arriving, or one whose caller doesn't read its answer. It returns nil if there is none.
 // The caller holds mu.
-func (l *Limiter) toClose(now time.Time) *Conn {
+func (l *Limiter) toClose(now time.Time) *Place {
 	unproven, idle, receiving := first(&l.unproven), first(&l.idle), first(&l.receiving)
 	switch {
 	case unproven != nil:
@@ -115,9 +115,9 @@
 }
 
 // stalled returns the first connection whose write has taken long; nil if there is none. The caller holds mu.
-func (l *Limiter) stalled(now time.Time) *Conn {
+func (l *Limiter) stalled(now time.Time) *Place {
 	for e := l.serving.Front(); e != nil; e = e.Next() {
-		c := e.Value.(*Conn)
+		c := e.Value.(*Place)
 		if began := c.writing.Load(); began != 0 && now.Sub(started)-time.Duration(began) >= stalledWrite {
 			return c
 		}
@@ -126,73 +126,73 @@
 }
 
 // first returns the longest waiting connection of a list; nil if it is empty.
-func first(waiting *list.List) *Conn {
-	if front := waiting.Front(); front != nil {
-		return front.Value.(*Conn)
+func first(state *list.List) *Place {
+	if front := state.Front(); front != nil {
+		return front.Value.(*Place)
 	}
 	return nil
 }
 
 // Wait notes that the connection waits for a request.
-func (c *Conn) Wait() {
-	c.limiter.mu.Lock()
-	defer c.limiter.mu.Unlock()
-	if c.served {
-		c.waitIn(&c.limiter.idle)
+func (p *Place) Wait() {
+	p.limiter.mu.Lock()
+	defer p.limiter.mu.Unlock()
+	if p.served {
+		p.enter(&p.limiter.idle)
 	}
 }
 
 // Receive notes that the head of a request has arrived, and its body is arriving.
-func (c *Conn) Receive() {
-	c.limiter.mu.Lock()
-	defer c.limiter.mu.Unlock()
-	c.waitIn(&c.limiter.receiving)
+func (p *Place) Receive() {
+	p.limiter.mu.Lock()
+	defer p.limiter.mu.Unlock()
+	p.enter(&p.limiter.receiving)
 }
 
 // Serve notes that a request has arrived completely.
-func (c *Conn) Serve() {
-	c.limiter.mu.Lock()
-	defer c.limiter.mu.Unlock()
-	c.served = true
-	c.waitIn(&c.limiter.serving)
+func (p *Place) Serve() {
+	p.limiter.mu.Lock()
+	defer p.limiter.mu.Unlock()
+	p.served = true
+	p.enter(&p.limiter.serving)
 }
 
 // BeginWrite notes that a write to the caller begins, EndWrite that it has ended.
-func (c *Conn) BeginWrite() { c.writing.Store(int64(time.Since(started))) }
+func (p *Place) BeginWrite() { p.writing.Store(int64(time.Since(started))) }
 
 // EndWrite is the counterpart of BeginWrite.
-func (c *Conn) EndWrite() { c.writing.Store(0) }
+func (p *Place) EndWrite() { p.writing.Store(0) }
 
 // Leave gives the place up. It may be called more than once.
-func (c *Conn) Leave() {
-	c.limiter.mu.Lock()
-	defer c.limiter.mu.Unlock()
-	c.leave()
+func (p *Place) Leave() {
+	p.limiter.mu.Lock()
+	defer p.limiter.mu.Unlock()
+	p.leave()
 }
 
-// waitIn moves the connection to a list, unless it has left. The caller holds mu.
-func (c *Conn) waitIn(waiting *list.List) {
-	if c.left {
+// enter moves the connection to another list, unless it has left. The caller holds mu.
+func (p *Place) enter(state *list.List) {
+	if p.left {
 		return
 	}
-	c.unlist()
-	c.waiting, c.element, c.since = waiting, waiting.PushBack(c), time.Now()
+	p.unlist()
+	p.state, p.element, p.since = state, state.PushBack(p), time.Now()
 }
 
 // unlist removes the connection from its list. The caller holds mu.
-func (c *Conn) unlist() {
-	if c.waiting != nil {
-		c.waiting.Remove(c.element)
-		c.waiting, c.element = nil, nil
+func (p *Place) unlist() {
+	if p.state != nil {
+		p.state.Remove(p.element)
+		p.state, p.element = nil, nil
 	}
 }
 
 // leave gives the place up. The caller holds mu.
-func (c *Conn) leave() {
-	if c.left {
+func (p *Place) leave() {
+	if p.left {
 		return
 	}
-	c.left = true
-	c.unlist()
-	c.limiter.open--
+	p.left = true
+	p.unlist()
+	p.limiter.open--
 }
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 )
 
-func admit(t *testing.T, l *Limiter) *Conn {
+func admit(t *testing.T, l *Limiter) *Place {
 	t.Helper()
 	near, _ := net.Pipe()
 	c, closed := l.Admit(near)
@@ -17,28 +17,28 @@
 }
 
 func TestConnectionToClose(t *testing.T) {
-	unproven := func(*Conn) {}
-	idle := func(c *Conn) { c.Serve(); c.Wait() }
-	served := func(c *Conn) { c.Serve() }
-	receiving := func(c *Conn) { c.Receive() }
-	slow := func(c *Conn) { c.Receive(); c.since = c.since.Add(-2 * slowArrival) }
-	writing := func(c *Conn) { c.Serve(); c.BeginWrite() }
-	stalled := func(c *Conn) { writing(c); c.writing.Add(int64(-2 * stalledWrite)) }
+	unproven := func(*Place) {}
+	idle := func(c *Place) { c.Serve(); c.Wait() }
+	served := func(c *Place) { c.Serve() }
+	receiving := func(c *Place) { c.Receive() }
+	slow := func(c *Place) { c.Receive(); c.since = c.since.Add(-2 * slowArrival) }
+	writing := func(c *Place) { c.Serve(); c.BeginWrite() }
+	stalled := func(c *Place) { writing(c); c.writing.Add(int64(-2 * stalledWrite)) }
 	for name, tc := range map[string]struct {
-		states []func(*Conn)
+		states []func(*Place)
 		want   int // index; -1 for none
 	}{
-		"the longest without a request":    {[]func(*Conn){idle, slow, unproven, unproven}, 2},
-		"a slow body before unused ones":   {[]func(*Conn){idle, receiving, slow}, 0},
-		"the slowest body":                 {[]func(*Conn){idle, slow, receiving}, 1},
-		"unused before a body that begins": {[]func(*Conn){receiving, served, idle, idle}, 2},
-		"a body that begins at last":       {[]func(*Conn){served, receiving, receiving}, 1},
-		"none that is served":              {[]func(*Conn){served, writing}, -1},
-		"one that isn't read":              {[]func(*Conn){served, writing, stalled, stalled}, 2},
+		"the longest without a request":    {[]func(*Place){idle, slow, unproven, unproven}, 2},
+		"a slow body before unused ones":   {[]func(*Place){idle, receiving, slow}, 0},
+		"the slowest body":                 {[]func(*Place){idle, slow, receiving}, 1},
+		"unused before a body that begins": {[]func(*Place){receiving, served, idle, idle}, 2},
+		"a body that begins at last":       {[]func(*Place){served, receiving, receiving}, 1},
+		"none that is served":              {[]func(*Place){served, writing}, -1},
+		"one that isn't read":              {[]func(*Place){served, writing, stalled, stalled}, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := New(len(tc.states))
-			var list []*Conn
+			var list []*Place
 			for _, enter := range tc.states {
 				c := admit(t, l)
 				enter(c)
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -102,10 +102,6 @@
 	return true
 }
 
-// memoryRetryAfter is when a caller whose request found no memory should retry: unfinished requests may have to give
-// theirs up by then.
-const memoryRetryAfter = 500 * time.Millisecond
-
 // writeUnreadable responds to input that fasthttp could not parse as a request.
 func writeUnreadable(ctx *fasthttp.RequestCtx, err error) { writeProblem(ctx, unreadable(err)) }
 
@@ -131,7 +127,7 @@
 	switch {
 	case errors.Is(err, intake.ErrNoMemory):
 		p = problem.New(503, "no-memory", "No memory for the request", "The requests of all callers take up the memory of this VM.", problem.NotRun).
-			WithRetryAfter(memoryRetryAfter)
+			WithRetryAfter(intake.RetryAfter)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		p = problem.New(413, "too-large", "Body too large", "The body is larger than this process takes.", problem.NotRun)
 	case errors.As(err, &small), errors.Is(err, intake.ErrHeadTooLarge):
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -110,9 +110,13 @@
 }
 
 func (g *growingBody) read(length int) ([]byte, error) {
+	most := length
+	if length < 0 {
+		most = g.limit + 1 // to notice that there is more
+	}
 	for {
-		if len(g.bytes) == cap(g.bytes) {
-			if err := g.grow(length); err != nil {
+		if len(g.bytes) == cap(g.bytes) && len(g.bytes) < most {
+			if err := g.grow(length, most); err != nil {
 				return nil, err
 			}
 		}
@@ -130,13 +134,8 @@
 	}
 }
 
-// grow makes room for more bytes.
-func (g *growingBody) grow(length int) error {
-	// One more byte than may follow, to read the end of the body without growing again.
-	most := g.limit + 1
-	if length >= 0 {
-		most = length + 1
-	}
+// grow makes room for more bytes, up to most in all.
+func (g *growingBody) grow(length, most int) error {
 	if g.bytes == nil && length >= 0 && length < trustedBytes && g.reserve(most) == nil {
 		g.bytes = make([]byte, 0, most)
 		return nil
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -81,7 +81,7 @@
 type Conn struct {
 	net.Conn
 	listener *Listener
-	place    *connlimit.Conn
+	place    *connlimit.Place
 	// memory is the memory of the current request.
 	memory reservation
 
--- a/internal/intake/memory.go
+++ b/internal/intake/memory.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// RetryAfter is when a caller whose request found no memory should retry. Unfinished requests may have to give theirs
+// up by then.
+const RetryAfter = minEvictionAge
+
 // ErrNoMemory means that the requests of all callers together have no memory left for this one.
 var ErrNoMemory = errors.New("intake: no memory for the request")
 
