--- a/test/crowd_test.go
+++ b/test/crowd_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -455,3 +457,39 @@
 		time.Sleep(crowdHold)
 	})
 }
+
+// unreadKB returns how much the system holds that has arrived on the connections of an address and hasn't been read.
+func unreadKB(t *testing.T, address string) int {
+	t.Helper()
+	local, err := netip.ParseAddrPort(address)
+	assert.NilError(t, err)
+	ip := local.Addr().As4()
+	prefix := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], local.Port())
+	table, err := os.ReadFile("/proc/net/tcp")
+	assert.NilError(t, err)
+	bytes := uint64(0)
+	for line := range strings.Lines(string(table)) {
+		fields := strings.Fields(line)
+		if fields[1] != prefix {
+			continue
+		}
+		_, unread, _ := strings.Cut(fields[4], ":")
+		n, err := strconv.ParseUint(unread, 16, 64)
+		assert.NilError(t, err)
+		bytes += n
+	}
+	return int(bytes / 1024)
+}
+
+// Guards against bytes beyond the requests in progress, which count toward the memory while nobody reads them.
+func TestCrowdThatSendsBeyondItsRequests(t *testing.T) {
+	e := startCrowdSite(t, crowdFDs, nil)
+	address := e.vms[0].RequestAddress()
+	runCrowd(t, e.processes, crowdFDs, func() { e.askOrdinary(0, "x") }, func(c *crowd) {
+		go c.send(dialTo(address), crowdSize, writeText("/"+lateRepeatable+"/x", lengthFraming(0), make([]byte, bodyLimit)))
+		time.Sleep(lateTime / 2)
+		unread, peak := unreadKB(t, address), peakMemoryKB(t, e.processes[0].cmd.Process.Pid)
+		t.Logf("%d KB unread beside %d KB", unread, peak)
+		assert.Check(t, peak+unread <= crowdMemoryKB, "%d KB unread beside %d KB", unread, peak)
+	})
+}
