Review case 7: handles of one request's pieces go into another request

Cause: a second copy of a stage call's answer that has no handle isn't recognized as an extra one, and its connection is kept, also when the number of results doesn't fit. Each further call on the connection then gets the answer of the call before.

The case has four of seven workers of each stage send 3 in 100 of their answers twice, and one of seven fail a quarter of its pieces, for a few seconds at a time. Pieces and requests then get inputs that were made for other requests.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/vgedge ] && [ -x target/review-harness-2 ] || { echo "build first" >&2; exit 2; }
-exec target/review-harness-2 --folder review/6 reborn-worker
+exec target/review-harness-2 --folder "${FOLDER:-review/6}" reborn-worker
--- a/review/harness-2/case_reborn_worker.go
+++ b/review/harness-2/case_reborn_worker.go
@@ -15,7 +15,9 @@
 	rebornCut    = 2200 * time.Millisecond
 )
 
-func rebornEvent(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s word %d\n\n", n, id, n) }
+func rebornEvent(id string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s word %d\n\n", n, id, n)
+}
 
 // rebornWorker cuts the path to one engine of six in the middle of its streams, which end with their connections. Behind
 // the cut its process crashes and starts again under the same id.
--- a/review/harness-2/client.go
+++ b/review/harness-2/client.go
@@ -47,6 +47,7 @@
 	for name, value := range header {
 		r.Header.Set(name, value)
 	}
+	o.id = r.Header.Get("X-Attempt-Id")
 	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
 	defer transport.CloseIdleConnections()
 	answer, err := transport.RoundTrip(r)
--- a/review/harness-2/gate.go
+++ b/review/harness-2/gate.go
@@ -23,10 +23,24 @@
 	}
 	g := &gate{listener: listener, to: to}
 	g.open = sync.NewCond(&g.mu)
-	go g.accept()
+	go g.accept(listener)
 	return g, nil
 }
 
+// refuse has connections refused, as at a port that nobody listens on.
+func (g *gate) refuse() { _ = g.listener.Close() }
+
+// listen ends refuse.
+func (g *gate) listen() error {
+	listener, err := net.Listen("tcp", g.address())
+	if err != nil {
+		return err
+	}
+	g.listener = listener
+	go g.accept(listener)
+	return nil
+}
+
 func (g *gate) address() string { return g.listener.Addr().String() }
 
 func (g *gate) set(cut bool) {
@@ -45,9 +59,9 @@
 	}
 }
 
-func (g *gate) accept() {
+func (g *gate) accept(l net.Listener) {
 	for {
-		in, err := g.listener.Accept()
+		in, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -10,7 +10,8 @@
 )
 
 var cases = map[string]func(d *record, trouble bool) error{
-	"reborn-worker": rebornWorker,
+	"reborn-worker":        rebornWorker,
+	"unnamed-extra-answer": unnamedExtraAnswer,
 }
 
 func main() {
