--- /dev/null
+++ b/review/harness-2/case_poison.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	poisonBody = "the request that crashes its workers"
+	// poisonPeriod is how often the request comes again, poisonTime for how long.
+	poisonPeriod = time.Second
+	poisonTime   = 80 * time.Second
+	// A crashed worker is back after minDown to maxDown.
+	minDown, maxDown = 3 * time.Second, 9 * time.Second
+	contact          = 3 * time.Second
+	allowedRetries   = 3
+)
+
+// poisonWorld counts what the request does.
+type poisonWorld struct {
+	*deployment
+	mu       sync.Mutex
+	crashes  int
+	third    time.Time
+	late     int
+	restarts sync.WaitGroup
+}
+
+// poison has a request come again and again that crashes each worker which begins to run it.
+func poison(r *record, trouble bool) error {
+	d, err := newDeployment(r, 4)
+	if err != nil {
+		return err
+	}
+	defer d.close(false)
+	world := &poisonWorld{deployment: d}
+	for i := range 5 {
+		w := &worker{d: d, id: fmt.Sprintf("i-f4313c1%d", i), service: "dash-api", zone: zones[i%3], slots: 6, serve: world.serve}
+		if err := w.start(); err != nil {
+			return err
+		}
+		d.workers = append(d.workers, w)
+		w.list()
+	}
+	d.config = map[string]any{
+		"limits": limits(), "tenants": tenants(), "services": []any{plainService("dash-api")},
+		"routes": []any{plainRoute("gauge", "/gauge/", "idempotent", "dash-api", 2, 800)},
+	}
+	d.publish()
+	if err := d.startAll(); err != nil {
+		return err
+	}
+	var clients sync.WaitGroup
+	began := time.Now()
+	clients.Go(func() { // other requests
+		for i := 0; time.Since(began) < poisonTime; i++ {
+			clients.Go(func() {
+				o := send(d.vms[i%4], http.MethodPost, fmt.Sprintf("/gauge/%d", i), []byte("usual"), 1500*time.Millisecond, nil)
+				r.add("client of %s, a usual request: status %d", o.id, o.status)
+			})
+			time.Sleep(12 * time.Millisecond)
+		}
+	})
+	if trouble {
+		time.Sleep(2 * time.Second)
+		for time.Since(began) < poisonTime {
+			clients.Go(func() { world.sendPoison(1) })
+			time.Sleep(poisonPeriod)
+		}
+	}
+	clients.Wait()
+	world.restarts.Wait()
+	r.add("the request has crashed workers %d times; it reached workers %d times later than %v after the third", world.crashes, world.late, contact)
+	if world.late > allowedRetries {
+		r.breaks("BUDGET: the request reached workers %d times later than %v after it had crashed the third", world.late, contact)
+	}
+	return nil
+}
+
+// sendPoison sends the request, and once more if it fails, on a new connection as clients do.
+func (s *poisonWorld) sendPoison(retries int) {
+	o := send(s.vms[rand.IntN(len(s.vms))], http.MethodPost, "/gauge/poison", []byte(poisonBody), 1500*time.Millisecond, nil)
+	s.add("client of %s, the request that crashes: status %d, retry after %q, %.80q", o.id, o.status, o.header.Get("Retry-After"), o.body)
+	if retries > 0 && o.status != http.StatusOK {
+		s.sendPoison(retries - 1)
+	}
+}
+
+func (s *poisonWorld) serve(w *worker, c net.Conn, r *http.Request, body []byte) bool {
+	id := r.Header.Get("X-Attempt-Id")
+	if !strings.HasSuffix(r.URL.Path, "poison") {
+		time.Sleep(60 * time.Millisecond)
+		text := "answer to " + id
+		_, err := io.WriteString(c, w.head(id)+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(text), text))
+		return err == nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.third.IsZero() && time.Since(s.third) > contact {
+		s.late++
+	}
+	if s.crashes++; s.crashes == 3 {
+		s.third = time.Now()
+	}
+	down := minDown + rand.N(maxDown-minDown)
+	s.add("%s runs %s, the request that crashes, and is down for %v (crash %d)", w.id, id, down, s.crashes)
+	s.restarts.Go(func() {
+		w.stop()
+		time.Sleep(down)
+		if err := w.start(); err != nil {
+			s.add("%s can't start again: %v", w.id, err)
+			return
+		}
+		w.list()
+		s.add("%s is back", w.id)
+	})
+	return false
+}
--- a/review/harness-2/deployment.go
+++ b/review/harness-2/deployment.go
@@ -237,7 +237,7 @@
 		w.stop()
 	}
 	d.store.Close()
-	if !keepLogs {
+	if !keepLogs && os.Getenv("KEEP_LOGS") == "" {
 		_ = os.RemoveAll(d.folder)
 	}
 }
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(d *record, trouble bool) error{
 	"reborn-worker":        rebornWorker,
 	"unnamed-extra-answer": unnamedExtraAnswer,
+	"poison":               poison,
 }
 
 func main() {
