Review case 9: stream ends as complete while a successor at its worker's address resets connections

Cause: two new connections that are accepted and closed without an answer count as a sign that the worker which sent an unframed answer still runs.

The case cuts one worker of six off for 2.2 s in the middle of unframed streams; behind the cut its process crashes and starts again under a new id, and resets connections beyond its limit. All of its streams then end as complete before their last event.

--- a/review/harness-2/case_reborn_worker.go
+++ b/review/harness-2/case_reborn_worker.go
@@ -19,9 +19,16 @@
 	return fmt.Sprintf("id: %d\ndata: %s word %d\n\n", n, id, n)
 }
 
-// rebornWorker cuts the path to one engine of six in the middle of its streams, which end with their connections. Behind
-// the cut its process crashes and starts again under the same id.
-func rebornWorker(r *record, trouble bool) error {
+// rebornWorker has the process that crashes behind a cut start again under the same id.
+func rebornWorker(r *record, trouble bool) error { return playReborn(r, trouble, false) }
+
+// rebornFullWorker has it start again under another id. At first it has as many connections as it accepts, and resets
+// further ones.
+func rebornFullWorker(r *record, trouble bool) error { return playReborn(r, trouble, true) }
+
+// playReborn cuts the path to one engine of six in the middle of its streams, which end with their connections. Behind the
+// cut its process crashes and starts again.
+func playReborn(r *record, trouble, full bool) error {
 	d, err := newDeployment(r, 3)
 	if err != nil {
 		return err
@@ -61,22 +68,30 @@
 	if trouble {
 		time.Sleep(time.Second)
 		w := d.workers[0]
-		gates[w.id].set(true)
+		path := gates[w.id]
+		path.set(true)
 		r.add("%s is cut off", w.id)
 		time.Sleep(200 * time.Millisecond)
 		w.stop()
 		r.add("%s crashes", w.id)
 		time.Sleep(rebornCut - 400*time.Millisecond)
+		if full {
+			w.id += "b"
+			w.setFull(true)
+		}
 		if err := w.start(); err != nil {
 			return err
 		}
 		w.list()
-		r.add("%s has started again under the same id, born %d", w.id, w.bornAt())
+		r.add("it has started again as %s, born %d; as many connections as it accepts: %v", w.id, w.bornAt(), full)
 		time.Sleep(200 * time.Millisecond)
-		gates[w.id].set(false)
+		path.set(false)
 		r.add("%s is reached again", w.id)
 	}
 	clients.Wait()
+	for _, w := range d.workers {
+		w.setFull(false)
+	}
 	return nil
 }
 
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -10,6 +10,7 @@
 )
 
 var cases = map[string]func(d *record, trouble bool) error{
+	"reborn-full-worker":   rebornFullWorker,
 	"reborn-worker":        rebornWorker,
 	"unnamed-extra-answer": unnamedExtraAnswer,
 	"poison":               poison,
--- a/review/harness-2/worker.go
+++ b/review/harness-2/worker.go
@@ -34,6 +34,8 @@
 	conns    map[net.Conn]bool
 	// run grows with each start.
 	run int
+	// full means that it has as many connections as it accepts, so that it resets further ones.
+	full bool
 }
 
 // start begins a run of the worker, at the address that it had if it ran before.
@@ -83,6 +85,12 @@
 			_ = c.Close()
 			return
 		}
+		if w.full {
+			w.mu.Unlock()
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+			continue
+		}
 		w.conns[c] = true
 		w.mu.Unlock()
 		go w.handle(c)
@@ -120,6 +128,12 @@
 	}
 }
 
+func (w *worker) setFull(full bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.full = full
+}
+
 func (w *worker) bornAt() int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
