Review: remove unused parts of the stand-ins

Cause: the first make -s check ended in the linter: two functions of the network path (gate.refuse, gate.listen) and a hook of the worker were used by no case. Change: they are removed; no case changes.

--- a/review/harness-2/gate.go
+++ b/review/harness-2/gate.go
@@ -27,20 +27,6 @@
 	return g, nil
 }
 
-// refuse has connections refused, as at a port that nobody listens on.
-func (g *gate) refuse() { _ = g.listener.Close() }
-
-// listen ends refuse.
-func (g *gate) listen() error {
-	listener, err := net.Listen("tcp", g.address())
-	if err != nil {
-		return err
-	}
-	g.listener = listener
-	go g.accept(listener)
-	return nil
-}
-
 func (g *gate) address() string { return g.listener.Addr().String() }
 
 func (g *gate) set(cut bool) {
--- a/review/harness-2/worker.go
+++ b/review/harness-2/worker.go
@@ -24,8 +24,6 @@
 	public string
 	// serve answers a request; the connection is closed if it returns false.
 	serve func(w *worker, c net.Conn, r *http.Request, body []byte) bool
-	// early may answer a request before its body is read; nil for none.
-	early func(w *worker, c net.Conn, r *http.Request) (handled, keep bool)
 
 	mu       sync.Mutex
 	address  string
@@ -110,14 +108,6 @@
 		if err != nil {
 			return
 		}
-		if w.early != nil {
-			if handled, keep := w.early(w, c, r); handled {
-				if !keep {
-					return
-				}
-				continue
-			}
-		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
