--- a/review/harness-2/case_poison.go
+++ b/review/harness-2/case_poison.go
@@ -76,11 +76,7 @@
 	}
 	clients.Wait()
 	world.restarts.Wait()
-	r.add("the request has crashed workers %d times; it reached workers %d times later than %v after the third", world.crashes, world.late, contact)
-	if world.late > allowedRetries {
-		r.breaks("BUDGET: the request reached workers %d times later than %v after it had crashed the third", world.late, contact)
-	}
-	return nil
+	return world.judge()
 }
 
 // sendPoison sends the request, and once more if it fails, on a new connection as clients do.
@@ -100,25 +96,6 @@
 		_, err := io.WriteString(c, w.head(id)+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(text), text))
 		return err == nil
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.third.IsZero() && time.Since(s.third) > contact {
-		s.late++
-	}
-	if s.crashes++; s.crashes == 3 {
-		s.third = time.Now()
-	}
-	down := minDown + rand.N(maxDown-minDown)
-	s.add("%s runs %s, the request that crashes, and is down for %v (crash %d)", w.id, id, down, s.crashes)
-	s.restarts.Go(func() {
-		w.stop()
-		time.Sleep(down)
-		if err := w.start(); err != nil {
-			s.add("%s can't start again: %v", w.id, err)
-			return
-		}
-		w.list()
-		s.add("%s is back", w.id)
-	})
+	s.crash(w, id, minDown+rand.N(maxDown-minDown))
 	return false
 }
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -14,6 +14,7 @@
 	"reborn-worker":        rebornWorker,
 	"unnamed-extra-answer": unnamedExtraAnswer,
 	"poison":               poison,
+	"volley":               volley,
 }
 
 func main() {
