--- a/review/harness-2/case_poison.go
+++ b/review/harness-2/case_poison.go
@@ -15,9 +15,9 @@
 	poisonBody = "the request that crashes its workers"
 	// poisonPeriod is how often the request comes again, poisonTime for how long.
 	poisonPeriod = time.Second
-	poisonTime   = 80 * time.Second
+	poisonTime   = 50 * time.Second
 	// A crashed worker is back after minDown to maxDown.
-	minDown, maxDown = 3 * time.Second, 9 * time.Second
+	minDown, maxDown = 2 * time.Second, 3400 * time.Millisecond
 	contact          = 3 * time.Second
 	allowedRetries   = 3
 )
--- a/review/harness-2/case_reborn_worker.go
+++ b/review/harness-2/case_reborn_worker.go
@@ -13,6 +13,8 @@
 	rebornEvents = 60
 	rebornPause  = 50 * time.Millisecond
 	rebornCut    = 2200 * time.Millisecond
+	// rebornMaxConns is max-connections of the service.
+	rebornMaxConns = 370
 )
 
 func rebornEvent(id string, n int) string {
@@ -22,8 +24,8 @@
 // rebornWorker has the process that crashes behind a cut start again under the same id.
 func rebornWorker(r *record, trouble bool) error { return playReborn(r, trouble, false) }
 
-// rebornFullWorker has it start again under another id. At first it has as many connections as it accepts, and resets
-// further ones.
+// rebornFullWorker has it start again under another id. Other callers, which aren't cut off, have as many connections to
+// it as it accepts, so that it resets further ones.
 func rebornFullWorker(r *record, trouble bool) error { return playReborn(r, trouble, true) }
 
 // playReborn cuts the path to one engine of six in the middle of its streams, which end with their connections. Behind the
@@ -77,24 +79,51 @@
 		time.Sleep(rebornCut - 400*time.Millisecond)
 		if full {
 			w.id += "b"
-			w.setFull(true)
+			w.maxConns = rebornMaxConns
 		}
 		if err := w.start(); err != nil {
 			return err
 		}
+		if full {
+			others, err := connectOthers(w)
+			if err != nil {
+				return err
+			}
+			defer others()
+		}
 		w.list()
-		r.add("it has started again as %s, born %d; as many connections as it accepts: %v", w.id, w.bornAt(), full)
+		r.add("it has started again as %s, born %d; other callers have all connections that it accepts: %v", w.id, w.bornAt(), full)
 		time.Sleep(200 * time.Millisecond)
 		path.set(false)
 		r.add("%s is reached again", w.id)
 	}
 	clients.Wait()
-	for _, w := range d.workers {
-		w.setFull(false)
-	}
 	return nil
 }
 
+// connectOthers opens as many connections to a worker as it accepts, from callers beside the system, and waits until it
+// has accepted them. The function that it returns closes them.
+func connectOthers(w *worker) (func(), error) {
+	var open []net.Conn
+	closeAll := func() {
+		for _, c := range open {
+			_ = c.Close()
+		}
+	}
+	for range rebornMaxConns {
+		c, err := net.Dial("tcp", w.address)
+		if err != nil {
+			closeAll()
+			return nil, err
+		}
+		open = append(open, c)
+	}
+	for w.connCount() < rebornMaxConns {
+		time.Sleep(time.Millisecond)
+	}
+	return closeAll, nil
+}
+
 // serveUnframedStream answers with a stream that ends with its connection.
 func serveUnframedStream(w *worker, c net.Conn, r *http.Request, _ []byte) bool {
 	id := r.Header.Get("X-Attempt-Id")
--- a/review/harness-2/case_unnamed_extra.go
+++ b/review/harness-2/case_unnamed_extra.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,10 +20,12 @@
 	extraRounds = 13
 	extraPeriod = 7 * time.Second
 	greyTime    = 6500 * time.Millisecond
-	greyShare   = 0.25
+	greyShare   = 0.3
 	garbleTime  = 5 * time.Second
 	extraShare  = 0.03
-	extraRate   = 20
+	// extraQueue is how many calls may wait at a worker.
+	extraQueue = 2
+	extraRate  = 28
 )
 
 // extraStages are the services of the stages, which run one after the other.
@@ -32,8 +35,10 @@
 type stageWorld struct {
 	*deployment
 	mu sync.Mutex
-	// made has the request of each handle.
-	made          map[string]string
+	// made has the results that exist, by handle.
+	made map[string]stageResult
+	// answers counts the answers of garbling workers while they garble.
+	answers       int
 	last          int
 	grey          bool
 	garbling      bool
@@ -41,6 +46,22 @@
 	withoutHandle int
 }
 
+// stageResult is a result at the worker that made it.
+type stageResult struct {
+	// of is the request that it was made for. It is kept until the given time, unless it is freed.
+	of    string
+	until time.Time
+}
+
+// extraKeep is handle-s.
+const extraKeep = 4 * time.Second
+
+// inputOf returns for which request a result was made; false if it no longer exists. The caller holds mu.
+func (s *stageWorld) inputOf(handle string) (string, bool) {
+	result, found := s.made[handle]
+	return result.of, found && time.Now().Before(result.until)
+}
+
 // stagePlayer is the state of one stage worker: its calls run one after the other.
 type stagePlayer struct {
 	world *stageWorld
@@ -48,6 +69,8 @@
 	// garbles means that it is one of the workers that send some answers a second time.
 	garbles bool
 	busy    sync.Mutex
+	// calls is the number of calls that run or wait.
+	calls atomic.Int32
 
 	mu sync.Mutex
 	// held has the second copy of an answer, by connection, which is sent where the next answer is expected.
@@ -62,7 +85,7 @@
 		return err
 	}
 	defer d.close(false)
-	world := &stageWorld{deployment: d, made: map[string]string{}}
+	world := &stageWorld{deployment: d, made: map[string]stageResult{}}
 	for i := range 3 {
 		w := &worker{d: d, id: fmt.Sprintf("i-7f3a91c%d", i), service: "llm-pool", zone: zones[i%3], slots: 64, engine: true, serve: world.serveEngine}
 		if err := w.start(); err != nil {
@@ -73,7 +96,7 @@
 	}
 	services, stages := []any{engineService("llm-pool")}, []any{}
 	for n, name := range extraStages {
-		for i := range 7 {
+		for i := range 8 {
 			p := &stagePlayer{world: world, grey: i == 0, garbles: i < 4, held: map[net.Conn]string{}}
 			w := &worker{d: d, id: fmt.Sprintf("i-02d9e6%d%d", n, i), service: name, zone: zones[i%3], slots: 1, serve: p.serve}
 			if err := w.start(); err != nil {
@@ -113,7 +136,7 @@
 		time.Sleep(time.Second / extraRate)
 	}
 	clients.Wait()
-	r.add("%d answers were sent a second time, %d of them had no handle", world.extra, world.withoutHandle)
+	r.add("%d of %d answers were sent a second time, %d of them had no handle", world.extra, world.answers, world.withoutHandle)
 	return nil
 }
 
@@ -148,6 +171,7 @@
 		}
 	}
 	if r.URL.Path == "/vanillagate/stage-free" {
+		p.world.free(body)
 		_, err := fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
 	}
@@ -161,7 +185,11 @@
 	s := p.world
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p.garbles && s.garbling && rand.Float64() < extraShare {
+	if !p.garbles || !s.garbling {
+		return true
+	}
+	s.answers++
+	if rand.Float64() < extraShare && float64(s.extra+1) <= extraShare*float64(s.answers) {
 		s.extra++
 		if handles == 0 {
 			s.withoutHandle++
@@ -186,19 +214,32 @@
 	if err := json.Unmarshal(body, &call); err != nil {
 		return "", 0
 	}
+	if p.calls.Add(1) > extraQueue+1 {
+		p.calls.Add(-1)
+		return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", 0
+	}
 	p.busy.Lock()
 	time.Sleep(extraCallTime + time.Duration(len(call.Items))*extraItemTime)
 	p.busy.Unlock()
+	p.calls.Add(-1)
 	s := p.world
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var results []map[string]string
 	for _, item := range call.Items {
+		gone := false
 		for _, handle := range item.Inputs {
-			if of := s.made[handle]; of != item.ID {
+			of, exists := s.inputOf(handle)
+			gone = gone || !exists
+			if exists && of != item.ID {
 				s.breaks("MIXED: piece %d of stage %d of %s at %s has input %s, which was made for %q", item.Piece, item.Stage, item.ID, w.id, handle, of)
 			}
 		}
+		if gone {
+			results = append(results, map[string]string{"reason": "gone"})
+			s.add("%s lacks an input of piece %d of stage %d of %s", w.id, item.Piece, item.Stage, item.ID)
+			continue
+		}
 		if p.grey && s.grey && rand.Float64() < greyShare {
 			results = append(results, map[string]string{"reason": "error"})
 			s.add("%s fails piece %d of stage %d of %s", w.id, item.Piece, item.Stage, item.ID)
@@ -207,7 +248,7 @@
 		s.last++
 		handles++
 		handle := fmt.Sprintf("%s/%06x%08x", w.public, s.last, rand.Uint32())
-		s.made[handle] = item.ID
+		s.made[handle] = stageResult{of: item.ID, until: time.Now().Add(extraKeep)}
 		s.add("%s makes piece %d of stage %d of %s: %s", w.id, item.Piece, item.Stage, item.ID, handle)
 		results = append(results, map[string]string{"handle": handle})
 	}
@@ -215,16 +256,39 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Worker-Load: 1,0,1\r\nContent-Length: %d\r\n\r\n%s", len(text), text), handles
 }
 
+// free drops the results that a call names.
+func (s *stageWorld) free(body []byte) {
+	var call struct {
+		Handles []string `json:"open-handles"`
+	}
+	if json.Unmarshal(body, &call) != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, handle := range call.Handles {
+		delete(s.made, handle)
+	}
+}
+
 // serveEngine checks the inputs of a request and answers it.
 func (s *stageWorld) serveEngine(w *worker, c net.Conn, r *http.Request, _ []byte) bool {
 	id := r.Header.Get("X-Attempt-Id")
 	s.mu.Lock()
+	gone := false
 	for _, handle := range strings.Split(r.Header.Get("X-Inputs"), ",") {
-		if of := s.made[handle]; of != id {
+		of, exists := s.inputOf(handle)
+		gone = gone || !exists
+		if exists && of != id {
 			s.breaks("MIXED: %s runs at %s with input %s, which was made for %q", id, w.id, handle, of)
 		}
 	}
 	s.mu.Unlock()
+	if gone {
+		s.add("%s lacks an input of %s", w.id, id)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 409 Conflict\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+		return err == nil
+	}
 	text := fmt.Sprintf("id: 1\ndata: %s\n\n", id)
 	_, err := fmt.Fprintf(c, "%sContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", w.head(id), len(text), text)
 	return err == nil
--- a/review/harness-2/case_volley.go
+++ b/review/harness-2/case_volley.go
@@ -12,7 +12,7 @@
 
 const (
 	volleyPause = 6 * time.Second
-	volleyDown  = 3 * time.Second
+	volleyDown  = 2 * time.Second
 	volleys     = 4
 )
 
@@ -98,6 +98,7 @@
 	s.add("%s runs %s, the request that crashes, and is down for %v (crash %d)", w.id, id, down, s.crashes)
 	s.restarts.Go(func() {
 		w.stop()
+		s.restarts.Go(w.lapse)
 		time.Sleep(down)
 		if err := w.start(); err != nil {
 			s.add("%s can't start again: %v", w.id, err)
--- a/review/harness-2/worker.go
+++ b/review/harness-2/worker.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -32,8 +33,8 @@
 	conns    map[net.Conn]bool
 	// run grows with each start.
 	run int
-	// full means that it has as many connections as it accepts, so that it resets further ones.
-	full bool
+	// maxConns is how many connections it accepts from all callers; it resets further ones. 0 means no limit.
+	maxConns int
 }
 
 // start begins a run of the worker, at the address that it had if it ran before.
@@ -83,7 +84,7 @@
 			_ = c.Close()
 			return
 		}
-		if w.full {
+		if w.maxConns > 0 && len(w.conns) >= w.maxConns {
 			w.mu.Unlock()
 			_ = c.(*net.TCPConn).SetLinger(0)
 			_ = c.Close()
@@ -118,10 +119,10 @@
 	}
 }
 
-func (w *worker) setFull(full bool) {
+func (w *worker) connCount() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.full = full
+	return len(w.conns)
 }
 
 func (w *worker) bornAt() int64 {
@@ -163,6 +164,20 @@
 
 func (w *worker) list() { w.d.store.Put("servers", w.id, w.entry("ready")) }
 
+const heartbeat = 1200 * time.Millisecond
+
+// lapse removes the worker's row after three heartbeats of silence, unless it has started again by then. Its last
+// heartbeat was at a random time before.
+func (w *worker) lapse() {
+	time.Sleep(3*heartbeat - rand.N(heartbeat))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.listener == nil {
+		w.d.store.Delete("servers", w.id)
+		w.d.add("the row of %s is removed", w.id)
+	}
+}
+
 // signature is what the worker adds to its answers.
 func (w *worker) signature(id string) string { return fmt.Sprintf("3e1b.%s.%s", w.id, id) }
 
