Review: the client of cases 8 and 10 honours Retry-After

Cause: "Clients honour Retry-After" (PROTOCOL.md), and this one retried at once also after a refusal. Change: it waits for that time, up to a third of what is left of its deadline, which its retry shares.

--- a/review/harness-2/case_poison.go
+++ b/review/harness-2/case_poison.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -79,12 +80,23 @@
 	return world.judge()
 }
 
-// sendPoison sends the request, and once more if it fails, on a new connection as clients do.
+// poisonDeadline is the time that the client has for the request, with its retries.
+const poisonDeadline = 1500 * time.Millisecond
+
+// sendPoison sends the request, and once more if it fails, on a new connection as clients do: at once, or after the time
+// in Retry-After, up to a third of the time that is left.
 func (s *poisonWorld) sendPoison(retries int) {
-	o := send(s.vms[rand.IntN(len(s.vms))], http.MethodPost, "/gauge/poison", []byte(poisonBody), 1500*time.Millisecond, nil)
-	s.add("client of %s, the request that crashes: status %d, retry after %q, %.80q", o.id, o.status, o.header.Get("Retry-After"), o.body)
-	if retries > 0 && o.status != http.StatusOK {
-		s.sendPoison(retries - 1)
+	end := time.Now().Add(poisonDeadline)
+	for {
+		o := send(s.vms[rand.IntN(len(s.vms))], http.MethodPost, "/gauge/poison", []byte(poisonBody), time.Until(end), nil)
+		after := o.header.Get("Retry-After")
+		s.add("client of %s, the request that crashes: status %d, retry after %q, %.80q", o.id, o.status, after, o.body)
+		if retries == 0 || o.status == http.StatusOK {
+			return
+		}
+		retries--
+		seconds, _ := strconv.ParseFloat(after, 64) // 0 if there is none
+		time.Sleep(min(time.Duration(seconds*float64(time.Second)), time.Until(end)/3))
 	}
 }
 
