conns: reads tell a reset from an orderly end, whoever got the error

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a complete answer. Streams whose part ends behind an event ended as complete, and weren't resumed.

Cause: Linux hands the error of a reset to one system call. The upload is written while the answer is read, and when the write got the error, the read saw the end of the connection, like one that was closed in order. The error of the write was kept, but only decided whether the connection is used again. The liveness check that follows finds the target alive, rightly.

Change: each connection to a target, peer or store is wrapped where it is dialed. At the end of a connection its read ends the write that may be in progress and looks at that write's error: a reset is returned to the reader, for this read and all further ones. A write that failed with EPIPE, or was still blocked, shows that the other side had ended its sending side before, so such answers stay whole. Callers of socket.Peek and HasEnded see the connection below.

Why it works: a connection in the state CLOSE_WAIT gets EPIPE for a reset, every other one ECONNRESET, and a system call returns what it took even if its deadline has passed.

TestProbesAndUnackedTimeoutAgree looks at the TCP connection below the new one; what it checks is unchanged.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -212,5 +212,6 @@
 	if err != nil {
 		return nil, err
 	}
+	c = ReportResets(c)
 	return &Conn{Conn: c, Opened: time.Now(), R: bufio.NewReaderSize(c, bufferBytes), W: bufio.NewWriterSize(c, bufferBytes)}, nil
 }
--- a/internal/conns/keepalive_test.go
+++ b/internal/conns/keepalive_test.go
@@ -17,7 +17,7 @@
 	conn, err := Dial(t.Context(), listener.Addr().String())
 	assert.NilError(t, err)
 	defer func() { _ = conn.Close() }()
-	raw, err := conn.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := conn.Conn.(*resetConn).Conn.(*net.TCPConn).SyscallConn()
 	assert.NilError(t, err)
 	option := func(name int) (value int) {
 		assert.NilError(t, raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name) }))
--- a/internal/serve/upstream/bounded.go
+++ b/internal/serve/upstream/bounded.go
@@ -125,7 +125,7 @@
 			if passed() {
 				return a.exceeded(bound.Part, 0, true)
 			}
-			return err // a second read of a connection that was reset would look like its end
+			return err
 		}
 		if !bound.FromHead {
 			passed = a.limitTime(bound.Time)
--- a/internal/socket/ended.go
+++ b/internal/socket/ended.go
@@ -10,7 +10,7 @@
 // HasEnded reports whether the peer has closed or reset a connection, also while bytes that it sent before are
 // unread. It doesn't block. It returns true if the state can't be read.
 func HasEnded(conn net.Conn) bool {
-	sc, ok := conn.(syscall.Conn)
+	sc, ok := transport(conn).(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/socket/peek.go
+++ b/internal/socket/peek.go
@@ -26,10 +26,7 @@
 // to a handler, and that an idle connection to a target has been closed or has an
 // unread response, before the connection is reused.
 func Peek(conn net.Conn) State {
-	if above, ok := conn.(interface{ NetConn() net.Conn }); ok { // such as TLS
-		conn = above.NetConn()
-	}
-	sc, ok := conn.(syscall.Conn)
+	sc, ok := transport(conn).(syscall.Conn)
 	if !ok {
 		return Unsupported
 	}
@@ -45,6 +42,14 @@
 	return state
 }
 
+// transport returns the connection below another one, such as TLS.
+func transport(conn net.Conn) net.Conn {
+	if above, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		return above.NetConn()
+	}
+	return conn
+}
+
 func peek(fd int) State {
 	var buf [1]byte
 	n, _, err := syscall.Recvfrom(fd, buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
