backing: answers of the table service and the object store that a reset cuts fail

What vanillagate saw: a call with a large body, answered early by a 200 without a length and then reset, got the part of the answer as a whole one.

Change: the connections of backing.HTTPClient are wrapped in the same way.

Whether such an answer could be taken for a write that was made depends on the SDKs and wasn't played.

--- a/internal/backing/transport.go
+++ b/internal/backing/transport.go
@@ -1,6 +1,7 @@
 package backing
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -8,6 +9,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/vanillagate/vanillagate/internal/conns"
 )
 
 // StoreConfig configures the connection to the table service or the object store.
@@ -53,7 +56,13 @@
 func NewHTTPClient(cfg HTTPConfig, maxBodyBytes int64) *HTTPClient {
 	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
 	transport := &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return conns.ReportResets(conn), nil // net/http writes a request while it reads the answer
+		},
 		MaxConnsPerHost:        cfg.Connections,
 		MaxIdleConns:           cfg.Connections,
 		MaxIdleConnsPerHost:    cfg.Connections,
