framing: answers with a blank or a control byte in a field's name are no answers

What callers saw: an answer in whose head the name of a field held a blank came through, with that line passed on, or, where the field was the length or the encoding of the body, with a body that wasn't the target's.

Cause: fasthttp takes blanks in names and before the colon, and joins lines that begin with one to the line before. A name with a blank isn't that of the field which its sender meant, so the framing was read as if the field weren't there.

Change: framing.ReadHead checks each line of a head before fasthttp reads it: a name is a token (RFC 9110, section 5.6.2) that the colon follows at once (RFC 9112, section 5.1); a folded line is rejected, as a proxy may (section 5.2). It is the only reader of heads for targets, peers, stage calls, health checks and the store at vgedge, and for vanillagate's targets. The failure is that of any head that can't be read: the request may have run, and the connection is closed.

Why it works: the check ends at the same empty line as fasthttp's parser, and no other code reads heads on these paths. Names of tokens, any value that fasthttp takes and bare LF pass as before (TestSoundHeadIsReadToItsEnd).

A health check answered so counts like one that is closed without an answer.

--- a/internal/serve/upstream/bounded.go
+++ b/internal/serve/upstream/bounded.go
@@ -59,7 +59,7 @@
 	}
 	start, _ := a.conn.R.Peek(minHeadBytes) // Read returns the error
 	noStatus := hasNoStatus(start)
-	err := a.Header.Read(a.conn.R)
+	err := framing.ReadHead(a.conn.R, &a.Header)
 	if err == nil && noStatus {
 		err = ErrNoStatus
 	}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -207,7 +207,7 @@
 // readHeader reads the header of an answer and skips interim (1xx) answers.
 func readHeader(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	for {
-		if err := h.Read(r); err != nil || h.StatusCode() >= fasthttp.StatusOK {
+		if err := framing.ReadHead(r, h); err != nil || h.StatusCode() >= fasthttp.StatusOK {
 			return err
 		}
 	}
