--- a/internal/serve/upstream/bounded.go
+++ b/internal/serve/upstream/bounded.go
@@ -57,12 +57,7 @@
 	if _, err := a.conn.R.Peek(1); err == nil && !headComplete(a.conn.R) {
 		passed = a.limitTime(PartTime)
 	}
-	start, _ := a.conn.R.Peek(minHeadBytes) // Read returns the error
-	noStatus := hasNoStatus(start)
 	err := framing.ReadHead(a.conn.R, &a.Header)
-	if err == nil && noStatus {
-		err = ErrNoStatus
-	}
 	if passed() {
 		return a.exceeded(Head, read+a.conn.R.Buffered(), true)
 	}
@@ -73,18 +68,6 @@
 	return err
 }
 
-// ErrNoStatus means that the status of an answer is 000. fasthttp reads it as 200.
-var ErrNoStatus = errors.New("answer has no status")
-
-// minHeadBytes is the length of the shortest head.
-const minHeadBytes = len("HTTP/1.1 200\n\n")
-
-// hasNoStatus reports whether the status in the first bytes of a head is 000.
-func hasNoStatus(start []byte) bool {
-	version, status, _ := bytes.Cut(bytes.TrimLeft(start, "\r\n"), []byte(" "))
-	return bytes.HasPrefix(version, []byte("HTTP/")) && bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("000"))
-}
-
 // headComplete reports whether a whole head is buffered.
 func headComplete(r *bufio.Reader) bool {
 	buffered, _ := r.Peek(r.Buffered()) // never fails for what is buffered
--- a/internal/target/odd_head_test.go
+++ b/internal/target/odd_head_test.go
@@ -64,3 +64,20 @@
 		}
 	}
 }
+
+// Guards against answers whose status isn't one that are taken, as 200 or as interim ones.
+func TestAnswerWithoutAStatusIsAFailure(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{
+		"000 OK", "000", " 000 OK", "001 OK", "099 OK", "600 OK", "999 OK", "0 OK", "00 OK", "0000 OK", "20 OK", "2000 OK", "-20 OK", "+20 OK", "2x0 OK",
+		"200OK", "\t200 OK", "OK", "",
+	} {
+		for _, version := range []string{"HTTP/1.1 ", "HTTP/1.0 ", "\r\nHTTP/1.1 "} {
+			line := version + status + "\r\n"
+			rejectsAnswer(t, line+identityLine+"Content-Length: 5\r\n\r\nhello")
+			rejectsAnswer(t, line+identityLine+"\r\nhello")
+			rejectsAnswer(t, line+"\r\nHTTP/1.1 200 OK\r\n"+identityLine+"Content-Length: 5\r\n\r\nhello")
+			rejectsAnswer(t, "HTTP/1.1 100 Continue\r\n\r\n"+line+identityLine+"Content-Length: 5\r\n\r\nhello")
+		}
+	}
+}
