order: answers of engines that aren't HTTP confirm no order

What a steward saw: an engine's answer with status 000, or with a blank in the name of a field, counted as a confirmed order, and its body as a report.

Change: both go through target.Client, whose heads are checked.

--- a/internal/command/order/client.go
+++ b/internal/command/order/client.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/vanillagate/vanillagate/internal/target"
 	"github.com/vanillagate/vanillagate/internal/targetapi"
 )
 
@@ -34,63 +34,50 @@
 const (
 	reportTimeout  = time.Second
 	orderTimeout   = 2 * time.Minute // includes loading the weights
-	dialTimeout    = 500 * time.Millisecond
 	maxAnswerBytes = 1 << 20
-	maxConnections = 4
 )
 
 // Client sends orders to engines and reads their reports.
-type Client struct{ http *fasthttp.Client }
+type Client struct{ targets *target.Client }
 
 // NewClient returns a Client.
-func NewClient() *Client {
-	dialer := &fasthttp.TCPDialer{Concurrency: 64}
-	return &Client{http: &fasthttp.Client{
-		Dial:                func(addr string) (net.Conn, error) { return dialer.DialTimeout(addr, dialTimeout) },
-		MaxConnsPerHost:     maxConnections,
-		MaxResponseBodySize: maxAnswerBytes,
-		// Each order is sent only after a check of the lease, so the library
-		// must not resend one by itself.
-		MaxIdemponentCallAttempts: 1,
-	}}
-}
+func NewClient() *Client { return &Client{targets: target.NewClient(maxAnswerBytes)} }
 
 // Report returns the models that an engine serves.
 func (c *Client) Report(ctx context.Context, address string) (targetapi.ModelList, error) {
 	var report targetapi.ModelList
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + address + targetapi.PathModels)
-	if err := c.http.DoDeadline(req, resp, earliestDeadline(ctx, reportTimeout)); err != nil {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	answer, err := c.targets.Do(ctx, target.Call{Address: address, Method: fasthttp.MethodGet, Path: targetapi.PathModels})
+	if err != nil {
 		return report, fmt.Errorf("order: report of %s: %w", address, err)
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return report, fmt.Errorf("order: report of %s: status %d", address, resp.StatusCode())
+	if answer.Status != fasthttp.StatusOK {
+		return report, fmt.Errorf("order: report of %s: status %d", address, answer.Status)
 	}
-	if err := json.Unmarshal(resp.Body(), &report); err != nil {
+	if err := json.Unmarshal(answer.Body, &report); err != nil {
 		return report, fmt.Errorf("order: report of %s: %w", address, err)
 	}
 	return report, nil
 }
 
-// Send sends one order with a fencing token. requestID identifies the order in
-// the engine's logs.
+// Send sends one order with a fencing token, once: each order is sent only after a check of the lease. requestID
+// identifies the order in the engine's logs.
 func (c *Client) Send(ctx context.Context, address string, o Order, token uint64, requestID string) (Result, error) {
 	path, body := o.pathAndBody()
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + address + path)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.Header.SetContentType("application/json")
-	req.Header.Set(targetapi.HeaderRequestID, requestID)
-	req.Header.Set(targetapi.HeaderFencingToken, strconv.FormatUint(token, 10))
-	req.SetBodyRaw(body)
-	if err := c.http.DoDeadline(req, resp, earliestDeadline(ctx, orderTimeout)); err != nil {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	answer, err := c.targets.Do(ctx, target.Call{
+		Address: address, Method: fasthttp.MethodPost, Path: path, ContentType: "application/json", Body: body,
+		Headers: []target.Header{
+			{Name: targetapi.HeaderRequestID, Value: requestID},
+			{Name: targetapi.HeaderFencingToken, Value: strconv.FormatUint(token, 10)},
+		},
+	})
+	if err != nil {
 		return Unknown, fmt.Errorf("order: send to %s: %w", address, err)
 	}
-	return resultOf(resp.StatusCode()), nil
+	return resultOf(answer.Status), nil
 }
 
 func resultOf(status int) Result {
@@ -126,11 +113,3 @@
 	}
 	return raw
 }
-
-func earliestDeadline(ctx context.Context, limit time.Duration) time.Time {
-	limitDeadline := time.Now().Add(limit)
-	if ctxDeadline, ok := ctx.Deadline(); ok && ctxDeadline.Before(limitDeadline) {
-		return ctxDeadline
-	}
-	return limitDeadline
-}
