backing, vmlist: answers of the platform's services that aren't HTTP fail

What vanillagate saw: an answer of the table service, the object store or the VM list with a blank in the name of a field, also in an interim answer, counted as data, or as a write that was made; the VM list was also taken from an answer with status 000.

Cause: net/http takes names with blanks, and fasthttp's client, through which the VM list was read, reads 000 as 200, too.

Change: backing.HTTPClient checks the status and the names of what net/http has read, in interim answers as well; the VM list is read through it. A failure isn't ErrNotRun, and the connection is closed: net/http has already kept it if the answer has no body.

Not covered: folded lines, which net/http joins; nothing of these heads is passed on.

--- a/internal/backing/transport.go
+++ b/internal/backing/transport.go
@@ -7,10 +7,13 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 	"time"
 
 	"github.com/vanillagate/vanillagate/internal/conns"
+	"github.com/vanillagate/vanillagate/internal/framing"
+	"github.com/vanillagate/vanillagate/internal/headers"
 )
 
 // StoreConfig configures the connection to the table service or the object store.
@@ -43,9 +46,11 @@
 	maxResponseHeaderBytes = 64 << 10
 	// maxErrorBytes limits the body of an answer that isn't a success. The SDKs read it as a whole.
 	maxErrorBytes = 256 << 10
+	// maxStatus is the highest status code that there is.
+	maxStatus = 599
 )
 
-// HTTPClient is the HTTP client for the AWS SDKs. Its errors match ErrNotRun if no
+// HTTPClient is the HTTP client for the services of the platform. Its errors match ErrNotRun if no
 // byte of the request can have been sent.
 type HTTPClient struct {
 	client       *http.Client
@@ -85,17 +90,40 @@
 // only if it knows that nothing was written. A cancelled call that had a connection
 // does not count as not run: the connection may still be writing it.
 func (c *HTTPClient) Do(req *http.Request) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var conn atomic.Pointer[net.Conn]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) },
+		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
+			return checkHead(status, http.Header(header))
+		},
+	}
 	resp, err := c.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	if err == nil {
-		resp.Body = http.MaxBytesReader(nil, resp.Body, c.maxBytes(resp.StatusCode))
-		return resp, nil
+	if err != nil {
+		if conn.Load() == nil || isDialError(err) {
+			return nil, fmt.Errorf("%w: %w", ErrNotRun, err)
+		}
+		return nil, err
+	}
+	if err := checkHead(resp.StatusCode, resp.Header); err != nil {
+		_ = resp.Body.Close()
+		_ = (*conn.Load()).Close() // net/http keeps it after an answer without a body
+		return nil, err
+	}
+	resp.Body = http.MaxBytesReader(nil, resp.Body, c.maxBytes(resp.StatusCode))
+	return resp, nil
+}
+
+// checkHead returns an error for a head that net/http takes although it isn't HTTP.
+func checkHead(status int, header http.Header) error {
+	if status < http.StatusContinue || status > maxStatus {
+		return fmt.Errorf("%w: %d", framing.ErrStatus, status)
 	}
-	if !connected.Load() || isDialError(err) {
-		return nil, fmt.Errorf("%w: %w", ErrNotRun, err)
+	for name := range header {
+		if !headers.IsToken(name) {
+			return fmt.Errorf("%w: %q", framing.ErrFieldName, name)
+		}
 	}
-	return nil, err
+	return nil
 }
 
 // maxBytes returns the maximum size of the body of an answer.
--- a/internal/backing/vmlist/vmlist.go
+++ b/internal/backing/vmlist/vmlist.go
@@ -6,12 +6,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net/http"
 	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/vanillagate/vanillagate/internal/backing"
 )
 
@@ -27,7 +27,7 @@
 // List is a backing.VMList.
 type List struct {
 	url    string
-	client *fasthttp.Client
+	client *backing.HTTPClient
 
 	mu     sync.Mutex // guards cached; no other lock is taken under it
 	cached taggedList
@@ -43,14 +43,8 @@
 
 // New returns a List that reads from the URL.
 func New(url string) *List {
-	return &List{url: url, client: &fasthttp.Client{
-		MaxConnsPerHost:           connections,
-		MaxIdemponentCallAttempts: 1,
-		MaxResponseBodySize:       MaxBytes,
-		ReadTimeout:               callTimeout,
-		WriteTimeout:              callTimeout,
-		MaxConnWaitTimeout:        callTimeout,
-	}}
+	limits := backing.HTTPConfig{Connections: connections, DialTimeout: callTimeout, CallTimeout: callTimeout}
+	return &List{url: url, client: backing.NewHTTPClient(limits, MaxBytes)}
 }
 
 // Group is one element of the served JSON array.
@@ -74,29 +68,34 @@
 // about 140 bytes, and reading them all each second would cost 300 times a node's
 // budget for control traffic. The returned slice must not be modified.
 func (l *List) List(ctx context.Context) ([]backing.VM, error) {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(l.url)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, l.url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("vmlist: %w: %w", backing.ErrUnknown, err)
+	}
 	last := l.loadCached()
 	if last.tag != "" {
-		req.Header.Set(fasthttp.HeaderIfNoneMatch, last.tag)
+		req.Header.Set("If-None-Match", last.tag)
 	}
-	if err := l.client.DoDeadline(req, resp, deadline(ctx)); err != nil {
+	resp, err := l.client.Do(req)
+	if err != nil {
 		return nil, fmt.Errorf("vmlist: %w: %w", backing.ErrUnknown, err)
 	}
-	if resp.StatusCode() == fasthttp.StatusNotModified && last.tag != "" {
+	defer func() { _ = resp.Body.Close() }() // what matters of it has been read
+	if resp.StatusCode == http.StatusNotModified && last.tag != "" {
 		return last.vms, nil
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return nil, fmt.Errorf("vmlist: status %d: %w", resp.StatusCode(), backing.ErrNotRun)
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("vmlist: status %d: %w", resp.StatusCode, backing.ErrNotRun)
 	}
-	vms, err := Parse(resp.Body())
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, fmt.Errorf("vmlist: %w: %w", backing.ErrUnknown, err)
+	}
+	vms, err := Parse(body)
 	if err != nil {
 		return nil, err
 	}
-	l.storeCached(taggedList{tag: string(resp.Header.Peek(fasthttp.HeaderETag)), vms: vms})
+	l.storeCached(taggedList{tag: resp.Header.Get("ETag"), vms: vms})
 	return vms, nil
 }
 
@@ -112,14 +111,6 @@
 	l.cached = t
 }
 
-func deadline(ctx context.Context) time.Time {
-	limit := time.Now().Add(callTimeout)
-	if ctxDeadline, ok := ctx.Deadline(); ok && ctxDeadline.Before(limit) {
-		return ctxDeadline
-	}
-	return limit
-}
-
 // Parse parses the served JSON. One invalid row invalidates the whole list: if rows
 // were dropped silently, their VMs would seem to have been removed.
 func Parse(body []byte) ([]backing.VM, error) {
--- a/internal/framing/head.go
+++ b/internal/framing/head.go
@@ -7,6 +7,8 @@
 	"fmt"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/vanillagate/vanillagate/internal/headers"
 )
 
 // ErrStatus means that the first line of a head has no status code between 100 and 599 (RFC 9110, section 15).
@@ -78,18 +80,5 @@
 // hasFieldName reports whether a line begins with a token and a colon.
 func hasFieldName(line []byte) bool {
 	name, _, found := bytes.Cut(line, []byte(":"))
-	for _, c := range name {
-		if !tokenBytes[c] {
-			return false
-		}
-	}
-	return found && len(name) > 0
+	return found && headers.IsToken(name)
 }
-
-// tokenBytes are the bytes of a token.
-var tokenBytes = func() (set [256]bool) {
-	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
-		set[c] = true
-	}
-	return set
-}()
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -33,6 +33,24 @@
 	return c
 }
 
+// tokenBytes are the bytes of a token.
+var tokenBytes = func() (set [256]bool) {
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
+		set[c] = true
+	}
+	return set
+}()
+
+// IsToken reports whether a name is a token, as the names of headers are (RFC 9110, section 5.6.2).
+func IsToken[Name ~string | ~[]byte](name Name) bool {
+	for i := range len(name) {
+		if !tokenBytes[name[i]] {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
 // Get returns the value of the first line of a header; nil if there is none. It is valid as long as the lines.
 func Get(lines Lines, header string) []byte {
 	for name, value := range lines {
