--- a/internal/backing/early_answer_test.go
+++ b/internal/backing/early_answer_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillagate/vanillagate/internal/backing"
+	"github.com/vanillagate/vanillagate/internal/listentest"
 )
 
 // Guards against the part of an answer of the table service or the object store that a reset cuts during the upload, and that
@@ -46,27 +47,14 @@
 // earlyServer answers each request before it reads the body, calls end with what is left of that, and closes the connection.
 func earlyServer(t *testing.T, answer string, end func(*net.TCPConn, io.Reader)) (address string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", anyPort)
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, answer)
-				end(conn.(*net.TCPConn), r.Body)
-			}()
+	return listentest.Serve(t, func(conn *net.TCPConn) {
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
 		}
-	}()
-	return listener.Addr().String()
+		_, _ = io.WriteString(conn, answer)
+		end(conn, r.Body)
+	})
 }
 
 // upload sends a body that doesn't fit into the socket buffers, and reads the answer.
--- a/internal/command/order/odd_head_test.go
+++ b/internal/command/order/odd_head_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/vanillagate/vanillagate/internal/listentest"
 	"github.com/vanillagate/vanillagate/internal/targetapi"
 )
 
@@ -20,27 +21,17 @@
 		"HTTP/1.1 000 OK\r\n": false, "HTTP/1.0 000\r\n": false, "HTTP/1.1 042 OK\r\n\r\nHTTP/1.1 200 OK\r\n": false, "HTTP/1.1 200 OK\r\nX Odd: v\r\n": false,
 		"HTTP/1.1 200 OK\r\nX-Odd : v\r\n": false, "HTTP/1.1 200 OK\r\nX-A: a\r\n X-B: b\r\n": false, "HTTP/1.1 200 OK\r\nX-\x00Odd: v\r\n": false,
 	} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		go func() {
-			for {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err == nil {
-					_, _ = io.Copy(io.Discard, r.Body)
-					_, _ = io.WriteString(conn, head+"Connection: close\r\nContent-Length: 11\r\n\r\n{\"data\":[]}")
-				}
-				_ = conn.Close()
+		address := listentest.Serve(t, func(conn *net.TCPConn) {
+			r, err := http.ReadRequest(bufio.NewReader(conn))
+			if err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(conn, head+"Connection: close\r\nContent-Length: 11\r\n\r\n{\"data\":[]}")
 			}
-		}()
-		client, address := NewClient(), listener.Addr().String()
-		_, err = client.Report(t.Context(), address)
+		})
+		client := NewClient()
+		_, err := client.Report(t.Context(), address)
 		assert.Check(t, (err == nil) == sound, "%q: %v", head, err)
 		result, err := client.Send(t.Context(), address, Order{SetModel: &targetapi.SetModelRequest{Model: "m"}}, 1, "id")
 		assert.Check(t, (result == Done) == sound && (result == Unknown) != sound, "%q: %s, %v", head, result, err)
-		_ = listener.Close()
 	}
 }
--- a/internal/conns/resets_test.go
+++ b/internal/conns/resets_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/listentest"
 )
 
 // Guards against reads that take the reset of a connection for its orderly end, or an orderly end for a reset, while a
@@ -54,21 +56,13 @@
 // one more read. end is called at the other side before it closes the connection.
 func readWhileWriting(t *testing.T, play int, end func(*net.TCPConn)) (data string, err, again error) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
+	address := listentest.Serve(t, func(conn *net.TCPConn) {
 		_, _ = conn.Read(make([]byte, 1)) // the write is in progress
 		_, _ = io.WriteString(conn, "some data")
 		time.Sleep(time.Duration(play%5) * time.Millisecond)
-		end(conn.(*net.TCPConn))
-		_ = conn.Close()
-	}()
-	conn, err := Dial(t.Context(), listener.Addr().String())
+		end(conn)
+	})
+	conn, err := Dial(t.Context(), address)
 	assert.NilError(t, err)
 	defer func() { _ = conn.Close() }()
 	go func() { _, _ = conn.Write(make([]byte, writtenBytes)) }()
--- a/internal/listentest/listener.go
+++ b/internal/listentest/listener.go
@@ -1,5 +1,6 @@
-// Package listentest provides helpers for tests of listeners: a listener that runs
-// out of file descriptors, and callers that keep their connections open.
+// Package listentest provides helpers for tests of listeners and clients: a listener that
+// runs out of file descriptors, callers that keep their connections open, and a server of
+// raw bytes.
 package listentest
 
 import (
--- a/internal/serve/upstream/odd_name_test.go
+++ b/internal/serve/upstream/odd_name_test.go
@@ -43,32 +43,35 @@
 	return all
 }
 
-// answerTime is the time for an exchange with a target that answers at once.
-const answerTime = 5 * time.Second
+// assertNoAnswer checks that an answer is a failure of its target, for short and long requests, and that its connection isn't
+// used again.
+func assertNoAnswer(t *testing.T, answer string) {
+	t.Helper()
+	const answerTime = 5 * time.Second
+	for _, body := range []int{0, 100 << 10} {
+		address := startTarget(t, alwaysAnswer(answer))
+		var c Client
+		r := newRequest(address)
+		r.Method, r.Body = "POST", make([]byte, body)
+		ctx, cancel := context.WithTimeout(t.Context(), answerTime)
+		a, err := c.Send(ctx, r)
+		if err == nil {
+			got, _ := io.ReadAll(io.LimitReader(a, 5))
+			a.Close()
+			t.Errorf("%q: status %d, body %q", answer, a.Status, got)
+		} else {
+			assert.Check(t, !NotSent(err), "%q: it may have run", answer)
+		}
+		assert.Check(t, ctx.Err() == nil, "%q: not told before the end of the request", answer)
+		assert.Check(t, !c.HasIdle(address, 0), "%q", answer)
+		cancel()
+	}
+}
 
 // Guards against answers with an odd field name that are taken, and against their connections being used again.
 func TestAnswerWithAnOddFieldNameIsNoAnswer(t *testing.T) {
 	t.Parallel()
 	for _, answer := range oddHeads() {
-		for _, body := range []int{0, 100 << 10} {
-			address := startTarget(t, alwaysAnswer(answer))
-			var c Client
-			r := newRequest(address)
-			r.Method, r.Body = "POST", make([]byte, body)
-			ctx, cancel := context.WithTimeout(t.Context(), answerTime)
-			a, err := c.Send(ctx, r)
-			if err == nil {
-				got, _ := io.ReadAll(io.LimitReader(a, 5))
-				a.Close()
-				t.Errorf("%q: status %d, body %q", answer, a.Status, got)
-			}
-			assert.Check(t, ctx.Err() == nil, "%q", answer)
-			cancel()
-			if err == nil {
-				continue
-			}
-			assert.Assert(t, !NotSent(err), "%q: it may have run", answer)
-			assert.Assert(t, !c.HasIdle(address, 0), "%q", answer)
-		}
+		assertNoAnswer(t, answer)
 	}
 }
--- a/internal/serve/upstream/odd_status_test.go
+++ b/internal/serve/upstream/odd_status_test.go
@@ -1,8 +1,6 @@
 package upstream
 
 import (
-	"context"
-	"io"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -22,30 +20,9 @@
 func TestAnswerWithoutAStatusIsNoAnswer(t *testing.T) {
 	t.Parallel()
 	for _, line := range oddStatuses {
-		for _, answer := range []string{
-			line + "\r\nX-Attempt: id-1\r\nContent-Length: 5\r\n\r\nhello",
-			line + "\r\n\r\n" + plainAnswer, // as an interim answer
-			"HTTP/1.1 100 Continue\r\n\r\n" + line + "\r\nX-Attempt: id-1\r\nContent-Length: 5\r\n\r\nhello",
-		} {
-			for _, body := range []int{0, 100 << 10} {
-				address := startTarget(t, alwaysAnswer(answer))
-				var c Client
-				r := newRequest(address)
-				r.Method, r.Body = "POST", make([]byte, body)
-				ctx, cancel := context.WithTimeout(t.Context(), answerTime)
-				a, err := c.Send(ctx, r)
-				if err == nil {
-					got, _ := io.ReadAll(io.LimitReader(a, 5))
-					a.Close()
-					t.Errorf("%q: status %d, body %q", answer, a.Status, got)
-				} else {
-					assert.Check(t, !NotSent(err), "%q: it may have run", answer)
-				}
-				assert.Check(t, ctx.Err() == nil, "%q", answer)
-				assert.Check(t, !c.HasIdle(address, 0), "%q", answer)
-				cancel()
-			}
-		}
+		assertNoAnswer(t, line+"\r\nX-Attempt: id-1\r\nContent-Length: 5\r\n\r\nhello")
+		assertNoAnswer(t, line+"\r\n\r\n"+plainAnswer) // as an interim answer
+		assertNoAnswer(t, "HTTP/1.1 100 Continue\r\n\r\n"+line+"\r\nX-Attempt: id-1\r\nContent-Length: 5\r\n\r\nhello")
 	}
 }
 
