test: the reset of an upload waits for unread bytes; no platform names outside platform

The first was the test: a connection that is closed with nothing unread ends in order, and the upload may not have arrived yet.

--- a/internal/serve/liveness/odd_head_test.go
+++ b/internal/serve/liveness/odd_head_test.go
@@ -12,8 +12,8 @@
 func TestAnswerToACheckWithAnOddHeadIsNone(t *testing.T) {
 	t.Parallel()
 	for _, head := range []string{
-		"HTTP/1.1 200 OK\r\nX Worker-Id: i-1\r\n", "HTTP/1.1 200 OK\r\nX-Worker-Id : i-1\r\n", "HTTP/1.1 200 OK\r\nX-A: a\r\n X-B: b\r\n",
-		"HTTP/1.1 200 OK\r\nX-\x01Worker: i-1\r\n",
+		"HTTP/1.1 200 OK\r\nX Odd: i-1\r\n", "HTTP/1.1 200 OK\r\nX-Odd : i-1\r\n", "HTTP/1.1 200 OK\r\nX-A: a\r\n X-B: b\r\n",
+		"HTTP/1.1 200 OK\r\nX-\x01Odd: i-1\r\n",
 		"HTTP/1.1 000 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 042 OK\r\n\r\nHTTP/1.1 200 OK\r\n",
 	} {
 		t.Run(head, func(t *testing.T) {
--- a/internal/serve/upstream/early_answer_test.go
+++ b/internal/serve/upstream/early_answer_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/vanillagate/vanillagate/internal/framing"
+	"github.com/vanillagate/vanillagate/internal/socket"
 )
 
 // uploadBytes is more than the socket buffers of a connection hold.
@@ -75,7 +76,11 @@
 					time.Sleep(5 * time.Millisecond)
 					_ = conn.SetLinger(0)
 				},
-				"unread bytes": func(*net.TCPConn, io.Reader) { time.Sleep(2 * time.Millisecond) },
+				"unread bytes": func(conn *net.TCPConn, _ io.Reader) {
+					for socket.Peek(conn) != socket.Readable { // without them it would close in order
+						time.Sleep(time.Millisecond)
+					}
+				},
 				"midway": func(conn *net.TCPConn, body io.Reader) {
 					_, _ = io.CopyN(io.Discard, body, uploadBytes/4)
 					_ = conn.SetLinger(0)
