order, steward: unused connections to engines are closed

The steward prunes them each time it looks at its pools, as vanillagate does with those to its targets.

The new test has the engine see the end of its connection.

--- a/internal/command/order/client.go
+++ b/internal/command/order/client.go
@@ -43,6 +43,9 @@
 // NewClient returns a Client.
 func NewClient() *Client { return &Client{targets: target.NewClient(maxAnswerBytes)} }
 
+// Prune closes connections that have been unused for too long. Call it regularly.
+func (c *Client) Prune(now time.Time) { c.targets.Prune(now) }
+
 // Report returns the models that an engine serves.
 func (c *Client) Report(ctx context.Context, address string) (targetapi.ModelList, error) {
 	var report targetapi.ModelList
--- a/internal/command/order/odd_head_test.go
+++ b/internal/command/order/client_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -35,3 +36,21 @@
 		assert.Check(t, (result == Done) == sound && (result == Unknown) != sound, "%q: %s, %v", head, result, err)
 	}
 }
+
+// Guards against connections to engines that stay open although nobody uses them.
+func TestUnusedConnectionsToEnginesAreClosed(t *testing.T) {
+	t.Parallel()
+	ended := make(chan error, 1)
+	address := listentest.Serve(t, func(conn *net.TCPConn) {
+		r := bufio.NewReader(conn)
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"data\":[]}")
+		_, err := r.ReadByte()
+		ended <- err
+	})
+	client := NewClient()
+	_, err := client.Report(t.Context(), address)
+	assert.NilError(t, err)
+	client.Prune(time.Now().Add(time.Minute))
+	assert.Equal(t, <-ended, io.EOF)
+}
--- a/internal/steward/orders.go
+++ b/internal/steward/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/google/uuid"
 	"go.uber.org/zap"
@@ -32,6 +33,7 @@
 // orderPools sends orders to the engines of the pools whose lease this process
 // holds.
 func (s *Steward) orderPools(ctx context.Context) {
+	s.client.Prune(time.Now())
 	state := s.opts.Config()
 	for _, name := range s.managedPools() {
 		if _, holds := s.leases.Check(name); holds {
