--- a/internal/backing/early_answer_test.go
+++ b/internal/backing/early_answer_test.go
@@ -15,8 +15,7 @@
 	"github.com/vanillagate/vanillagate/internal/listentest"
 )
 
-// Guards against the part of an answer of the table service or the object store that a reset cuts during the upload, and that
-// passes as whole.
+// Guards against a service's answer that a reset cuts during the upload and that passes as whole.
 func TestAnswerThatAResetCutsDuringTheUploadFails(t *testing.T) {
 	t.Parallel()
 	for name, head := range map[string]string{
--- a/internal/backing/odd_head_test.go
+++ b/internal/backing/odd_head_test.go
@@ -14,8 +14,7 @@
 	"github.com/vanillagate/vanillagate/internal/backing/vmlist"
 )
 
-// Guards against answers of the platform's services that aren't HTTP and that count as data, or as writes that were made or
-// rejected.
+// Guards against answers of the platform's services that aren't HTTP and that count as data, or tell of a write.
 func TestAnswersOfServicesWithAnOddHeadFail(t *testing.T) {
 	t.Parallel()
 	for head, sound := range map[string]bool{
--- a/internal/conns/resets_test.go
+++ b/internal/conns/resets_test.go
@@ -11,8 +11,7 @@
 	"github.com/vanillagate/vanillagate/internal/listentest"
 )
 
-// Guards against reads that take the reset of a connection for its orderly end, or an orderly end for a reset, while a
-// write is in progress.
+// Guards against reads that take a reset for an orderly end, or the reverse, while a write is in progress.
 func TestReadsTellAResetFromAnOrderlyEnd(t *testing.T) {
 	t.Parallel()
 	reset := func(conn *net.TCPConn) { _ = conn.SetLinger(0) }
--- a/internal/serve/upstream/early_answer_test.go
+++ b/internal/serve/upstream/early_answer_test.go
@@ -63,8 +63,7 @@
 	return string(body), err
 }
 
-// Guards against a part of an answer that looks complete because the write of the request, not the read of the answer, gets
-// the reset of their connection.
+// Guards against a part of an answer that looks complete because the write of the request got the reset.
 func TestUnframedAnswerThatAResetCutsDuringTheUploadIsIncomplete(t *testing.T) {
 	t.Parallel()
 	const plays = 8
--- a/internal/serve/upstream/odd_status_test.go
+++ b/internal/serve/upstream/odd_status_test.go
@@ -15,8 +15,7 @@
 	"http/1.1 200 OK", "ICY 200 OK", "200 OK", "X-A: HTTP/1.1 200",
 }
 
-// Guards against answers whose status isn't one that are taken, as 200 or as interim ones, and against their connections being
-// used again.
+// Guards against answers whose status isn't one that are taken, as 200 or as interim ones, and leave their connections in use.
 func TestAnswerWithoutAStatusIsNoAnswer(t *testing.T) {
 	t.Parallel()
 	for _, line := range oddStatuses {
--- a/internal/serve/upstream/upstream_test.go
+++ b/internal/serve/upstream/upstream_test.go
@@ -14,27 +14,14 @@
 
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
+
+	"github.com/vanillagate/vanillagate/internal/listentest"
 )
 
 // startTarget listens on a local port and calls serve for each connection.
 func startTarget(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				serve(conn)
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return listentest.Serve(t, func(conn *net.TCPConn) { serve(conn) })
 }
 
 // readRequest reads one request from a connection; nil at its end.
