test: both requests hold memory before either asks for more

The stack shows the test's own goroutine waiting for the memory of the second request. The first one's goroutine was started before that, and beside load it got its 900 of 1,000 bytes first; it keeps them, so the 500 of the second never came free. The test means two requests that both hold 500 and both want more: they hold now before either asks.

--- a/internal/intake/memory_test.go
+++ b/internal/intake/memory_test.go
@@ -96,8 +96,7 @@
 func TestRequestsThatWaitAreEvictedToo(t *testing.T) {
 	m := NewMemory(1000)
 	results := make(chan error, 2)
-	for range 2 {
-		r := holding(t, m, 500, time.Minute)
+	for _, r := range []*reservation{holding(t, m, 500, time.Minute), holding(t, m, 500, time.Minute)} {
 		go func() {
 			err := r.resize(uncountedBytes + 900)
 			if err != nil {
