liveness: a later start of a target doesn't vouch for an answer

The engine had crashed behind a cut of 2.2 s and had started again under its ID before the ends of its connections arrived.

Cause: such an answer is complete if its target runs on, and the liveness check compared the ID of whoever answered.

Change: an engine's report says when it started (`born`), which is compared with the list, or with what was met before the request was sent, since the list may lag. Plain targets don't say it. An answer knows until when its data arrived without a pause of 250 ms; if there was one, only an answer, data or an open end on a connection from before the pause shows that the process runs. Streams without framing, and slow requests to plain targets, keep a spare connection for that. The log lines about such ends have `born` and `since_known`.

TestConnectionsInUseShowThatASilentProcessRuns names the time until which the process is known as KnownUntil instead of SentAt; its checks are unchanged.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -59,10 +59,21 @@
 	// Opened is when the connection was opened.
 	Opened   time.Time
 	lastUsed time.Time
+	hadCall  bool
 }
 
 // Reused reports whether the connection had another call before the current one.
-func (c *Conn) Reused() bool { return !c.lastUsed.IsZero() }
+func (c *Conn) Reused() bool { return c.hadCall }
+
+// ReceivedSince reports whether data was received after a time.
+func (c *Conn) ReceivedSince(at time.Time) bool {
+	r, ok := c.Conn.(*resetConn)
+	if !ok {
+		return false
+	}
+	after := time.Duration(r.receivedAfter.Load())
+	return after > 0 && r.opened.Add(after).After(at)
+}
 
 func (c *Conn) maxUnused() int {
 	if c.MaxIdleConns > 0 {
@@ -101,8 +112,18 @@
 // been unused for less than maxIdleTime; 0 means no bound. It returns nil if
 // there is none, and closes those that it rejects.
 func (p *Pool) Take(address string, now time.Time, maxIdleTime time.Duration) *Conn {
+	return p.take(address, now, maxIdleTime, func(*Conn) bool { return true })
+}
+
+// TakeOpenedBefore returns the most recently used connection that is still usable and was opened before a
+// time; nil if there is none.
+func (p *Pool) TakeOpenedBefore(before time.Time, address string, now time.Time) *Conn {
+	return p.take(address, now, 0, func(c *Conn) bool { return c.Opened.Before(before) })
+}
+
+func (p *Pool) take(address string, now time.Time, maxIdleTime time.Duration, fits func(*Conn) bool) *Conn {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, fits)
 		if c == nil {
 			return nil
 		}
@@ -121,29 +142,39 @@
 	return slices.ContainsFunc(p.byAddress[address], func(c *Conn) bool { return c.reusable(now, maxIdleTime) })
 }
 
-// HasOf reports whether a connection is kept on which a process has answered, and which is still open.
-func (p *Pool) HasOf(process, address string, now time.Time) bool {
+// HasOf reports whether a connection is kept on which a process has answered, and which is still open. If before isn't
+// zero, only connections count that were opened before that time.
+func (p *Pool) HasOf(process, address string, before, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.byAddress[address], func(c *Conn) bool { return c.Process == process && c.reusable(now, 0) })
+	return slices.ContainsFunc(p.byAddress[address], func(c *Conn) bool {
+		return c.Process == process && (before.IsZero() || c.Opened.Before(before)) && c.reusable(now, 0)
+	})
 }
 
-func (p *Pool) pop(address string) *Conn {
+// pop removes the most recently used connection that fits.
+func (p *Pool) pop(address string, fits func(*Conn) bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.byAddress[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if fits(c) {
+			p.byAddress[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	list[len(list)-1] = nil
-	p.byAddress[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // Put keeps a connection for reuse. Its last answer must have been read to the
 // end.
 func (p *Pool) Put(address string, c *Conn, now time.Time) {
+	c.hadCall = true
+	p.PutNew(address, c, now)
+}
+
+// PutNew keeps a connection that had no call yet.
+func (p *Pool) PutNew(address string, c *Conn, now time.Time) {
 	c.lastUsed = now
 	_ = c.SetDeadline(time.Time{}) // fails only on a closed connection, which Take detects
 	p.mu.Lock()
--- a/internal/conns/resets.go
+++ b/internal/conns/resets.go
@@ -17,6 +17,9 @@
 	net.Conn
 	// readErr is the error after which nothing more is read; nil before.
 	readErr atomic.Pointer[error]
+	// opened is when the connection was opened, receivedAfter the time from then until it last received data; 0 for none.
+	opened        time.Time
+	receivedAfter atomic.Int64
 
 	writing  sync.Mutex // held during a write; guards writeErr. No other lock is taken while it is held
 	writeErr error      // of the first write that failed
@@ -24,7 +27,7 @@
 
 // ReportResets returns the connection with reads that fail if it was reset, and return io.EOF only if the other side has
 // closed it in order. A write that is still in progress then is ended, as nobody reads its answer any more.
-func ReportResets(conn net.Conn) net.Conn { return &resetConn{Conn: conn} }
+func ReportResets(conn net.Conn) net.Conn { return &resetConn{Conn: conn, opened: time.Now()} }
 
 // Read implements io.Reader. After an error other than a passed deadline each read returns that error.
 func (c *resetConn) Read(p []byte) (int, error) {
@@ -32,6 +35,9 @@
 		return 0, *end
 	}
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.receivedAfter.Store(int64(time.Since(c.opened)))
+	}
 	if errors.Is(err, io.EOF) {
 		err = c.checkEnd()
 	}
--- a/internal/serve/liveness/liveness.go
+++ b/internal/serve/liveness/liveness.go
@@ -34,6 +34,8 @@
 	Accepting Verdict = "accepting"
 	// Replaced means that another process has answered at the address.
 	Replaced Verdict = "replaced"
+	// Unidentified means that the target at the address may be a later start under the same ID.
+	Unidentified Verdict = "unidentified"
 	// Closed means that the connection was refused, or closed without an answer.
 	Closed Verdict = "closed"
 	// Unreachable means that no connection was established in time.
@@ -65,6 +67,8 @@
 // Process is one start of a target.
 type Process struct {
 	ID string
+	// Born is when it started, in Unix milliseconds; 0 if each start of the target has an ID of its own.
+	Born int64
 	// Address is its IP:port.
 	Address string
 }
@@ -72,31 +76,87 @@
 // Question is how a process is asked for a sign of life.
 type Question struct {
 	Process
-	// SentAt is when the request began to be written that the process has answered. The zero value means that it isn't
-	// known.
-	SentAt time.Time
+	// SentAt is when the request began to be written that the process has answered, KnownUntil until when the process is
+	// known to have run since then. The zero value means that they aren't known.
+	SentAt     time.Time
+	KnownUntil time.Time
 	// Request is answered without running anything. Its address is that of the process. MatchesRequest
 	// counts on connections that were used before.
 	Request upstream.Request
 	// ConnectOnly opens a connection and sends no request, for processes that take few requests or none. It
 	// doesn't tell a process from its successor at the address.
 	ConnectOnly bool
-	// From reports whether an answer with this header is from the process.
+	// From reports whether an answer with this header is from a start of the target.
 	From func(*fasthttp.ResponseHeader) bool
+	// Born returns when the process started that has sent the body of an answer, as in Process; 0 if it doesn't say. It
+	// doesn't need the whole body. nil if no answer says it.
+	Born func(body io.Reader) int64
+}
+
+// acceptedBy is the time before which connections to the address were accepted by the process: it was known to run, and
+// the next one can't have started yet. Of a connection that was opened so late the process has to answer a request, since
+// the system may accept connections for a process that ends.
+func (q *Question) acceptedBy() time.Time {
+	if q.KnownUntil.IsZero() {
+		return time.Time{}
+	}
+	return q.KnownUntil.Add(upstream.RestartTime)
+}
+
+// afterPause reports whether the process may have ended, and another one started, since it was last known to run.
+func (q *Question) afterPause(now time.Time) bool { return !now.Before(q.acceptedBy()) }
+
+// answeredBy is the time before which a connection has to be opened on which a target with the process's ID has answered,
+// so that its being open shows that the process runs; zero if all are.
+func (q *Question) answeredBy() time.Time {
+	if q.Process.Born == 0 {
+		return time.Time{}
+	}
+	return q.KnownUntil
 }
 
 // Checker checks processes. One check serves all that ask before its request is written. The zero value is
 // ready to use.
 type Checker struct {
-	mu sync.Mutex // guards open; no other lock is taken while it is held
+	mu sync.Mutex // guards the fields below; no other lock is taken while it is held
 	// open are the checks whose request hasn't been written yet.
 	open map[Process]*check
+	// met holds the processes that have said when they started, and from when on each has run at least.
+	met map[Process]time.Time
 }
 
+// maxMet limits Checker.met.
+const maxMet = 4096
+
 // check is a check in progress.
 type check struct {
-	done    chan struct{} // closed once verdict is set
-	verdict Verdict
+	question   *Question
+	afterPause bool
+	done       chan struct{} // closed once verdict is set
+	verdict    Verdict
+}
+
+// answers reports whether the verdict of the check holds for another question about the same process.
+func (c *check) answers(q *Question, afterPause bool) bool {
+	if c.afterPause != afterPause {
+		return false
+	}
+	later := q.KnownUntil.Sub(c.question.KnownUntil)
+	return !afterPause || later >= 0 && later <= upstream.RestartTime
+}
+
+// meet records that a process has run since a time, and returns the earliest such time.
+func (c *Checker) meet(p Process, since time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if earlier, found := c.met[p]; found && earlier.Before(since) {
+		return earlier
+	}
+	if c.met == nil || len(c.met) >= maxMet {
+		c.met = map[Process]time.Time{}
+	}
+	c.met[p] = since
+	return since
 }
 
 // Check asks a process for a sign of life, and returns when there is a verdict or ctx has ended. The
@@ -118,10 +178,11 @@
 func (c *Checker) join(client *upstream.Client, q *Question) *check {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if running := c.open[q.Process]; running != nil {
+	afterPause := q.afterPause(time.Now())
+	if running := c.open[q.Process]; running != nil && running.answers(q, afterPause) {
 		return running
 	}
-	started := &check{done: make(chan struct{})}
+	started := &check{question: q, afterPause: afterPause, done: make(chan struct{})}
 	if c.open == nil {
 		c.open = map[Process]*check{}
 	}
@@ -139,37 +200,98 @@
 	}
 }
 
-// run asks on a new connection. A target that is overloaded or about to stop may refuse it and still
-// answer on one that it has accepted before.
+// run does a check. Its exchanges are finished after the verdict is known.
 func (c *Checker) run(client *upstream.Client, q *Question, current *check) {
-	onSend := func() { c.closeToOthers(q.Process, current) }
+	s := &series{
+		client: client, question: q, afterPause: current.afterPause, meet: c.meet,
+		onSend: func() { c.closeToOthers(q.Process, current) },
+	}
+	current.verdict = s.run()
+	s.onSend()
+	close(current.done)
+	for _, e := range s.asked {
+		e.finish()
+	}
+}
+
+// series is the exchanges of one check.
+type series struct {
+	client     *upstream.Client
+	question   *Question
+	afterPause bool
+	// meet is Checker.meet, onSend is called right before a request is written.
+	meet   func(Process, time.Time) time.Time
+	onSend func()
+	asked  []*exchange
+}
+
+func (s *series) run() Verdict {
+	if !s.afterPause {
+		return s.askOrConnect()
+	}
+	// Only a process that says when it started is known on a new connection.
+	if verdict := s.askOnKept(); verdict.Runs() || verdict == Replaced {
+		return verdict
+	}
+	verdict := s.askOrConnect()
+	if verdict == Accepting {
+		verdict = acceptedAfterPause(s.client, s.question)
+	}
+	if verdict == Unidentified {
+		time.Sleep(settleTime) // another check may use the only connection that is old enough
+		if again := s.askOnKept(); again.Runs() || again == Replaced {
+			return again
+		}
+	}
+	return verdict
+}
+
+// askOnKept asks on a connection that the process has accepted; Closed if there is none.
+func (s *series) askOnKept() Verdict {
+	q := s.question
+	if q.ConnectOnly || q.acceptedBy().IsZero() {
+		return Closed
+	}
+	return s.try(&exchange{openedBefore: q.acceptedBy()})
+}
+
+// try makes one exchange.
+func (s *series) try(e *exchange) Verdict {
+	e.series = s
+	s.asked = append(s.asked, e)
+	return e.ask()
+}
+
+// askOrConnect asks on a new connection. A target that is overloaded or about to stop may refuse it and still
+// answer on one that it has accepted before.
+func (s *series) askOrConnect() Verdict {
+	q := s.question
 	if q.ConnectOnly {
-		current.verdict = connect(client, q.Address, onSend)
-		onSend()
-		close(current.done)
-		return
+		return connect(s.client, q.Address, s.onSend)
 	}
-	asked := []*exchange{{client: client, question: q, newConnection: true, onSend: onSend}}
-	verdict := asked[0].ask()
-	if verdict == Closed && client.HasIdle(q.Address, 0) {
-		asked = append(asked, &exchange{client: client, question: q, onSend: onSend})
-		verdict = asked[1].ask()
+	first := &exchange{newConnection: true}
+	verdict := s.try(first)
+	if verdict == Closed && s.client.HasIdle(q.Address, 0) {
+		verdict = s.try(&exchange{})
 	}
-	if verdict == Closed && asked[0].isConnected() {
+	if verdict == Closed && first.isConnected() {
 		time.Sleep(settleTime)
-		again := &exchange{client: client, question: q, newConnection: true, onSend: onSend}
-		asked = append(asked, again)
+		again := &exchange{newConnection: true}
 		// A process at its connection limit accepts this connection, too; the port of one that has died refuses it.
-		if verdict = again.ask(); verdict == Closed && again.isConnected() {
+		if verdict = s.try(again); verdict == Closed && again.isConnected() {
 			verdict = Accepting
 		}
 	}
-	onSend()
-	current.verdict = verdict
-	close(current.done)
-	for _, e := range asked {
-		e.finish()
+	return verdict
+}
+
+// acceptedAfterPause returns the verdict on a process after a pause, at whose address connections are accepted and closed
+// again or not used. A later process accepts them, too.
+func acceptedAfterPause(client *upstream.Client, q *Question) Verdict {
+	if client.HasIdleOf(q.ID, q.Address, q.answeredBy()) || client.HasOpenFrom(q.Address, q.KnownUntil, time.Time{}) {
+		return Connected
 	}
+	return Unidentified
 }
 
 // connect opens a connection and calls beforeCheck before it checks whether it is still open.
@@ -211,11 +333,10 @@
 
 // exchange is one request for a sign of life.
 type exchange struct {
-	client        *upstream.Client
-	question      *Question
+	*series
+	// newConnection has the request sent on a new connection, openedBefore, if it isn't zero, on one that was opened before.
 	newConnection bool
-	// onSend is called right before the request is written.
-	onSend func()
+	openedBefore  time.Time
 
 	cancel context.CancelCauseFunc
 	bound  *time.Timer
@@ -232,7 +353,7 @@
 	e.cancel = cancel
 	e.bound = time.AfterFunc(Bound, e.reachBound)
 	request := e.question.Request
-	request.Allowed = e.allow
+	request.Allowed, request.OpenedBefore = e.allow, e.openedBefore
 	if e.newConnection {
 		request.NewConnection, request.MatchesRequest = true, nil
 	}
@@ -241,10 +362,40 @@
 		return e.failed(ctx)
 	}
 	e.answer = answer
-	if !e.question.From(&answer.Header) {
+	return e.judge()
+}
+
+// judge returns the verdict on the sender of the answer.
+func (e *exchange) judge() Verdict {
+	q := e.question
+	if !q.From(&e.answer.Header) {
 		return Replaced
 	}
-	return Alive
+	opened := e.answer.ConnOpened()
+	born := e.bornOfSender()
+	switch {
+	case q.Process.Born == 0:
+		return Alive
+	case born == 0 && opened.Before(q.acceptedBy()):
+		return Alive
+	case born == 0:
+		return Unidentified
+	}
+	sender := Process{ID: q.ID, Born: born, Address: q.Address}
+	since := e.meet(sender, opened)
+	// The list may name an earlier start than the one that has got the request.
+	if sender == q.Process || since.Before(q.SentAt) {
+		return Alive
+	}
+	return Replaced
+}
+
+// bornOfSender returns when the sender of the answer started; 0 if it doesn't say.
+func (e *exchange) bornOfSender() int64 {
+	if e.question.Born == nil || e.question.Process.Born == 0 {
+		return 0
+	}
+	return e.question.Born(io.LimitReader(e.answer, maxBodyBytes))
 }
 
 // isConnected reports whether there was a connection.
@@ -263,9 +414,7 @@
 
 // reachBound ends the check, or gives the answer more time if nothing else shows that the process runs.
 func (e *exchange) reachBound() {
-	p := e.question.Process
-	keepsConnection := e.client.HasIdleOf(p.ID, p.Address) || e.client.HasOpenFrom(p.Address, e.question.SentAt)
-	if e.isConnected() && !e.awaitsAnswer && !keepsConnection {
+	if e.isConnected() && !e.awaitsAnswer && !e.processKeepsConnection() {
 		e.awaitsAnswer = true
 		e.bound.Reset(answerBound - Bound)
 		return
@@ -273,6 +422,16 @@
 	e.cancel(errBound)
 }
 
+// processKeepsConnection reports whether a connection is open that the process has accepted. After a pause data have to
+// arrive on it: the path may have been interrupted, and the ends of connections arrive at different times then.
+func (e *exchange) processKeepsConnection() bool {
+	q := e.question
+	if e.afterPause {
+		return e.client.HasOpenFrom(q.Address, q.KnownUntil, e.connected)
+	}
+	return e.client.HasIdleOf(q.ID, q.Address, q.answeredBy()) || e.client.HasOpenFrom(q.Address, q.KnownUntil, time.Time{})
+}
+
 // failed returns the verdict on a request without an answer. If much more time than its bound has passed,
 // this process was suspended, and the connection may have been closed meanwhile.
 func (e *exchange) failed(ctx context.Context) Verdict {
@@ -280,6 +439,9 @@
 	case ctx.Err() == nil:
 		return Closed
 	case e.isConnected() && e.awaitsAnswer:
+		if !e.openedBefore.IsZero() || e.afterPause && acceptedAfterPause(e.client, e.question) == Connected {
+			return Connected
+		}
 		return Silent
 	case !e.isConnected() || time.Since(e.connected) > 2*Bound:
 		return Unreachable
--- a/internal/serve/liveness/liveness_test.go
+++ b/internal/serve/liveness/liveness_test.go
@@ -65,7 +65,7 @@
 
 func question(address string) *Question {
 	return &Question{
-		Process: Process{ID: "i-1", Address: address},
+		Process: Process{ID: "i-1", Address: address}, SentAt: time.Now(), KnownUntil: time.Now(),
 		Request: upstream.Request{Address: address, Host: address, Method: "GET", URI: "/"},
 		From:    func(h *fasthttp.ResponseHeader) bool { return h.StatusCode() != fasthttp.StatusMisdirectedRequest },
 	}
@@ -177,7 +177,7 @@
 		address, _ := server(t, func(_ net.Conn, r *bufio.Reader) { _, _ = io.Copy(io.Discard, r) }) // until the caller ends
 		client, q := &upstream.Client{}, question(address)
 		if openedAfter {
-			q.SentAt = time.Now()
+			q.KnownUntil = time.Now()
 		}
 		sent := make(chan struct{})
 		ctx, cancel := context.WithCancel(t.Context())
@@ -190,12 +190,12 @@
 		})
 		<-sent
 		if !openedAfter {
-			q.SentAt = time.Now()
+			q.KnownUntil = time.Now()
 		}
 		assert.Equal(t, (&Checker{}).Check(t.Context(), client, q), verdict)
 		cancel()
 		assert.NilError(t, group.Wait())
-		assert.Assert(t, !client.HasOpenFrom(address, time.Now()))
+		assert.Assert(t, !client.HasOpenFrom(address, time.Now(), time.Time{}))
 	}
 }
 
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -114,7 +114,9 @@
 	if j.sends > 0 {
 		j.Metrics.count(series("vanillagate_retries_sent", "service", j.service))
 	}
+	answered := j.keepSpareConnIfSlow(target)
 	answer, err := j.Client.Send(ctx, j.buildRequest(target, lastEvent, now))
+	answered()
 	if err != nil {
 		return nil, nil, j.recordNoAnswer(ctx, target, call, err)
 	}
--- a/internal/serve/run/ends.go
+++ b/internal/serve/run/ends.go
@@ -38,25 +38,30 @@
 	if answer.Kind != framing.Connection {
 		return nil
 	}
+	endedAt := time.Now()
 	answer.Close() // the target may accept few connections
-	verdict := j.liveness.Check(j.ctx, j.Client, j.livenessQuestion(target, answer.SentAt))
+	verdict := j.liveness.Check(j.ctx, j.Client, j.livenessQuestion(target, answer))
 	j.Metrics.count(series("vanillagate_unframed_answer_ends", "verdict", string(verdict)))
-	if verdict.Runs() {
-		if verdict != liveness.Alive {
-			j.Log.Info("Answer without framing counts as complete, and its target hasn't answered.", requestID(j.req.ID),
-				zap.String("target", target.ID), zap.String("address", target.Address), zap.String("verdict", string(verdict)))
-		}
-		return nil
+	fields := []zap.Field{
+		requestID(j.req.ID), zap.String("target", target.ID), zap.Int64("born", target.Born), zap.String("address", target.Address),
+		zap.String("verdict", string(verdict)), zap.Duration("since_known", endedAt.Sub(answer.KnownUntil())),
+	}
+	if !verdict.Runs() {
+		j.Log.Warn("Answer without framing isn't known to be complete.", fields...)
+		return &UnknownEndError{Verdict: verdict}
+	}
+	if verdict != liveness.Alive {
+		j.Log.Info("Answer without framing counts as complete, and its target hasn't answered.", fields...)
 	}
-	j.Log.Warn("Answer without framing isn't known to be complete.", requestID(j.req.ID), zap.String("target", target.ID),
-		zap.String("address", target.Address), zap.String("verdict", string(verdict)))
-	return &UnknownEndError{Verdict: verdict}
+	return nil
 }
 
-func (j *job) livenessQuestion(target *pool.Target, sentAt time.Time) *liveness.Question {
+func (j *job) livenessQuestion(target *pool.Target, answer *upstream.Answer) *liveness.Question {
 	q := &liveness.Question{
-		Process: liveness.Process{ID: target.ID, Address: target.Address},
-		SentAt:  sentAt,
+		Process:    liveness.Process{ID: target.ID, Born: target.Born, Address: target.Address},
+		SentAt:     answer.SentAt,
+		KnownUntil: answer.KnownUntil(),
+		Born:       j.Codec.ReadBorn,
 		Request: upstream.Request{
 			Address: target.Address, Target: target.ID, Host: target.Address, Method: fasthttp.MethodGet,
 			MatchesRequest: func(h *fasthttp.ResponseHeader) bool { return j.Codec.ReadAnswer(h).ID == "" },
@@ -66,9 +71,8 @@
 			return h.StatusCode() != fasthttp.StatusMisdirectedRequest && (named == "" || named == target.ID)
 		},
 	}
-	service := j.Plans.Service(j.service)
-	q.Request.URI, q.Request.Header = j.Codec.LivenessRequest(target.ID, service)
-	q.ConnectOnly = q.Request.URI == "" || (service == nil || service.Engine == nil) && takesFewRequests(target)
+	q.Request.URI, q.Request.Header = j.Codec.LivenessRequest(target.ID, j.Plans.Service(j.service))
+	q.ConnectOnly = q.Request.URI == "" || !j.isEngineService() && takesFewRequests(target)
 	j.limitIdleConns(&q.Request)
 	return q
 }
--- a/internal/serve/run/request.go
+++ b/internal/serve/run/request.go
@@ -95,6 +95,9 @@
 	// LivenessRequest returns the URI and the header lines of a GET request that a target of a service
 	// answers without running anything; none if uri is empty. service is nil if it isn't in the configuration.
 	LivenessRequest(target string, service *plan.Service) (uri string, header []upstream.Header)
+	// ReadBorn parses the body of an answer to that request and returns when the target started, in Unix milliseconds; 0
+	// if it doesn't say.
+	ReadBorn(body io.Reader) int64
 }
 
 // Reason says why this process answered a request itself.
--- a/internal/serve/run/retry_budget_test.go
+++ b/internal/serve/run/retry_budget_test.go
@@ -36,6 +36,8 @@
 // LivenessRequest returns none: the targets count every request as a run.
 func (plainCodec) LivenessRequest(string, *plan.Service) (string, []upstream.Header) { return "", nil }
 
+func (plainCodec) ReadBorn(io.Reader) int64 { return 0 }
+
 func (plainCodec) ReadAnswer(h *fasthttp.ResponseHeader) AnswerInfo {
 	return AnswerInfo{NotRun: h.StatusCode() == fasthttp.StatusServiceUnavailable, Signed: true}
 }
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -64,13 +64,15 @@
 	// reads that returned data.
 	lastRead     time.Time
 	longestPause time.Duration
-	buffer       [readSize]byte
+	// spareDue is when it is next ensured that a spare connection is kept.
+	spareDue time.Time
+	buffer   [readSize]byte
 }
 
 func (j *job) stream(target *pool.Target, answer *upstream.Answer, call *pool.Call) *Reply {
 	s := &stream{
 		job: j, target: target, answer: answer, call: call, lastEventID: j.req.LastEventID, opaque: !isEventStream(&answer.Header),
-		held: heldBytes{memory: &j.streamMemory},
+		held: heldBytes{memory: &j.streamMemory}, spareDue: time.Now().Add(spareDelay),
 	}
 	if j.takesUp() {
 		j.Log.Info("Stream that a caller takes up goes on.", requestID(j.req.ID), zap.String("resumes", j.req.Resumes),
@@ -173,6 +175,7 @@
 		}
 	}
 	s.lastRead = now
+	s.keepSpareConn(now)
 	if !s.started {
 		s.started = true
 		s.call.ResponseStarted()
@@ -338,7 +341,7 @@
 	}
 	s.target, s.answer, s.call = target, answer, call
 	s.partial, s.withheld, s.events, s.wait = nil, nil, eventScanner{}, eventWait{}
-	s.started, s.written, s.survived = false, 0, false
+	s.started, s.written, s.survived, s.spareDue = false, 0, false, time.Now().Add(spareDelay)
 	s.resumed = s.lastEventID != ""
 	return resumed
 }
--- a/internal/serve/upstream/answer.go
+++ b/internal/serve/upstream/answer.go
@@ -24,7 +24,8 @@
 	// Body is nil until the header of the request's own answer has been read.
 	*framing.Body
 
-	client *Client
+	client   *Client
+	arrivals arrivals
 	// target is Request.Target.
 	target       string
 	address      string
@@ -63,6 +64,7 @@
 			}
 			continue
 		}
+		a.arrivals.add(time.Now())
 		a.Body = framing.NewBody(a.conn.R, &a.Header, r.Method)
 		a.WrapTrailer = a.readTrailer
 		if r.MatchesRequest == nil || r.MatchesRequest(&a.Header) {
--- a/internal/serve/upstream/in_use.go
+++ b/internal/serve/upstream/in_use.go
@@ -37,12 +37,14 @@
 
 // HasOpenFrom reports whether a connection with a request in progress was opened before a time and is still open. The
 // process that answers a request which was written at that time has accepted it: one that had the address before has
-// died, and its connections have ended.
-func (c *Client) HasOpenFrom(address string, before time.Time) bool {
+// died, and its connections have ended. If heardSince isn't zero, only connections count on which data have arrived since:
+// the end of one may be delayed like its data.
+func (c *Client) HasOpenFrom(address string, before, heardSince time.Time) bool {
 	c.inUse.mu.Lock()
 	defer c.inUse.mu.Unlock()
 	for conn := range c.inUse.byAddress[address] {
-		if conn.Opened.Before(before) && !socket.HasEnded(conn.Conn) {
+		heard := heardSince.IsZero() || conn.ReceivedSince(heardSince)
+		if heard && conn.Opened.Before(before) && !socket.HasEnded(conn.Conn) {
 			return true
 		}
 	}
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -52,6 +52,9 @@
 	// NewConnection opens a connection instead of reusing one, on which an answer to an earlier request may
 	// still arrive.
 	NewConnection bool
+	// OpenedBefore, if it isn't zero, allows only kept connections that were opened before that time. If there is none,
+	// nothing is sent and the error is ErrNoneKept.
+	OpenedBefore time.Time
 	// Allowed is asked right before the request is written, when there is a connection. If it returns false,
 	// nothing is sent and the error is ErrNotAllowed. nil allows the request.
 	Allowed func() bool
@@ -87,6 +90,9 @@
 // ErrNotAllowed means that Request.Allowed has returned false.
 var ErrNotAllowed = errors.New("request is no longer allowed")
 
+// ErrNoneKept means that no connection is kept that Request.OpenedBefore allows.
+var ErrNoneKept = errors.New("no connection is kept that is old enough")
+
 // ErrUnrelatedAnswers means that the target only sent answers to other requests.
 var ErrUnrelatedAnswers = errors.New("target sent only answers to other requests")
 
@@ -137,9 +143,25 @@
 }
 
 // HasIdleOf reports whether an unused connection to an address is kept on which a target has answered, and which is
-// still open.
-func (c *Client) HasIdleOf(target, address string) bool {
-	return c.idle.HasOf(target, address, time.Now())
+// still open. If before isn't zero, only connections count that were opened before that time.
+func (c *Client) HasIdleOf(target, address string, before time.Time) bool {
+	return c.idle.HasOf(target, address, before, time.Now())
+}
+
+// KeepOne opens a connection to an address and keeps it, unless an unused one is kept already. r is a request as it is
+// sent there; of it the address and the limits of kept connections are used.
+func (c *Client) KeepOne(ctx context.Context, r *Request) {
+	if r.CloseAfterAnswer || c.HasIdle(r.Address, 0) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, SlowConnectTime)
+	defer cancel()
+	conn, err := c.Connect(ctx, r.Address)
+	if err != nil {
+		return // nothing was to be sent
+	}
+	conn.MaxIdleConns = r.MaxIdleConns
+	c.idle.PutNew(r.Address, conn, time.Now())
 }
 
 // Send makes one attempt and reads the header of the answer. Every error is a *Failure. When
@@ -166,6 +188,7 @@
 		return nil, &Failure{Err: ErrNotAllowed}
 	}
 	a.SentAt = time.Now()
+	a.arrivals = newArrivals(a.SentAt)
 	if err := a.write(r); err != nil {
 		a.Close()
 		return nil, &Failure{Sent: true, Err: preferContextCause(ctx, err)}
@@ -193,6 +216,12 @@
 	if r.NewConnection {
 		return c.Connect(ctx, r.Address)
 	}
+	if !r.OpenedBefore.IsZero() {
+		if kept := c.idle.TakeOpenedBefore(r.OpenedBefore, r.Address, time.Now()); kept != nil {
+			return kept, nil
+		}
+		return nil, ErrNoneKept
+	}
 	if kept := c.idle.Take(r.Address, time.Now(), r.MaxIdleTime); kept != nil {
 		return kept, nil
 	}
