crashes: targets that fall silent under a request count as crashed

Cause: 50 ms after a connection broke, the target's address was probed once, and only a refused connection counted as a crash. A silent target refuses none, and its connections break when it is back, so that its successor accepts the probe. A request that ended before that wasn't looked at.

Change: a target whose call broke, or ended in silence, is probed until it is known whether the start that had the call runs, for 20 s; all calls of a start together. Whoever accepts a connection is asked which start it is, as at the end of an answer without framing; if it doesn't say, a later start in the list tells. A target that stood still, or was cut off, answers as the same start. A crash that is known late happened at some time since the target was last heard of: answers after that acquit, and crashes whose spans overlap are one round. At a VM that is cut off from a service a refused connection still proves nothing, but the target is followed until it can be asked. Probes go through the dial function of the calls.

The tests of the judge give crashes as what reports tell; their checks are unchanged.

--- a/internal/crashes/detector.go
+++ b/internal/crashes/detector.go
@@ -43,15 +43,29 @@
 	Traits    Traits
 	// Parts are the IDs of the shared parts of the prompt, for the log.
 	Parts []string
-	// Target is the target's ID, Address its IP:port.
+	// Target is the target's ID, Address its IP:port. Born is when it started, in Unix milliseconds; 0 if that isn't known.
 	Target  string
 	Address string
+	Born    int64
+	// HeardAt is when data last came from the target in this call; before the first, when the call was sent.
+	HeardAt time.Time
+	// EndedByTarget means that the other side has ended the connection.
+	EndedByTarget bool
+	// CutOff means that the caller of the target was cut off from it, so that a refused connection proves nothing.
+	CutOff bool
+	// Ask asks whether the process at the address is the one that had the call; nil if that can't be asked. silent means
+	// that the process wasn't heard of for long enough that it may have been replaced.
+	Ask func(ctx context.Context, silent bool) Fate
+	// Superseded reports whether the list of targets names a later start of the target; nil if there is no list.
+	Superseded func() bool
 }
 
 // Options configures a Detector.
 type Options struct {
 	Log     *zap.Logger
 	Network peer.Network
+	// Dial opens connections to targets; nil for conns.DialTCP.
+	Dial conns.DialFunc
 	// Register keeps convictions; nil for none.
 	Register Register
 	// AfterRestart means that the system has run before, so that the register may hold convictions.
@@ -62,6 +76,7 @@
 type Detector struct {
 	log     *zap.Logger
 	network peer.Network
+	dial    conns.DialFunc
 	baseCtx context.Context
 	// afterRestart is that of the options.
 	afterRestart bool
@@ -83,6 +98,8 @@
 	judge    judge
 	// resumedAt is when this process last went on after it was suspended.
 	resumedAt time.Time
+	// watches follow the targets whose calls have broken, until it is known whether they have ended.
+	watches map[start]*watch
 	// askedAt is when this process, as a collector, asked last, lastAsked what.
 	askedAt   time.Time
 	lastAsked []Trait
@@ -92,8 +109,11 @@
 // New creates a detector. Call it before the network starts.
 func New(baseCtx context.Context, o Options) *Detector {
 	d := &Detector{
-		log: o.Log, network: o.Network, baseCtx: baseCtx, afterRestart: o.AfterRestart, wake: make(chan struct{}, 1),
-		convictions: newConvictionSet(), watched: map[Trait]time.Time{},
+		log: o.Log, network: o.Network, dial: o.Dial, baseCtx: baseCtx, afterRestart: o.AfterRestart, wake: make(chan struct{}, 1),
+		convictions: newConvictionSet(), watched: map[Trait]time.Time{}, watches: map[start]*watch{},
+	}
+	if d.dial == nil {
+		d.dial = conns.DialTCP
 	}
 	d.index.Store(d.convictions.index())
 	d.reporter = &reporter{log: o.Log, network: o.Network, baseCtx: baseCtx, receive: d.receiveReports, choice: &d.collectors}
@@ -191,20 +211,18 @@
 	return list
 }
 
-// Broke probes the target of a call whose connection broke and reports a crash if it is down.
-func (d *Detector) Broke(c Call) {
-	time.AfterFunc(probeDelay, func() {
-		if d.baseCtx.Err() == nil && d.targetDied(c.Address) {
-			d.Crashed(c)
-		}
-	})
+// Crashed reports that a call's target has just crashed.
+func (d *Detector) Crashed(c Call) {
+	now := time.Now()
+	d.reportCrash(c, now, now)
 }
 
-// Crashed reports the crash of a call's target.
-func (d *Detector) Crashed(c Call) {
+// reportCrash reports that a call's target has crashed between two times.
+func (d *Detector) reportCrash(c Call, from, until time.Time) {
 	d.log.Warn("Target died under a request.", zap.String("request", c.RequestID), zap.String("target", c.Target),
-		zap.String("address", c.Address), zap.Stringer("content", c.Traits.Content), zap.Strings("parts", c.Parts[:min(len(c.Parts), maxLoggedParts)]))
-	d.reporter.add(c, time.Now())
+		zap.Int64("born", c.Born), zap.String("address", c.Address), zap.Duration("silent", until.Sub(from)),
+		zap.Stringer("content", c.Traits.Content), zap.Strings("parts", c.Parts[:min(len(c.Parts), maxLoggedParts)]))
+	d.reporter.add(c, from, until, time.Now())
 }
 
 // Answered records that a target has survived a request: the answer is complete, or has been coming for
@@ -231,13 +249,18 @@
 
 // targetDied reports whether connections to an address are refused.
 func (d *Detector) targetDied(address string) bool {
+	return errors.Is(d.probe(address), syscall.ECONNREFUSED)
+}
+
+// probe returns the error of a connection to an address; nil if it is established.
+func (d *Detector) probe(address string) error {
 	ctx, cancel := context.WithTimeout(d.baseCtx, probeTimeout)
 	defer cancel()
-	conn, err := conns.Dial(ctx, address)
+	conn, err := d.dial(ctx, address)
 	if err == nil {
 		_ = conn.Close() // only probed
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return err
 }
 
 // publish publishes an item under a key of its own, so that it doesn't replace one that a peer hasn't
@@ -299,7 +322,7 @@
 	defer d.mu.Unlock()
 	for _, r := range list {
 		slices.Sort(r.Parts)
-		d.judge.evidence.add(r.Target, Traits{Content: r.Content, Parts: r.Parts}, now.Add(-time.Duration(r.AgeMS)*time.Millisecond))
+		d.judge.evidence.add(r.crash(now), Traits{Content: r.Content, Parts: r.Parts})
 	}
 	d.reviewSoon()
 }
--- a/internal/crashes/evidence.go
+++ b/internal/crashes/evidence.go
@@ -5,7 +5,8 @@
 const (
 	// evidenceTTL is how long a crash counts.
 	evidenceTTL = 10 * time.Minute
-	// sameCrashTime is the time within which reports that a target died are about the same crash.
+	// sameCrashTime is the time within which reports that a target died are about the same crash, if they don't tell
+	// its starts apart.
 	sameCrashTime = time.Second
 	// maxCrashes, maxRunsPerCrash and maxTraitsHeld limit the evidence. The oldest crash goes first.
 	maxCrashes      = 256
@@ -16,8 +17,43 @@
 // crash is the crash of a target and the requests that it was running, as far as they may be the cause.
 type crash struct {
 	target string
-	at     time.Time
-	runs   []Traits
+	// born is when the target started, in Unix milliseconds; 0 if that isn't known.
+	born int64
+	// at is when the target was last known to run, until when it was known to have crashed.
+	at, until time.Time
+	runs      []Traits
+}
+
+// is reports whether two reports are about the same crash.
+func (c *crash) is(other crash) bool {
+	switch {
+	case c.target != other.target:
+		return false
+	case c.born != 0 && other.born != 0:
+		return c.born == other.born
+	default:
+		return latest(c.at, other.at).Sub(earliest(c.until, other.until)) < sameCrashTime
+	}
+}
+
+// narrow takes over what another report tells of the time of the crash.
+func (c *crash) narrow(other crash) {
+	c.until = earliest(c.until, other.until)
+	c.at = earliest(latest(c.at, other.at), c.until)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // evidence is what a collector knows of crashes. The zero value is empty.
@@ -27,8 +63,8 @@
 }
 
 // add records that a target died while it ran a request.
-func (e *evidence) add(target string, t Traits, at time.Time) {
-	c := e.crashOf(target, at)
+func (e *evidence) add(reported crash, t Traits) {
+	c := e.find(reported)
 	if len(c.runs) >= maxRunsPerCrash || len(t.Parts) >= maxTraitsHeld {
 		return
 	}
@@ -44,19 +80,19 @@
 	}
 }
 
-// crashOf returns the crash of a target at a time, which it adds if it isn't known.
-func (e *evidence) crashOf(target string, at time.Time) *crash {
+// find returns the crash that is reported, which it adds if it isn't known.
+func (e *evidence) find(reported crash) *crash {
 	for _, c := range e.crashes {
-		if c.target == target && c.at.Sub(at).Abs() < sameCrashTime {
+		if c.is(reported) {
+			c.narrow(reported)
 			return c
 		}
 	}
 	if len(e.crashes) >= maxCrashes {
 		e.dropOldest()
 	}
-	c := &crash{target: target, at: at}
-	e.crashes = append(e.crashes, c)
-	return c
+	e.crashes = append(e.crashes, &reported)
+	return &reported
 }
 
 func (e *evidence) dropOldest() {
--- a/internal/crashes/judge_test.go
+++ b/internal/crashes/judge_test.go
@@ -43,14 +43,14 @@
 	s.target++
 	for _, parts := range runs {
 		s.content++
-		s.judge.evidence.add(fmt.Sprint("i-", s.target), prompt(s.content, parts...), s.now)
+		s.judge.evidence.add(crash{target: fmt.Sprint("i-", s.target), at: s.now, until: s.now}, prompt(s.content, parts...))
 	}
 }
 
 // crashContent has a target crash under a request with a content of its own, and others.
 func (s *scene) crashContent(content int, parts []string, others ...[]string) {
 	s.crash(others...)
-	s.judge.evidence.add(fmt.Sprint("i-", s.target), prompt(content, parts...), s.now)
+	s.judge.evidence.add(crash{target: fmt.Sprint("i-", s.target), at: s.now, until: s.now}, prompt(content, parts...))
 }
 
 func (s *scene) answer(parts ...string) {
--- a/internal/crashes/reporter.go
+++ b/internal/crashes/reporter.go
@@ -33,17 +33,27 @@
 
 // report is the crash of one target while it ran a request, as sent to collectors.
 type report struct {
-	Target  string  `json:"t"`
-	AgeMS   int64   `json:"age_ms"`
-	Content Trait   `json:"c"`
-	Parts   []Trait `json:"p,omitempty"`
+	Target string `json:"t"`
+	// Born is when the target started, in Unix milliseconds; 0 if that isn't known.
+	Born int64 `json:"b,omitempty"`
+	// AgeMS is how long ago the target was last known to run, SilentMS how much later at most it crashed.
+	AgeMS    int64   `json:"age_ms"`
+	SilentMS int64   `json:"silent_ms,omitempty"`
+	Content  Trait   `json:"c"`
+	Parts    []Trait `json:"p,omitempty"`
 }
 
-// seenCrash is a crash that this process has seen.
+// crash returns the crash that is reported, without its runs.
+func (r report) crash(now time.Time) crash {
+	at := now.Add(-time.Duration(r.AgeMS) * time.Millisecond)
+	silent := time.Duration(min(max(r.SilentMS, 0), evidenceTTL.Milliseconds())) * time.Millisecond
+	return crash{target: r.Target, born: r.Born, at: at, until: at.Add(silent)}
+}
+
+// seenCrash is a crash that this process has seen, without its runs, and the traits of the request.
 type seenCrash struct {
-	target string
+	crash
 	traits Traits
-	at     time.Time
 }
 
 // reporter sends the crashes that a process sees to the collectors.
@@ -64,8 +74,8 @@
 	collectors []peer.Incarnation
 }
 
-// add has a crash reported.
-func (r *reporter) add(c Call, now time.Time) {
+// add has a crash reported that happened between two times.
+func (r *reporter) add(c Call, from, until, now time.Time) {
 	jitter := reportJitter + time.Duration(len(r.network.View().Members))*jitterPerMember
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -73,7 +83,7 @@
 		r.dropped++
 		return
 	}
-	seen := seenCrash{target: c.Target, traits: c.Traits, at: now}
+	seen := seenCrash{crash: crash{target: c.Target, born: c.Born, at: from, until: until}, traits: c.Traits}
 	view := r.network.View()
 	if slices.Contains(r.choice.of(view), view.Self.Incarnation) {
 		go r.receive(reportsOf([]seenCrash{seen}, now))
@@ -136,7 +146,10 @@
 func reportsOf(list []seenCrash, now time.Time) []report {
 	reports := make([]report, 0, len(list))
 	for _, c := range list {
-		reports = append(reports, report{Target: c.target, AgeMS: now.Sub(c.at).Milliseconds(), Content: c.traits.Content, Parts: slices.Clone(c.traits.Parts)})
+		reports = append(reports, report{
+			Target: c.target, Born: c.born, AgeMS: now.Sub(c.at).Milliseconds(), SilentMS: c.until.Sub(c.at).Milliseconds(),
+			Content: c.traits.Content, Parts: slices.Clone(c.traits.Parts),
+		})
 	}
 	return reports
 }
--- a/internal/crashes/tally.go
+++ b/internal/crashes/tally.go
@@ -32,13 +32,13 @@
 	return latest
 }
 
-// rounds counts the crashes that are at least roundTime apart.
+// rounds counts the crashes that are known to be at least roundTime apart.
 func (t *tally) rounds() int {
 	n := 0
 	var last time.Time
 	for _, c := range sortedByTime(t.crashes) {
 		if n == 0 || c.at.Sub(last) >= roundTime {
-			n, last = n+1, c.at
+			n, last = n+1, c.until
 		}
 	}
 	return n
--- a/internal/serve/liveness/liveness.go
+++ b/internal/serve/liveness/liveness.go
@@ -214,7 +214,7 @@
 	}
 }
 
-// series is the exchanges of one check.
+// series is one check and its exchanges.
 type series struct {
 	client     *upstream.Client
 	question   *Question
@@ -225,16 +225,16 @@
 	asked  []*exchange
 }
 
+// run returns the verdict. After a pause, only a process that says when it started is known on a new connection, so a
+// kept one is tried first.
 func (s *series) run() Verdict {
-	if !s.afterPause {
-		return s.askOrConnect()
-	}
-	// Only a process that says when it started is known on a new connection.
-	if verdict := s.askOnKept(); verdict.Runs() || verdict == Replaced {
-		return verdict
+	if s.afterPause {
+		if verdict := s.askOnKept(); verdict.Runs() || verdict == Replaced {
+			return verdict
+		}
 	}
 	verdict := s.askOrConnect()
-	if verdict == Accepting {
+	if verdict == Accepting && s.afterPause {
 		verdict = acceptedAfterPause(s.client, s.question)
 	}
 	if verdict == Unidentified {
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -120,6 +120,14 @@
 	return t.loaded
 }
 
+// HasLaterStart reports whether the list names a later start of a target under its ID.
+func (t *Table) HasLaterStart(target *Target) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	current := t.byID[target.ID]
+	return current != nil && target.Born != 0 && current.Born > target.Born
+}
+
 // ListRecovered records that the list is available again after a store outage, during which entries
 // of healthy targets may have lapsed.
 func (t *Table) ListRecovered(now time.Time) {
--- a/internal/serve/run/attempt.go
+++ b/internal/serve/run/attempt.go
@@ -199,7 +199,7 @@
 		j.retry.Sent(time.Now()) // a part of the request may have arrived
 		j.sends++
 		j.runs++
-		j.reportBroken(target, 0, err)
+		j.reportBroken(target, contact{sentAt: j.sentAt, knownUntil: j.sentAt, heardAt: j.sentAt}, err)
 	}
 	j.Log.Info("Attempt got no answer.", requestID(j.req.ID), zap.String("target", target.ID),
 		zap.Bool("sent", sent), zap.Error(err))
@@ -263,7 +263,7 @@
 			outcome = pool.Abandoned
 		}
 		call.End(outcome, time.Now())
-		j.reportBroken(target, 0, err)
+		j.reportBroken(target, contactOf(answer, 0), err)
 		j.Log.Info("Answer ended early.", requestID(j.req.ID), zap.String("target", target.ID),
 			zap.String("framing", string(answer.Kind)), zap.Error(err))
 		return attempt{target: target, mayHaveArrived: true, mayHaveRun: true, err: err}
--- a/internal/serve/run/ends.go
+++ b/internal/serve/run/ends.go
@@ -40,7 +40,7 @@
 	}
 	endedAt := time.Now()
 	answer.Close() // the target may accept few connections
-	verdict := j.liveness.Check(j.ctx, j.Client, j.livenessQuestion(target, answer))
+	verdict := j.liveness.Check(j.ctx, j.Client, j.livenessQuestion(target, answer.SentAt, answer.KnownUntil()))
 	j.Metrics.count(series("vanillagate_unframed_answer_ends", "verdict", string(verdict)))
 	fields := []zap.Field{
 		requestID(j.req.ID), zap.String("target", target.ID), zap.Int64("born", target.Born), zap.String("address", target.Address),
@@ -56,22 +56,24 @@
 	return nil
 }
 
-func (j *job) livenessQuestion(target *pool.Target, answer *upstream.Answer) *liveness.Question {
+// livenessQuestion asks about the process that got a request at sentAt and is known to have run until knownUntil.
+func (j *job) livenessQuestion(target *pool.Target, sentAt, knownUntil time.Time) *liveness.Question {
+	codec := j.Codec
 	q := &liveness.Question{
 		Process:    liveness.Process{ID: target.ID, Born: target.Born, Address: target.Address},
-		SentAt:     answer.SentAt,
-		KnownUntil: answer.KnownUntil(),
-		Born:       j.Codec.ReadBorn,
+		SentAt:     sentAt,
+		KnownUntil: knownUntil,
+		Born:       codec.ReadBorn,
 		Request: upstream.Request{
 			Address: target.Address, Target: target.ID, Host: target.Address, Method: fasthttp.MethodGet,
-			MatchesRequest: func(h *fasthttp.ResponseHeader) bool { return j.Codec.ReadAnswer(h).ID == "" },
+			MatchesRequest: func(h *fasthttp.ResponseHeader) bool { return codec.ReadAnswer(h).ID == "" },
 		},
 		From: func(h *fasthttp.ResponseHeader) bool {
-			named := j.Codec.ReadAnswer(h).Target
+			named := codec.ReadAnswer(h).Target
 			return h.StatusCode() != fasthttp.StatusMisdirectedRequest && (named == "" || named == target.ID)
 		},
 	}
-	q.Request.URI, q.Request.Header = j.Codec.LivenessRequest(target.ID, j.Plans.Service(j.service))
+	q.Request.URI, q.Request.Header = codec.LivenessRequest(target.ID, j.Plans.Service(j.service))
 	q.ConnectOnly = q.Request.URI == "" || !j.isEngineService() && takesFewRequests(target)
 	j.limitIdleConns(&q.Request)
 	return q
--- a/internal/serve/run/executor.go
+++ b/internal/serve/run/executor.go
@@ -100,6 +100,8 @@
 	// Broke records that a call's connection to its target broke. Whether the target crashed is checked in
 	// the background.
 	Broke(crashes.Call)
+	// Unanswered records that a call was given up while its target was silent.
+	Unanswered(crashes.Call)
 	// Answered records a call's complete answer. unframed means that it ended with its connection.
 	Answered(call crashes.Call, unframed bool)
 }
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -266,7 +266,7 @@
 	}
 	s.answer.Close()
 	s.call.End(outcome, time.Now())
-	j.reportBroken(s.target, s.written, err)
+	j.reportBroken(s.target, contactOf(s.answer, s.written), err)
 	j.tried[s.target.ID] = true
 	for j.ctx.Err() == nil && s.resumable() && j.runs < j.route.Attempts && j.sends < maxSends {
 		if j.refuseIfConvicted() != nil || !j.takeRetry() {
@@ -371,6 +371,9 @@
 
 // Close ends the stream. The target stops its work when the connection is closed.
 func (s *stream) Close() error {
+	if !s.hasEnded {
+		s.job.reportUnanswered(s.target, contactOf(s.answer, s.written))
+	}
 	s.end(io.ErrClosedPipe, pool.Abandoned)
 	s.held.hold(0)
 	return nil
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -192,7 +192,7 @@
 	}
 	if !o.LeaveOut.Has(leaveout.Containment) {
 		s.crashes = crashes.New(s.baseCtx, crashes.Options{
-			Log: logging.WithComponent(o.Log, "suspicion"), Network: network, Register: o.Convictions, AfterRestart: o.AfterRestart,
+			Log: logging.WithComponent(o.Log, "suspicion"), Network: network, Dial: o.DialTarget, Register: o.Convictions, AfterRestart: o.AfterRestart,
 		})
 		s.executor.Suspicion = s.crashes
 	}
