pool: a start whose clock went back supersedes the one before, too

IsSuperseded, by which a crash is known of a target that doesn't say which start it is, compared the starts' times. If the clock of the target's machine goes back, its new start names an earlier time; the list adopts it after 3 s, and the crash stayed unknown. Any other start counts that the list has come to name.

TestTargetIsSupersededByAnotherStart; the tests of pool and run pass.

--- a/internal/serve/pool/earlier_start_test.go
+++ b/internal/serve/pool/earlier_start_test.go
@@ -177,3 +177,18 @@
 		assert.Assert(t, target.GoneOrDraining())
 	}
 }
+
+// Guards against crashes that stay unknown although the list names the start that came after it.
+func TestTargetIsSupersededByAnotherStart(t *testing.T) {
+	table, now := clockBack()
+	first := table.Find("s", "a")
+	assert.Assert(t, !table.IsSuperseded(first))
+	table.Apply(bornAt(2, Ready, 12), 12, now)
+	assert.Assert(t, !table.IsSuperseded(first), "it may be a late row of an earlier start")
+	table.Sweep(now.Add(earlierStartDelay))
+	assert.Assert(t, table.IsSuperseded(first))
+	second := table.Find("s", "a")
+	assert.Assert(t, !table.IsSuperseded(second))
+	table.Apply([]Change{{Entry: Entry{ID: "a", Revision: 13}, Removed: true}}, 13, now)
+	assert.Assert(t, !table.IsSuperseded(second), "a row may be removed while its target runs")
+}
--- a/internal/serve/pool/table.go
+++ b/internal/serve/pool/table.go
@@ -120,12 +120,13 @@
 	return t.loaded
 }
 
-// HasLaterStart reports whether the list names a later start of a target under its ID.
-func (t *Table) HasLaterStart(target *Target) bool {
+// IsSuperseded reports whether the list has come to name another start of a target under its ID. That may have an earlier
+// Born, if the clock of its machine went back.
+func (t *Table) IsSuperseded(target *Target) bool {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	current := t.byID[target.ID]
-	return current != nil && target.Born != 0 && current.Born > target.Born
+	return current != nil && target.Born != 0 && current.Born != 0 && current.Born != target.Born
 }
 
 // ListRecovered records that the list is available again after a store outage, during which entries
--- a/internal/serve/run/suspicion.go
+++ b/internal/serve/run/suspicion.go
@@ -74,8 +74,7 @@
 }
 
 // reportBroken reports to Suspicion that the connection to a target broke while it had the request, or that the request
-// ended while the target was silent. To a process that is cut off, all targets look
-// as if they had crashed. A connection that was closed because of a bound says nothing about a crash.
+// ended while the target was silent. A connection that was closed because of a bound says nothing about a crash.
 func (j *job) reportBroken(target *pool.Target, was contact, err error) {
 	if j.Suspicion == nil || j.exceedsBound(err) || was.written >= writingTime {
 		return
@@ -101,12 +100,13 @@
 }
 
 // brokenCall describes a call that ended without its answer. err is that of its connection; nil if this process ended it.
+// To a process that is cut off, all targets look as if they had crashed.
 func (j *job) brokenCall(target *pool.Target, was contact, err error) crashes.Call {
 	c := j.call(target)
 	c.HeardAt, c.EndedByTarget, c.CutOff = was.heardAt, err != nil && brokenByTarget(err), j.cutOff()
 	c.Ask = j.askFate(target, was)
 	table := j.Table
-	c.Superseded = func() bool { return table.HasLaterStart(target) }
+	c.Superseded = func() bool { return table.IsSuperseded(target) }
 	return c
 }
 
