upstream: spare connections aren't used up by requests

Spare connections are kept apart now, for 30 s, and only checks get them. If one is in use by another check, that check's answer counts. A sender whose data come at intervals of up to 333 ms all the time doesn't pause. Streams open their spare after 100 ms, whether data arrive or not.

Beside it, without an effect: whether a target may have been replaced is decided once, by the caller of crashes (Call.Silent).

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -24,6 +24,8 @@
 	// bufferBytes is the size of each connection's read and write buffer. It
 	// holds the headers of a request or one event of a stream.
 	bufferBytes = 4096
+	// spareIdleTimeout is how long a spare connection is kept unused. A call on one that its target has closed may fail.
+	spareIdleTimeout = 30 * time.Second
 )
 
 // keepAlive detects a connection whose other side is gone without closing it:
@@ -60,6 +62,8 @@
 	Opened   time.Time
 	lastUsed time.Time
 	hadCall  bool
+	// spare connections are handed out by TakeOpenedBefore only.
+	spare bool
 }
 
 // Reused reports whether the connection had another call before the current one.
@@ -112,7 +116,7 @@
 // been unused for less than maxIdleTime; 0 means no bound. It returns nil if
 // there is none, and closes those that it rejects.
 func (p *Pool) Take(address string, now time.Time, maxIdleTime time.Duration) *Conn {
-	return p.take(address, now, maxIdleTime, func(*Conn) bool { return true })
+	return p.take(address, now, maxIdleTime, func(c *Conn) bool { return !c.spare })
 }
 
 // TakeOpenedBefore returns the most recently used connection that is still usable and was opened before a
@@ -139,7 +143,23 @@
 func (p *Pool) Has(address string, now time.Time, maxIdleTime time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.byAddress[address], func(c *Conn) bool { return c.reusable(now, maxIdleTime) })
+	return slices.ContainsFunc(p.byAddress[address], func(c *Conn) bool { return !c.spare && c.reusable(now, maxIdleTime) })
+}
+
+// HasSpare reports whether a spare connection to an address is kept.
+func (p *Pool) HasSpare(address string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.byAddress[address], func(c *Conn) bool { return c.spare && c.reusable(now, 0) })
+}
+
+// HasHeard reports whether a connection is kept that was opened before a time, on which data were received since another.
+func (p *Pool) HasHeard(address string, openedBefore, since, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.byAddress[address], func(c *Conn) bool {
+		return c.Opened.Before(openedBefore) && c.ReceivedSince(since) && c.reusable(now, 0)
+	})
 }
 
 // HasOf reports whether a connection is kept on which a process has answered, and which is still open. If before isn't
@@ -170,12 +190,20 @@
 // end.
 func (p *Pool) Put(address string, c *Conn, now time.Time) {
 	c.hadCall = true
-	p.PutNew(address, c, now)
+	p.put(address, c, now)
 }
 
-// PutNew keeps a connection that had no call yet.
-func (p *Pool) PutNew(address string, c *Conn, now time.Time) {
+// PutSpare keeps a connection that had no call yet, apart from those that Take hands out.
+func (p *Pool) PutSpare(address string, c *Conn, now time.Time) {
+	c.spare = true
+	p.put(address, c, now)
+}
+
+func (p *Pool) put(address string, c *Conn, now time.Time) {
 	c.lastUsed = now
+	if c.spare {
+		c.IdleTimeout = spareIdleTimeout
+	}
 	_ = c.SetDeadline(time.Time{}) // fails only on a closed connection, which Take detects
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/crashes/detector.go
+++ b/internal/crashes/detector.go
@@ -49,12 +49,14 @@
 	Born    int64
 	// HeardAt is when data last came from the target in this call; before the first, when the call was sent.
 	HeardAt time.Time
+	// Silent means that the target wasn't heard of for so long that it may have been replaced.
+	Silent bool
 	// EndedByTarget means that the other side has ended the connection.
 	EndedByTarget bool
 	// CutOff means that the caller of the target was cut off from it, so that a refused connection proves nothing.
 	CutOff bool
-	// Ask asks whether the process at the address is the one that had the call; nil if that can't be asked. silent means
-	// that the process wasn't heard of for long enough that it may have been replaced.
+	// Ask asks whether the process at the address is the one that had the call; nil if that can't be asked. silent is
+	// Silent, or means that no connection could be established meanwhile.
 	Ask func(ctx context.Context, silent bool) Fate
 	// Superseded reports whether the list of targets names a later start of the target; nil if there is no list.
 	Superseded func() bool
--- a/internal/crashes/watch.go
+++ b/internal/crashes/watch.go
@@ -31,8 +31,6 @@
 	firstReprobe = 100 * time.Millisecond
 	maxReprobe   = 800 * time.Millisecond
 	watchTime    = 20 * time.Second
-	// silentTime is how long a target wasn't heard of if it may have been replaced meanwhile.
-	silentTime = 250 * time.Millisecond
 	// maxWatches limits the targets that are watched.
 	maxWatches = 1024
 )
@@ -51,17 +49,14 @@
 	unanswered bool
 }
 
-// silent reports whether the target may have been replaced while the call waited for it.
-func (c brokenCall) silent() bool { return c.at.Sub(c.HeardAt) >= silentTime }
-
 // watch follows one start of a target after calls to it have broken.
 type watch struct {
 	detector *Detector
 	start    start
 	// calls is guarded by Detector.mu.
 	calls []brokenCall
-	// probes counts the probes. unreachable is set once no connection was established, and reset when the target has
-	// proved to run.
+	// probes counts the probes. unreachable is set once no connection was established. Both are of the time since the
+	// target was last known to run.
 	probes      int
 	unreachable bool
 }
@@ -127,6 +122,7 @@
 	return fate
 }
 
+// probeAddress opens a connection, and asks whoever accepts it.
 func (w *watch) probeAddress(ctx context.Context, calls []brokenCall) Fate {
 	w.probes++
 	err := w.detector.probe(w.start.address)
@@ -142,7 +138,7 @@
 		return Unknown
 	}
 	// Somebody accepts connections at the address.
-	silent := w.unreachable || slices.ContainsFunc(calls, brokenCall.silent)
+	silent := w.unreachable || slices.ContainsFunc(calls, func(c brokenCall) bool { return c.Silent })
 	for _, c := range calls {
 		if c.Ask != nil && (!c.unanswered || w.unreachable) {
 			return c.Ask(ctx, silent)
@@ -164,7 +160,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w.calls = w.calls[n:]
-	w.unreachable = false
+	w.probes, w.unreachable = 0, false
 	if len(w.calls) == 0 {
 		delete(d.watches, w.start)
 	}
--- a/internal/crashes/watch_test.go
+++ b/internal/crashes/watch_test.go
@@ -73,7 +73,7 @@
 				d := p.all[0]
 				d.dial = tc.address.dial(time.Now())
 				asked := 0
-				c := Call{RequestID: "id", Traits: NewTraits(ContentTrait("a"), nil), Target: "i-1", Address: "a:1", HeardAt: time.Now().Add(-tc.silent), CutOff: tc.cutOff}
+				c := Call{RequestID: "id", Traits: NewTraits(ContentTrait("a"), nil), Target: "i-1", Address: "a:1", HeardAt: time.Now().Add(-tc.silent), Silent: tc.silent > 0, CutOff: tc.cutOff}
 				c.Ask = func(_ context.Context, silent bool) Fate {
 					assert.Check(t, silent == (tc.silent > 0))
 					asked++
--- a/internal/serve/liveness/liveness.go
+++ b/internal/serve/liveness/liveness.go
@@ -228,6 +228,7 @@
 // run returns the verdict. After a pause, only a process that says when it started is known on a new connection, so a
 // kept one is tried first.
 func (s *series) run() Verdict {
+	began := time.Now()
 	if s.afterPause {
 		if verdict := s.askOnKept(); verdict.Runs() || verdict == Replaced {
 			return verdict
@@ -239,6 +240,9 @@
 	}
 	if verdict == Unidentified {
 		time.Sleep(settleTime) // another check may use the only connection that is old enough
+		if s.client.HasHeard(s.question.Address, s.question.acceptedBy(), began) {
+			return Alive
+		}
 		if again := s.askOnKept(); again.Runs() || again == Replaced {
 			return again
 		}
--- a/internal/serve/liveness/restart_test.go
+++ b/internal/serve/liveness/restart_test.go
@@ -76,7 +76,7 @@
 			t.Parallel()
 			address, _ := server(t, answeringBorn(0))
 			client, q := &upstream.Client{}, restartQuestion(address, pause)
-			client.KeepOne(t.Context(), &q.Request)
+			client.KeepSpare(t.Context(), &q.Request)
 			want := Unidentified
 			if before {
 				q = restartQuestion(address, 0)
--- a/internal/serve/run/spare_conns.go
+++ b/internal/serve/run/spare_conns.go
@@ -24,7 +24,7 @@
 func (j *job) keepSpareConn(target *pool.Target) {
 	r := &upstream.Request{Address: target.Address}
 	j.limitIdleConns(r)
-	j.Client.KeepOne(j.ctx, r)
+	j.Client.KeepSpare(j.ctx, r)
 }
 
 // keepSpareConnIfSlow ensures that if a target takes long to answer, unless it will say when it started or has an ID for
@@ -43,11 +43,38 @@
 	return service != nil && service.Engine != nil
 }
 
-// keepSpareConn ensures that an unused connection to the target is kept if the stream ends with its own.
-func (s *stream) keepSpareConn(now time.Time) {
-	if s.answer.Kind != framing.Connection || now.Before(s.spareDue) {
+// spareConn keeps a spare connection beside a stream that ends with its own. The zero value keeps none.
+type spareConn struct {
+	job    *job
+	target *pool.Target
+	// first opens the first one, next is when the following one is due.
+	first *time.Timer
+	next  time.Time
+}
+
+// newSpareConn begins to keep a connection beside an answer, if that ends with its own.
+func (j *job) newSpareConn(target *pool.Target, answer *upstream.Answer) spareConn {
+	if answer.Kind != framing.Connection {
+		return spareConn{}
+	}
+	return spareConn{
+		job: j, target: target, next: time.Now().Add(sparePeriod),
+		first: time.AfterFunc(spareDelay, func() { j.keepSpareConn(target) }),
+	}
+}
+
+// received ensures from time to time that a connection is kept. It is called when data have arrived.
+func (c *spareConn) received(now time.Time) {
+	if c.job == nil || now.Before(c.next) {
 		return
 	}
-	s.spareDue = now.Add(sparePeriod)
-	go s.job.keepSpareConn(s.target)
+	c.next = now.Add(sparePeriod)
+	go c.job.keepSpareConn(c.target)
+}
+
+// stop opens no further connection.
+func (c *spareConn) stop() {
+	if c.job != nil {
+		c.first.Stop()
+	}
 }
--- a/internal/serve/run/stream.go
+++ b/internal/serve/run/stream.go
@@ -64,15 +64,14 @@
 	// reads that returned data.
 	lastRead     time.Time
 	longestPause time.Duration
-	// spareDue is when it is next ensured that a spare connection is kept.
-	spareDue time.Time
-	buffer   [readSize]byte
+	spare        spareConn
+	buffer       [readSize]byte
 }
 
 func (j *job) stream(target *pool.Target, answer *upstream.Answer, call *pool.Call) *Reply {
 	s := &stream{
 		job: j, target: target, answer: answer, call: call, lastEventID: j.req.LastEventID, opaque: !isEventStream(&answer.Header),
-		held: heldBytes{memory: &j.streamMemory}, spareDue: time.Now().Add(spareDelay),
+		held: heldBytes{memory: &j.streamMemory}, spare: j.newSpareConn(target, answer),
 	}
 	if j.takesUp() {
 		j.Log.Info("Stream that a caller takes up goes on.", requestID(j.req.ID), zap.String("resumes", j.req.Resumes),
@@ -175,7 +174,7 @@
 		}
 	}
 	s.lastRead = now
-	s.keepSpareConn(now)
+	s.spare.received(now)
 	if !s.started {
 		s.started = true
 		s.call.ResponseStarted()
@@ -260,6 +259,7 @@
 func (s *stream) failOver(err error) {
 	j := s.job
 	from, framedBy := s.target.ID, s.answer.Kind
+	s.spare.stop()
 	outcome := pool.Failed
 	if j.ctx.Err() != nil {
 		outcome = pool.Abandoned
@@ -341,7 +341,7 @@
 	}
 	s.target, s.answer, s.call = target, answer, call
 	s.partial, s.withheld, s.events, s.wait = nil, nil, eventScanner{}, eventWait{}
-	s.started, s.written, s.survived, s.spareDue = false, 0, false, time.Now().Add(spareDelay)
+	s.started, s.written, s.survived, s.spare = false, 0, false, j.newSpareConn(target, answer)
 	s.resumed = s.lastEventID != ""
 	return resumed
 }
@@ -352,6 +352,7 @@
 		return
 	}
 	s.hasEnded = true
+	s.spare.stop()
 	s.partial, s.withheld = nil, nil
 	s.hold()
 	s.answer.Close()
--- a/internal/serve/run/suspicion.go
+++ b/internal/serve/run/suspicion.go
@@ -103,7 +103,8 @@
 // To a process that is cut off, all targets look as if they had crashed.
 func (j *job) brokenCall(target *pool.Target, was contact, err error) crashes.Call {
 	c := j.call(target)
-	c.HeardAt, c.EndedByTarget, c.CutOff = was.heardAt, err != nil && brokenByTarget(err), j.cutOff()
+	c.HeardAt, c.Silent = was.heardAt, time.Since(was.heardAt) >= upstream.RestartTime
+	c.EndedByTarget, c.CutOff = err != nil && brokenByTarget(err), j.cutOff()
 	c.Ask = j.askFate(target, was)
 	table := j.Table
 	c.Superseded = func() bool { return table.IsSuperseded(target) }
--- a/internal/serve/upstream/arrivals.go
+++ b/internal/serve/upstream/arrivals.go
@@ -8,12 +8,18 @@
 	// steadyTime is how long data has to arrive without a pause until a pause before that no longer counts. What a process
 	// sent before its end arrives at once when the path to it is whole again.
 	steadyTime = time.Second
+	// pauseFactor is how much longer than the time between the two arrivals before it a pause is. longestInterval limits
+	// that time, beyond which each one is a pause.
+	pauseFactor     = 1.5
+	longestInterval = 2 * RestartTime
 )
 
 // arrivals tells from the times at which an answer's data arrive until when its sender is known to have run. After a
-// pause of RestartTime the data may be what a process sent before its end, delayed on a path that was interrupted.
+// pause the data may be what a process sent before its end, delayed on a path that was interrupted. A pause is at least
+// RestartTime, and longer than usual for a sender that is slow all the time.
 type arrivals struct {
 	last       time.Time
+	interval   time.Duration // between the last two arrivals
 	knownUntil time.Time
 	// steadySince is when data arrived after a pause that still counts; zero if there is none.
 	steadySince time.Time
@@ -23,15 +29,22 @@
 
 // add records that data have arrived.
 func (a *arrivals) add(now time.Time) {
-	if now.Sub(a.last) >= RestartTime {
+	interval := now.Sub(a.last)
+	if interval >= a.pause() {
 		a.steadySince = now
 	}
-	a.last = now
+	a.last, a.interval = now, interval
 	if a.steadySince.IsZero() || now.Sub(a.steadySince) >= steadyTime {
 		a.knownUntil, a.steadySince = now, time.Time{}
 	}
 }
 
+// pause returns from what time on nothing arrives in a pause.
+func (a *arrivals) pause() time.Duration {
+	usual := time.Duration(pauseFactor * float64(a.interval))
+	return min(max(usual, RestartTime), longestInterval)
+}
+
 // Read reads from the body and records when data arrive.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.Body.Read(p)
--- a/internal/serve/upstream/arrivals_test.go
+++ b/internal/serve/upstream/arrivals_test.go
@@ -21,6 +21,9 @@
 		"a pause in between":         {[]time.Duration{step, step, 2 * time.Second, time.Millisecond, step}, 2 * step},
 		"steady for long after it":   {[]time.Duration{step, RestartTime, 200 * time.Millisecond, 200 * time.Millisecond, 200 * time.Millisecond, 200 * time.Millisecond, 200 * time.Millisecond}, step + RestartTime + steadyTime},
 		"two pauses":                 {[]time.Duration{step, RestartTime, 200 * time.Millisecond, RestartTime, 200 * time.Millisecond}, step},
+		"slow all the time":          {[]time.Duration{280 * time.Millisecond, 280 * time.Millisecond, 280 * time.Millisecond, 280 * time.Millisecond, 280 * time.Millisecond}, 5 * 280 * time.Millisecond},
+		"a pause in a slow one":      {[]time.Duration{280 * time.Millisecond, 280 * time.Millisecond, 280 * time.Millisecond, 280 * time.Millisecond, 280 * time.Millisecond, 430 * time.Millisecond}, 5 * 280 * time.Millisecond},
+		"long pauses all the time":   {[]time.Duration{longestInterval, longestInterval, longestInterval, longestInterval}, 0},
 		"just shorter than restarts": {[]time.Duration{RestartTime - 1, RestartTime - 1}, 2 * (RestartTime - 1)},
 	} {
 		sent := time.Now()
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -148,10 +148,16 @@
 	return c.idle.HasOf(target, address, before, time.Now())
 }
 
-// KeepOne opens a connection to an address and keeps it, unless an unused one is kept already. r is a request as it is
-// sent there; of it the address and the limits of kept connections are used.
-func (c *Client) KeepOne(ctx context.Context, r *Request) {
-	if r.CloseAfterAnswer || c.HasIdle(r.Address, 0) {
+// HasHeard reports whether an unused connection to an address is kept that was opened before a time, and on which an
+// answer has come since another.
+func (c *Client) HasHeard(address string, openedBefore, since time.Time) bool {
+	return c.idle.HasHeard(address, openedBefore, since, time.Now())
+}
+
+// KeepSpare opens a connection to an address for requests with OpenedBefore, and keeps it, unless there is one. r is a
+// request as it is sent there; of it the address and the limits of kept connections are used.
+func (c *Client) KeepSpare(ctx context.Context, r *Request) {
+	if r.CloseAfterAnswer || c.idle.HasSpare(r.Address, time.Now()) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, SlowConnectTime)
@@ -161,7 +167,7 @@
 		return // nothing was to be sent
 	}
 	conn.MaxIdleConns = r.MaxIdleConns
-	c.idle.PutNew(r.Address, conn, time.Now())
+	c.idle.PutSpare(r.Address, conn, time.Now())
 }
 
 // Send makes one attempt and reads the header of the answer. Every error is a *Failure. When
