test: the second body has arrived before the third request begins

Trace: a body that arrives holds its old and its new buffer while it grows, 165 KB of the 300 KB here, and 100 KB when it has arrived. The test means a second body that has arrived, so that one eviction makes room for the third. Beside load the server had not read it yet when the third began; both then grew at once, with 330 KB after the eviction, and neither was old enough to give way. That refusal is right.

--- a/internal/intake/conn_test.go
+++ b/internal/intake/conn_test.go
@@ -95,6 +95,14 @@
 	}
 }
 
+// waitUsed waits until about as many bytes are held, give or take a head.
+func (s *server) waitUsed(t *testing.T, bytes int64) {
+	t.Helper()
+	for until := time.Now().Add(5 * time.Second); max(s.memory.Stats().Used-bytes, bytes-s.memory.Stats().Used) > 100; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "%+v", s.memory.Stats())
+	}
+}
+
 // ask sends a text and returns the status of the answer; 0 if there is none.
 func (s *server) ask(t *testing.T, text string) int {
 	t.Helper()
@@ -220,9 +228,11 @@
 	_, err := stalled.Write([]byte(sized("/stalled", testBodyLimit))[:testBodyLimit])
 	assert.NilError(t, err)
 	time.Sleep(minEvictionAge + 100*time.Millisecond)
+	held := s.memory.Stats().Used
 	second := s.dial(t)
 	_, err = second.Write([]byte(sized("/second", testBodyLimit))[:testBodyLimit])
 	assert.NilError(t, err)
+	s.waitUsed(t, 2*held) // a body that arrives beside the next one needs more memory than that
 	assert.Equal(t, s.ask(t, sized("/sound", testBodyLimit)), 200)
 	assert.Equal(t, status(stalled), 503)
 	_, err = second.Write(bytes.Repeat([]byte("b"), 200))
