--- a/internal/crashes/detector.go
+++ b/internal/crashes/detector.go
@@ -58,7 +58,7 @@
 	// Ask asks whether the process at the address is the one that had the call; nil if that can't be asked. silent is
 	// Silent, or means that no connection could be established meanwhile.
 	Ask func(ctx context.Context, silent bool) Fate
-	// Superseded reports whether the list of targets names a later start of the target; nil if there is no list.
+	// Superseded reports whether the list of targets has come to name another start of the target; nil if there is no list.
 	Superseded func() bool
 }
 
--- a/internal/crashes/watch_test.go
+++ b/internal/crashes/watch_test.go
@@ -129,8 +129,7 @@
 	})
 }
 
-// Guards against one crash that counts as several because it is known from calls that broke at different times, and
-// against crashes of two starts that count as one.
+// Guards against one crash that counts as several, and crashes of two starts that count as one.
 func TestReportsOfTheSameCrash(t *testing.T) {
 	now := time.Now()
 	at := func(born int64, from, until time.Duration) crash {
--- a/internal/serve/liveness/liveness.go
+++ b/internal/serve/liveness/liveness.go
@@ -292,12 +292,17 @@
 // acceptedAfterPause returns the verdict on a process after a pause, at whose address connections are accepted and closed
 // again or not used. A later process accepts them, too.
 func acceptedAfterPause(client *upstream.Client, q *Question) Verdict {
-	if client.HasIdleOf(q.ID, q.Address, q.answeredBy()) || client.HasOpenFrom(q.Address, q.KnownUntil, time.Time{}) {
+	if keepsConnection(client, q) {
 		return Connected
 	}
 	return Unidentified
 }
 
+// keepsConnection reports whether a connection is open that the process has accepted.
+func keepsConnection(client *upstream.Client, q *Question) bool {
+	return client.HasIdleOf(q.ID, q.Address, q.answeredBy()) || client.HasOpenFrom(q.Address, q.KnownUntil, time.Time{})
+}
+
 // connect opens a connection and calls beforeCheck before it checks whether it is still open.
 func connect(client *upstream.Client, address string, beforeCheck func()) Verdict {
 	ctx, cancel := context.WithTimeout(context.Background(), Bound)
@@ -433,7 +438,7 @@
 	if e.afterPause {
 		return e.client.HasOpenFrom(q.Address, q.KnownUntil, e.connected)
 	}
-	return e.client.HasIdleOf(q.ID, q.Address, q.answeredBy()) || e.client.HasOpenFrom(q.Address, q.KnownUntil, time.Time{})
+	return keepsConnection(e.client, q)
 }
 
 // failed returns the verdict on a request without an answer. If much more time than its bound has passed,
